Measure what the path adds and spare scheduler hops

The parts of one call add up to 0.05 ms; waking tasks and processes costs the rest. Ruled out: parsing, MessagePack, histogram and log as causes (5, 1, 1 and 0 microseconds a call); idle work of the node (0.8 % of a core). Change: a connection is one task that runs the request itself; overdue and left connections are found by one periodic look instead of a scope for each request; a local call without a hedge runs without a task of its own. The bound of 1.1 ms for 99 in 100 is met by no way of sending over two processes here: a direct call alone has a p99 of 1.0 to 1.4 ms.

--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -250,11 +250,12 @@
         attempts: list[Attempt] = []
         failed: Result | None = None
         try:
-            await self.start(call, target, signal, attempts, exclude)
             delay = self.hedge_delay(call)
+            await self.start(
+                call, target, signal, attempts, exclude, alone=delay is None
+            )
             while True:
-                with trio.move_on_after(trio_delay(delay)):
-                    await signal.wait()
+                await signal.wait(delay)
                 for attempt in attempts:
                     result = attempt.pending.result
                     if result is None or attempt.judged:
@@ -281,7 +282,14 @@
         signal: "Signal",
         attempts: list[Attempt],
         exclude: set[str],
+        *,
+        alone: bool,
     ) -> None:
+        """Send one attempt.
+
+        :param alone: whether no other attempt runs beside it, so that a local
+            one needs no task of its own.
+        """
         exclude.add(target.instance.name)
         pending = Pending(signal.set)
         lent = call.allowance.lend()
@@ -305,7 +313,10 @@
         )
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
-        if target.instance.name == self.instance:
+        if target.instance.name == self.instance and alone:
+            pending.cancel = do_nothing_more
+            pending.resolve(await self.executor.run(message))
+        elif target.instance.name == self.instance:
             self.run_here(message, pending)
         else:
             link = self.links.of(target.instance)
@@ -380,7 +391,7 @@
             return
         call.allowance.spend()
         self.metrics.counters["hedges"] += 1
-        await self.start(call, target, signal, attempts, exclude)
+        await self.start(call, target, signal, attempts, exclude, alone=False)
 
 
 class Signal:
@@ -395,14 +406,19 @@
         """Wake the waiting task."""
         self.event.set()
 
-    async def wait(self) -> None:
-        """Wait for the next :meth:`set`."""
-        await self.event.wait()
-        self.event = trio.Event()
+    async def wait(self, timeout: float | None) -> None:
+        """Wait for the next :meth:`set`, for some seconds at most."""
+        if timeout is None:
+            await self.event.wait()
+        elif not self.event.is_set():
+            with trio.move_on_after(timeout):
+                await self.event.wait()
+        if self.event.is_set():
+            self.event = trio.Event()
 
 
-def trio_delay(delay: float | None) -> float:
-    return float("inf") if delay is None else delay
+def do_nothing_more() -> None:
+    """Withdraw a local call, which the cancellation itself has ended."""
 
 
 def keeps(name: bytes) -> bool:
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -112,6 +112,8 @@
         failure = self.check(call)
         if failure is not None:
             return self.refusal(call, failure)
+        if not self.store.policy.limits:
+            return await self.admit_and_run(call, deadline)
         with self.limits.hold(self.store.policy, call) as limited:
             if limited is not None:
                 return self.refusal(call, limited)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -244,6 +244,7 @@
             self.nursery = nursery
             nursery.start_soon(self.watch_signals)
             nursery.start_soon(self.pause.run)
+            nursery.start_soon(self.http_server.watch_connections)
             nursery.start_soon(self.api.serve, parse_address(listen.operators))
             await self.listen(listen.peers, self.peer_server.serve_connection)
             await self.listen(listen.calls, self.http_server.serve_connection)
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,6 +1,9 @@
 """Server side of HTTP/1.1 on the call path: one task for each connection."""
 
+import enum
+import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import trio
 
@@ -20,10 +23,40 @@
 ErrorReporter = Callable[[Failure], None]
 
 READ_BYTES = 65536
-PIPELINE_DEPTH = 8
+CHECK_INTERVAL_S = 0.05
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class Phase(enum.Enum):
+    """What a connection waits for."""
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+    SENDING = "sending"
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One accepted connection.
+
+    :param stream: the connection.
+    :param phase: what it waits for.
+    :param since: time at which the phase began.
+    """
+
+    stream: trio.SocketStream
+    parser: RequestParser
+    phase: Phase = Phase.IDLE
+    since: float = 0.0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase."""
+        self.phase = phase
+        self.since = trio.current_time()
+
+
 class HttpServer:
     """Reads requests from connections and writes the handler's answers.
 
@@ -38,98 +71,110 @@
         self.handler = handler
         self.limits = limits
         self.report = report
-        self.connections = 0
         self.leaving = False
+        self.connections: set[Connection] = set()
 
-    async def serve_connection(self, stream: trio.abc.Stream) -> None:
+    async def watch_connections(self) -> None:
+        """End overdue connections and those of callers that have gone.
+
+        Connections are looked at in turns, until cancelled: a task or a scope
+        for each request would cost every call what only few need.
+        """
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            now = trio.current_time()
+            for connection in list(self.connections):
+                if await self.is_over(connection, now):
+                    connection.scope.cancel()
+
+    async def is_over(self, connection: Connection, now: float) -> bool:
+        waited = now - connection.since
+        if connection.phase is Phase.ANSWERING:
+            return await is_closed(connection.stream)
+        if connection.phase is Phase.READING:
+            return waited > self.limits.head_timeout
+        return waited > self.limits.idle_timeout
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it.
 
         :param stream: accepted connection; closed on return.
         """
-        self.connections += 1
+        connection = Connection(stream, RequestParser(self.limits))
+        connection.enter(Phase.IDLE)
+        self.connections.add(connection)
         try:
-            async with stream, trio.open_nursery() as nursery:
-                send, receive = trio.open_memory_channel(PIPELINE_DEPTH)
-                nursery.start_soon(self.read_requests, stream, send, nursery)
-                await self.answer_requests(stream, receive)
-                nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            async with stream:
+                with connection.scope:
+                    await self.serve(connection)
+                if connection.phase is Phase.READING:
+                    await self.refuse(connection, self.slow_sender())
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: there is nobody left to answer.
             pass
         finally:
-            self.connections -= 1
-
-    async def read_requests(
-        self,
-        stream: trio.abc.Stream,
-        send: trio.MemorySendChannel,
-        nursery: trio.Nursery,
-    ) -> None:
-        parser = RequestParser(self.limits)
-        async with send:
-            while True:
-                data = await self.read_some(stream, parser)
-                if isinstance(data, Failure):
-                    await send.send(data)
-                    return
-                if not data:
-                    break
-                failure = parser.feed(data)
-                while parser.messages:
-                    await send.send(parser.messages.popleft())
-                if failure is not None:
-                    await send.send(failure)
-                    return
-                if parser.in_message and parser.head_complete:
-                    await self.send_continue(stream, parser)
-        # End of input means that the caller left: its running request is cancelled.
-        nursery.cancel_scope.cancel()
-
-    async def read_some(
-        self, stream: trio.abc.Stream, parser: RequestParser
-    ) -> bytes | Failure:
-        started = parser.in_message
-        limits = self.limits
-        timeout = limits.head_timeout if started else limits.idle_timeout
-        with trio.move_on_after(timeout):
-            return await stream.receive_some(READ_BYTES)
-        if started:
-            return Failure(
-                reason=Reason.SLOW_SENDER,
-                detail=f"the request made no progress for {timeout} s",
-            )
-        return b""
-
-    async def send_continue(
-        self, stream: trio.abc.Stream, parser: RequestParser
-    ) -> None:
-        if parser.body_bytes == 0 and (b"expect", b"100-continue") in parser.headers:
-            parser.headers.remove((b"expect", b"100-continue"))
-            await stream.send_all(CONTINUE_LINE)
-
-    async def answer_requests(
-        self, stream: trio.abc.Stream, receive: trio.MemoryReceiveChannel
-    ) -> None:
-        async for request in receive:
-            if isinstance(request, Failure):
-                self.report(request)
-                data = encode_response(
-                    failure_response(request), keep_alive=False, head_only=False
-                )
-                await self.send_bounded(stream, data)
+            self.connections.discard(connection)
+
+    def slow_sender(self) -> Failure:
+        return Failure(
+            reason=Reason.SLOW_SENDER,
+            detail=f"the request made no progress for {self.limits.head_timeout} s",
+        )
+
+    async def serve(self, connection: Connection) -> None:
+        parser = connection.parser
+        while True:
+            if not parser.in_message:
+                connection.enter(Phase.IDLE)
+            elif connection.phase is not Phase.READING:
+                connection.enter(Phase.READING)
+            data = await connection.stream.receive_some(READ_BYTES)
+            if not data:
+                connection.enter(Phase.IDLE)
                 return
-            response = await self.handler(request)
-            keep_alive = request.keep_alive and not self.leaving
-            data = encode_response(
-                response,
-                keep_alive=keep_alive,
-                head_only=request.method == b"HEAD",
-            )
-            if not await self.send_bounded(stream, data) or not keep_alive:
+            failure = parser.feed(data)
+            while parser.messages:
+                if not await self.answer(connection, parser.messages.popleft()):
+                    return
+            if failure is not None:
+                await self.refuse(connection, failure)
                 return
+            if parser.in_message and parser.head_complete:
+                await self.send_continue(connection)
 
-    async def send_bounded(self, stream: trio.abc.Stream, data: bytes) -> bool:
-        with trio.move_on_after(self.limits.idle_timeout):
-            await stream.send_all(data)
-            return True
+    async def send_continue(self, connection: Connection) -> None:
+        parser = connection.parser
+        if parser.body_bytes == 0 and (b"expect", b"100-continue") in parser.headers:
+            parser.headers.remove((b"expect", b"100-continue"))
+            await connection.stream.send_all(CONTINUE_LINE)
+
+    async def refuse(self, connection: Connection, failure: Failure) -> None:
+        connection.enter(Phase.SENDING)
+        self.report(failure)
+        data = encode_response(
+            failure_response(failure), keep_alive=False, head_only=False
+        )
+        with trio.move_on_after(self.limits.head_timeout):
+            await connection.stream.send_all(data)
+
+    async def answer(self, connection: Connection, request: HttpRequest) -> bool:
+        """Answer one request; tells whether the connection stays open."""
+        connection.enter(Phase.ANSWERING)
+        response = await self.handler(request)
+        connection.enter(Phase.SENDING)
+        keep_alive = request.keep_alive and not self.leaving
+        data = encode_response(
+            response, keep_alive=keep_alive, head_only=request.method == b"HEAD"
+        )
+        await connection.stream.send_all(data)
+        return keep_alive
+
+
+async def is_closed(stream: trio.SocketStream) -> bool:
+    """Tell whether the other side has closed a connection."""
+    if not stream.socket.is_readable():
         return False
+    try:
+        return await stream.socket.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return True
--- a/src/catkinpost_standins/web.py
+++ b/src/catkinpost_standins/web.py
@@ -1,7 +1,6 @@
 """Small HTTP helpers that the stand-ins share."""
 
 from collections.abc import Awaitable, Callable
-from functools import partial
 from urllib.parse import parse_qs
 
 import msgspec
@@ -48,7 +47,9 @@
 ) -> None:
     """Serve requests until cancelled."""
     server = HttpServer(handler, limits=LIMITS, report=ignore)
-    await trio.serve_tcp(partial(server.serve_connection), port, host=host)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.watch_connections)
+        await trio.serve_tcp(server.serve_connection, port, host=host)
 
 
 def ignore(failure: Failure) -> None:
