--- a/src/catkinpost/coordination/router.py
+++ b/src/catkinpost/coordination/router.py
@@ -241,8 +241,8 @@
         self.stats.ended(name, target.sent_id)
         if isinstance(result, (Answer, Refusal)):
             stat.note_load(result.load, now)
-        answered = isinstance(result, Answer) and not result.replayed
-        if answered:
+        answered = isinstance(result, Answer)
+        if answered and not result.replayed:
             self.stats.class_times.add(call_class, seconds)
             stat.add_answer(seconds / target.expected, now)
         elif result is None:
@@ -250,7 +250,7 @@
             ratio = seconds / target.expected
             if ratio > stat.slowness_at(now):
                 stat.add_answer(ratio, now)
-        elif result.reason in INSTANCE_FAULTS:
+        elif not answered and result.reason in INSTANCE_FAULTS:
             stat.failures += 1
         if target.trial:
             slow = seconds > TRIAL_SLOW_RATIO * target.expected
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,313 @@
+"""Tests of admission: limit, queue, shedding and reserve."""
+
+import unittest
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from nose2.tools import params
+
+from catkinpost.coordination.admission import Admission, Admitted, WorkItem
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import Mode, ServiceSection
+from catkinpost.state.decision_log import DecisionLog
+from tests.clock import TrioDriver, on_mock_clock, settle
+
+CRITICAL, NORMAL, SHEDDABLE = 0, 1, 2
+
+
+def make_admission(**options):
+    fields = {"owner": "test", "slots": 2, "slow_start": 0, "queue": 2} | options
+    return Admission(ServiceSection(**fields), DecisionLog())
+
+
+def make_item(rank=NORMAL, call_class="lookup", path="/", timeout=10.0):
+    return WorkItem(
+        rank=rank,
+        deadline=trio.current_time() + timeout,
+        call_class=call_class,
+        path=path,
+    )
+
+
+async def teach(admission, call_class, seconds, count=20):
+    """Let the admission learn a service time."""
+    for _ in range(count):
+        admission.durations.add(call_class, "/", seconds)
+
+
+class TestAdmission(unittest.TestCase):
+    @on_mock_clock
+    async def test_request_waits_for_a_slot(self):
+        admission = make_admission(slots=1, min_slots=1)
+        first = await admission.enter(make_item())
+        results = []
+
+        async def enter():
+            results.append(await admission.enter(make_item()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter)
+            await settle()
+            self.assertEqual((admission.in_flight, admission.queued), (1, 1))
+            admission.leave(first, seconds=0.1)
+        self.assertIsInstance(results[0], Admitted)
+        self.assertEqual((admission.in_flight, admission.queued), (1, 0))
+
+    @on_mock_clock
+    async def test_wait_is_bounded(self):
+        admission = make_admission(slots=1, min_slots=1, queue_wait=0.5)
+        await admission.enter(make_item())
+        started = trio.current_time()
+        refusal = await admission.enter(make_item())
+        self.assertEqual(refusal.reason, Reason.QUEUE_TIMEOUT)
+        self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
+        self.assertIsNotNone(refusal.retry_after)
+        self.assertAlmostEqual(trio.current_time() - started, 0.5)
+        self.assertEqual(admission.queued, 0)
+
+    @on_mock_clock
+    async def test_more_important_request_takes_the_place_of_a_waiting_one(self):
+        admission = make_admission(slots=1, min_slots=1, queue=1)
+        running = await admission.enter(make_item())
+        results = {}
+
+        async def enter(name, rank):
+            results[name] = await admission.enter(make_item(rank))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter, "browse", SHEDDABLE)
+            await settle()
+            nursery.start_soon(enter, "order", CRITICAL)
+            await settle()
+            admission.leave(running, seconds=0.1)
+        self.assertEqual(results["browse"].reason, Reason.PREEMPTED)
+        self.assertIsInstance(results["order"], Admitted)
+
+    @on_mock_clock
+    async def test_least_important_waiter_makes_room(self):
+        admission = make_admission(slots=1, min_slots=1, queue=2)
+        await admission.enter(make_item())
+        results = {}
+
+        async def enter(name, rank):
+            results[name] = await admission.enter(make_item(rank))
+
+        async with trio.open_nursery() as nursery:
+            for name, rank in (("lookup", NORMAL), ("browse", SHEDDABLE)):
+                nursery.start_soon(enter, name, rank)
+                await settle()
+            nursery.start_soon(enter, "order", CRITICAL)
+            await settle()
+            self.assertEqual(list(results), ["browse"])
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock
+    async def test_slot_given_to_a_waiter_that_is_leaving_is_not_lost(self):
+        admission = make_admission(slots=1, min_slots=1)
+        running = await admission.enter(make_item())
+        scope = trio.CancelScope()
+
+        async def enter():
+            with scope:
+                await admission.enter(make_item())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter)
+            await settle()
+            scope.cancel()
+            admission.leave(running, seconds=0.1)
+        self.assertEqual((admission.in_flight, admission.queued), (0, 0))
+
+    @on_mock_clock
+    async def test_less_important_newcomer_is_refused_when_the_queue_is_full(self):
+        admission = make_admission(slots=1, min_slots=1, queue=1)
+        await admission.enter(make_item())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(admission.enter, make_item(CRITICAL))
+            await settle()
+            refusal = await admission.enter(make_item(SHEDDABLE))
+            self.assertEqual(refusal.reason, Reason.QUEUE_FULL)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock
+    async def test_request_without_enough_time_left_is_refused_at_once(self):
+        admission = make_admission()
+        await teach(admission, "lookup", 4.0)
+        refusal = await admission.enter(make_item(timeout=1.0))
+        self.assertEqual(refusal.reason, Reason.DEADLINE_EXCEEDED)
+
+    @on_mock_clock
+    async def test_waiter_that_leaves_frees_its_place(self):
+        admission = make_admission(slots=1, min_slots=1)
+        running = await admission.enter(make_item())
+        with trio.move_on_after(0.1):
+            await admission.enter(make_item())
+        self.assertEqual(admission.queued, 0)
+        admission.leave(running, seconds=0.1)
+        self.assertEqual(admission.in_flight, 0)
+
+    @on_mock_clock
+    async def test_long_work_leaves_slots_for_short_work(self):
+        admission = make_admission(slots=4, queue=10, reserve_share=0.25)
+        await teach(admission, "short", 0.01, count=50)
+        await teach(admission, "long", 1.0, count=10)
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(admission.enter, make_item(call_class="long"))
+            await settle()
+            self.assertEqual((admission.in_flight, admission.queued), (3, 3))
+            short = await admission.enter(make_item(call_class="short"))
+            self.assertIsInstance(short, Admitted)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock
+    async def test_short_work_does_not_starve_long_work(self):
+        admission = make_admission(slots=1, min_slots=1, queue=10)
+        await teach(admission, "short", 0.01, count=50)
+        await teach(admission, "long", 1.0, count=10)
+        running = await admission.enter(make_item(call_class="short"))
+        results = []
+
+        async def enter(call_class):
+            results.append(await admission.enter(make_item(call_class=call_class)))
+
+        async with trio.open_nursery() as nursery:
+            for call_class in ("short", "short", "long"):
+                nursery.start_soon(enter, call_class)
+                await settle()
+            admission.leave(running, seconds=0.01)
+            await settle()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(results[0].item.call_class, "long")
+
+    @params(Mode.OFF, Mode.OBSERVE)
+    def test_mode_that_does_not_act_admits_everything(self, mode):
+        self.check_mode(mode)
+
+    @on_mock_clock
+    async def check_mode(self, mode):
+        admission = make_admission(slots=1, min_slots=1, queue=0, admission=mode)
+        results = [await admission.enter(make_item()) for _ in range(5)]
+        self.assertTrue(all(isinstance(item, Admitted) for item in results))
+        logged = bool(admission.decisions.decisions)
+        self.assertEqual(logged, mode is Mode.OBSERVE)
+
+    @on_mock_clock
+    async def test_newest_waiter_goes_first_when_the_queue_does_not_drain(self):
+        admission = make_admission(slots=1, min_slots=1, queue=5, queue_wait=1.0)
+        running = await admission.enter(make_item())
+        results = {}
+
+        async def enter(name):
+            results[name] = await admission.enter(make_item())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter, "old")
+            await trio.sleep(0.8)
+            nursery.start_soon(enter, "new")
+            await settle()
+            admission.leave(running, seconds=0.8)
+            await settle()
+        self.assertIsInstance(results["new"], Admitted)
+        self.assertIsInstance(results["old"], Failure)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Arrivals, endings, cancellations and policy changes in any order."""
+
+    ranks = st.sampled_from([CRITICAL, NORMAL, SHEDDABLE])
+    classes = st.sampled_from(["short", "long"])
+
+    def __init__(self):
+        super().__init__()
+        self.driver = TrioDriver()
+        self.running = []
+        self.scopes = []
+        self.shed = []
+        self.driver.run(self.open)
+
+    async def open(self):
+        self.admission = make_admission(slots=3, queue=3, queue_wait=0.5)
+        await teach(self.admission, "short", 0.01, count=50)
+        await teach(self.admission, "long", 1.0, count=10)
+
+    def teardown(self):
+        self.driver.stop()
+
+    async def enter(self, item):
+        with trio.CancelScope() as scope:
+            self.scopes.append(scope)
+            result = await self.admission.enter(item)
+            if isinstance(result, Admitted):
+                self.running.append(result)
+            elif result.reason in (Reason.QUEUE_FULL, Reason.PREEMPTED):
+                self.shed.append((item.rank, self.waiting_ranks()))
+
+    def waiting_ranks(self):
+        return [
+            waiter.item.rank
+            for queue in self.admission.queues.values()
+            for waiter in queue
+        ]
+
+    @rule(rank=ranks, call_class=classes)
+    def arrive(self, rank, call_class):
+        async def start():
+            item = make_item(rank, call_class)
+            self.driver.nursery.start_soon(self.enter, item)
+
+        self.driver.run(start)
+
+    @rule(index=st.integers(0, 10))
+    def end(self, index):
+        async def leave():
+            if self.running:
+                admitted = self.running.pop(index % len(self.running))
+                self.admission.leave(admitted, seconds=None)
+
+        self.driver.run(leave)
+
+    @rule(index=st.integers(0, 10))
+    def caller_leaves(self, index):
+        async def cancel():
+            if self.scopes:
+                self.scopes.pop(index % len(self.scopes)).cancel()
+
+        self.driver.run(cancel)
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 0.6]))
+    def advance(self, seconds):
+        self.driver.advance(seconds)
+
+    @rule(slots=st.integers(2, 4), queue=st.integers(0, 4))
+    def change_policy(self, slots, queue):
+        async def change():
+            fields = {"owner": "test", "slow_start": 0, "queue_wait": 0.5}
+            section = ServiceSection(slots=slots, queue=queue, **fields)
+            self.admission.update_section(section)
+
+        self.driver.run(change)
+
+    @invariant()
+    def counts_agree(self):
+        admission = self.admission
+        assert admission.in_flight == len(self.running)
+        assert admission.long_in_flight == sum(item.long for item in self.running)
+        waiting = sum(len(queue) for queue in admission.queues.values())
+        assert admission.queued == waiting
+
+    @invariant()
+    def no_slot_is_idle_while_admissible_work_waits(self):
+        admission = self.admission
+        for (_, long), queue in admission.queues.items():
+            assert not (queue and admission.has_room(long))
+
+    @invariant()
+    def nothing_less_important_was_kept_when_shedding(self):
+        for rank, waiting in self.shed:
+            assert all(kept <= rank for kept in waiting)
+        self.shed.clear()
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
--- /dev/null
+++ b/tests/coordination/test_dispatcher.py
@@ -0,0 +1,354 @@
+"""Tests of the way of a request to instances and back."""
+
+import unittest
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from catkinpost.coordination.dispatcher import Dispatcher
+from catkinpost.coordination.ejection import Ejector
+from catkinpost.coordination.entry import system_retries
+from catkinpost.coordination.hedge import Hedging
+from catkinpost.coordination.region_budget import RegionBudget
+from catkinpost.coordination.router import Place, Router
+from catkinpost.coordination.throttle import Throttle
+from catkinpost.protocol.http import HttpRequest, find_header
+from catkinpost.protocol.message import Answer, Load, Refusal
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.state.allowance import Allowance
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.instance_view import InstanceView
+from catkinpost.state.metric import Metrics
+from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.running import RunningCalls
+from tests.clock import on_mock_clock
+from tests.coordination.test_once import make_instance
+
+RETRIES = 3
+POLICY = f"""\
+[service orders]
+owner = sales
+
+[class place-order]
+owner = sales
+service = orders
+match = POST /orders
+importance = critical
+retries = {RETRIES}
+timeout = 5
+
+[class show-order]
+owner = sales
+service = orders
+match = GET /orders
+importance = normal
+repeatable = yes
+retries = {RETRIES}
+timeout = 5
+"""
+
+
+def refusal(reason, outcome, **fields):
+    return Refusal(0, reason, outcome, "", None, 0, Load(), **fields)
+
+
+NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+# Name of a fault: whether the backend server runs the call, and what is reported.
+FAULTS = {
+    "answered": (True, lambda: Answer(0, 200, [], b"", 0, Load())),
+    "queue full": (False, lambda: refusal(Reason.QUEUE_FULL, NOT_RUN)),
+    "preempted": (False, lambda: refusal(Reason.PREEMPTED, NOT_RUN)),
+    "leaving": (False, lambda: refusal(Reason.LEAVING, NOT_RUN)),
+    "backend refused": (False, lambda: refusal(Reason.BACKEND_UNREACHABLE, NOT_RUN)),
+    "no link": (False, lambda: Failure(reason=Reason.PEER_UNREACHABLE)),
+    "link lost before": (
+        False,
+        lambda: Failure(reason=Reason.PEER_CONNECTION_LOST, outcome=UNKNOWN),
+    ),
+    "link lost after": (
+        True,
+        lambda: Failure(reason=Reason.PEER_CONNECTION_LOST, outcome=UNKNOWN),
+    ),
+    "backend crashed": (
+        True,
+        lambda: refusal(Reason.BACKEND_CONNECTION_LOST, UNKNOWN),
+    ),
+    "answer cut": (True, lambda: refusal(Reason.BACKEND_BAD_ANSWER, UNKNOWN)),
+    "silent before": (False, lambda: None),
+    "silent after": (True, lambda: None),
+}
+
+
+class FakeLinks:
+    """Links whose attempts meet one scripted fault after the other."""
+
+    def __init__(self, faults):
+        self.faults = list(faults)
+        self.runs = 0
+        self.attempts = 0
+        self.withdrawn = 0
+        self.granted = []
+
+    def of(self, instance):
+        return self
+
+    async def start(self, call, pending):
+        self.attempts += 1
+        self.granted.append(call.allowance)
+        fault = self.faults.pop(0) if self.faults else "answered"
+        ran, result = FAULTS[fault]
+        self.runs += ran
+        if fault != "no link":
+            pending.cancel = self.withdraw
+        result = result()
+        if result is None:
+            return
+        if isinstance(result, Answer):
+            result.body = call.body
+        if not isinstance(result, Failure):
+            result.allowance = call.allowance
+        pending.resolve(result)
+
+    def withdraw(self):
+        self.withdrawn += 1
+
+
+class Setup:
+    """Dispatcher with everything real but the links."""
+
+    def __init__(self, nursery, faults):
+        self.decisions = DecisionLog()
+        self.store = PolicyStore()
+        self.store.accept_document(1, POLICY, now=0.0, source="test")
+        self.view = InstanceView()
+        self.view.apply(1, [make_instance(f"orders-{n}") for n in range(9)], 0.0)
+        self.stats = PeerStats()
+        self.running = RunningCalls()
+        self.links = FakeLinks(faults)
+        self.throttle = Throttle()
+        ejector = Ejector(
+            view=self.view,
+            stats=self.stats,
+            store=self.store,
+            decisions=self.decisions,
+        )
+        budget = RegionBudget(
+            region="kurzeme",
+            store=self.store,
+            nodes_in_region=lambda: 1,
+            decisions=self.decisions,
+        )
+        self.dispatcher = Dispatcher(
+            instance="sets-1",
+            store=self.store,
+            ready=lambda: True,
+            running=self.running,
+            router=Router(
+                place=Place(
+                    instance="sets-1", data_centre="kurzeme-1", region="kurzeme"
+                ),
+                view=self.view,
+                stats=self.stats,
+                store=self.store,
+                ejector=ejector,
+                budget=budget,
+            ),
+            links=self.links,
+            executor=None,
+            throttle=self.throttle,
+            hedging=Hedging(),
+            metrics=Metrics(),
+            decisions=self.decisions,
+            spawn=nursery.start_soon,
+        )
+
+    async def send(self, method=b"POST", body=b"one", **headers):
+        pairs = [(b"host", b"orders")]
+        for name, value in headers.items():
+            pairs.append((name.replace("_", "-").encode(), str(value).encode()))
+        request = HttpRequest(method, b"/orders", pairs, body)
+        return await self.dispatcher.handle(request)
+
+
+def outcome_of(response):
+    return Outcome(find_header(response.headers, b"catkinpost-outcome").decode())
+
+
+def reason_of(response):
+    return find_header(response.headers, b"catkinpost-reason").decode()
+
+
+class TestDispatcher(unittest.TestCase):
+    @params(
+        ("POST", ["answered"], "done", 1),
+        ("POST", ["leaving", "answered"], "done", 2),
+        ("POST", ["no link", "leaving", "answered"], "done", 3),
+        ("POST", ["link lost after", "answered"], "unknown", 1),
+        ("POST", ["backend crashed", "answered"], "unknown", 1),
+        ("POST", ["silent after", "answered"], "unknown", 1),
+        ("POST", ["queue full", "answered"], "done", 2),
+        ("GET", ["link lost after", "answered"], "done", 2),
+        ("GET", ["answer cut", "answered"], "done", 2),
+        ("GET", ["queue full", "answered"], "not-run", 1),
+        ("GET", ["link lost after", "leaving", "leaving", "leaving"], "unknown", 2),
+    )
+    def test_fault_leads_to_an_honest_outcome(self, method, faults, outcome, attempts):
+        self.check_outcome(method, faults, outcome, attempts)
+
+    @on_mock_clock
+    async def check_outcome(self, method, faults, outcome, attempts):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            response = await setup.send(method.encode())
+            self.assertEqual(outcome_of(response), outcome)
+            self.assertEqual(setup.links.attempts, attempts)
+
+    @given(
+        method=st.sampled_from([b"POST", b"GET"]),
+        faults=st.lists(st.sampled_from(sorted(FAULTS)), max_size=8),
+        attempt=st.none() | st.integers(0, 4),
+        allowance=st.none() | st.integers(0, 16),
+    )
+    def test_every_outcome_is_true_and_retries_stay_in_bound(
+        self, method, faults, attempt, allowance
+    ):
+        self.check_truth(method, faults, attempt, allowance)
+
+    @on_mock_clock
+    async def check_truth(self, method, faults, attempt, allowance):
+        headers = {}
+        if attempt is not None:
+            headers["catkinpost_attempt"] = attempt
+        if allowance is not None:
+            headers["catkinpost_retry_allowance"] = allowance
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            response = await setup.send(method, body=b"mine", **headers)
+            links = setup.links
+            outcome = outcome_of(response)
+            if outcome is Outcome.NOT_RUN:
+                self.assertEqual(links.runs, 0)
+                self.assertIn(attempt, (None, 0))
+            if outcome is Outcome.DONE:
+                self.assertEqual(response.body, b"mine")
+            if method == b"POST":
+                self.assertLessEqual(links.runs, 1)
+            self.assertLessEqual(links.attempts - 1, system_retries(RETRIES))
+            if allowance is not None:
+                self.assertLessEqual(links.attempts - 1, allowance)
+            self.assertEqual(
+                sum(len(item.outstanding) for item in setup.stats.stats.values()), 0
+            )
+
+    @on_mock_clock
+    async def test_child_calls_share_the_allowance_of_their_parent(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["leaving"] * 20)
+            parent = setup.running.start(
+                service="sets",
+                call_class="lookup-set",
+                tenant="shop",
+                rank=2,
+                deadline=trio.current_time() + 1,
+                allowance=Allowance(3),
+            )
+            for _ in range(6):
+                await setup.send(b"GET", catkinpost_parent=parent.token)
+            self.assertEqual(setup.links.attempts, 6 + 3)
+
+    @on_mock_clock
+    async def test_child_call_of_an_unknown_parent_gets_no_retry(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["leaving"] * 20)
+            await setup.send(b"GET", catkinpost_parent="gone")
+            self.assertEqual(setup.links.attempts, 1)
+
+    @on_mock_clock
+    async def test_call_is_withdrawn_when_its_caller_leaves(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"])
+            with trio.move_on_after(1.0):
+                await setup.send()
+            self.assertEqual(setup.links.withdrawn, 1)
+            self.assertEqual(setup.dispatcher.active, 0)
+
+    @on_mock_clock
+    async def test_child_call_is_withdrawn_when_its_parent_is_cancelled(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"])
+            parent = setup.running.start(
+                service="sets",
+                call_class="lookup-set",
+                tenant="shop",
+                rank=2,
+                deadline=trio.current_time() + 100,
+                allowance=Allowance(3),
+            )
+
+            async def send():
+                await setup.send(b"GET", catkinpost_parent=parent.token)
+
+            nursery.start_soon(send)
+            await trio.sleep(0.5)
+            parent.cancel_children()
+            await trio.sleep(0.1)
+            self.assertEqual(setup.links.withdrawn, 1)
+
+    @on_mock_clock
+    async def test_call_to_a_holder_is_passed_on(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["answered"])
+            setup.links.faults = []
+            answers = [
+                refusal(Reason.ALREADY_SENT, UNKNOWN, holder="orders-3#abc"),
+                Answer(0, 200, [], b"kept", 0, Load(), True),
+            ]
+            seen = []
+
+            class Links:
+                def of(self, instance):
+                    seen.append(instance.name)
+                    return self
+
+                async def start(self, call, pending):
+                    pending.resolve(answers.pop(0))
+
+            setup.dispatcher.links = Links()
+            response = await setup.send(
+                b"POST", idempotency_key="k", catkinpost_attempt=1
+            )
+            self.assertEqual(response.body, b"kept")
+            self.assertEqual(seen[-1], "orders-3")
+
+    @params(
+        ({"catkinpost_attempt": "x"}, Reason.INVALID_HEADER, 400),
+        ({"catkinpost_timeout_ms": "-5"}, Reason.INVALID_HEADER, 400),
+        ({"catkinpost_retry_allowance": "99"}, Reason.INVALID_HEADER, 400),
+        ({"catkinpost_tenant": "a b"}, Reason.INVALID_HEADER, 400),
+        ({"idempotency_key": "k" * 300}, Reason.INVALID_HEADER, 400),
+        ({"catkinpost_class": "nope"}, Reason.UNKNOWN_CLASS, 400),
+        ({"catkinpost_service": "nope"}, Reason.UNKNOWN_SERVICE, 404),
+        ({"catkinpost_attempt": "9"}, Reason.RETRY_BOUND, 503),
+    )
+    def test_bad_header_has_a_clear_answer(self, headers, reason, status):
+        self.check_bad_header(headers, reason, status)
+
+    @on_mock_clock
+    async def check_bad_header(self, headers, reason, status):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            response = await setup.send(**headers)
+            self.assertEqual((reason_of(response), response.status), (reason, status))
+            self.assertEqual(setup.links.attempts, 0)
+
+    @on_mock_clock
+    async def test_node_without_policy_refuses(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            setup.dispatcher.ready = lambda: False
+            response = await setup.send()
+            self.assertEqual(reason_of(response), Reason.NO_POLICY)
+            self.assertEqual(outcome_of(response), Outcome.NOT_RUN)
