--- /dev/null
+++ b/src/catkinpost/command/client.py
@@ -0,0 +1,304 @@
+"""``catkinpost``: the operators' client."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import trio
+import typer
+
+from catkinpost.command.difference import SectionDifference, compare_documents
+from catkinpost.command.fetch import Source, fetch, fetch_all, find_nodes
+from catkinpost.protocol.ini import Problem
+from catkinpost.protocol.outcome import Failure
+from catkinpost.protocol.policy import check_document
+from catkinpost.protocol.report import HistogramReport, StatusReport
+from catkinpost.state.decision_log import Decision
+
+__all__ = ["main"]
+
+EXIT_PROBLEMS = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+WATCH_WAIT_S = 20.0
+RETRY_S = 2.0
+
+app = typer.Typer(
+    help="Check policies, and see what nodes do and why.", no_args_is_help=True
+)
+
+NodeOption = Annotated[
+    str, typer.Option(help="Operators' address of one node, IP:port.")
+]
+PlatformOption = Annotated[
+    str, typer.Option(help="Address of the platform, IP:port, for the whole fleet.")
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+class CheckReport(msgspec.Struct, kw_only=True):
+    """Result of ``catkinpost check`` as JSON."""
+
+    file: str
+    problems: list[Problem]
+    sections: int
+    changes: list[SectionDifference]
+
+
+def print_json(value) -> None:
+    typer.echo(msgspec.json.format(msgspec.json.encode(value), indent=2))
+
+
+def fail(message: str, status: int) -> None:
+    typer.echo(message, err=True)
+    raise typer.Exit(status)
+
+
+def find_sources(node: str, platform: str) -> list[Source]:
+    """Return the nodes that the options name, or end the command."""
+    if bool(node) == bool(platform):
+        fail("name one of --node and --platform", EXIT_USAGE)
+    if node:
+        return [Source(name=node, address=node)]
+    sources = trio.run(find_nodes, platform)
+    if isinstance(sources, Failure):
+        fail(sources.detail, EXIT_UNREACHABLE)
+    return sources
+
+
+@app.command()
+def check(
+    file: Annotated[Path, typer.Argument(help="Policy document.")],
+    node: NodeOption = "",
+    json: JsonOption = False,
+) -> None:
+    """Check a policy document, and compare it with the one in force.
+
+    Exits with 0 when it has no problem, 1 when it has one, 2 when it cannot be
+    read, and 3 when the node cannot be reached.
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fail(f"{file}: {error}", EXIT_USAGE)
+    checked = check_document(text)
+    changes: list[SectionDifference] = []
+    if node:
+        in_force = trio.run(fetch, node, "/policy")
+        if isinstance(in_force, Failure):
+            fail(in_force.detail, EXIT_UNREACHABLE)
+        changes = compare_documents(in_force.decode(), text)
+    if json:
+        print_json(
+            CheckReport(
+                file=str(file),
+                problems=checked.problems,
+                sections=len(checked.sections),
+                changes=changes,
+            )
+        )
+    else:
+        for problem in checked.problems:
+            typer.echo(problem.format(str(file)))
+        for change in changes:
+            typer.echo(change.format())
+        typer.echo(
+            f"{file}: {len(checked.sections)} sections, "
+            f"{len(checked.problems)} problems, {len(changes)} changes"
+        )
+    if checked.problems:
+        raise typer.Exit(EXIT_PROBLEMS)
+
+
+@app.command()
+def status(
+    node: NodeOption = "", platform: PlatformOption = "", json: JsonOption = False
+) -> None:
+    """Show version in force, limits, work in progress, refusals and peers.
+
+    Exits with 3 when a node cannot be reached.
+    """
+    sources = find_sources(node, platform)
+    found = trio.run(fetch_all, sources, "/status", StatusReport)
+    if json:
+        print_json(found)
+    elif node:
+        for report in found.values():
+            print_status(report)
+    else:
+        print_fleet(found)
+    if any(isinstance(item, Failure) for item in found.values()):
+        raise typer.Exit(EXIT_UNREACHABLE)
+
+
+def print_status(report: StatusReport | Failure) -> None:
+    """Print the status of one node."""
+    if isinstance(report, Failure):
+        typer.echo(report.detail, err=True)
+        return
+    policy = report.policy
+    state = "leaving" if report.leaving else "ready" if report.ready else "not ready"
+    typer.echo(
+        f"{report.instance} ({report.service}, {report.data_centre},"
+        f" {report.region}): {state}"
+    )
+    since = "" if policy.in_force_s is None else f" for {policy.in_force_s:.0f} s"
+    typer.echo(f"policy    version {policy.version}{since}, read from {policy.source}")
+    typer.echo(
+        f"platform  version {policy.platform_version} {policy.platform_error}".rstrip()
+    )
+    typer.echo(
+        f"work      {report.in_flight} of {report.limit} in flight"
+        f" ({report.long_in_flight} long), {report.queued} queued"
+    )
+    typer.echo(
+        f"backend   reachable {report.backend_reachable},"
+        f" reports {report.backend_reported_in_flight} in flight"
+    )
+    for problem in policy.problems:
+        typer.echo(f"problem   {problem}")
+    for row in report.outcomes:
+        typer.echo(
+            f"calls     {row.service:16}{row.request_class:24}{row.tenant:12}"
+            f"{row.outcome:9}{row.reason:24}{row.count:9}"
+        )
+    for peer in report.peers:
+        link = "connected" if peer.connected else "not connected"
+        marks = [
+            name for name in ("ejected", "on_trial", "leaving") if getattr(peer, name)
+        ]
+        typer.echo(
+            f"peer      {peer.instance:20}{peer.state:9}{link:15}"
+            f"version {peer.policy_version}  slowness {peer.slowness}"
+            f"  {peer.in_flight}/{peer.limit} {' '.join(marks)}".rstrip()
+        )
+
+
+def print_fleet(found: dict[str, StatusReport | Failure]) -> None:
+    """Print one line for each node, and who lacks the newest version."""
+    reports = [item for item in found.values() if isinstance(item, StatusReport)]
+    newest = max((item.policy.version for item in reports), default=-1)
+    for name, item in found.items():
+        if isinstance(item, Failure):
+            typer.echo(f"{name:20} unreachable: {item.detail}")
+            continue
+        behind = ""
+        if item.policy.version < newest:
+            why = item.policy.platform_error or "not announced yet"
+            behind = f" behind: {why}"
+        refused = sum(row.count for row in item.outcomes if row.outcome != "done")
+        typer.echo(
+            f"{name:20} {'ready' if item.ready else 'not ready':10}"
+            f"policy {item.policy.version:<6}"
+            f"{item.in_flight:4}/{item.limit:<4} queued {item.queued:<4}"
+            f"refused {refused}{behind}"
+        )
+    typer.echo(f"newest version in force: {newest}")
+
+
+@app.command()
+def watch(
+    node: NodeOption = "",
+    platform: PlatformOption = "",
+    json: JsonOption = False,
+    mechanism: Annotated[
+        str, typer.Option(help="Show the decisions of one mechanism only.")
+    ] = "",
+    after: Annotated[
+        int, typer.Option(help="Position of the last decision already seen.")
+    ] = 0,
+    once: Annotated[bool, typer.Option(help="Print what is there and stop.")] = False,
+) -> None:
+    """Print automatic decisions as they happen, with reason and evidence."""
+    sources = find_sources(node, platform)
+    trio.run(watch_all, sources, mechanism, after, once, json)
+
+
+async def watch_all(
+    sources: list[Source], mechanism: str, after: int, once: bool, json: bool
+) -> None:
+    async with trio.open_nursery() as nursery:
+        for source in sources:
+            nursery.start_soon(watch_one, source, mechanism, after, once, json)
+
+
+async def watch_one(
+    source: Source, mechanism: str, after: int, once: bool, json: bool
+) -> None:
+    """Print the decisions of one node until interrupted."""
+    wait = 0.0 if once else WATCH_WAIT_S
+    while True:
+        path = f"/decisions?after={after}&wait={wait:g}"
+        body = await fetch(source.address, path, wait=wait)
+        if isinstance(body, Failure):
+            typer.echo(body.detail, err=True)
+            if once:
+                raise typer.Exit(EXIT_UNREACHABLE)
+            await trio.sleep(RETRY_S)
+            continue
+        for decision in msgspec.json.decode(body, type=list[Decision]):
+            after = decision.sequence
+            if mechanism in ("", decision.mechanism):
+                print_decision(source, decision, json)
+        if once:
+            return
+
+
+def print_decision(source: Source, decision: Decision, json: bool) -> None:
+    """Print one decision on one line."""
+    if json:
+        fields = msgspec.to_builtins(decision)
+        typer.echo(msgspec.json.encode({"node": source.name, **fields}))
+        return
+    evidence = " ".join(f"{name}={value}" for name, value in decision.evidence.items())
+    mode = "" if decision.mode.value == "on" else f" [{decision.mode.value} only]"
+    repeated = f" (and {decision.repeated} alike)" if decision.repeated else ""
+    typer.echo(
+        f"{source.name} {decision.sequence:6} {decision.mechanism}: {decision.action}"
+        f" {decision.subject}{mode}: {decision.reason}; {evidence}{repeated}"
+    )
+
+
+@app.command()
+def histogram(
+    node: NodeOption = "", platform: PlatformOption = "", json: JsonOption = False
+) -> None:
+    """Show latencies by service, class and tenant.
+
+    Exits with 3 when a node cannot be reached.
+    """
+    sources = find_sources(node, platform)
+    found = trio.run(fetch_all, sources, "/histogram", HistogramReport)
+    if json:
+        print_json(found)
+    else:
+        print_histograms(found)
+    if any(isinstance(item, Failure) for item in found.values()):
+        raise typer.Exit(EXIT_UNREACHABLE)
+
+
+def print_histograms(found: dict[str, HistogramReport | Failure]) -> None:
+    """Print one line for each node, class and tenant."""
+    typer.echo(
+        f"{'node':20}{'service':16}{'class':24}{'tenant':12}"
+        f"{'count':>9}{'p50':>10}{'p90':>10}{'p99':>10}{'p99.9':>10} ms"
+    )
+    for name, report in found.items():
+        if isinstance(report, Failure):
+            typer.echo(report.detail, err=True)
+            continue
+        for row in report.latencies:
+            values = "".join(f"{value:10.2f}" for value in row.percentiles_ms.values())
+            typer.echo(
+                f"{name:20}{row.service:16}{row.request_class:24}{row.tenant:12}"
+                f"{row.count:9}{values}"
+            )
+
+
+def main() -> None:
+    """Run the command."""
+    try:
+        app()
+    except KeyboardInterrupt:
+        sys.exit(0)
--- a/src/catkinpost/coordination/router.py
+++ b/src/catkinpost/coordination/router.py
@@ -19,6 +19,7 @@
 SAME_REGION_WAIT_S = 0.003
 OTHER_REGION_WAIT_S = 0.040
 TRIAL_SLOW_RATIO = 2.0
+TIE_SPREAD = 0.05
 RETRY_AFTER_S = 1.0
 INSTANCE_FAULTS = frozenset(
     {
@@ -153,6 +154,7 @@
             for item in random.sample(items, min(2, len(items))):
                 stat = self.stats.of(item.name)
                 wait = distance + self.expected_wait(stat, typical, now)
+                wait *= random.uniform(1 - TIE_SPREAD, 1 + TIE_SPREAD)
                 if best is None or wait < best[0]:
                     best = (wait, item)
         if best is None:
--- a/tests/clock.py
+++ b/tests/clock.py
@@ -1,6 +1,7 @@
 """Running asynchronous tests on a mock clock."""
 
 import functools
+import random
 import threading
 
 import hypothesis
@@ -35,6 +36,7 @@
             with trio.fail_after(LONGEST_TEST_S):
                 await test(*args)
 
+        random.seed(0)
         threshold = IO_THRESHOLD_S if io else 0
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=threshold))
 
--- /dev/null
+++ b/tests/state/test_allowance.py
@@ -0,0 +1,55 @@
+"""Tests of the retry allowance."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkinpost.state.allowance import Allowance
+
+
+def spend_chain(allowance, depth, draw):
+    """Make calls down a chain as nodes do; returns the retries spent."""
+    spent = 0
+    for _ in range(draw(st.integers(0, 3))):
+        child = Allowance(allowance.take_share())
+        while True:
+            lent = child.lend()
+            if depth > 1:
+                below = Allowance(lent)
+                spent += spend_chain(below, depth - 1, draw)
+                unused = below.remaining
+            else:
+                unused = lent
+            if draw(st.booleans()):
+                # The answer claims more than was lent, or is lost.
+                child.give_back(draw(st.sampled_from([unused, 99, 0, -5])), lent=unused)
+            if draw(st.booleans()) or not child.spend():
+                break
+            spent += 1
+        allowance.give_back(child.remaining, lent=child.remaining)
+    return spent
+
+
+class TestAllowance(unittest.TestCase):
+    @given(total=st.integers(0, 8), data=st.data())
+    def test_retries_over_the_whole_chain_never_exceed_the_grant(self, total, data):
+        allowance = Allowance(total)
+        spent = spend_chain(allowance, 3, data.draw)
+        self.assertLessEqual(spent + allowance.remaining, total)
+
+    @given(total=st.integers(0, 20))
+    def test_lost_answer_leaves_the_larger_half(self, total):
+        allowance = Allowance(total)
+        lent = allowance.lend()
+        self.assertEqual(lent + allowance.remaining, total)
+        self.assertGreaterEqual(allowance.remaining, lent)
+
+    def test_forged_answer_returns_no_more_than_was_lent(self):
+        allowance = Allowance(3)
+        lent = allowance.lend()
+        allowance.give_back(1000, lent=lent)
+        self.assertEqual(allowance.remaining, 3)
+
+    def test_empty_allowance_cannot_be_spent(self):
+        self.assertFalse(Allowance(0).spend())
