--- /dev/null
+++ b/tests/coordination/test_link.py
@@ -0,0 +1,276 @@
+"""Tests of links between nodes, over real connections."""
+
+import unittest
+
+import trio
+from nose2.tools import params
+
+from catkinpost.coordination.identity import Identity
+from catkinpost.coordination.link import LinkSettings, PeerLink
+from catkinpost.coordination.pause import PauseWatch
+from catkinpost.coordination.peer_server import PeerServer
+from catkinpost.coordination.pending import Pending
+from catkinpost.protocol.message import Answer, Challenge, Load, Ping, encode_message
+from catkinpost.protocol.outcome import Outcome, Reason
+from catkinpost.protocol.settings import Address
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.policy_store import PolicyStore
+from catkinpost.transport.frame import LENGTH, FrameStream
+from tests.clock import on_mock_clock
+from tests.coordination.test_once import make_call
+
+HOST = "127.0.0.1"
+CLOSED_PORT = 1
+SECRET = b"shared-secret-of-the-fleet"
+
+
+class Events:
+    """Receiver that remembers what happened."""
+
+    def __init__(self):
+        self.ups = []
+        self.downs = []
+        self.messages = []
+        self.up = trio.Event()
+
+    def link_up(self, link, welcome):
+        self.ups.append(welcome)
+        self.up.set()
+
+    def link_down(self, link, failure):
+        self.downs.append(failure)
+
+    async def session_up(self, session):
+        self.ups.append(session.hello)
+
+    async def peer_message(self, sender, message):
+        self.messages.append(message)
+
+
+class Setup:
+    """One link and the server that it leads to."""
+
+    def __init__(self, nursery, *, server_secret=SECRET, server_name="orders-2"):
+        self.nursery = nursery
+        self.started = []
+        self.cancelled = 0
+        self.hold = trio.Event()
+        self.hold.set()
+        self.pause = PauseWatch(DecisionLog())
+        self.settings = LinkSettings(silence=3.0, max_frame_bytes=10_000)
+        self.events = Events()
+        self.server_events = Events()
+        self.server = PeerServer(
+            identity=Identity(
+                instance=server_name, service="orders", secret=server_secret
+            ),
+            store=PolicyStore(),
+            run_call=self.run_call,
+            events=self.server_events,
+            load=Load,
+            pause=PauseWatch(DecisionLog()),
+            settings=self.settings,
+        )
+
+    async def run_call(self, call):
+        self.started.append(call.body)
+        try:
+            await self.hold.wait()
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        return Answer(call.id, 200, [], call.body, call.allowance, Load())
+
+    async def start(self, serve=None, port=None):
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        serve = serve or self.server.serve_connection
+        self.nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = port or listeners[0].socket.getsockname()[1]
+        self.link = PeerLink(
+            "orders-2",
+            Address(HOST, port),
+            identity=Identity(instance="sets-1", service="sets", secret=SECRET),
+            store=PolicyStore(),
+            events=self.events,
+            pause=self.pause,
+            settings=self.settings,
+            spawn=self.nursery.start_soon,
+        )
+        self.nursery.start_soon(self.link.run)
+
+    async def call(self, body=b"set"):
+        done = trio.Event()
+        pending = Pending(done.set)
+        try:
+            await self.link.start(make_call("k", 0, body), pending)
+            await done.wait()
+        except trio.Cancelled:
+            pending.cancel()
+            raise
+        return pending.result
+
+
+class TestLink(unittest.TestCase):
+    @on_mock_clock(io=True)
+    async def test_answers_reach_their_own_callers_out_of_order(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            gates = {body: trio.Event() for body in (b"a", b"b", b"c")}
+
+            async def run_call(call):
+                await gates[call.body].wait()
+                return Answer(call.id, 200, [], call.body, 0, Load())
+
+            setup.server.run_call = run_call
+            results = {}
+
+            async def call(body):
+                results[body] = (await setup.call(body)).body
+
+            for body in gates:
+                nursery.start_soon(call, body)
+            await trio.sleep(0.5)
+            for body in (b"c", b"a", b"b"):
+                gates[body].set()
+                await trio.sleep(0.1)
+            self.assertEqual(results, {b"a": b"a", b"b": b"b", b"c": b"c"})
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_cancelled_call_is_cancelled_at_the_peer(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            await setup.start()
+            with trio.move_on_after(1.0):
+                await setup.call()
+            await trio.sleep(0.5)
+            self.assertEqual(setup.cancelled, 1)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_silent_connection_is_given_up_and_a_new_one_works(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            accepted = []
+
+            async def serve(stream):
+                accepted.append(stream)
+                if len(accepted) == 1:
+                    await serve_until_silent(setup, stream)
+                else:
+                    await setup.server.serve_connection(stream)
+
+            await setup.start(serve)
+            result = await setup.call()
+            self.assertEqual(result.outcome, Outcome.UNKNOWN)
+            result = await setup.call()
+            self.assertIsInstance(result, Answer)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_peer_that_cannot_be_reached_means_not_run(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start(port=CLOSED_PORT)
+            result = await setup.call()
+            self.assertEqual(result.reason, Reason.PEER_UNREACHABLE)
+            self.assertEqual(result.outcome, Outcome.NOT_RUN)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_link_is_dropped_after_a_pause_of_this_process(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await setup.events.up.wait()
+            setup.pause.observe()
+            setup.pause.last_tick -= 30
+            result = await setup.call()
+            self.assertEqual(result.outcome, Outcome.UNKNOWN)
+            await trio.sleep(0.1)
+            self.assertIn("paused", setup.events.downs[0].detail)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_node_without_the_secret_gets_nowhere(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, server_secret=b"another secret entirely")
+            await setup.start()
+            with trio.move_on_after(5):
+                await setup.events.up.wait()
+            self.assertEqual(setup.events.ups, [])
+            self.assertEqual(setup.server_events.ups, [])
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_other_instance_at_the_address_is_not_taken_for_the_peer(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, server_name="orders-9")
+            await setup.start()
+            result = await setup.call()
+            self.assertEqual(result.outcome, Outcome.NOT_RUN)
+            nursery.cancel_scope.cancel()
+
+    @params(
+        b"garbage that is no frame",
+        LENGTH.pack(2**31) + b"x",
+        LENGTH.pack(3) + b"\xc1\xc1\xc1",
+        LENGTH.pack(len(encode_message(Ping(1)))) + encode_message(Ping(1)),
+        b"",
+    )
+    def test_peer_that_sends_garbage_is_refused(self, data):
+        self.check_garbage(data)
+
+    @on_mock_clock(io=True)
+    async def check_garbage(self, data):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            serve = setup.server.serve_connection
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            stream = await trio.open_tcp_stream(HOST, port)
+            await stream.send_all(data) if data else None
+            with trio.move_on_after(10) as scope:
+                while await stream.receive_some(1000):
+                    pass
+            self.assertFalse(scope.cancelled_caught)
+            self.assertEqual(setup.server_events.ups, [])
+            self.assertEqual(setup.server.sessions, {})
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_peer_of_another_version_is_refused_with_a_reason(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+
+            async def serve(stream):
+                data = encode_message(Challenge(99, b"nonce"))
+                await stream.send_all(LENGTH.pack(len(data)) + data)
+                await stream.receive_some(1000)
+                welcome = setup.server.identity.welcome
+                hello = setup.link.identity.hello(Challenge(1, b""), 0, b"", b"n")
+                message = welcome(hello, 0, b"", Load())
+                message = type(message)(99, *fields_after_version(message))
+                data = encode_message(message)
+                await stream.send_all(LENGTH.pack(len(data)) + data)
+                await trio.sleep(1)
+
+            await setup.start(serve)
+            await trio.sleep(1)
+            self.assertEqual(setup.events.downs[0].reason, Reason.PEER_VERSION)
+            nursery.cancel_scope.cancel()
+
+
+def fields_after_version(message):
+    return [getattr(message, name) for name in message.__struct_fields__[1:]]
+
+
+async def serve_until_silent(setup, stream):
+    """Introduce the server and then read on without a word."""
+    frames = FrameStream(stream, max_frame_bytes=10_000)
+    await setup.server.introduce(frames)
+    while await frames.receive():
+        pass
--- /dev/null
+++ b/tests/transport/test_http_server.py
@@ -0,0 +1,165 @@
+"""Tests of the server side, with real connections."""
+
+import unittest
+
+import trio
+from nose2.tools import params
+
+from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.transport.http_server import HttpServer
+from tests.clock import on_mock_clock
+
+LIMITS = HttpLimits(
+    max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
+)
+HOST = "127.0.0.1"
+
+
+class Setup:
+    """Running server whose handler echoes the path and the body."""
+
+    def __init__(self):
+        self.reported = []
+        self.cancelled = 0
+        self.hold = None
+        self.server = HttpServer(
+            self.handle, limits=LIMITS, report=self.reported.append
+        )
+
+    async def handle(self, request):
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        return HttpResponse(200, [], request.target + b" " + request.body)
+
+    async def start(self, nursery):
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        nursery.start_soon(self.server.watch_connections)
+        serve = self.server.serve_connection
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        self.port = listeners[0].socket.getsockname()[1]
+
+    async def connect(self):
+        return await trio.open_tcp_stream(HOST, self.port)
+
+
+async def read_all(stream):
+    data = b""
+    while True:
+        piece = await stream.receive_some(65536)
+        if not piece:
+            return data
+        data += piece
+
+
+class TestHttpServer(unittest.TestCase):
+    @on_mock_clock(io=True)
+    async def test_each_request_gets_its_own_answer_in_order(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(
+                b"GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+                b"GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n"
+            )
+            data = await read_all(stream)
+            bodies = [part.split(b"\r\n")[0] for part in data.split(b"\r\n\r\n")[1:]]
+            self.assertEqual(
+                [body.partition(b"HTTP")[0] for body in bodies],
+                [b"/1 ", b"/2 x", b"/3 "],
+            )
+            nursery.cancel_scope.cancel()
+
+    @params(
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /" + b"x" * 600 + b" HTTP/1.1\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + b"x" * 65, 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nslow", 408),
+        (b"GET / HT", 408),
+    )
+    def test_bad_request_is_answered_reported_and_closed(self, data, status):
+        self.check_bad_request(data, status)
+
+    @on_mock_clock(io=True)
+    async def check_bad_request(self, data, status):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(data)
+            answer = await read_all(stream)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 %d" % status), answer)
+            self.assertIn(b"catkinpost-outcome: not-run", answer)
+            self.assertEqual(len(setup.reported), 1)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_slow_drip_does_not_extend_the_time_for_a_message(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            started = trio.current_time()
+            await stream.send_all(b"POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\n")
+            with trio.move_on_after(60):
+                while setup.server.connections:
+                    await stream.send_all(b"x")
+                    await trio.sleep(1.0)
+            self.assertLess(trio.current_time() - started, 10)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_idle_connection_is_closed(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            self.assertEqual(await read_all(stream), b"")
+            self.assertEqual(setup.reported, [])
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_request_is_cancelled_when_its_caller_leaves(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            setup.hold = trio.Event()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"GET / HTTP/1.1\r\n\r\n")
+            await trio.sleep(1.0)
+            await stream.aclose()
+            await trio.sleep(1.0)
+            self.assertEqual(setup.cancelled, 1)
+            self.assertFalse(setup.server.connections)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_leaving_server_answers_and_then_closes(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            setup.server.leaving = True
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"GET /last HTTP/1.1\r\n\r\n")
+            answer = await read_all(stream)
+            self.assertIn(b"/last", answer)
+            self.assertIn(b"connection: close", answer)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_expected_continue_is_sent(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(
+                b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+            )
+            self.assertIn(b"100 Continue", await stream.receive_some(100))
+            await stream.send_all(b"x")
+            self.assertIn(b"200 OK", await stream.receive_some(1000))
+            nursery.cancel_scope.cancel()
