--- a/src/catkinpost/coordination/link.py
+++ b/src/catkinpost/coordination/link.py
@@ -33,7 +33,8 @@
 
 __all__ = ["LinkEvents", "LinkSettings", "PeerLink"]
 
-PING_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 0.5
+IDLE_PING_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.05
@@ -45,7 +46,7 @@
 class LinkSettings:
     """Bounds of a link.
 
-    :param silence: seconds without any message after which a link is dropped.
+    :param silence: seconds for which a ping may stay unanswered.
     :param max_frame_bytes: largest message.
     """
 
@@ -106,7 +107,9 @@
         self.scope = trio.CancelScope()
         self.last_heard = 0.0
         self.round_trip: float | None = None
-        self.ping_sent: tuple[int, float] = (0, 0.0)
+        self.ping_sequence = 0
+        self.ping_sent_at = 0.0
+        self.ping_unanswered = False
         self.epoch = 0
         self.failed_connects = 0
 
@@ -156,8 +159,7 @@
                 return welcome
             self.open(frames, welcome)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.send_pings, frames)
-                nursery.start_soon(self.watch_silence, frames)
+                nursery.start_soon(self.watch, frames)
                 failure = await self.read(frames)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -210,6 +212,7 @@
         self.epoch = self.pause.observe()
         self.welcome = welcome
         self.last_heard = trio.current_time()
+        self.ping_unanswered = False
         self.failed_connects = 0
         self.notify()
         self.events.link_up(self, welcome)
@@ -229,6 +232,7 @@
                     detail=message.detail,
                 )
             self.last_heard = trio.current_time()
+            self.ping_unanswered = False
             if isinstance(message, (Answer, Refusal, KeyReport)):
                 self.pending.resolve(message.id, message)
                 continue
@@ -237,29 +241,33 @@
             await self.events.peer_message(self, message)
 
     def note_round_trip(self, pong: Pong) -> None:
-        sequence, sent = self.ping_sent
-        if pong.sequence == sequence:
-            self.round_trip = trio.current_time() - sent
+        if pong.sequence == self.ping_sequence:
+            self.round_trip = trio.current_time() - self.ping_sent_at
 
-    async def send_pings(self, frames: FrameStream) -> None:
-        """Ask for signs of life."""
-        sequence = 0
-        while True:
-            sequence += 1
-            self.ping_sent = (sequence, trio.current_time())
-            await frames.send(Ping(sequence))
-            await trio.sleep(PING_INTERVAL_S)
-
-    async def watch_silence(self, frames: FrameStream) -> None:
-        """Drop the connection when no sign of life comes."""
-        silence = self.settings.silence
+    async def watch(self, frames: FrameStream) -> None:
+        """Ask for signs of life and drop the connection when none comes.
+
+        Pings are sent often while answers are awaited, and rarely otherwise.
+        """
         while True:
-            await trio.sleep_until(self.last_heard + silence)
-            silent = trio.current_time() - self.last_heard
-            if silent >= silence:
-                log_message("link: silent peer", peer=self.instance, seconds=silent)
-                await frames.close()
-                return
+            now = trio.current_time()
+            if self.ping_unanswered:
+                if now - self.ping_sent_at >= self.settings.silence:
+                    log_message("link: silent peer", peer=self.instance)
+                    await frames.close()
+                    return
+            elif now - self.last_heard >= self.ping_interval():
+                await self.ping(frames, now)
+            await trio.sleep(CHECK_INTERVAL_S)
+
+    def ping_interval(self) -> float:
+        return CHECK_INTERVAL_S if self.pending.entries else IDLE_PING_S
+
+    async def ping(self, frames: FrameStream, now: float) -> None:
+        self.ping_sequence += 1
+        self.ping_sent_at = now
+        self.ping_unanswered = True
+        await frames.send(Ping(self.ping_sequence))
 
     async def wait_up(self, timeout: float) -> bool:
         """Wait for the link to be up.
--- a/src/catkinpost/coordination/peer_server.py
+++ b/src/catkinpost/coordination/peer_server.py
@@ -8,6 +8,7 @@
 from catkinpost.coordination.identity import Identity, new_nonce
 from catkinpost.coordination.link import (
     HANDSHAKE_TIMEOUT_S,
+    IDLE_PING_S,
     LinkSettings,
 )
 from catkinpost.coordination.pause import PauseWatch
@@ -144,7 +145,7 @@
     async def read(self, session: PeerSession, nursery: trio.Nursery) -> None:
         epoch = self.pause.observe()
         while True:
-            with trio.move_on_after(self.settings.silence) as scope:
+            with trio.move_on_after(IDLE_PING_S + 2 * self.settings.silence) as scope:
                 message = await session.frames.receive()
             if scope.cancelled_caught:
                 log_message("peer: silent", peer=session.instance)
--- a/src/catkinpost/coordination/status.py
+++ b/src/catkinpost/coordination/status.py
@@ -51,7 +51,8 @@
             backend_reachable=backend.reachable,
             backend_reported_in_flight=backend.in_flight,
             pauses=node.pause.pauses,
-            control_bytes=node.platform.read_bytes,
+            platform_bytes=node.platform.read_bytes,
+            platform_reads=node.platform.reads,
             counters=dict(node.metrics.counters),
             outcomes=self.build_outcomes(),
             peers=[
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -81,7 +81,8 @@
     backend_reachable: bool
     backend_reported_in_flight: int
     pauses: int
-    control_bytes: int
+    platform_bytes: int
+    platform_reads: int
     counters: dict[str, int]
     outcomes: list[OutcomeRow]
     peers: list[PeerReport]
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -49,7 +49,13 @@
 class NodeSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """``[node]``: identity and place of the node."""
+    """``[node]``: identity and place of the node.
+
+    :param instance: name of the instance, unique over the fleet.
+    :param service: service of the backend server.
+    :param data_centre: data centre in which the instance runs.
+    :param region: region of the data centre.
+    """
 
     instance: Name
     service: Name
@@ -60,7 +66,12 @@
 class ListenSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """``[listen]``: addresses on which the node accepts connections."""
+    """``[listen]``: addresses on which the node accepts connections.
+
+    :param calls: IP:port for callers and for the backend server's child calls.
+    :param peers: IP:port for other nodes.
+    :param operators: IP:port for status, decisions, histograms and metrics.
+    """
 
     calls: AddressText
     peers: AddressText
@@ -70,7 +81,13 @@
 class BackendSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """``[backend]``: the backend server beside the node."""
+    """``[backend]``: the backend server beside the node.
+
+    :param address: IP:port of the backend server.
+    :param health_path: path that answers ``{"state": "serving"}`` or "draining".
+    :param load_path: path that answers ``{"in_flight": 3, "slots": 16}``.
+    :param poll_interval: seconds between two looks at both.
+    """
 
     address: AddressText
     health_path: str = "/health"
@@ -81,7 +98,14 @@
 class PlatformSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """``[platform]``: where policy and list of instances are read."""
+    """``[platform]``: where policy and list of instances are read.
+
+    :param address: IP:port of the platform's service.
+    :param policy_path: path of the policy document; its version is watched below.
+    :param instances_path: path of the list of instances.
+    :param watch_wait: seconds for which one watch is held open.
+    :param retry_interval: seconds until a failed read is tried again.
+    """
 
     address: AddressText
     policy_path: str = "/policy"
@@ -96,7 +120,7 @@
     """``[peers]``: exchange with the other nodes.
 
     :param secret: key that proves membership; the same for all nodes.
-    :param silence: seconds without a message after which a link is dropped.
+    :param silence: seconds for which a peer may leave a ping unanswered.
     :param start_wait: seconds that a new node waits for peers' versions.
     """
 
@@ -108,7 +132,15 @@
 class BoundsSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """``[bounds]``: bounds on messages and on the planned stop."""
+    """``[bounds]``: bounds on messages and on the planned stop.
+
+    :param max_head_bytes: largest head of an HTTP message.
+    :param max_body_bytes: largest body of an HTTP message.
+    :param head_timeout: seconds in which a started request must be whole.
+    :param idle_timeout: seconds for which an idle connection is kept.
+    :param stop_timeout: seconds that a planned stop waits for running requests.
+    :param key_lifetime: seconds for which callers may repeat an idempotency key.
+    """
 
     max_head_bytes: Bytes = 32 * 1024
     max_body_bytes: Bytes = 1024 * 1024
--- /dev/null
+++ b/tests/coordination/test_executor.py
@@ -0,0 +1,235 @@
+"""Tests of running calls at the backend server."""
+
+import unittest
+
+import trio
+import trio.testing
+from nose2.tools import params
+
+from catkinpost.coordination.admission import Admission
+from catkinpost.coordination.crash_guard import CrashGuard
+from catkinpost.coordination.executor import Executor
+from catkinpost.coordination.fixed_limit import FixedLimits
+from catkinpost.coordination.throttle import Throttle
+from catkinpost.protocol.header import PARENT_HEADER
+from catkinpost.protocol.http import HttpResponse, find_header
+from catkinpost.protocol.message import Answer
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.running import RunningCalls
+from tests.clock import on_mock_clock, settle
+from tests.coordination.test_once import make_call
+
+POLICY = """\
+[service orders]
+owner = sales
+slots = 2
+slow_start = 0
+{options}
+
+[limit shop]
+owner = sales
+service = orders
+tenant = shop
+in_flight = 1
+"""
+LOST = Failure(reason=Reason.BACKEND_CONNECTION_LOST, outcome=Outcome.UNKNOWN)
+REFUSED = Failure(reason=Reason.BACKEND_UNREACHABLE)
+
+
+class FakeClient:
+    """Connections to a backend server with a scripted answer."""
+
+    def __init__(self):
+        self.answer = HttpResponse(200, [], b"ok")
+        self.hold = None
+        self.requests = []
+        self.cancelled = 0
+        self.alive = True
+
+    async def exchange(self, request):
+        self.requests.append(request)
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+            await trio.lowlevel.checkpoint()
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        return self.answer
+
+    async def connect(self):
+        return trio.testing.memory_stream_pair()[0] if self.alive else REFUSED
+
+
+class Setup:
+    """Executor with everything real but the backend server."""
+
+    def __init__(self, options="", limits=True):
+        self.decisions = DecisionLog()
+        self.store = PolicyStore()
+        text = POLICY.format(options=options)
+        if not limits:
+            text = text.partition("[limit")[0]
+        self.store.accept_document(1, text, now=0.0, source="test")
+        self.client = FakeClient()
+        self.leaving = False
+        self.throttle = Throttle()
+        self.crash_guard = CrashGuard(
+            instance="orders-1",
+            broadcast=lambda message: None,
+            decisions=self.decisions,
+        )
+        self.executor = Executor(
+            service="orders",
+            client=self.client,
+            admission=Admission(self.store.policy.services["orders"], self.decisions),
+            store=self.store,
+            running=RunningCalls(),
+            limits=FixedLimits(self.decisions),
+            crash_guard=self.crash_guard,
+            throttle=self.throttle,
+            decisions=self.decisions,
+            leaving=lambda: self.leaving,
+        )
+
+    async def run(self, **fields):
+        call = make_call("", 0)
+        for name, value in fields.items():
+            setattr(call, name, value)
+        return await self.executor.run(call)
+
+
+class TestExecutor(unittest.TestCase):
+    @on_mock_clock
+    async def test_backend_server_gets_parent_and_time_left(self):
+        setup = Setup()
+        answer = await setup.run(budget_us=3_000_000)
+        headers = setup.client.requests[0].headers
+        self.assertIsInstance(answer, Answer)
+        self.assertEqual(find_header(headers, b"catkinpost-timeout-ms"), b"3000")
+        self.assertTrue(find_header(headers, PARENT_HEADER))
+        self.assertEqual(setup.executor.running.calls, {})
+
+    @on_mock_clock
+    async def test_leaving_instance_takes_no_new_call(self):
+        setup = Setup()
+        setup.leaving = True
+        refusal = await setup.run()
+        self.assertEqual(refusal.reason, Reason.LEAVING)
+        self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
+        self.assertEqual(setup.client.requests, [])
+
+    @on_mock_clock
+    async def test_call_for_another_service_is_refused(self):
+        refusal = await Setup().run(service="sets")
+        self.assertEqual(refusal.reason, Reason.UNKNOWN_SERVICE)
+
+    @on_mock_clock
+    async def test_overdue_call_is_cancelled_at_the_backend_server(self):
+        setup = Setup()
+        setup.client.hold = trio.Event()
+        refusal = await setup.run(budget_us=500_000)
+        self.assertEqual(refusal.reason, Reason.DEADLINE_EXCEEDED)
+        self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+        self.assertEqual(setup.client.cancelled, 1)
+        self.assertEqual(setup.executor.admission.in_flight, 0)
+
+    @on_mock_clock
+    async def test_team_limit_bounds_a_tenant(self):
+        setup = Setup()
+        setup.client.hold = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(setup.run)
+            await settle()
+            refusal = await setup.run()
+            self.assertEqual(refusal.reason, Reason.LIMIT_REACHED)
+            setup.client.hold.set()
+        self.assertIsInstance(await setup.run(), Answer)
+
+    @params(
+        ("sheds_before_running = yes", Reason.BACKEND_SHED),
+        ("sheds_before_running = no", None),
+    )
+    def test_shed_answer_counts_as_not_run_only_by_contract(self, option, reason):
+        self.check_shed(option, reason)
+
+    @on_mock_clock
+    async def check_shed(self, option, reason):
+        setup = Setup(option)
+        setup.client.answer = HttpResponse(503, [(b"catkinpost-outcome", b"not-run")])
+        result = await setup.run()
+        self.assertEqual(getattr(result, "reason", None), reason)
+
+    @params((False, 1), (True, 1))
+    def test_crash_makes_the_running_requests_suspects(self, alive, crashes):
+        self.check_crash(alive, crashes)
+
+    @on_mock_clock
+    async def check_crash(self, alive, crashes):
+        setup = Setup(limits=False)
+        setup.client.answer = LOST
+        setup.client.alive = alive
+        refusal = await setup.run()
+        self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+        (counts,) = setup.crash_guard.suspects.counts.values()
+        self.assertEqual(counts, {"orders-1": crashes})
+
+    @on_mock_clock
+    async def test_one_lost_connection_beside_running_ones_is_no_crash(self):
+        setup = Setup(limits=False)
+        setup.client.hold = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(setup.run)
+            await settle()
+            setup.client.hold, held = None, setup.client.hold
+            setup.client.answer = LOST
+            await setup.run()
+            self.assertEqual(setup.crash_guard.suspects.counts, {})
+            held.set()
+
+    @on_mock_clock
+    async def test_crashing_request_is_stopped_and_others_go_on(self):
+        setup = Setup(limits=False)
+        setup.client.answer = LOST
+        for _ in range(2):
+            await setup.run(body=b"bad")
+            await trio.sleep(2)
+        refusal = await setup.run(body=b"bad")
+        self.assertEqual(refusal.reason, Reason.CRASH_SUSPECT)
+        self.assertEqual(len(setup.client.requests), 2)
+        setup.client.answer = HttpResponse(200, [], b"ok")
+        self.assertIsInstance(await setup.run(body=b"good"), Answer)
+
+    @on_mock_clock
+    async def test_suspects_run_one_at_a_time(self):
+        setup = Setup(limits=False)
+        setup.client.answer = LOST
+        async with trio.open_nursery() as nursery:
+            for body in (b"one", b"two"):
+                nursery.start_soon(run_body, setup, body)
+        setup.client.hold = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for body in (b"one", b"two"):
+                nursery.start_soon(run_body, setup, body)
+            await trio.sleep(0.5)
+            self.assertEqual(setup.executor.admission.in_flight, 1)
+            setup.client.hold.set()
+
+    @on_mock_clock
+    async def test_call_whose_children_are_refused_is_refused_before_it_runs(self):
+        setup = Setup(limits=False)
+        for _ in range(200):
+            setup.throttle.add("sets", 0, accepted=False)
+        reasons = []
+        for _ in range(50):
+            for _ in range(30):
+                setup.executor.dependencies.add("place-order", {"sets"})
+            reasons.append(getattr(await setup.run(), "reason", None))
+        self.assertIn(Reason.DOWNSTREAM_OVERLOADED, reasons)
+        self.assertLess(len(setup.client.requests), 20)
+
+
+async def run_body(setup, body):
+    await setup.run(body=body)
--- /dev/null
+++ b/tests/state/test_decision_log.py
@@ -0,0 +1,142 @@
+"""Tests of the decision log, metrics, durations, throttle and hedging."""
+
+import unittest
+
+import trio
+
+from catkinpost.coordination.hedge import MAX_TOKENS, Hedging
+from catkinpost.coordination.operator_api import build_histogram
+from catkinpost.coordination.throttle import MAX_REFUSED_SHARE, Throttle
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.decision_log import KEPT_DECISIONS, DecisionLog
+from catkinpost.state.duration import DurationModel
+from catkinpost.state.key_record import KeyRecords
+from catkinpost.state.metric import MAX_SERIES, Metrics
+from tests.clock import on_mock_clock
+
+
+class TestDecisionLog(unittest.TestCase):
+    @on_mock_clock
+    async def test_repeated_decisions_are_counted_and_not_kept(self):
+        log = DecisionLog()
+        for _ in range(5):
+            log.add("limit", "refuse", "shop", reason="full")
+        await trio.sleep(2)
+        log.add("limit", "refuse", "shop", reason="full")
+        self.assertEqual([item.repeated for item in log.decisions], [0, 4])
+
+    @on_mock_clock
+    async def test_log_is_bounded(self):
+        log = DecisionLog()
+        for number in range(KEPT_DECISIONS + 50):
+            log.add("limit", "refuse", str(number), reason="full")
+        self.assertEqual(len(log.decisions), KEPT_DECISIONS)
+
+    @on_mock_clock
+    async def test_waiting_reader_gets_the_next_decision(self):
+        log = DecisionLog()
+        found = []
+
+        async def wait():
+            found.extend(await log.wait_after(0, 30.0))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait)
+            await trio.sleep(5)
+            log.add("limit", "refuse", "shop", reason="full")
+        self.assertEqual([item.sequence for item in found], [1])
+        self.assertEqual(await log.wait_after(1, 3.0), [])
+
+
+class TestMetrics(unittest.TestCase):
+    def test_histogram_is_kept_for_each_class_and_tenant(self):
+        metrics = Metrics()
+        for milliseconds in range(1, 101):
+            metrics.record("s", "c", "t", seconds=milliseconds / 1000, failure=None)
+        metrics.record(
+            "s", "c", "u", seconds=1.0, failure=Failure(reason=Reason.QUEUE_FULL)
+        )
+        (row,) = build_histogram(metrics).latencies
+        self.assertEqual((row.tenant, row.count), ("t", 100))
+        self.assertAlmostEqual(row.percentiles_ms["p50"], 50, delta=1)
+
+    def test_number_of_series_is_bounded(self):
+        metrics = Metrics()
+        for number in range(MAX_SERIES * 2):
+            metrics.record("s", "c", str(number), seconds=0.1, failure=None)
+        self.assertLessEqual(len(metrics.series), MAX_SERIES + 1)
+
+
+class TestDurationModel(unittest.TestCase):
+    def test_long_requests_are_told_within_a_class_by_path(self):
+        model = DurationModel()
+        for _ in range(50):
+            model.add("lookup", "/small", 0.01)
+        for _ in range(10):
+            model.add("lookup", "/all", 1.0)
+        self.assertTrue(model.is_long("lookup", "/all"))
+        self.assertFalse(model.is_long("lookup", "/small"))
+        self.assertFalse(model.is_long("other", "/"))
+
+
+class TestThrottle(unittest.TestCase):
+    @on_mock_clock
+    async def test_nothing_is_refused_while_the_target_accepts(self):
+        throttle = Throttle()
+        for _ in range(200):
+            throttle.add("sets", 2, accepted=True)
+        self.assertEqual(throttle.refusal_probability("sets", 2), 0.0)
+
+    @on_mock_clock
+    async def test_refusals_concern_their_own_rank_and_some_calls_always_probe(self):
+        throttle = Throttle()
+        for _ in range(500):
+            throttle.add("sets", 2, accepted=False)
+        self.assertEqual(throttle.refusal_probability("sets", 2), MAX_REFUSED_SHARE)
+        self.assertEqual(throttle.refusal_probability("sets", 0), 0.0)
+
+    @on_mock_clock
+    async def test_refusals_are_forgotten_soon(self):
+        throttle = Throttle()
+        for _ in range(100):
+            throttle.add("sets", 2, accepted=False)
+        await trio.sleep(5.0)
+        self.assertLess(throttle.refusal_probability("sets", 2), 0.2)
+
+    @on_mock_clock
+    async def test_looking_ahead_counts_nothing(self):
+        """Regression: looking ahead counted requests and throttled for ever."""
+        throttle = Throttle()
+        for _ in range(100):
+            throttle.add("sets", 2, accepted=True)
+            throttle.would_refuse("sets", 2)
+        self.assertEqual(throttle.refusal_probability("sets", 2), 0.0)
+
+
+class TestHedging(unittest.TestCase):
+    def test_delay_is_near_the_95th_percentile(self):
+        hedging = Hedging()
+        self.assertIsNone(hedging.delay("lookup"))
+        for number in range(4000):
+            hedging.add("lookup", 0.1 if number % 20 == 0 else 0.01)
+        self.assertLess(0.009, hedging.delay("lookup"))
+        self.assertLess(hedging.delay("lookup"), 0.11)
+
+    def test_hedges_are_a_small_share_of_calls(self):
+        hedging = Hedging()
+        spent = 0
+        for _ in range(1000):
+            hedging.add("lookup", 0.01)
+            spent += hedging.spend()
+        self.assertLessEqual(spent, 1000 * 0.05 + MAX_TOKENS)
+
+
+class TestKeyRecords(unittest.TestCase):
+    @on_mock_clock
+    async def test_key_is_forgotten_after_its_lifetime_but_not_while_it_runs(self):
+        records = KeyRecords(10.0)
+        records.fence("fenced", "other#1")
+        running = records.start("running", "me#1", b"f")
+        await trio.sleep(11)
+        self.assertIsNone(records.find("fenced"))
+        self.assertIs(records.find("running"), running)
