Read only changed sections and settle broken ones by what was good last

Sharpened invariants then showed three faults: a value that came back lost to the one between, a difference from a peer that skipped versions left a section out, and a broken section could return after a removal. Ruled out: the version that brought a text as the order of its forms: a text that is confirmed later is newer than one that came between. Change: sections whose text is known are not read again; differences carry gained, lost and broken names, and are applied only when they lead to the peer's digest; a section that the document in force holds in a good form is settled by it. Ports of the stand-ins now come from below the range of outgoing connections: one start of eleven had failed; a taken port is likely but not shown, so that a failed start now prints the end of every log.

--- a/src/catkinpost/coordination/policy_exchange.py
+++ b/src/catkinpost/coordination/policy_exchange.py
@@ -88,6 +88,12 @@
         )
         if change is not None:
             self.report(change, sender.instance)
+        behind = content.policy_version > self.store.version
+        unequal = content.policy_version == self.store.version and (
+            content.digest != self.store.digest
+        )
+        if content.since != NO_VERSION and (behind or unequal):
+            await self.fetch(sender, content.policy_version, NO_VERSION)
 
     def read(self, version: int, text: str) -> None:
         """Take over a document that was read from the platform."""
--- a/src/catkinpost/protocol/ini.py
+++ b/src/catkinpost/protocol/ini.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
-__all__ = ["IniSection", "Problem", "convert_section", "read_ini"]
+__all__ = [
+    "IniChunk",
+    "IniSection",
+    "Problem",
+    "convert_section",
+    "read_chunk",
+    "read_ini",
+    "split_ini",
+]
 
 SECTION_LINE = re.compile(r"^\[(?P<name>[^\]]*)\]\s*$")
 OPTION_LINE = re.compile(r"^(?P<name>[^\s#;\[=:][^=:]*?)\s*[=:]")
@@ -72,6 +80,20 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True)
+class IniChunk:
+    """Lines of one section before they are read.
+
+    :param line: line of the section's head.
+    :param name: text between the brackets; empty when the head is broken.
+    :param text: the section's own lines, head included.
+    """
+
+    line: int
+    name: str
+    text: str
+
+
 def read_ini(text: str) -> tuple[list[IniSection], list[Problem]]:
     """Split a document into sections, each read on its own.
 
@@ -80,35 +102,61 @@
     :param text: the whole document.
     :return: the readable sections and the problems of all others.
     """
+    chunks, problems = split_ini(text)
     sections: list[IniSection] = []
+    for chunk in chunks:
+        section = read_chunk(chunk)
+        if isinstance(section, Problem):
+            problems.append(section)
+        else:
+            sections.append(section)
+    return sections, problems
+
+
+def split_ini(text: str) -> tuple[list[IniChunk], list[Problem]]:
+    """Split a document into its sections without reading their options.
+
+    :param text: the whole document.
+    :return: the chunks, each name once, and the problems of heads and order.
+    """
     problems: list[Problem] = []
-    names: dict[str, int] = {}
-    for start, lines in split_sections(text.splitlines(), problems):
-        section = read_section(start, lines, problems)
-        if section is None:
+    chunks: dict[str, IniChunk] = {}
+    for line, lines in split_lines(text.splitlines(), problems):
+        head = SECTION_LINE.match(lines[0])
+        if head is None:
+            problems.append(
+                Problem(
+                    line=line,
+                    section=lines[0].strip("[] "),
+                    message="not a section head",
+                    hint="write [kind name] alone on the line",
+                )
+            )
             continue
-        if section.name in names:
+        name = " ".join(head["name"].split())
+        if name in chunks:
             problems.append(
-                section.problem(
-                    f"section stands already at line {names[section.name]}",
+                Problem(
+                    line=line,
+                    section=name,
+                    message=f"section stands already at line {chunks[name].line}",
                     hint="merge the two sections or rename one",
                 )
             )
             continue
-        names[section.name] = section.line
-        sections.append(section)
-    return sections, problems
+        chunks[name] = IniChunk(line=line, name=name, text="\n".join(lines))
+    return list(chunks.values()), problems
 
 
-def split_sections(
+def split_lines(
     lines: list[str], problems: list[Problem]
 ) -> list[tuple[int, list[str]]]:
-    chunks: list[tuple[int, list[str]]] = []
+    found: list[tuple[int, list[str]]] = []
     for number, line in enumerate(lines, start=1):
         if line.startswith("["):
-            chunks.append((number, [line]))
-        elif chunks:
-            chunks[-1][1].append(line)
+            found.append((number, [line]))
+        elif found:
+            found[-1][1].append(line)
         elif line.strip() and line[0] not in "#;":
             problems.append(
                 Problem(
@@ -117,55 +165,36 @@
                     hint="start the document with a [section] line",
                 )
             )
-    return chunks
-
-
-def read_section(
-    start: int, lines: list[str], problems: list[Problem]
-) -> IniSection | None:
-    head = SECTION_LINE.match(lines[0])
-    if head is None:
-        problems.append(
-            Problem(
-                line=start,
-                section=lines[0].strip("[] "),
-                message="not a section head",
-                hint="write [kind name] alone on the line",
-            )
-        )
-        return None
-    section = IniSection(
-        name=" ".join(head["name"].split()), line=start, text="\n".join(lines)
-    )
-    for offset, line in enumerate(lines[1:], start=1):
+    return found
+
+
+def read_chunk(chunk: IniChunk) -> IniSection | Problem:
+    """Read the options of one section."""
+    section = IniSection(name=chunk.name, line=chunk.line, text=chunk.text)
+    lines = chunk.text.split("\n")[1:]
+    for number, line in enumerate(lines, start=chunk.line + 1):
         option = OPTION_LINE.match(line)
         if option:
-            section.option_lines.setdefault(option["name"].lower(), start + offset)
+            section.option_lines.setdefault(option["name"].lower(), number)
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
-        parser.read_string("\n".join(["[section]", *lines[1:]]))
+        parser.read_string("\n".join(["[section]", *lines]))
     except configparser.DuplicateOptionError as error:
-        problems.append(
-            Problem(
-                line=start + (error.lineno or 1) - 1,
-                section=section.name,
-                option=error.option,
-                message="option is given twice",
-                hint="delete one of the two lines",
-            )
+        return Problem(
+            line=chunk.line + (error.lineno or 1) - 1,
+            section=chunk.name,
+            option=error.option,
+            message="option is given twice",
+            hint="delete one of the two lines",
         )
-        return None
     except configparser.ParsingError as error:
         number = error.errors[0][0] if error.errors else 1
-        problems.append(
-            Problem(
-                line=start + number - 1,
-                section=section.name,
-                message="not an option",
-                hint="write option = value",
-            )
+        return Problem(
+            line=chunk.line + number - 1,
+            section=chunk.name,
+            message="not an option",
+            hint="write option = value",
         )
-        return None
     section.options = dict(parser["section"])
     return section
 
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -193,16 +193,25 @@
 class PolicyContent(msgspec.Struct, array_like=True, tag=12, frozen=True):
     """Sections that differ since a version.
 
-    :param since: version from which the receiver can apply the difference.
+    :param since: version from which the receiver can apply the difference; -1
+        when the message holds everything.
     :param policy_version: version in force at the sender.
-    :param declared: names of all sections of the document, broken ones included.
+    :param declared: names of sections that the document has gained since, broken
+        ones included.
+    :param removed: names of sections that the document has lost since.
     :param sections: sections accepted after ``since``.
+    :param broken: sections whose form in the document is broken, each with the
+        last version known to the sender in which it was good.
+    :param digest: digest at the sender, to compare with the result.
     """
 
     since: int
     policy_version: int
     declared: list[str]
+    removed: list[str]
     sections: list[SectionCopy]
+    broken: dict[str, int]
+    digest: bytes
 
 
 class KeyFence(msgspec.Struct, array_like=True, tag=13, frozen=True):
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -1,16 +1,26 @@
 """Models of the policy document's sections and their checks."""
 
 import enum
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Annotated
 
 import msgspec
 
-from catkinpost.protocol.ini import IniSection, Problem, convert_section, read_ini
+from catkinpost.protocol.ini import (
+    IniSection,
+    Problem,
+    convert_section,
+    read_chunk,
+    split_ini,
+)
 
 __all__ = [
+    "CheckedDocument",
     "ClassSection",
     "Importance",
+    "KnownSection",
     "LimitSection",
     "LinkSection",
     "Mode",
@@ -159,6 +169,8 @@
     mode: Mode = Mode.ON
 
 
+MAX_HINTS = 20
+
 Section = ServiceSection | ClassSection | LimitSection | LinkSection
 MODEL_BY_KIND = {
     "service": ServiceSection,
@@ -226,7 +238,7 @@
     )
 
 
-def section_model(section: IniSection) -> Section | Problem:
+def read_section(section: IniSection) -> Section | Problem:
     """Check one section on its own.
 
     :param section: section as written.
@@ -244,36 +256,41 @@
     return convert_section(section, model)
 
 
-def reference_problem(
-    section: IniSection, model: Section, services: set[str], classes: set[str]
-) -> Problem | None:
-    """Check the names that a section refers to."""
+def dangling_option(model: Section, names: Container[str]) -> str | None:
+    """Name the option by which a section refers to one that does not exist.
+
+    :param model: the section.
+    :param names: full names of all sections.
+    """
     service = getattr(model, "service", None)
-    if service is not None and service not in services:
-        return section.problem(
-            f"service {service!r} has no section",
-            option="service",
-            hint=f"the services are {', '.join(sorted(services)) or 'none'}",
-        )
+    if service is not None and f"service {service}" not in names:
+        return "service"
     wanted = getattr(model, "request_class", None)
-    if wanted is not None and wanted not in classes:
-        return section.problem(
-            f"class {wanted!r} has no section",
-            option="request_class",
-            hint=f"the classes are {', '.join(sorted(classes)) or 'none'}",
-        )
+    if wanted is not None and f"class {wanted}" not in names:
+        return "request_class"
     return None
 
 
+def dangling_problem(section: IniSection, option: str, names: set[str]) -> Problem:
+    kind = "class" if option == "request_class" else "service"
+    known = sorted(name.partition(" ")[2] for name in names if name.startswith(kind))
+    return section.problem(
+        f"{kind} {section.options[option]!r} has no section",
+        option=option,
+        hint=f"name one of {', '.join(known[:MAX_HINTS]) or 'none yet'}",
+    )
+
+
 def build_policy(models: dict[str, Section]) -> Policy:
-    """Arrange checked sections by kind.
+    """Arrange checked sections by kind; dangling ones are left out.
 
     :param models: sections by full name, such as ``service orders``.
     """
     by_kind: dict[str, dict] = {kind: {} for kind in MODEL_BY_KIND}
     for full_name, model in models.items():
-        kind, _, name = full_name.partition(" ")
-        by_kind[kind][name] = model
+        if dangling_option(model, models) is None:
+            kind, _, name = full_name.partition(" ")
+            by_kind[kind][name] = model
     return Policy(
         services=by_kind["service"],
         classes=by_kind["class"],
@@ -282,56 +299,74 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True)
+class KnownSection:
+    """Accepted section: its text as written and its model."""
+
+    text: str
+    model: Section
+
+
 @dataclass(frozen=True, kw_only=True)
 class CheckedDocument:
     """Result of checking a document.
 
-    :param sections: accepted sections as written, by full name.
-    :param models: their models, by full name.
+    :param accepted: accepted sections, by full name.
+    :param sections: those that were read anew, as written.
     :param declared: names of all sections in the document, broken ones included.
     :param problems: every error, in the order of lines.
     """
 
+    accepted: dict[str, KnownSection]
     sections: dict[str, IniSection]
-    models: dict[str, Section]
     declared: frozenset[str]
     problems: list[Problem]
 
+    @property
+    def models(self) -> dict[str, Section]:
+        """Models of the accepted sections, by full name."""
+        return {name: known.model for name, known in self.accepted.items()}
+
+
+NOTHING_KNOWN: Mapping[str, KnownSection] = MappingProxyType({})
+
 
 def check_document(
-    text: str, fallback: dict[str, Section] | None = None
+    text: str, known: Mapping[str, KnownSection] = NOTHING_KNOWN
 ) -> CheckedDocument:
     """Check every section of a policy document.
 
     :param text: the whole document.
-    :param fallback: sections in force, which other sections may refer to while
-        their new form is broken.
+    :param known: sections in force. One whose text is the same is not read
+        again, and one whose new form is broken may still be referred to.
     """
-    sections, problems = read_ini(text)
-    declared = {section.name for section in sections}
+    chunks, problems = split_ini(text)
+    declared = {chunk.name for chunk in chunks}
     declared |= {problem.section for problem in problems if problem.section}
-    models: dict[str, Section] = {}
-    accepted: dict[str, IniSection] = {}
-    for section in sections:
-        model = section_model(section)
+    accepted: dict[str, KnownSection] = {}
+    sections: dict[str, IniSection] = {}
+    for chunk in chunks:
+        before = known.get(chunk.name)
+        if before is not None and before.text == chunk.text:
+            accepted[chunk.name] = before
+            continue
+        section = read_chunk(chunk)
+        model = section if isinstance(section, Problem) else read_section(section)
         if isinstance(model, Problem):
             problems.append(model)
             continue
-        models[section.name] = model
-        accepted[section.name] = section
-    kept = {name for name in fallback or {} if name in declared}
-    names = kept | set(models)
-    services = {name[8:] for name in names if name.startswith("service ")}
-    classes = {name[6:] for name in names if name.startswith("class ")}
-    for name, section in list(accepted.items()):
-        problem = reference_problem(section, models[name], services, classes)
-        if problem is not None:
-            problems.append(problem)
-            del accepted[name], models[name]
+        sections[chunk.name] = section
+        accepted[chunk.name] = KnownSection(text=chunk.text, model=model)
+    names = set(accepted) | (declared & set(known))
+    for name, section in list(sections.items()):
+        option = dangling_option(accepted[name].model, names)
+        if option is not None:
+            problems.append(dangling_problem(section, option, names))
+            del accepted[name], sections[name]
     problems.sort(key=lambda problem: problem.line)
     return CheckedDocument(
-        sections=accepted,
-        models=models,
+        accepted=accepted,
+        sections=sections,
         declared=frozenset(declared),
         problems=problems,
     )
--- a/src/catkinpost/state/policy_store.py
+++ b/src/catkinpost/state/policy_store.py
@@ -1,11 +1,13 @@
 """The policy in force at one node; it only ever moves forward."""
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from catkinpost.protocol.ini import Problem
 from catkinpost.protocol.message import PolicyContent, SectionCopy
 from catkinpost.protocol.policy import (
+    KnownSection,
     Policy,
     Section,
     build_policy,
@@ -16,7 +18,7 @@
 
 NO_VERSION = -1
 DIGEST_BYTES = 16
-MAX_TOMBSTONES = 1000
+MAX_REMOVED = 1000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,15 +42,18 @@
 
     A document with a lower version than the one in force is ignored. A broken
     section keeps its last good form. Two stores that exchange their contents
-    end up equal: for each section the higher version wins, and a removed
-    section leaves a tombstone, a copy with an empty text.
+    end up equal: a section that the document in force holds in a good form is
+    settled by it, and for a broken one the form that was good last wins. A
+    removed section leaves a tombstone, a copy with an empty text.
     """
 
     def __init__(self) -> None:
         self.version = NO_VERSION
-        self.declared: frozenset[str] = frozenset()
+        self.declared: dict[str, int] = {}
+        self.removed: dict[str, int] = {}
+        self.broken: dict[str, int] = {}
         self.copies: dict[str, SectionCopy] = {}
-        self.models: dict[str, Section] = {}
+        self.known_sections: dict[str, KnownSection] = {}
         self.policy = Policy()
         self.problems: list[Problem] = []
         self.digest = b""
@@ -73,13 +78,24 @@
         """
         if version < self.version:
             return None
-        checked = check_document(text, fallback=self.models)
+        checked = check_document(text, self.known_sections)
+        changed = {
+            name: section
+            for name, section in checked.accepted.items()
+            if section is not self.known_sections.get(name)
+        }
         copies = {
             name: SectionCopy(name, version, section.text)
-            for name, section in checked.sections.items()
-            if not self.holds_text(name, section.text)
+            for name, section in changed.items()
+        }
+        self.known_sections.update(changed)
+        broken = {
+            name: self.last_good(name)
+            for name in checked.declared
+            if name not in checked.accepted
         }
-        change = self.adopt(version, checked.declared, copies, now, source)
+        declared = set(checked.declared)
+        change = self.adopt(version, declared, broken, copies, now, source)
         self.problems = checked.problems
         return PolicyChange(
             version=self.version,
@@ -88,9 +104,13 @@
             problems=checked.problems,
         )
 
-    def holds_text(self, name: str, text: str) -> bool:
-        copy = self.copies.get(name)
-        return copy is not None and copy.text == text
+    def last_good(self, name: str) -> int:
+        """Return the last version known here that settled a section's form."""
+        if name in self.broken:
+            return self.broken[name]
+        if name in self.declared:
+            return self.version
+        return self.removed.get(name, NO_VERSION)
 
     def merge(
         self, content: PolicyContent, *, now: float, source: str
@@ -102,70 +122,117 @@
         :param source: name of the peer.
         :return: the change, or ``None`` when there is nothing new.
         """
-        if content.policy_version > self.version and content.since > self.version:
-            return None
         newer = content.policy_version > self.version
-        declared = frozenset(content.declared) if newer else self.declared
+        if newer and content.since > self.version:
+            return None
+        declared = self.declared_after(content) if newer else set(self.declared)
+        broken = content.broken if newer else self.broken
+        broken, copies = self.settle_broken(content, broken)
+        if newer:
+            copies |= {
+                copy.name: copy
+                for copy in content.sections
+                if copy.name in declared and copy.name not in broken
+            }
         copies = {
-            copy.name: copy
-            for copy in content.sections
-            if copy.name in declared and self.is_newer(copy)
+            name: copy for name, copy in copies.items() if self.differs(name, copy)
         }
         if not copies and not newer:
             return None
+        digest = compute_digest(declared, self.copies | copies)
+        if newer and content.since != NO_VERSION and digest != content.digest:
+            # The peer may have skipped versions that this store has seen: the
+            # difference is applied only when it leads to the peer's sections.
+            return None
+        copies = {name: copy for name, copy in copies.items() if self.read(copy)}
         version = max(self.version, content.policy_version)
-        return self.adopt(version, declared, copies, now, source)
+        return self.adopt(version, declared, broken, copies, now, source)
+
+    def declared_after(self, content: PolicyContent) -> set[str]:
+        if content.since == NO_VERSION:
+            return set(content.declared)
+        return (set(self.declared) | set(content.declared)) - set(content.removed)
+
+    def settle_broken(
+        self, content: PolicyContent, names: Iterable[str]
+    ) -> tuple[dict[str, int], dict[str, SectionCopy]]:
+        """Choose the form that was good last for each broken section."""
+        broken: dict[str, int] = {}
+        copies: dict[str, SectionCopy] = {}
+        theirs = {copy.name: copy for copy in content.sections}
+        for name in names:
+            mine = (self.last_good(name), self.text_of(name))
+            their_good = content.broken.get(name, content.policy_version)
+            copy = theirs.get(name)
+            if copy is not None and (their_good, copy.text) > mine:
+                copies[name] = copy
+                broken[name] = their_good
+            else:
+                broken[name] = mine[0]
+        return broken, copies
 
-    def is_newer(self, copy: SectionCopy) -> bool:
-        mine = self.copies.get(copy.name)
-        if mine is None:
+    def text_of(self, name: str) -> str:
+        copy = self.copies.get(name)
+        return "" if copy is None else copy.text
+
+    def differs(self, name: str, copy: SectionCopy) -> bool:
+        mine = self.copies.get(name)
+        return mine is None or mine.text != copy.text
+
+    def read(self, copy: SectionCopy) -> bool:
+        """Read a peer's copy; tells whether it is a good section or a tombstone."""
+        if not copy.text:
+            self.known_sections.pop(copy.name, None)
             return True
-        if mine.text == copy.text:
+        # The section may refer to others that come with the same message.
+        names = {name: None for name in self.declared}
+        section = check_document(copy.text, names).accepted.get(copy.name)
+        if section is None:
             return False
-        return (copy.version, copy.text) > (mine.version, mine.text)
+        self.known_sections[copy.name] = section
+        return True
 
     def adopt(
         self,
         version: int,
-        declared: frozenset[str],
+        declared: set[str],
+        broken: dict[str, int],
         copies: dict[str, SectionCopy],
         now: float,
         source: str,
     ) -> PolicyChange:
-        removed = [
-            name
-            for name, copy in self.copies.items()
-            if name not in declared and copy.text
-        ]
+        removed = [name for name in self.declared if name not in declared]
         for name in removed:
+            del self.declared[name]
+            self.removed[name] = version
             self.copies[name] = SectionCopy(name, version, "")
+            self.known_sections.pop(name, None)
+        for name in declared:
+            self.declared.setdefault(name, version)
+            self.removed.pop(name, None)
         self.copies.update(copies)
-        self.drop_old_tombstones()
+        self.broken = broken
+        self.forget_removed()
         moved = version != self.version
         self.version = version
-        self.declared = declared
-        self.rebuild()
+        self.policy = build_policy(self.models)
+        self.digest = compute_digest(declared, self.copies)
         if moved or self.since is None:
             self.since = now
             self.source = source
         return PolicyChange(version=version, changed=sorted(copies), removed=removed)
 
-    def drop_old_tombstones(self) -> None:
-        tombstones = [copy for copy in self.copies.values() if not copy.text]
-        tombstones.sort(key=lambda copy: copy.version)
-        for copy in tombstones[:-MAX_TOMBSTONES]:
-            del self.copies[copy.name]
+    @property
+    def models(self) -> dict[str, Section]:
+        """Models of the sections in force, by full name."""
+        return {name: item.model for name, item in self.known_sections.items()}
 
-    def rebuild(self) -> None:
-        text = "\n".join(copy.text for copy in self.copies.values() if copy.text)
-        self.models = check_document(text).models
-        self.policy = build_policy(self.models)
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for name in sorted(self.copies):
-            text = self.copies[name].text
-            if text:
-                digest.update(f"{name}\0{text}\0".encode())
-        self.digest = digest.digest()
+    def forget_removed(self) -> None:
+        """Bound the memory of removed sections; the oldest go first."""
+        while len(self.removed) > MAX_REMOVED:
+            name = next(iter(self.removed))
+            del self.removed[name]
+            self.copies.pop(name, None)
 
     def content_since(self, version: int) -> PolicyContent:
         """Return what a store at the given version lacks.
@@ -175,10 +242,23 @@
         return PolicyContent(
             since=version,
             policy_version=self.version,
-            declared=sorted(self.declared),
+            declared=[name for name, at in self.declared.items() if at > version],
+            removed=[name for name, at in self.removed.items() if at > version],
             sections=[copy for copy in self.copies.values() if copy.version > version],
+            broken=self.broken,
+            digest=self.digest,
         )
 
     def render(self) -> str:
         """Return the document in force as text."""
         return "\n".join(copy.text for copy in self.copies.values() if copy.text)
+
+
+def compute_digest(declared: set[str], copies: dict[str, SectionCopy]) -> bytes:
+    """Return a digest over the names and texts of all declared sections."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for name in sorted(declared):
+        copy = copies.get(name)
+        text = copy.text if copy is not None else ""
+        digest.update(f"{name}\0{text}\0".encode())
+    return digest.digest()
--- a/src/catkinpost_standins/fleet.py
+++ b/src/catkinpost_standins/fleet.py
@@ -1,7 +1,9 @@
 """Processes of a small deployment: platform, backend servers and nodes."""
 
 import contextlib
+import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +26,11 @@
 START_TIMEOUT_S = 40.0
 POLL_S = 0.05
 STOP_TIMEOUT_S = 15.0
+FIRST_PORT = 12_000
+LAST_PORT = 30_000
+PORTS = itertools.cycle(
+    range(random.SystemRandom().randint(FIRST_PORT, LAST_PORT - 5000), LAST_PORT)
+)
 SECRET = "stand-in-secret-stand-in"
 SETTINGS = """\
 [node]
@@ -54,10 +61,19 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now.
+
+    Ports come from below the range that outgoing connections use, so that none
+    of them takes a port before its process does.
+    """
+    while True:
+        port = next(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -211,9 +227,19 @@
 
     async def wait_for(self, condition, timeout: float = START_TIMEOUT_S) -> None:
         """Wait until an asynchronous condition holds."""
-        with trio.fail_after(timeout):
+        with trio.move_on_after(timeout):
             while not await condition():
                 await trio.sleep(POLL_S)
+            return
+        raise RuntimeError(f"the deployment did not start:\n{self.last_lines()}")
+
+    def last_lines(self) -> str:
+        """Return the end of each log, for a deployment that does not start."""
+        parts = []
+        for path in sorted(self.folder.glob("*.log")):
+            lines = path.read_text(errors="replace").splitlines()[-3:]
+            parts.append("\n".join([path.name, *lines]))
+        return "\n".join(parts)
 
     async def publish(self, policy: str) -> None:
         """Publish a policy document."""
--- a/tests/protocol/test_policy.py
+++ b/tests/protocol/test_policy.py
@@ -5,7 +5,12 @@
 from nose2.tools import params
 
 from catkinpost.command.difference import compare_documents
-from catkinpost.protocol.policy import Importance, check_document, default_class
+from catkinpost.protocol.policy import (
+    Importance,
+    build_policy,
+    check_document,
+    default_class,
+)
 from catkinpost_standins.deployment import SKAIDAS_POLICY
 
 SERVICE = "[service orders]\nowner = sales\n"
@@ -63,19 +68,17 @@
         self.assertEqual(checked.declared, {"service orders", "service sets"})
 
     def test_class_may_refer_to_a_service_that_keeps_its_last_good_form(self):
-        good = check_document(SERVICE).models
+        good = check_document(SERVICE).accepted
         text = (
             "[service orders]\nowner = sales\nslots = many\n"
             "[class a]\nowner = x\nservice = orders\n"
         )
-        checked = check_document(text, fallback=good)
-        self.assertEqual(list(checked.models), ["class a"])
+        checked = check_document(text, good)
+        self.assertEqual(list(checked.accepted), ["class a"])
 
 
 class TestPolicy(unittest.TestCase):
     def setUp(self):
-        from catkinpost.protocol.policy import build_policy
-
         self.policy = build_policy(check_document(SKAIDAS_POLICY).models)
 
     @params(
--- a/tests/state/test_policy_store.py
+++ b/tests/state/test_policy_store.py
@@ -86,10 +86,41 @@
     def test_difference_from_a_version_that_is_not_there_is_not_applied(self):
         store = PolicyStore()
         accept(store, 1, a=1)
-        content = PolicyContent(5, 6, ["service a"], [])
+        content = PolicyContent(5, 6, ["service a"], [], [], {}, b"")
         self.assertIsNone(store.merge(content, now=0.0, source="peer"))
         self.assertEqual(store.version, 1)
 
+    def test_difference_of_a_peer_that_skipped_versions_is_not_applied(self):
+        """Regression: a section that came back was missing from the difference."""
+        peer, store = PolicyStore(), PolicyStore()
+        accept(peer, 1, a=2)
+        accept(peer, 4, a=2)
+        accept(store, 3)
+        self.assertIsNone(exchange(peer, store))
+        exchange(peer, store, full=True)
+        self.assertEqual((store.version, slots_of(store)), (4, {"a": 2}))
+
+    def test_section_in_force_is_not_replaced_by_one_of_an_older_version(self):
+        """Regression: a value that came back lost to the one between."""
+        skipped, peer = PolicyStore(), PolicyStore()
+        accept(skipped, 1, a=2)
+        accept(skipped, 5, a=2)
+        accept(peer, 4, a=1)
+        exchange(peer, skipped, full=True)
+        self.assertEqual(slots_of(skipped), {"a": 2})
+
+    def test_broken_section_keeps_the_form_that_was_good_last_anywhere(self):
+        skipped, peer = PolicyStore(), PolicyStore()
+        accept(skipped, 1, a=2)
+        accept(skipped, 3, a=2)
+        accept(peer, 2, a=1)
+        for store in (skipped, peer):
+            accept(store, 4, a=None)
+        exchange(peer, skipped, full=True)
+        exchange(skipped, peer, full=True)
+        self.assertEqual(slots_of(skipped), {"a": 2})
+        self.assertEqual(slots_of(peer), {"a": 2})
+
     @params("", "nonsense", "[service a", "[service a]\nno option line")
     def test_unreadable_document_changes_no_section_in_force(self, text):
         store = PolicyStore()
@@ -101,7 +132,9 @@
         store = PolicyStore()
         accept(store, 1, a=1)
         copies = [SectionCopy("service b", 2, "[service b]\nowner")]
-        content = PolicyContent(1, 2, ["service a", "service b"], copies)
+        content = PolicyContent(
+            -1, 2, ["service a", "service b"], [], copies, {}, b"different"
+        )
         store.merge(content, now=0.0, source="peer")
         self.assertEqual(slots_of(store), {"a": 1})
 
@@ -117,6 +150,7 @@
         self.stores = [PolicyStore() for _ in range(NODES)]
         self.documents = []
         self.highest = [NO_VERSION] * NODES
+        self.settled = [{} for _ in range(NODES)]
 
     @rule(slots=st.dictionaries(st.sampled_from("abc"), values, max_size=3))
     def publish(self, slots):
@@ -138,6 +172,15 @@
     def replace(self, node):
         self.stores[node] = PolicyStore()
         self.highest[node] = NO_VERSION
+        self.settled[node] = {}
+
+    @invariant()
+    def no_section_goes_back(self):
+        for node, store in enumerate(self.stores):
+            for name in store.declared:
+                settled = store.last_good(name)
+                assert settled >= self.settled[node].get(name, NO_VERSION), name
+                self.settled[node][name] = settled
 
     @invariant()
     def version_never_goes_back(self):
