--- a/src/catkinpost/coordination/link.py
+++ b/src/catkinpost/coordination/link.py
@@ -63,6 +63,9 @@
     def link_down(self, link: "PeerLink", failure: Failure) -> None:
         """The connection is lost."""
 
+    def link_silent(self, link: "PeerLink") -> None:
+        """A ping stayed unanswered; the connection is about to be dropped."""
+
     async def peer_message(self, sender: "PeerLink", message: Message) -> None:
         """The peer sent a message that answers no request."""
 
@@ -109,6 +112,7 @@
         self.round_trip: float | None = None
         self.ping_sequence = 0
         self.ping_sent_at = 0.0
+        self.probe_due = False
         self.ping_unanswered = False
         self.epoch = 0
         self.failed_connects = 0
@@ -254,6 +258,7 @@
             if self.ping_unanswered:
                 if now - self.ping_sent_at >= self.settings.silence:
                     log_message("link: silent peer", peer=self.instance)
+                    self.events.link_silent(self)
                     await frames.close()
                     return
             elif now - self.last_heard >= self.ping_interval():
@@ -261,12 +266,14 @@
             await trio.sleep(CHECK_INTERVAL_S)
 
     def ping_interval(self) -> float:
-        return CHECK_INTERVAL_S if self.pending.entries else IDLE_PING_S
+        busy = self.pending.entries or self.probe_due
+        return CHECK_INTERVAL_S if busy else IDLE_PING_S
 
     async def ping(self, frames: FrameStream, now: float) -> None:
         self.ping_sequence += 1
         self.ping_sent_at = now
         self.ping_unanswered = True
+        self.probe_due = False
         await frames.send(Ping(self.ping_sequence))
 
     async def wait_up(self, timeout: float) -> bool:
--- a/src/catkinpost/coordination/link_table.py
+++ b/src/catkinpost/coordination/link_table.py
@@ -87,6 +87,14 @@
         for instance in find_partners(self.view, own):
             self.of(instance)
 
+    def probe_all(self) -> None:
+        """Ask every peer for a sign of life, as one link has gone silent.
+
+        What makes one connection silent often hits others at the same time.
+        """
+        for link in self.links.values():
+            link.probe_due = True
+
     def drop(self, name: str) -> None:
         """Give up the link to an instance."""
         link = self.links.pop(name, None)
--- a/src/catkinpost/coordination/mates.py
+++ b/src/catkinpost/coordination/mates.py
@@ -116,6 +116,7 @@
         await done.wait()
     if isinstance(pending.result, (KeyReport, Failure)):
         return pending.result
+    pending.cancel()
     return Failure(
         reason=Reason.PEER_SILENT,
         outcome=Outcome.UNKNOWN,
--- a/src/catkinpost/coordination/peer_handler.py
+++ b/src/catkinpost/coordination/peer_handler.py
@@ -79,6 +79,10 @@
         )
         self.mates.mate_down(link.instance)
 
+    def link_silent(self, link: PeerLink) -> None:
+        """Look whether other links have gone silent as well."""
+        self.mates.links.probe_all()
+
     async def session_up(self, session: PeerSession) -> None:
         """Take over what a peer tells of itself when it connects."""
         hello = session.hello
--- a/src/catkinpost_standins/bench/run.py
+++ b/src/catkinpost_standins/bench/run.py
@@ -9,12 +9,21 @@
 from catkinpost_standins.backend import Faults
 from catkinpost_standins.bench.load import Caller, send_load
 from catkinpost_standins.bench.measure import RunResult, summarize
-from catkinpost_standins.bench.scenario import VARIANTS, Scenario, policy_text
-from catkinpost_standins.fleet import HOST, Fleet, open_fleet
+from catkinpost_standins.bench.scenario import (
+    VARIANTS,
+    Scenario,
+    Trigger,
+    policy_text,
+)
+from catkinpost_standins.fleet import HOST, Fleet, Member, open_fleet
+from catkinpost_standins.platform import Control
+from catkinpost_standins.relay import RelayFaults
+from catkinpost_standins.web import get_json
 
 __all__ = ["run_variant"]
 
 SETTLE_S = 1.0
+RESTART_CHECK_S = 0.1
 
 
 def start_baseline(fleet: Fleet) -> None:
@@ -39,15 +48,51 @@
     fleet: Fleet, scenario: Scenario, start: float, length: float
 ) -> None:
     """Set the scenario's fault at its time and take it back."""
-    if scenario.trigger is None:
+    trigger = scenario.trigger
+    if trigger is None:
         return
-    hit = fleet.of_service(scenario.trigger.service)[: scenario.trigger.members]
+    hit = fleet.of_service(trigger.service)[: trigger.members]
     await trio.sleep(start)
-    for member in hit:
-        await fleet.set_faults(member, scenario.trigger.faults)
-    await trio.sleep(length)
-    for member in hit:
-        await fleet.set_faults(member, Faults())
+    with trio.move_on_after(length):
+        await set_trigger(fleet, trigger, hit)
+        await keep_running(fleet, trigger, hit)
+    await end_trigger(fleet, trigger, hit)
+
+
+async def set_trigger(fleet: Fleet, trigger: Trigger, hit: list[Member]) -> None:
+    if trigger.faults is not None:
+        for member in hit:
+            await fleet.set_faults(member, trigger.faults)
+    if trigger.platform is not None:
+        await fleet.set_platform(trigger.platform)
+    if trigger.relay:
+        names = [f"{member.spec.name}/{trigger.relay}" for member in hit]
+        faults = RelayFaults(cut=names) if trigger.cut else RelayFaults(silence=names)
+        await fleet.set_relay(faults)
+
+
+async def keep_running(fleet: Fleet, trigger: Trigger, hit: list[Member]) -> None:
+    """Start crashed backend servers again, as the platform would."""
+    while True:
+        await trio.sleep(RESTART_CHECK_S)
+        for member in hit:
+            if member.backend_process.poll() is not None:
+                fleet.restarts += 1
+                fleet.start_backend(member)
+                await fleet.wait_for(
+                    lambda m=member: get_json(HOST, m.backend, "/health")
+                )
+                await fleet.set_faults(member, trigger.faults)
+
+
+async def end_trigger(fleet: Fleet, trigger: Trigger, hit: list[Member]) -> None:
+    if trigger.faults is not None:
+        for member in hit:
+            await fleet.set_faults(member, Faults())
+    if trigger.platform is not None:
+        await fleet.set_platform(Control())
+    if trigger.relay:
+        await fleet.set_relay(RelayFaults())
 
 
 async def run_variant(
@@ -67,6 +112,7 @@
         scenario.specs(),
         policy_text(scenario, switches or {}),
         with_nodes=switches is not None,
+        with_relay=scenario.trigger is not None and bool(scenario.trigger.relay),
     ) as fleet:
         if switches is None:
             start_baseline(fleet)
@@ -83,6 +129,7 @@
             )
         journals = await fleet.journals()
         counters = await sum_counters(fleet) if switches is not None else {}
+        counters["backend servers restarted"] = fleet.restarts
     end = scenario.calm_s + length
     return summarize(
         records,
--- a/src/catkinpost_standins/bench/scenario.py
+++ b/src/catkinpost_standins/bench/scenario.py
@@ -7,6 +7,7 @@
 from catkinpost_standins.backend import BackendSpec, Child, Faults, Route
 from catkinpost_standins.bench.load import Kind
 from catkinpost_standins.fleet import MemberSpec
+from catkinpost_standins.platform import Control
 
 __all__ = ["SCENARIOS", "VARIANTS", "Scenario", "Trigger", "policy_text"]
 
@@ -18,6 +19,7 @@
     "no routing": {"routing": "off"},
     "no ejection": {"ejection": "off"},
     "no hedging": {"hedging": "off"},
+    "no crash guard": {"crash_guard": "off"},
 }
 CENTRES = [
     ("near-1", "near"),
@@ -31,14 +33,20 @@
 class Trigger:
     """Fault that is set at one time and taken back at another.
 
-    :param service: service whose backend servers are hit.
-    :param members: how many of them.
-    :param faults: the fault.
+    :param service: service that is hit.
+    :param members: how many of its instances.
+    :param faults: fault of the backend servers.
+    :param platform: fault of the platform.
+    :param relay: ports whose connections are hit, ``peers`` or ``backend``.
+    :param cut: whether these pass nothing; else open ones go silent.
     """
 
     service: str
-    members: int
-    faults: Faults
+    members: int = 0
+    faults: Faults | None = None
+    platform: Control | None = None
+    relay: str = ""
+    cut: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -296,6 +304,14 @@
     return 120.0
 
 
+BAD_KIND = Kind(
+    name="bad-question",
+    service="depot-finder",
+    method="GET",
+    path="/depot/bad",
+    share=0.01,
+)
+DEPOT = "depot-finder"
 SLOWED = Trigger(service="depot-finder", members=1, faults=Faults(slow_factor=10.0))
 SLOW_CERTS = Trigger(service="certs", members=2, faults=Faults(slow_factor=4.0))
 
@@ -325,12 +341,14 @@
     )
 
 
-def depot_scenario(name: str, **options) -> Scenario:
+def depot_scenario(
+    name: str, kinds: tuple[Kind, ...] = (DEPOT_KIND,), **options
+) -> Scenario:
     return Scenario(
         name=name,
         specs=depot_specs,
         classes=DEPOT_CLASSES,
-        kinds=[DEPOT_KIND],
+        kinds=list(kinds),
         rate=depot_rate,
         slots={"depot-finder": 12},
         after_s=2.0,
@@ -371,5 +389,37 @@
             ),
         ),
         depot_scenario("stragglers-none", variants=("all on", "baseline")),
+        depot_scenario(
+            "freeze",
+            trigger=Trigger(service=DEPOT, members=1, faults=Faults(frozen=True)),
+        ),
+        depot_scenario(
+            "crash",
+            kinds=(DEPOT_KIND, BAD_KIND),
+            trigger=Trigger(
+                service=DEPOT, members=4, faults=Faults(crash_path="/depot/bad")
+            ),
+            variants=("all on", "baseline", "no crash guard"),
+        ),
+        depot_scenario(
+            "silent-links",
+            trigger=Trigger(service=DEPOT, members=1, relay="peers"),
+            variants=("all on", "no hedging"),
+        ),
+        depot_scenario(
+            "silent-backend",
+            trigger=Trigger(service=DEPOT, members=1, relay="backend"),
+            variants=("all on", "no hedging"),
+        ),
+        depot_scenario(
+            "cut-off",
+            trigger=Trigger(service=DEPOT, members=1, relay="peers", cut=True),
+            variants=("all on",),
+        ),
+        depot_scenario(
+            "platform-down",
+            trigger=Trigger(service=DEPOT, platform=Control(down=True)),
+            variants=("all on",),
+        ),
     )
 }
--- a/src/catkinpost_standins/capacity_bench.py
+++ b/src/catkinpost_standins/capacity_bench.py
@@ -87,6 +87,9 @@
     def link_down(self, link, failure) -> None:
         """Ignore the event."""
 
+    def link_silent(self, link) -> None:
+        """Ignore the event."""
+
     async def session_up(self, session) -> None:
         """Ignore the event."""
 
--- a/src/catkinpost_standins/fleet.py
+++ b/src/catkinpost_standins/fleet.py
@@ -18,6 +18,7 @@
 
 from catkinpost_standins.backend import BackendSpec, Faults
 from catkinpost_standins.platform import Control
+from catkinpost_standins.relay import RelayFaults, RelayPort
 from catkinpost_standins.web import get_json, put
 
 __all__ = ["Fleet", "Member", "MemberSpec", "free_port", "open_fleet"]
@@ -96,10 +97,23 @@
     peers: int = field(default_factory=free_port)
     operators: int = field(default_factory=free_port)
     backend: int = field(default_factory=free_port)
+    peers_relay: int = field(default_factory=free_port)
+    backend_relay: int = field(default_factory=free_port)
+    relayed: bool = False
     state: str = "live"
     node_process: subprocess.Popen | None = None
     backend_process: subprocess.Popen | None = None
 
+    def relay_ports(self) -> list[RelayPort]:
+        """Return the relayed ports in front of node and backend server."""
+        name = self.spec.name
+        return [
+            RelayPort(name=f"{name}/peers", port=self.peers_relay, target=self.peers),
+            RelayPort(
+                name=f"{name}/backend", port=self.backend_relay, target=self.backend
+            ),
+        ]
+
     def entry(self) -> dict:
         """Return the member's entry on the list of instances."""
         return {
@@ -108,7 +122,7 @@
             "data_centre": self.spec.data_centre,
             "region": self.spec.region,
             "calls": f"{HOST}:{self.calls}",
-            "peers": f"{HOST}:{self.peers}",
+            "peers": f"{HOST}:{self.peers_relay if self.relayed else self.peers}",
             "operators": f"{HOST}:{self.operators}",
             "state": self.state,
         }
@@ -132,8 +146,10 @@
         with_nodes: bool = True,
         start_wait: float = 1.0,
         key_lifetime: float = 120.0,
+        with_relay: bool = False,
     ) -> None:
-        self.members = {spec.name: Member(spec) for spec in specs}
+        self.members = {spec.name: Member(spec, relayed=with_relay) for spec in specs}
+        self.relay = free_port() if with_relay else None
         self.policy = policy
         self.folder = folder
         self.with_nodes = with_nodes
@@ -141,6 +157,7 @@
         self.key_lifetime = key_lifetime
         self.platform = free_port()
         self.processes: list[subprocess.Popen] = []
+        self.restarts = 0
 
     def spawn(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
         """Start one process; its output goes to a log file."""
@@ -161,6 +178,8 @@
             "platform", "catkinpost_standins.platform", "--port", str(self.platform)
         )
         await self.wait_for(lambda: get_json(HOST, self.platform, "/reads"))
+        if self.relay is not None:
+            self.start_relay()
         await self.publish(self.policy)
         await self.publish_list()
         for member in self.members.values():
@@ -172,6 +191,25 @@
             if self.with_nodes:
                 await self.wait_ready(member)
 
+    def start_relay(self) -> None:
+        """Start the relay in front of all members."""
+        ports = [
+            port for member in self.members.values() for port in member.relay_ports()
+        ]
+        path = self.folder / "relay.json"
+        path.write_bytes(msgspec.json.encode(ports))
+        self.spawn(
+            "relay",
+            "catkinpost_standins.relay",
+            str(path),
+            "--control",
+            str(self.relay),
+        )
+
+    async def set_relay(self, faults: RelayFaults) -> None:
+        """Set the relay's faults."""
+        await put(HOST, self.relay, "/", msgspec.json.encode(faults))
+
     def start_backend(self, member: Member) -> None:
         """Start a member's backend server."""
         spec = member.spec.backend
@@ -201,7 +239,7 @@
                 calls=member.calls,
                 peers=member.peers,
                 operators=member.operators,
-                backend=member.backend,
+                backend=member.backend_relay if member.relayed else member.backend,
                 platform=self.platform,
                 secret=SECRET,
                 start_wait=self.start_wait,
--- a/src/catkinpost_standins/path_bench.py
+++ b/src/catkinpost_standins/path_bench.py
@@ -15,7 +15,14 @@
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.transport.http_client import BackendClient
 from catkinpost_standins.backend import BackendSpec, Child, Route
-from catkinpost_standins.fleet import HOST, Fleet, Member, MemberSpec, open_fleet
+from catkinpost_standins.fleet import (
+    HOST,
+    Fleet,
+    Member,
+    MemberSpec,
+    free_port,
+    open_fleet,
+)
 from catkinpost_standins.parts_bench import measure_parts
 
 __all__ = ["main"]
@@ -171,7 +178,22 @@
     return [item.node_process.pid for item in members]
 
 
-async def run_bench(rounds: int, calls: int, rate: float) -> list[WayResult]:
+def start_forwarder(fleet: Fleet, target: Member) -> Way:
+    """Start the forwarder on the house's HTTP libraries."""
+    port = free_port()
+    process = fleet.spawn(
+        "forwarder",
+        "catkinpost_standins.library_forwarder",
+        f"{HOST}:{target.backend}",
+        "--port",
+        str(port),
+    )
+    return Way("hypercorn+httpcore", port, "deep3", [process.pid], "direct")
+
+
+async def run_bench(
+    rounds: int, calls: int, rate: float, libraries: bool
+) -> list[WayResult]:
     """Measure all ways in turn, round by round."""
     specs = [member("entry-1", "entry", []), *chain_specs("deep")]
     names = [spec.service for spec in specs]
@@ -196,6 +218,9 @@
                 DEPTH,
             ),
         ]
+        if libraries:
+            ways.insert(1, start_forwarder(fleet, last))
+            await trio.sleep(2.0)
         clients = {
             way.name: BackendClient(HOST, way.port, limits=HttpLimits()) for way in ways
         }
@@ -219,22 +244,25 @@
     rounds: Annotated[int, typer.Option(help="Rounds of every way.")] = 12,
     calls: Annotated[int, typer.Option(help="Calls in each round.")] = 200,
     rate: Annotated[float, typer.Option(help="Calls per second.")] = 70.0,
+    libraries: Annotated[
+        bool, typer.Option(help="Add a forwarder on hypercorn and httpcore.")
+    ] = False,
     json: Annotated[bool, typer.Option(help="Print JSON.")] = False,
 ) -> None:
     """Measure what nodes add to a call, against the same call sent directly."""
-    results = trio.run(run_bench, rounds, calls, rate)
+    results = trio.run(run_bench, rounds, calls, rate, libraries)
     parts = measure_parts()
     if json:
         document = {"ways": results, "parts_us": parts}
         typer.echo(msgspec.json.encode(document).decode())
         return
     typer.echo(
-        f"{'way':16}{'p50':>9}{'p99':>9}{'+p50':>9}{'+p99':>9}"
+        f"{'way':20}{'p50':>9}{'p99':>9}{'+p50':>9}{'+p99':>9}"
         f"{'x p50':>8}{'x p99':>8}{'node CPU':>10}  (ms; medians of rounds)"
     )
     for item in results:
         typer.echo(
-            f"{item.name:16}{item.p50_ms:9.3f}{item.p99_ms:9.3f}"
+            f"{item.name:20}{item.p50_ms:9.3f}{item.p99_ms:9.3f}"
             f"{item.added_p50_ms:9.3f}{item.added_p99_ms:9.3f}"
             f"{item.ratio_p50:8.2f}{item.ratio_p99:8.2f}"
             f"{item.node_cpu_ms_per_call:10.3f}"
--- a/tests/coordination/test_link.py
+++ b/tests/coordination/test_link.py
@@ -40,6 +40,9 @@
     def link_down(self, link, failure):
         self.downs.append(failure)
 
+    def link_silent(self, link):
+        self.silent = link.instance
+
     async def session_up(self, session):
         self.ups.append(session.hello)
 
@@ -165,6 +168,7 @@
             await setup.start(serve)
             result = await setup.call()
             self.assertEqual(result.outcome, Outcome.UNKNOWN)
+            self.assertEqual(setup.events.silent, "orders-2")
             result = await setup.call()
             self.assertIsInstance(result, Answer)
             nursery.cancel_scope.cancel()
--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -1,5 +1,6 @@
 """Failure tests with real processes and real signals; they wait for events."""
 
+import functools
 import signal
 import unittest
 
@@ -11,6 +12,7 @@
 from catkinpost_standins.backend import BackendSpec, Child, Faults, Route
 from catkinpost_standins.fleet import HOST, MemberSpec, open_fleet
 from catkinpost_standins.platform import Control
+from catkinpost_standins.relay import RelayFaults
 from catkinpost_standins.web import get_json
 
 POLICY = """\
@@ -72,18 +74,21 @@
     ]
 
 
-def with_fleet(test):
+def with_fleet(test=None, *, relay=False):
     """Run a test with a running fleet and a limit against hanging."""
+    if test is None:
+        return functools.partial(with_fleet, relay=relay)
 
+    @functools.wraps(test)
     def run(self):
         async def main():
             with trio.fail_after(LIMIT_S):
-                async with open_fleet(specs(), POLICY, key_lifetime=1.0) as fleet:
+                async with open_fleet(specs(), POLICY, with_relay=relay) as fleet:
                     await test(self, fleet)
 
         trio.run(main)
 
-    run.__name__ = test.__name__
+    del run.__wrapped__
     return run
 
 
@@ -270,6 +275,44 @@
         good = await send(entry, b"GET", path=b"/orders/good")
         self.assertEqual(outcome_of(good), "done")
 
+    @with_fleet(relay=True)
+    async def test_silent_link_is_replaced_and_the_order_is_not_repeated(self, fleet):
+        entry = fleet.members["certs-1"]
+        orders = fleet.of_service("orders")
+        for member in orders:
+            await fleet.set_faults(member, Faults(frozen=True))
+        results = []
+
+        async def order():
+            results.append(await send(entry, key=b"k", attempt=0))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order)
+            await until(lambda: has_started(fleet, "k"))
+            names = [f"{member.spec.name}/peers" for member in orders]
+            await fleet.set_relay(RelayFaults(silence=names))
+            for member in orders:
+                await fleet.set_faults(member, Faults())
+        self.assertEqual(outcome_of(results[0]), "unknown")
+
+        async def is_answered():
+            again = await send(entry, key=b"k", attempt=1)
+            return outcome_of(again) == "done" and again.status == 200
+
+        # Links between the orders' own nodes are silent too until they are dropped.
+        await until(is_answered)
+        self.assertEqual(await runs_of(fleet, "k"), 1)
+
+    @with_fleet(relay=True)
+    async def test_cut_off_instance_costs_the_others_nothing(self, fleet):
+        await fleet.set_relay(RelayFaults(cut=["orders-1/peers"]))
+        entry = fleet.members["certs-1"]
+        for number in range(5):
+            response = await send(entry, b"GET")
+            self.assertEqual(outcome_of(response), "done", number)
+        isolated = await send(fleet.members["orders-1"], b"GET")
+        self.assertEqual(outcome_of(isolated), "done")
+
     @with_fleet
     async def test_unknown_service_and_bad_request_are_answered(self, fleet):
         entry = fleet.members["certs-1"]
