End the watch over keys when the process was paused

Cause: a node that slept through the runs of others went on to vouch for keys; the hook was there and nobody called it. Ruled out: relying on lost links alone: a pause shorter than the silence bound drops none at the peers. Change: PauseWatch tells its listeners, and the mates begin their watch anew. Figures: test_node_that_was_paused_begins_its_watch_anew fails without the call.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -1,5 +1,7 @@
 """Detection of pauses of the node's own process."""
 
+from collections.abc import Callable
+
 import trio
 
 from catkinpost.state.decision_log import DecisionLog
@@ -18,6 +20,7 @@
 
     def __init__(self, decisions: DecisionLog) -> None:
         self.decisions = decisions
+        self.listeners: list[Callable[[], None]] = []
         self.last_tick: float | None = None
         self.pauses = 0
 
@@ -38,6 +41,8 @@
                 reason="the process did not run; what it read before may be old",
                 seconds=round(now - last, 3),
             )
+            for listener in self.listeners:
+                listener()
         return self.pauses
 
     async def run(self) -> None:
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -209,6 +209,7 @@
             settings=self.link_settings,
         )
         self.mates.server = self.peer_server
+        self.pause.listeners.append(self.mates.paused)
         self.http_server = HttpServer(
             self.dispatcher.handle,
             limits=settings.http_limits,
--- a/tests/coordination/test_once.py
+++ b/tests/coordination/test_once.py
@@ -10,6 +10,7 @@
 from catkinpost.coordination.identity import Identity
 from catkinpost.coordination.mates import ServiceMates
 from catkinpost.coordination.once import OnceGuard
+from catkinpost.coordination.pause import PauseWatch
 from catkinpost.protocol.message import Answer, Call, KeyFence, KeyRecords, Load
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.settings import Address
@@ -346,6 +347,19 @@
             self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
             self.assertEqual(world.runs, {"k": 1})
 
+    @on_mock_clock
+    async def test_node_that_was_paused_begins_its_watch_anew(self):
+        async with trio.open_nursery() as nursery:
+            world = await open_world(nursery)
+            mates = world.nodes["orders-1"].mates
+            pause = PauseWatch(DecisionLog())
+            pause.listeners.append(mates.paused)
+            pause.observe()
+            self.assertGreater(mates.watched_s(), LIFETIME_S)
+            await trio.sleep(30)
+            pause.observe()
+            self.assertEqual(mates.watched_s(), 0.0)
+
     @on_mock_clock
     async def test_node_that_finds_itself_delisted_no_longer_vouches(self):
         async with trio.open_nursery() as nursery:
