Part the sending of attempts from the way of a request

Ruled out: moving hedges alone; they share the attempts' bookkeeping. Change: attempt.py sends attempts, hedges and settles them; dispatcher.py decides about retries, redirects and wording. Behaviour is the same; hedges get tests.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -8,6 +8,7 @@
 from eliot import log_message, write_traceback
 
 from catkinpost.coordination.admission import Admission
+from catkinpost.coordination.attempt import AttemptSender
 from catkinpost.coordination.backend_watch import BackendWatch
 from catkinpost.coordination.crash_guard import CrashGuard
 from catkinpost.coordination.dispatcher import Dispatcher
@@ -174,11 +175,9 @@
             start_wait=settings.peers.start_wait,
             partners=self.partner_names,
         )
-        self.dispatcher = Dispatcher(
+        self.sender = AttemptSender(
             instance=self.identity.instance,
             store=self.store,
-            ready=self.gate.ready,
-            running=self.running,
             router=self.router,
             links=self.links,
             executor=self.executor,
@@ -188,6 +187,15 @@
             decisions=self.decisions,
             spawn=self.spawn,
         )
+        self.dispatcher = Dispatcher(
+            store=self.store,
+            ready=self.gate.ready,
+            running=self.running,
+            sender=self.sender,
+            throttle=self.throttle,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
 
     def build_control(self) -> None:
         settings = self.settings
--- a/tests/coordination/test_dispatcher.py
+++ b/tests/coordination/test_dispatcher.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
+from catkinpost.coordination.attempt import AttemptSender
 from catkinpost.coordination.dispatcher import Dispatcher
 from catkinpost.coordination.ejection import Ejector
 from catkinpost.coordination.entry import system_retries
@@ -141,11 +142,10 @@
             nodes_in_region=lambda: 1,
             decisions=self.decisions,
         )
-        self.dispatcher = Dispatcher(
+        metrics = Metrics()
+        self.sender = AttemptSender(
             instance="sets-1",
             store=self.store,
-            ready=lambda: True,
-            running=self.running,
             router=Router(
                 place=Place(
                     instance="sets-1", data_centre="kurzeme-1", region="kurzeme"
@@ -160,10 +160,19 @@
             executor=None,
             throttle=self.throttle,
             hedging=Hedging(),
-            metrics=Metrics(),
+            metrics=metrics,
             decisions=self.decisions,
             spawn=nursery.start_soon,
         )
+        self.dispatcher = Dispatcher(
+            store=self.store,
+            ready=lambda: True,
+            running=self.running,
+            sender=self.sender,
+            throttle=self.throttle,
+            metrics=metrics,
+            decisions=self.decisions,
+        )
 
     async def send(self, method=b"POST", body=b"one", **headers):
         pairs = [(b"host", b"orders")]
@@ -316,7 +325,7 @@
                 async def start(self, call, pending):
                     pending.resolve(answers.pop(0))
 
-            setup.dispatcher.links = Links()
+            setup.sender.links = Links()
             response = await setup.send(
                 b"POST", idempotency_key="k", catkinpost_attempt=1
             )
@@ -344,6 +353,43 @@
             self.assertEqual((reason_of(response), response.status), (reason, status))
             self.assertEqual(setup.links.attempts, 0)
 
+    async def learn(self, setup):
+        for _ in range(50):
+            setup.sender.hedging.add("show-order", 0.01)
+
+    @on_mock_clock
+    async def test_slow_repeatable_call_gets_a_second_attempt(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after", "answered"])
+            await self.learn(setup)
+            response = await setup.send(b"GET")
+            self.assertEqual(outcome_of(response), Outcome.DONE)
+            self.assertEqual((setup.links.attempts, setup.links.withdrawn), (2, 1))
+            self.assertEqual(setup.sender.metrics.counters["hedges"], 1)
+
+    @params(("POST", {}), ("GET", {"catkinpost_retry_allowance": 0}))
+    def test_call_that_may_not_be_repeated_is_not_hedged(self, method, headers):
+        self.check_no_hedge(method, headers)
+
+    @on_mock_clock
+    async def check_no_hedge(self, method, headers):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after", "answered"])
+            await self.learn(setup)
+            await setup.send(method.encode(), **headers)
+            self.assertEqual(setup.links.attempts, 1)
+
+    @on_mock_clock
+    async def test_overloaded_service_is_not_hedged(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after", "answered"])
+            await self.learn(setup)
+            for _ in range(20):
+                setup.throttle.add("orders", 1, accepted=False)
+                setup.throttle.add("orders", 1, accepted=True)
+            await setup.send(b"GET")
+            self.assertLessEqual(setup.links.attempts, 1)
+
     @on_mock_clock
     async def test_node_without_policy_refuses(self):
         async with trio.open_nursery() as nursery:
