Give up idle connections to the backend server after a long silence

Cause: each silent connection in the pool cost one request its deadline. Ruled out: aborting the request itself: slow and silent look the same, and an order must not be tried again. Change: a request that was given up after five times its expected service time makes the node drop its idle connections.

--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -29,6 +29,7 @@
 __all__ = ["Executor"]
 
 CRASH_SETTLE_S = 0.02
+SILENCE_FACTOR = 5.0
 LEAVING_RETRY_AFTER_S = 0.1
 STRIPPED_HEADERS = frozenset(
     {PARENT_HEADER, RETRIES_LEFT_HEADER, b"catkinpost-service", b"catkinpost-attempt"}
@@ -213,6 +214,7 @@
         completed = isinstance(result, HttpResponse)
         if not completed:
             running.cancel_children()
+            self.suspect_silence(running, admitted.item)
         seconds = trio.current_time() - running.started if completed else None
         if completed and is_shed(result):
             seconds = None
@@ -221,6 +223,17 @@
         self.admission.leave(admitted, seconds=seconds)
         self.crash_guard.ended(running.fingerprint, completed=completed)
 
+    def suspect_silence(self, running: RunningCall, item: WorkItem) -> None:
+        """Stop using idle connections when a request got no answer for long.
+
+        What made its connection silent may have made the idle ones silent too,
+        and a new connection costs little.
+        """
+        expected = self.admission.durations.expected(item.call_class, item.path)
+        waited = trio.current_time() - running.started
+        if expected is not None and waited > SILENCE_FACTOR * expected:
+            self.client.close_idle()
+
     async def find_crash(self) -> None:
         """Find out whether the backend server has crashed.
 
--- a/tests/coordination/test_executor.py
+++ b/tests/coordination/test_executor.py
@@ -47,6 +47,10 @@
         self.requests = []
         self.cancelled = 0
         self.alive = True
+        self.idle_closed = 0
+
+    def close_idle(self):
+        self.idle_closed += 1
 
     async def exchange(self, request):
         self.requests.append(request)
@@ -136,6 +140,17 @@
         self.assertEqual(setup.client.cancelled, 1)
         self.assertEqual(setup.executor.admission.in_flight, 0)
 
+    @on_mock_clock
+    async def test_idle_connections_are_given_up_after_a_long_silence(self):
+        setup = Setup(limits=False)
+        for _ in range(20):
+            setup.executor.admission.durations.add("place-order", "/orders", 0.01)
+        setup.client.hold = trio.Event()
+        await setup.run(budget_us=40_000)
+        self.assertEqual(setup.client.idle_closed, 0)
+        await setup.run(budget_us=400_000)
+        self.assertEqual(setup.client.idle_closed, 1)
+
     @on_mock_clock
     async def test_team_limit_bounds_a_tenant(self):
         setup = Setup()
