Let critical requests wait for as long as their answer is of use

Ruled out: a longer queue_wait for all: browsing would wait as well, and hold queue places that lookups need. Change: queue_wait does not bound the most important rank; its time left does.

--- a/src/catkinpost/coordination/admission.py
+++ b/src/catkinpost/coordination/admission.py
@@ -15,6 +15,7 @@
 __all__ = ["Admission", "Admitted", "WorkItem"]
 
 RANKS = sorted(IMPORTANCE_RANK.values())
+MOST_IMPORTANT_RANK = RANKS[0]
 NEWEST_FIRST_SHARE = 0.5
 DOOMED_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.1
@@ -116,8 +117,7 @@
         return await self.wait(waiter)
 
     async def wait(self, waiter: Waiter) -> Admitted | Failure:
-        limit = waiter.arrived + self.section.queue_wait
-        until = min(limit, waiter.item.deadline)
+        until = self.give_up_at(waiter)
         try:
             with trio.CancelScope(deadline=until):
                 await waiter.event.wait()
@@ -130,10 +130,22 @@
             self.remove(waiter)
         if waiter.result is not None:
             return waiter.result
-        reason = Reason.QUEUE_TIMEOUT
-        if until == waiter.item.deadline:
-            reason = Reason.DEADLINE_EXCEEDED
-        return self.refuse(waiter.item, reason, "no slot came free in time")
+        return self.refuse(
+            waiter.item, Reason.QUEUE_TIMEOUT, "no slot came free in time"
+        )
+
+    def give_up_at(self, waiter: Waiter) -> float:
+        """Return the time at which a waiter is refused.
+
+        The most important requests wait for as long as an answer is of use:
+        work done for them further up would be lost with them.
+        """
+        item = waiter.item
+        expected = self.durations.expected(item.call_class, item.path) or 0.0
+        useful = item.deadline - expected * DOOMED_SHARE
+        if item.rank == MOST_IMPORTANT_RANK:
+            return useful
+        return min(useful, waiter.arrived + self.section.queue_wait)
 
     def remove(self, waiter: Waiter) -> None:
         if waiter.result is None:
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -77,7 +77,8 @@
     :param slots: requests that one backend server runs at once, at most.
     :param min_slots: lowest value that the learned limit may reach.
     :param queue: requests that may wait at one node, at most.
-    :param queue_wait: seconds that a request may wait, at most.
+    :param queue_wait: seconds that a request may wait, at most; critical ones wait
+        for as long as their answer is of use.
     :param admission: mode of the learned concurrency limit and the queue.
     :param reserve: mode of the slots kept free for short work.
     :param reserve_share: share of the slots that long work cannot take.
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -66,6 +66,16 @@
         self.assertAlmostEqual(trio.current_time() - started, 0.5)
         self.assertEqual(admission.queued, 0)
 
+    @on_mock_clock
+    async def test_critical_request_waits_for_as_long_as_its_answer_is_of_use(self):
+        admission = make_admission(slots=1, min_slots=1, queue_wait=0.5)
+        await teach(admission, "lookup", 2.0)
+        await admission.enter(make_item())
+        started = trio.current_time()
+        refusal = await admission.enter(make_item(CRITICAL, timeout=10.0))
+        self.assertEqual(refusal.reason, Reason.QUEUE_TIMEOUT)
+        self.assertAlmostEqual(trio.current_time() - started, 9.0)
+
     @on_mock_clock
     async def test_more_important_request_takes_the_place_of_a_waiting_one(self):
         admission = make_admission(slots=1, min_slots=1, queue=1)
