--- a/src/catkinpost/coordination/admission.py
+++ b/src/catkinpost/coordination/admission.py
@@ -17,7 +17,7 @@
 RANKS = sorted(IMPORTANCE_RANK.values())
 MOST_IMPORTANT_RANK = RANKS[0]
 NEWEST_FIRST_SHARE = 0.5
-DOOMED_SHARE = 0.5
+NEEDED_TIME_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 
@@ -98,9 +98,9 @@
         long = self.durations.is_long(item.call_class, item.path)
         if self.section.admission is Mode.OFF:
             return self.admit(item, long, now)
-        doomed = self.check_deadline(item, now)
-        if doomed is not None:
-            return doomed
+        refusal = self.check_deadline(item, now)
+        if refusal is not None:
+            return refusal
         if self.queued == 0 and self.has_room(long):
             return self.admit(item, long, now)
         if self.section.admission is Mode.OBSERVE:
@@ -142,7 +142,7 @@
         """
         item = waiter.item
         expected = self.durations.expected(item.call_class, item.path) or 0.0
-        useful = item.deadline - expected * DOOMED_SHARE
+        useful = item.deadline - expected * NEEDED_TIME_SHARE
         if item.rank == MOST_IMPORTANT_RANK:
             return useful
         return min(useful, waiter.arrived + self.section.queue_wait)
@@ -154,7 +154,7 @@
 
     def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
         expected = self.durations.expected(item.call_class, item.path) or 0.0
-        if item.deadline - now > expected * DOOMED_SHARE:
+        if item.deadline - now > expected * NEEDED_TIME_SHARE:
             return None
         return self.refuse(
             item, Reason.DEADLINE_EXCEEDED, "too little time is left to answer"
--- a/src/catkinpost/coordination/crash_guard.py
+++ b/src/catkinpost/coordination/crash_guard.py
@@ -40,7 +40,7 @@
         self.mode = Mode.ON
         self.suspects = CrashSuspects()
         self.running: dict[bytes, int] = {}
-        self.suspect_lane = trio.CapacityLimiter(1)
+        self.suspect_limiter = trio.CapacityLimiter(1)
         self.last_crash: float | None = None
 
     def check(self, fingerprint: bytes) -> Failure | None:
@@ -109,9 +109,9 @@
         self.last_crash = now
         if self.mode is Mode.OFF:
             return
-        guilty = [item for item in self.running if self.suspects.crashes(item)]
+        known = [item for item in self.running if self.suspects.crashes(item)]
         # A known suspect explains the crash; those beside it stay free of blame.
-        for fingerprint in guilty or list(self.running):
+        for fingerprint in known or list(self.running):
             crashes = self.suspects.crashes_at(fingerprint, self.instance) + 1
             self.suspects.set_count(fingerprint, self.instance, crashes)
             self.broadcast(SuspectNotice(fingerprint, crashes, self.instance))
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -152,8 +152,8 @@
     async def admit_and_run(self, call: Call, deadline: float) -> Answer | Refusal:
         fingerprint = fingerprint_of(call)
         if self.crash_guard.is_suspect(fingerprint):
-            # One suspect at a time: its next crash then proves its guilt.
-            async with self.crash_guard.suspect_lane:
+            # One suspect at a time, so that its next crash cannot be blamed on another.
+            async with self.crash_guard.suspect_limiter:
                 return await self.wait_and_run(call, deadline, fingerprint)
         return await self.wait_and_run(call, deadline, fingerprint)
 
--- a/src/catkinpost/coordination/identity.py
+++ b/src/catkinpost/coordination/identity.py
@@ -39,7 +39,7 @@
     instance: str
     service: str
     secret: bytes
-    peers_address: str = ""
+    peers_address: str | None = None
     incarnation: str = field(
         default_factory=lambda: secrets.token_hex(INCARNATION_BYTES)
     )
--- a/src/catkinpost/coordination/link_table.py
+++ b/src/catkinpost/coordination/link_table.py
@@ -1,4 +1,4 @@
-"""All links of one node: to the targets of its calls, its mates and partners."""
+"""All links of one node: to the targets of its calls, its replicas and partners."""
 
 import hashlib
 from collections.abc import Callable
@@ -76,7 +76,7 @@
         return link
 
     def refresh(self) -> None:
-        """Follow the list: drop gone instances, open mates and partners."""
+        """Follow the list: drop gone instances, open replicas and partners."""
         for name in list(self.links):
             if name not in self.view.instances:
                 self.drop(name)
--- a/src/catkinpost/coordination/once.py
+++ b/src/catkinpost/coordination/once.py
@@ -2,7 +2,7 @@
 
 A key whose sending is marked as the first may run at once: no other sending of
 it ever starts a run. A sending marked as a repetition only joins a run that
-somebody remembers. An unmarked sending runs when every service mate grants a
+somebody remembers. An unmarked sending runs when every service replica grants a
 fence and somebody among them has watched the service for a key's lifetime.
 """
 
@@ -22,7 +22,13 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.key_record import KeyRecord, KeyRecords, KeyState
 
-__all__ = ["FIRST_ATTEMPT", "UNMARKED_ATTEMPT", "Mates", "OnceGuard", "fingerprint_of"]
+__all__ = [
+    "FIRST_ATTEMPT",
+    "UNMARKED_ATTEMPT",
+    "Replicas",
+    "OnceGuard",
+    "fingerprint_of",
+]
 
 UNMARKED_ATTEMPT = -1
 FIRST_ATTEMPT = 0
@@ -33,14 +39,14 @@
 Spawn = Callable[..., None]
 
 
-class Mates(Protocol):
+class Replicas(Protocol):
     """The other nodes of the same service."""
 
     def watched_s(self) -> float:
-        """Seconds for which this node was listed and knew all its mates."""
+        """Seconds for which this node was listed and knew all its replicas."""
 
     async def ask_all(self, fence: KeyFence) -> list[KeyReport | Failure]:
-        """Ask every mate and return one report or failure for each."""
+        """Ask every replica and return one report or failure for each."""
 
 
 def fingerprint_of(call: Call) -> bytes:
@@ -56,7 +62,7 @@
 
     :param holder: name and incarnation of this node.
     :param lifetime: seconds for which callers may repeat a key.
-    :param mates: the other nodes of the service.
+    :param replicas: the other nodes of the service.
     :param run_call: runs a call without looking at its key.
     :param spawn: starts a task that outlives the caller's connection.
     :param decisions: log for refusals.
@@ -67,14 +73,14 @@
         *,
         holder: str,
         lifetime: float,
-        mates: Mates,
+        replicas: Replicas,
         run_call: RunCall,
         spawn: Spawn,
         decisions: DecisionLog,
     ) -> None:
         self.holder = holder
         self.lifetime = lifetime
-        self.mates = mates
+        self.replicas = replicas
         self.run_call = run_call
         self.spawn = spawn
         self.decisions = decisions
@@ -180,7 +186,7 @@
 
     async def look_up(self, call: Call) -> Answer | Refusal:
         """Find out who holds the key of a repeated sending."""
-        reports = await self.mates.ask_all(KeyFence(0, call.key, ""))
+        reports = await self.replicas.ask_all(KeyFence(0, call.key, ""))
         holder = find_holder(reports)
         if holder:
             return self.refuse(
@@ -196,14 +202,14 @@
         )
 
     async def claim(self, call: Call, fingerprint: bytes) -> Answer | Refusal:
-        """Run an unmarked sending when every mate promises not to."""
+        """Run an unmarked sending when every replica promises not to."""
         if call.key in self.claims:
             return self.refuse(
                 call, Reason.ALREADY_SENT, "another sending of the key is being checked"
             )
         self.claims.add(call.key)
         try:
-            reports = await self.mates.ask_all(KeyFence(0, call.key, self.holder))
+            reports = await self.replicas.ask_all(KeyFence(0, call.key, self.holder))
         finally:
             self.claims.discard(call.key)
         refusal = self.judge(call, reports)
@@ -219,7 +225,7 @@
         return result
 
     def judge(self, call: Call, reports: list[KeyReport | Failure]) -> Refusal | None:
-        """Decide whether the mates' reports allow a run."""
+        """Decide whether the replicas' reports allow a run."""
         holder = find_holder(reports)
         if holder:
             return self.refuse(
@@ -233,7 +239,7 @@
                 call, Reason.ALREADY_SENT, "an instance cannot be asked about the key"
             )
         watched = [report.watched_s for report in reports]
-        if max([*watched, self.mates.watched_s()]) < self.lifetime:
+        if max([*watched, self.replicas.watched_s()]) < self.lifetime:
             return self.refuse(
                 call,
                 Reason.ALREADY_SENT,
@@ -264,11 +270,11 @@
         )
 
     def report(self, fence: KeyFence) -> KeyReport:
-        """Answer a mate that asks about a key or wants to run it.
+        """Answer a replica that asks about a key or wants to run it.
 
-        :param fence: the mate's question.
+        :param fence: the replica's question.
         """
-        watched = self.mates.watched_s()
+        watched = self.replicas.watched_s()
         record = self.records.find(fence.key)
         if record is not None:
             granted = record.holder == fence.holder and fence.holder != ""
--- a/src/catkinpost/coordination/peer_handler.py
+++ b/src/catkinpost/coordination/peer_handler.py
@@ -7,10 +7,10 @@
 
 from catkinpost.coordination.crash_guard import CrashGuard
 from catkinpost.coordination.link import PeerLink
-from catkinpost.coordination.mates import ServiceMates
 from catkinpost.coordination.once import OnceGuard
 from catkinpost.coordination.peer_server import PeerSession
 from catkinpost.coordination.policy_exchange import PolicyExchange
+from catkinpost.coordination.replicas import ServiceReplicas
 from catkinpost.protocol.message import (
     KeyFence,
     KeyRecords,
@@ -36,7 +36,7 @@
 
     :param exchange: exchange of the policy.
     :param stats: observations by instance.
-    :param mates: nodes of the same service.
+    :param replicas: nodes of the same service.
     :param once: idempotency keys.
     :param crash_guard: requests that crash backend servers.
     """
@@ -46,13 +46,13 @@
         *,
         exchange: PolicyExchange,
         stats: PeerStats,
-        mates: ServiceMates,
+        replicas: ServiceReplicas,
         once: OnceGuard,
         crash_guard: CrashGuard,
     ) -> None:
         self.exchange = exchange
         self.stats = stats
-        self.mates = mates
+        self.replicas = replicas
         self.once = once
         self.crash_guard = crash_guard
         self.incarnations: dict[str, str] = {}
@@ -66,8 +66,8 @@
             # Another process answers under the name: old observations are void.
             self.stats.forget(link.instance)
         self.incarnations[link.instance] = welcome.incarnation
-        if welcome.service == self.mates.service:
-            self.mates.mate_up(link.instance)
+        if welcome.service == self.replicas.service:
+            self.replicas.replica_up(link.instance)
         link.spawn(
             self.exchange.note, link, welcome.policy_version, welcome.policy_digest
         )
@@ -77,11 +77,11 @@
         log_message(
             "link: down", peer=link.instance, reason=failure.reason, why=failure.detail
         )
-        self.mates.mate_down(link.instance)
+        self.replicas.replica_down(link.instance)
 
     def link_silent(self, link: PeerLink) -> None:
         """Look whether other links have gone silent as well."""
-        self.mates.links.probe_all()
+        self.replicas.links.probe_all()
 
     async def session_up(self, session: PeerSession) -> None:
         """Take over what a peer tells of itself when it connects."""
--- a/src/catkinpost/coordination/mates.py
+++ b/src/catkinpost/coordination/replicas.py
@@ -11,13 +11,13 @@
 from catkinpost.protocol.settings import parse_address
 from catkinpost.state.instance_view import InstanceState, InstanceView
 
-__all__ = ["ServiceMates"]
+__all__ = ["ServiceReplicas"]
 
 ASK_TIMEOUT_S = 1.0
 
 
-class ServiceMates:
-    """Mates are all instances of the service that are listed or connected.
+class ServiceReplicas:
+    """Replicas are all instances of the service that are listed or connected.
 
     :param instance: name of this node's instance.
     :param service: service of this node.
@@ -42,13 +42,13 @@
         return own is not None and own.state is InstanceState.LIVE
 
     def watched_s(self) -> float:
-        """Seconds for which every listed mate has been connected."""
+        """Seconds for which every listed replica has been connected."""
         if self.watching_since is None:
             return 0.0
         return trio.current_time() - self.watching_since
 
     def refresh(self) -> None:
-        """Look again whether all mates are connected."""
+        """Look again whether all replicas are connected."""
         names = self.listed_names()
         self.welcomed &= names
         if not self.listed():
@@ -60,18 +60,18 @@
         listed = {item.name for item in self.view.of_service(self.service)}
         return listed - {self.instance}
 
-    def mate_up(self, name: str) -> None:
-        """Note that a mate is connected."""
+    def replica_up(self, name: str) -> None:
+        """Note that a replica is connected."""
         self.welcomed.add(name)
         self.refresh()
 
-    def mate_down(self, name: str) -> None:
-        """Note that a mate was lost; one that was leaving does not matter."""
+    def replica_down(self, name: str) -> None:
+        """Note that a replica was lost; one that was leaving does not matter."""
         self.welcomed.discard(name)
-        mate = self.view.instances.get(name)
-        if mate is None or mate.service != self.service:
+        replica = self.view.instances.get(name)
+        if replica is None or replica.service != self.service:
             return
-        if mate.state is InstanceState.LIVE:
+        if replica.state is InstanceState.LIVE:
             self.watching_since = None
 
     def paused(self) -> None:
@@ -80,22 +80,23 @@
         self.refresh()
 
     def find_links(self) -> list[PeerLink]:
-        """Return a link to every mate, listed or only connected."""
+        """Return a link to every replica, listed or only connected."""
         names = self.listed_names()
         links = [self.links.of(self.view.instances[name]) for name in names]
-        for session in list(self.server.sessions.values()) if self.server else ():
-            hello = session.hello
-            unknown = hello.instance not in names and hello.instance != self.instance
-            if hello.service == self.service and unknown and hello.peers_address:
-                address = parse_address(hello.peers_address)
-                links.append(self.links.open(hello.instance, address))
+        sessions = list(self.server.sessions.values()) if self.server else []
+        for hello in [session.hello for session in sessions]:
+            known = hello.instance in names or hello.instance == self.instance
+            if known or hello.service != self.service or not hello.peers_address:
+                continue
+            address = parse_address(hello.peers_address)
+            links.append(self.links.open(hello.instance, address))
         return links
 
     async def ask_all(self, fence: KeyFence) -> list[KeyReport | Failure]:
-        """Ask every mate about a key.
+        """Ask every replica about a key.
 
         :param fence: question.
-        :return: one report for each mate, or a failure for one that is silent.
+        :return: one report for each replica, or a failure for one that is silent.
         """
         reports: list[KeyReport | Failure] = []
 
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -20,7 +20,6 @@
 from catkinpost.coordination.instance_watch import InstanceWatch
 from catkinpost.coordination.link import LinkSettings
 from catkinpost.coordination.link_table import LinkTable, find_partners
-from catkinpost.coordination.mates import ServiceMates
 from catkinpost.coordination.once import OnceGuard
 from catkinpost.coordination.operator_api import OperatorApi
 from catkinpost.coordination.pause import PauseWatch
@@ -29,6 +28,7 @@
 from catkinpost.coordination.policy_exchange import PolicyExchange
 from catkinpost.coordination.policy_watch import PolicyGate, PolicyWatch
 from catkinpost.coordination.region_budget import RegionBudget
+from catkinpost.coordination.replicas import ServiceReplicas
 from catkinpost.coordination.router import Place, Router
 from catkinpost.coordination.status import StatusBuilder
 from catkinpost.coordination.throttle import Throttle
@@ -100,7 +100,7 @@
             settings=self.link_settings,
             spawn=self.spawn,
         )
-        self.mates = ServiceMates(
+        self.replicas = ServiceReplicas(
             instance=self.identity.instance,
             service=self.identity.service,
             view=self.view,
@@ -140,7 +140,7 @@
         self.executor.once = OnceGuard(
             holder=self.identity.holder,
             lifetime=settings.bounds.key_lifetime,
-            mates=self.mates,
+            replicas=self.replicas,
             run_call=self.executor.run_once,
             spawn=self.spawn,
             decisions=self.decisions,
@@ -202,7 +202,7 @@
         self.handler = PeerHandler(
             exchange=self.exchange,
             stats=self.stats,
-            mates=self.mates,
+            replicas=self.replicas,
             once=self.executor.once,
             crash_guard=self.crash_guard,
         )
@@ -216,8 +216,8 @@
             pause=self.pause,
             settings=self.link_settings,
         )
-        self.mates.server = self.peer_server
-        self.pause.listeners.append(self.mates.paused)
+        self.replicas.server = self.peer_server
+        self.pause.listeners.append(self.replicas.paused)
         self.http_server = HttpServer(
             self.dispatcher.handle,
             limits=settings.http_limits,
@@ -321,7 +321,7 @@
         for instance in change.removed:
             self.stats.forget(instance.name)
         self.links.refresh()
-        self.mates.refresh()
+        self.replicas.refresh()
         own = self.view.instances.get(self.identity.instance)
         if own is not None and own.state is InstanceState.LEAVING:
             self.leave("the list of instances says so")
@@ -366,8 +366,8 @@
             )
         copies = self.executor.once.records.copies()
         for copy in copies:
-            message = KeyRecords([copy], False)
-            for link in self.mates.find_links():
+            message = KeyRecords([copy])
+            for link in self.replicas.find_links():
                 if link.up:
                     await link.notice(message)
         log_message("node: keys handed over", count=len(copies))
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.settings import AddressText
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -73,7 +74,7 @@
     policy_digest: bytes
     nonce: bytes
     proof: bytes
-    peers_address: str = ""
+    peers_address: AddressText | None = None
 
 
 class Welcome(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -124,7 +125,7 @@
     """Failure of a call at the receiving node or its backend server.
 
     :param holder: holder of the request's idempotency key, if another.
-    :param fenced: whether every mate has promised not to run the key, so that
+    :param fenced: whether every replica has promised not to run the key, so that
         "not run" holds for all sendings of it.
     """
 
@@ -215,7 +216,7 @@
 
 
 class KeyFence(msgspec.Struct, array_like=True, tag=13, frozen=True):
-    """Asks a service mate about an idempotency key.
+    """Asks a service replica about an idempotency key.
 
     :param key: full key, with service and tenant.
     :param holder: instance that wants to run the key; empty for a mere question.
@@ -232,7 +233,7 @@
     :param granted: whether the sender knows nothing of the key and, when asked
         for a fence, promises not to run it.
     :param holder: instance that holds the key when not granted.
-    :param watched_s: seconds for which the sender has been known to all mates.
+    :param watched_s: seconds for which the sender has been known to all replicas.
     """
 
     id: int
@@ -253,10 +254,9 @@
 
 
 class KeyRecords(msgspec.Struct, array_like=True, tag=15, frozen=True):
-    """Key records that a leaving node hands over; the last one says so."""
+    """Key records that a leaving node hands over."""
 
     records: list[KeyRecordCopy]
-    last: bool
 
 
 class SuspectNotice(msgspec.Struct, array_like=True, tag=16, frozen=True):
--- a/src/catkinpost/state/key_record.py
+++ b/src/catkinpost/state/key_record.py
@@ -129,7 +129,7 @@
             del self.records[record.key]
 
     def copies(self) -> list[KeyRecordCopy]:
-        """Return the finished runs for the mates of a leaving node."""
+        """Return the finished runs for the replicas of a leaving node."""
         now = trio.current_time()
         return [
             KeyRecordCopy(
@@ -145,7 +145,7 @@
         ]
 
     def take_over(self, copy: KeyRecordCopy, holder: str) -> None:
-        """Remember a run that a leaving mate has handed over."""
+        """Remember a run that a leaving replica has handed over."""
         known = self.records.get(copy.key)
         if known is not None and known.state is not KeyState.FENCED:
             return
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -12,9 +12,9 @@
 from catkinpost.coordination.fixed_limit import FixedLimits
 from catkinpost.coordination.hedge import Hedging
 from catkinpost.coordination.identity import Identity
-from catkinpost.coordination.mates import ServiceMates
 from catkinpost.coordination.once import OnceGuard
 from catkinpost.coordination.region_budget import RegionBudget
+from catkinpost.coordination.replicas import ServiceReplicas
 from catkinpost.coordination.router import Place, Router
 from catkinpost.coordination.throttle import Throttle
 from catkinpost.protocol.header import PARENT_HEADER
@@ -150,7 +150,7 @@
         self.throttle = Throttle()
         self.backend = FakeBackend(cluster, self)
         self.links = FakeLinks(cluster, name)
-        self.mates = ServiceMates(
+        self.replicas = ServiceReplicas(
             instance=name, service=self.service, view=self.view, links=self.links
         )
         self.build_target()
@@ -177,7 +177,7 @@
         self.once = OnceGuard(
             holder=self.identity.holder,
             lifetime=self.cluster.lifetime,
-            mates=self.mates,
+            replicas=self.replicas,
             run_call=self.executor.run_once,
             spawn=self.spawn,
             decisions=self.decisions,
@@ -284,14 +284,14 @@
             if name in (source, target):
                 link.lose()
         for other in self.nodes.values():
-            other.mates.mate_down(name)
+            other.replicas.replica_down(name)
 
     def cut(self, one, other):
         self.cuts.add(frozenset({one, other}))
         for source, target in ((one, other), (other, one)):
             self.link(source, target).lose()
             if source in self.nodes:
-                self.nodes[source].mates.mate_down(target)
+                self.nodes[source].replicas.replica_down(target)
 
     def heal(self):
         self.cuts.clear()
@@ -314,7 +314,7 @@
         for name in names or list(self.nodes):
             node = self.nodes[name]
             node.view.apply(self.list_version, instances, trio.current_time())
-            node.mates.refresh()
+            node.replicas.refresh()
         self.connect()
 
     def connect(self):
@@ -322,4 +322,4 @@
             for other in self.nodes.values():
                 same = other.service == node.service and other is not node
                 if same and self.reach(name, other.name):
-                    node.mates.mate_up(other.name)
+                    node.replicas.replica_up(other.name)
--- a/tests/coordination/test_crash_guard.py
+++ b/tests/coordination/test_crash_guard.py
@@ -52,7 +52,7 @@
         self.assertEqual(failure.outcome, Outcome.NOT_RUN)
 
     @on_mock_clock
-    async def test_request_beside_the_guilty_one_is_released_when_it_completes(self):
+    async def test_request_beside_the_crashing_one_is_released_when_it_completes(self):
         one, two = Fleet(2).guards
         await crash(one, b"bad", b"good")
         self.assertTrue(two.is_suspect(b"good"))
--- a/tests/coordination/test_once.py
+++ b/tests/coordination/test_once.py
@@ -8,9 +8,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from catkinpost.coordination.identity import Identity
-from catkinpost.coordination.mates import ServiceMates
 from catkinpost.coordination.once import OnceGuard
 from catkinpost.coordination.pause import PauseWatch
+from catkinpost.coordination.replicas import ServiceReplicas
 from catkinpost.protocol.message import Answer, Call, KeyFence, KeyRecords, Load
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.settings import Address
@@ -88,7 +88,7 @@
     def __init__(self, world, name, lifetime=LIFETIME_S):
         self.identity = Identity(instance=name, service="orders", secret=b"s")
         self.view = InstanceView()
-        self.mates = ServiceMates(
+        self.replicas = ServiceReplicas(
             instance=name,
             service="orders",
             view=self.view,
@@ -99,7 +99,7 @@
         self.guard = OnceGuard(
             holder=self.identity.holder,
             lifetime=lifetime,
-            mates=self.mates,
+            replicas=self.replicas,
             run_call=self.run_call,
             spawn=self.spawn,
             decisions=DecisionLog(),
@@ -144,7 +144,7 @@
         node = self.nodes.pop(name)
         node.crash()
         for other in self.nodes.values():
-            other.mates.mate_down(name)
+            other.replicas.replica_down(name)
 
     def connected(self, one, other):
         pair = frozenset({one, other})
@@ -157,14 +157,14 @@
         node = self.nodes[name]
         instances = [make_instance(item) for item in sorted(self.listed)]
         node.view.apply(self.list_version, instances, trio.current_time())
-        node.mates.refresh()
+        node.replicas.refresh()
         self.connect(name)
 
     def connect(self, name):
         for other in self.nodes:
             if other != name and self.connected(name, other):
-                self.nodes[name].mates.mate_up(other)
-                self.nodes[other].mates.mate_up(name)
+                self.nodes[name].replicas.replica_up(other)
+                self.nodes[other].replicas.replica_up(name)
 
     def read_lists(self):
         for name in self.nodes:
@@ -294,12 +294,12 @@
             world = await open_world(nursery)
             leaving = world.nodes["orders-1"].guard
             await leaving.run(make_call("k", 0))
-            mate = world.nodes["orders-2"].guard
-            records = KeyRecords(leaving.records.copies(), True)
+            replica = world.nodes["orders-2"].guard
+            records = KeyRecords(leaving.records.copies())
             for copy in records.records:
-                mate.records.take_over(copy, mate.holder)
+                replica.records.take_over(copy, replica.holder)
             world.stop("orders-1")
-            answer = await mate.run(make_call("k", 1))
+            answer = await replica.run(make_call("k", 1))
             self.assertEqual(answer.body, b"done k")
 
     @on_mock_clock
@@ -328,17 +328,17 @@
     async def test_node_that_was_cut_off_no_longer_vouches(self):
         async with trio.open_nursery() as nursery:
             world = await open_world(nursery)
-            for mate in ("orders-2", "orders-3"):
-                world.cut.add(frozenset({"orders-1", mate}))
-                world.nodes["orders-1"].mates.mate_down(mate)
+            for replica in ("orders-2", "orders-3"):
+                world.cut.add(frozenset({"orders-1", replica}))
+                world.nodes["orders-1"].replicas.replica_down(replica)
             world.listed.discard("orders-1")
             world.publish()
             world.read_list("orders-2")
             world.read_list("orders-3")
             await world.nodes["orders-2"].guard.run(make_call("k", -1))
-            for mate in ("orders-2", "orders-3"):
-                world.nodes[mate].crash()
-                world.start(mate)
+            for replica in ("orders-2", "orders-3"):
+                world.nodes[replica].crash()
+                world.start(replica)
             world.cut.clear()
             world.listed.add("orders-1")
             world.publish()
@@ -351,14 +351,14 @@
     async def test_node_that_was_paused_begins_its_watch_anew(self):
         async with trio.open_nursery() as nursery:
             world = await open_world(nursery)
-            mates = world.nodes["orders-1"].mates
+            replicas = world.nodes["orders-1"].replicas
             pause = PauseWatch(DecisionLog())
-            pause.listeners.append(mates.paused)
+            pause.listeners.append(replicas.paused)
             pause.observe()
-            self.assertGreater(mates.watched_s(), LIFETIME_S)
+            self.assertGreater(replicas.watched_s(), LIFETIME_S)
             await trio.sleep(30)
             pause.observe()
-            self.assertEqual(mates.watched_s(), 0.0)
+            self.assertEqual(replicas.watched_s(), 0.0)
 
     @on_mock_clock
     async def test_node_that_finds_itself_delisted_no_longer_vouches(self):
@@ -367,12 +367,12 @@
             world.listed.discard("orders-1")
             world.publish()
             world.read_lists()
-            self.assertEqual(world.nodes["orders-1"].mates.watched_s(), 0.0)
+            self.assertEqual(world.nodes["orders-1"].replicas.watched_s(), 0.0)
             world.listed.add("orders-1")
             world.publish()
             world.read_lists()
             await trio.sleep(1.0)
-            self.assertEqual(world.nodes["orders-1"].mates.watched_s(), 1.0)
+            self.assertEqual(world.nodes["orders-1"].replicas.watched_s(), 1.0)
 
     @on_mock_clock
     async def test_fence_is_not_granted_to_another_run_of_its_holder(self):
@@ -549,9 +549,9 @@
     def cut(self, one, other):
         if one != other:
             self.world.cut.add(frozenset({one, other}))
-            for name, mate in ((one, other), (other, one)):
+            for name, replica in ((one, other), (other, one)):
                 if name in self.world.nodes:
-                    self.world.nodes[name].mates.mate_down(mate)
+                    self.world.nodes[name].replicas.replica_down(replica)
 
     @rule()
     def heal(self):
