Look only at services that are called, and count a region's nodes once a list

Cause: every half second each node went over all 660 instances for ejection, and each call that leaves the region counted the region's nodes. Ruled out: a longer interval: it would delay the ejection of failing instances. Change: ejection looks at services of which answers were seen; the count is made when the list changes. The capacity command also measures whole idle nodes.

--- a/src/catkinpost/coordination/ejection.py
+++ b/src/catkinpost/coordination/ejection.py
@@ -44,12 +44,21 @@
         self.decisions = decisions
 
     async def run(self) -> None:
-        """Check all services until cancelled."""
+        """Check the services that this node calls, until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            for service in self.view.by_service:
+            for service in self.called_services():
                 self.check_service(service)
 
+    def called_services(self) -> set[str]:
+        """Return the services of which answers were seen."""
+        instances = self.view.instances
+        return {
+            instances[name].service
+            for name, stat in self.stats.stats.items()
+            if name in instances and (stat.samples or stat.failures or stat.outstanding)
+        }
+
     def check_service(self, service: str) -> None:
         """Eject the instances of one service that stand out."""
         section = self.store.policy.services.get(service)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -63,6 +63,7 @@
         self.settings = settings
         self.nursery: trio.Nursery | None = None
         self.leaving = False
+        self.nodes_in_region = 1
         self.leave_event = trio.Event()
         self.build_state()
         self.build_peers()
@@ -164,7 +165,7 @@
             budget=RegionBudget(
                 region=settings.node.region,
                 store=self.store,
-                nodes_in_region=self.count_nodes_in_region,
+                nodes_in_region=lambda: self.nodes_in_region,
                 decisions=self.decisions,
             ),
         )
@@ -320,6 +321,10 @@
         """Follow the list of instances."""
         for instance in change.removed:
             self.stats.forget(instance.name)
+        region = self.settings.node.region
+        self.nodes_in_region = sum(
+            item.region == region for item in self.view.instances.values()
+        )
         self.links.refresh()
         self.replicas.refresh()
         own = self.view.instances.get(self.identity.instance)
@@ -329,10 +334,6 @@
     def partner_names(self) -> set[str]:
         return {item.name for item in find_partners(self.view, self.identity.instance)}
 
-    def count_nodes_in_region(self) -> int:
-        region = self.settings.node.region
-        return sum(item.region == region for item in self.view.instances.values())
-
     def leave(self, reason: str) -> None:
         """Take no new work from now on."""
         if self.leaving:
--- a/src/catkinpost_standins/capacity_bench.py
+++ b/src/catkinpost_standins/capacity_bench.py
@@ -26,12 +26,16 @@
 from catkinpost.state.key_record import KeyRecords
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import NO_VERSION, PolicyStore
-from catkinpost_standins.fleet import HOST, SECRET
+from catkinpost_standins.backend import BackendSpec
+from catkinpost_standins.fleet import HOST, SECRET, MemberSpec, open_fleet
+from catkinpost_standins.path_bench import cpu_of
 
 __all__ = ["main"]
 
 SIZES = (16, 32, 64, 128)
 LINK_SECONDS = 20.0
+NODE_COUNTS = (2, 6, 10, 14)
+NODE_SECONDS = 10.0
 SECTION = """\
 [class request-class-{number}]
 owner = team-{team}
@@ -311,6 +315,49 @@
     return [fit("metrics: memory of a series", "KiB per series", sizes, memory)]
 
 
+async def measure_nodes(count: int) -> tuple[float, float]:
+    """Return processor share and memory of one idle node among others."""
+    specs = [
+        MemberSpec(
+            name=f"idle-{number}",
+            service="idle",
+            data_centre="near-1",
+            region="near",
+            backend=BackendSpec(service="idle", slots=4, routes=[]),
+        )
+        for number in range(count)
+    ]
+    async with open_fleet(specs, "[service idle]\nowner = bench\n") as fleet:
+        await trio.sleep(2.0)
+        pids = [member.node_process.pid for member in fleet.members.values()]
+        before = cpu_of(pids)
+        await trio.sleep(NODE_SECONDS)
+        share = (cpu_of(pids) - before) / NODE_SECONDS / count * 100
+        memory = statistics.mean(resident_mib(pid) for pid in pids)
+    return share, memory
+
+
+def resident_mib(pid: int) -> float:
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        for line in status:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def measure_processes() -> list[Slope]:
+    """Measure whole idle nodes, each linked with all others."""
+    shares, memories = [], []
+    for count in NODE_COUNTS:
+        share, memory = trio.run(measure_nodes, count)
+        shares.append(share)
+        memories.append(memory)
+    return [
+        fit("node: idle processor share", "% of a core per peer", NODE_COUNTS, shares),
+        fit("node: resident memory", "MiB per peer", NODE_COUNTS, memories),
+    ]
+
+
 def measure_all() -> list[Slope]:
     """Measure every slope."""
     cpu, volume = [], []
@@ -321,6 +368,7 @@
     return [
         fit("links: processor share, both ends", "% of a core per link", SIZES, cpu),
         fit("links: control bytes, idle", "bytes/s per link", SIZES, volume),
+        *measure_processes(),
         *measure_policy(),
         *measure_list(),
         *measure_keys(),
