Let a planned stop wait for runs whose caller has left

Cause: a keyed order goes on when its caller leaves, but was counted only as long as somebody waited for it, so that a planned stop could cut it off. Ruled out: waiting for the idempotency records; they include finished ones. Change: a run is counted by itself, besides the call that waits for it.

--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -65,7 +65,6 @@
     metrics: Metrics
     decisions: DecisionLog
     active: int = 0
-    idle: trio.Event = field(default_factory=trio.Event)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request of a caller or of a backend server.
@@ -77,9 +76,6 @@
             return await self.answer(request)
         finally:
             self.active -= 1
-            if self.active == 0:
-                self.idle.set()
-                self.idle = trio.Event()
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         if not self.ready():
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -1,6 +1,7 @@
 """Execution of calls at the node's own backend server."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -65,7 +66,6 @@
     once: OnceGuard | None = None
     leaving: Callable[[], bool] = lambda: False
     active: int = 0
-    idle: trio.Event = field(default_factory=trio.Event)
     crash_check: trio.Event | None = None
     lost_runs: int = 0
 
@@ -87,16 +87,19 @@
         :param call: call for this node's service.
         :return: the whole answer, or a refusal that says whether the call ran.
         """
+        with self.counted():
+            return await self.find_way(call)
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a call that a planned stop must wait for."""
         self.active += 1
         try:
-            return await self.run_counted(call)
+            yield
         finally:
             self.active -= 1
-            if self.active == 0:
-                self.idle.set()
-                self.idle = trio.Event()
 
-    async def run_counted(self, call: Call) -> Answer | Refusal:
+    async def find_way(self, call: Call) -> Answer | Refusal:
         if call.service != self.service:
             failure = Failure(
                 reason=Reason.UNKNOWN_SERVICE,
@@ -108,7 +111,14 @@
         return await self.run_once(call)
 
     async def run_once(self, call: Call) -> Answer | Refusal:
-        """Run one call without regard to its key."""
+        """Run one call without regard to its key.
+
+        It is counted by itself, as it may go on after its caller has left.
+        """
+        with self.counted():
+            return await self.run_unless_refused(call)
+
+    async def run_unless_refused(self, call: Call) -> Answer | Refusal:
         deadline = trio.current_time() + call.budget_us / 1e6
         failure = self.check(call)
         if failure is not None:
--- a/tests/coordination/test_executor.py
+++ b/tests/coordination/test_executor.py
@@ -10,6 +10,7 @@
 from catkinpost.coordination.crash_guard import CrashGuard
 from catkinpost.coordination.executor import Executor
 from catkinpost.coordination.fixed_limit import FixedLimits
+from catkinpost.coordination.once import OnceGuard
 from catkinpost.coordination.throttle import Throttle
 from catkinpost.protocol.header import PARENT_HEADER
 from catkinpost.protocol.http import HttpResponse, find_header
@@ -140,6 +141,27 @@
         self.assertEqual(setup.client.cancelled, 1)
         self.assertEqual(setup.executor.admission.in_flight, 0)
 
+    @on_mock_clock
+    async def test_run_whose_caller_has_left_still_counts_for_a_planned_stop(self):
+        """Regression: a planned stop cut off an order after its caller had left."""
+        setup = Setup(limits=False)
+        setup.client.hold = trio.Event()
+        async with trio.open_nursery() as nursery:
+            setup.executor.once = OnceGuard(
+                holder="orders-1#a",
+                lifetime=60.0,
+                replicas=None,
+                run_call=setup.executor.run_once,
+                spawn=nursery.start_soon,
+                decisions=setup.decisions,
+            )
+            with trio.move_on_after(0.1):
+                await setup.run(key="orders/shop/k")
+            self.assertEqual(setup.executor.active, 1)
+            setup.client.hold.set()
+            await settle()
+            self.assertEqual(setup.executor.active, 0)
+
     @on_mock_clock
     async def test_idle_connections_are_given_up_after_a_long_silence(self):
         setup = Setup(limits=False)
