--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -351,11 +351,17 @@
                 self.http_server.leaving = True
                 self.leave_event.set()
 
+    def is_busy(self) -> bool:
+        """Whether any request is in progress here."""
+        return bool(
+            self.executor.active or self.dispatcher.active or self.http_server.busy
+        )
+
     async def finish(self) -> None:
         """Wait for the running requests and hand the idempotency keys over."""
         with trio.move_on_after(self.settings.bounds.stop_timeout) as scope:
             await trio.sleep(MIN_LEAVING_S)
-            while self.executor.active or self.dispatcher.active:
+            while self.is_busy():
                 await trio.sleep(IDLE_CHECK_S)
         if scope.cancelled_caught:
             self.decisions.add(
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -74,6 +74,11 @@
         self.leaving = False
         self.connections: set[Connection] = set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read, answered or its answer sent."""
+        return any(item.phase is not Phase.IDLE for item in self.connections)
+
     async def watch_connections(self) -> None:
         """End overdue connections and those of callers that have gone.
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -150,6 +150,25 @@
             self.assertIn(b"connection: close", answer)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_server_is_busy_until_the_answer_is_sent(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            setup.hold = trio.Event()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"GET /")
+            await trio.sleep(0.5)
+            self.assertTrue(setup.server.busy)
+            await stream.send_all(b"x HTTP/1.1\r\n\r\n")
+            await trio.sleep(0.5)
+            self.assertTrue(setup.server.busy)
+            setup.hold.set()
+            await stream.receive_some(1000)
+            await trio.sleep(0.5)
+            self.assertFalse(setup.server.busy)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_expected_continue_is_sent(self):
         async with trio.open_nursery() as nursery:
