Take over classes and limits from peers, and test the client on a live fleet

Cause: a section that refers to another was checked alone when a peer sent it, found dangling and dropped, so that a change of a class or limit reached only the nodes that read the document. A test of the client found it; the rule-based machine knew services only. Ruled out: sending whole documents again. Change: a peer's section is read by itself, and references are settled when all are put together; the machine's documents now hold a class for each service. Figures: the regression test and the broken-section test failed before and pass. In the run of all 11 end-to-end tests one other hung: it waited for a node to notice a pause that may be shorter than the bound. It now waits until a peer has given the stopped node up, which takes seconds, and passed in three runs of its own.

--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -29,6 +29,7 @@
     "build_policy",
     "check_document",
     "default_class",
+    "read_known_section",
 ]
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -329,6 +330,24 @@
         return {name: known.model for name, known in self.accepted.items()}
 
 
+def read_known_section(text: str) -> KnownSection | None:
+    """Read one section that another node has accepted.
+
+    References to other sections are left for :func:`build_policy`.
+
+    :param text: the section as written.
+    :return: the section, or ``None`` when it is not exactly one good section.
+    """
+    chunks, problems = split_ini(text)
+    if problems or len(chunks) != 1:
+        return None
+    section = read_chunk(chunks[0])
+    model = section if isinstance(section, Problem) else read_section(section)
+    if isinstance(model, Problem):
+        return None
+    return KnownSection(text=chunks[0].text, model=model)
+
+
 NOTHING_KNOWN: Mapping[str, KnownSection] = MappingProxyType({})
 
 
--- a/src/catkinpost/state/policy_store.py
+++ b/src/catkinpost/state/policy_store.py
@@ -12,6 +12,7 @@
     Section,
     build_policy,
     check_document,
+    read_known_section,
 )
 
 __all__ = ["PolicyChange", "PolicyStore"]
@@ -184,9 +185,7 @@
         if not copy.text:
             self.known_sections.pop(copy.name, None)
             return True
-        # The section may refer to others that come with the same message.
-        names = {name: None for name in self.declared}
-        section = check_document(copy.text, names).accepted.get(copy.name)
+        section = read_known_section(copy.text)
         if section is None:
             return False
         self.known_sections[copy.name] = section
--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -1,11 +1,14 @@
 """Failure tests with real processes and real signals; they wait for events."""
 
 import functools
+import json
 import signal
 import unittest
 
 import trio
+from typer.testing import CliRunner
 
+from catkinpost.command.client import app
 from catkinpost.protocol.header import OUTCOME_HEADER, REASON_HEADER
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse, find_header
 from catkinpost.transport.http_client import BackendClient
@@ -105,6 +108,19 @@
         client.close_idle()
 
 
+async def send_get(port, path):
+    client = BackendClient(HOST, port, limits=HttpLimits())
+    try:
+        return await client.exchange(HttpRequest(b"GET", path, [(b"host", b"node")]))
+    finally:
+        client.close_idle()
+
+
+async def run_client(*arguments):
+    """Run the operators' client in a thread, as it has an event loop of its own."""
+    return await trio.to_thread.run_sync(CliRunner().invoke, app, list(arguments))
+
+
 def outcome_of(response):
     return (find_header(response.headers, OUTCOME_HEADER) or b"").decode()
 
@@ -205,6 +221,15 @@
         for number in range(5):
             response = await send(entry, b"GET")
             self.assertEqual(outcome_of(response), "done", number)
+
+        async def is_given_up():
+            peers = (await fleet.status(entry))["peers"]
+            return not any(
+                peer["connected"] for peer in peers if peer["instance"] == "orders-1"
+            )
+
+        # Only a pause of some length is one that the node can notice.
+        await until(is_given_up)
         frozen.node_process.send_signal(signal.SIGCONT)
 
         async def has_noticed():
@@ -313,6 +338,46 @@
         isolated = await send(fleet.members["orders-1"], b"GET")
         self.assertEqual(outcome_of(isolated), "done")
 
+    @with_fleet
+    async def test_client_shows_status_decisions_histograms_and_changes(self, fleet):
+        entry = fleet.members["certs-1"]
+        await send(entry, key=b"k", attempt=0)
+        node = ("--node", f"{HOST}:{entry.operators}")
+        platform = ("--platform", f"{HOST}:{fleet.platform}")
+        status = await run_client("status", *node)
+        self.assertIn("certs-1 (certs, kurzeme-1, kurzeme): ready", status.output)
+        self.assertIn("place-order", status.output)
+        whole = await run_client("status", *platform)
+        self.assertIn("newest version in force: 1", whole.output)
+        decisions = await run_client("watch", *platform, "--once")
+        self.assertIn("policy: bring into force version 1", decisions.output)
+        histogram = await run_client("histogram", *node, "--json")
+        (report,) = json.loads(histogram.output).values()
+        self.assertEqual(report["latencies"][0]["request_class"], "place-order")
+        changed = fleet.folder / "policy.ini"
+        changed.write_text(POLICY.replace("timeout = 30", "timeout = 20"))
+        check = await run_client("check", str(changed), *node)
+        self.assertIn("change [class place-order] timeout: 30 -> 20", check.output)
+        metrics = await send_get(entry.operators, b"/metrics")
+        self.assertIn(b"catkinpost_calls_total{", metrics.body)
+
+    @with_fleet
+    async def test_broken_section_is_shown_and_harms_no_other(self, fleet):
+        broken = POLICY.replace("importance = critical", "importance = extreme")
+        await fleet.publish(broken + RENAMED)
+        entry = fleet.members["certs-1"]
+
+        async def has_version():
+            status = await fleet.status(entry)
+            return status["policy"]["version"] == 2
+
+        await until(has_version)
+        response = await send(entry, key=b"k", attempt=0)
+        self.assertEqual(outcome_of(response), "done")
+        policy = await send_get(entry.operators, b"/policy")
+        self.assertIn(b"importance = critical", policy.body)
+        self.assertIn(b"[class added]", policy.body)
+
     @with_fleet
     async def test_unknown_service_and_bad_request_are_answered(self, fleet):
         entry = fleet.members["certs-1"]
--- a/tests/state/test_policy_store.py
+++ b/tests/state/test_policy_store.py
@@ -13,14 +13,18 @@
 NODES = 4
 SECTIONS = ["service a", "service b", "service c"]
 GOOD = "[service {name}]\nowner = {name}\nslots = {slots}\n"
+CLASS = "[class {name}]\nowner = {name}\nservice = {name}\ntimeout = {slots}\n"
 BROKEN = "[service {name}]\nowner = {name}\nslots = many\n"
 
 
 def document(**slots):
-    """Return a document; a value of ``None`` breaks its section."""
+    """Return a document with a service, and a class that refers to it, by name.
+
+    A value of ``None`` breaks the service's section and leaves the class out.
+    """
     parts = []
     for name, value in slots.items():
-        template = BROKEN if value is None else GOOD
+        template = BROKEN if value is None else GOOD + CLASS
         parts.append(template.format(name=name, slots=value))
     return "".join(parts)
 
@@ -43,7 +47,7 @@
     def test_document_comes_into_force(self):
         store = PolicyStore()
         change = accept(store, 1, a=3)
-        self.assertEqual(change.changed, ["service a"])
+        self.assertEqual(change.changed, ["class a", "service a"])
         self.assertEqual(slots_of(store), {"a": 3})
 
     def test_lower_version_is_ignored(self):
@@ -81,7 +85,7 @@
         accept(store, 1, a=1, b=1)
         accept(store, 2, a=1, b=2)
         names = [copy.name for copy in store.content_since(1).sections]
-        self.assertEqual(names, ["service b"])
+        self.assertEqual(sorted(names), ["class b", "service b"])
 
     def test_difference_from_a_version_that_is_not_there_is_not_applied(self):
         store = PolicyStore()
@@ -90,6 +94,16 @@
         self.assertIsNone(store.merge(content, now=0.0, source="peer"))
         self.assertEqual(store.version, 1)
 
+    def test_section_that_refers_to_another_comes_from_a_peer(self):
+        """Regression: classes and limits were dropped when a peer sent them."""
+        peer, store = PolicyStore(), PolicyStore()
+        accept(peer, 1, a=1)
+        accept(store, 1, a=1)
+        accept(peer, 2, a=1, b=2)
+        exchange(peer, store)
+        self.assertEqual(store.policy.classes["b"].timeout, 2)
+        self.assertEqual(store.digest, peer.digest)
+
     def test_difference_of_a_peer_that_skipped_versions_is_not_applied(self):
         """Regression: a section that came back was missing from the difference."""
         peer, store = PolicyStore(), PolicyStore()
@@ -203,8 +217,11 @@
             if store.known:
                 wanted = self.documents[store.version - 1]
                 found = slots_of(store)
+                classes = store.policy.classes
                 for name, slots in wanted.items():
-                    assert slots is None or found.get(name) == slots, name
+                    if slots is not None:
+                        assert found.get(name) == slots, name
+                        assert classes[name].timeout == slots, name
                 assert set(found) <= set(wanted)
 
     def teardown(self):
