Wait for a lost link before a stopped node goes on

Cause: the pause of the end-to-end test could be shorter than the node notices. Ruled out: a sleep. Change: the test waits until a peer was connected, and then has given it up.

--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -217,17 +217,21 @@
     async def test_stopped_node_does_not_hold_up_the_others(self, fleet):
         entry = fleet.members["certs-1"]
         frozen = fleet.members["orders-1"]
-        frozen.node_process.send_signal(signal.SIGSTOP)
-        for number in range(5):
-            response = await send(entry, b"GET")
-            self.assertEqual(outcome_of(response), "done", number)
 
-        async def is_given_up():
+        async def is_connected():
             peers = (await fleet.status(entry))["peers"]
-            return not any(
+            return any(
                 peer["connected"] for peer in peers if peer["instance"] == "orders-1"
             )
 
+        async def is_given_up():
+            return not await is_connected()
+
+        await until(is_connected)
+        frozen.node_process.send_signal(signal.SIGSTOP)
+        for number in range(5):
+            response = await send(entry, b"GET")
+            self.assertEqual(outcome_of(response), "done", number)
         # Only a pause of some length is one that the node can notice.
         await until(is_given_up)
         frozen.node_process.send_signal(signal.SIGCONT)
