--- a/src/catkinpost/coordination/limiter.py
+++ b/src/catkinpost/coordination/limiter.py
@@ -144,7 +144,7 @@
         self.decisions.add(
             "admission",
             "raise limit" if limit > self.limit else "lower limit",
-            f"limit {self.limit} to {limit}",
+            f"{self.limit} to {limit}",
             reason=reason,
             mode=mode,
             **{name: round(value, 3) for name, value in evidence.items()},
--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -8,7 +8,7 @@
 
 __all__ = ["PauseWatch"]
 
-TICK_S = 0.1
+TICK_S = 0.25
 PAUSE_S = 1.0
 
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -23,7 +23,7 @@
 ErrorReporter = Callable[[Failure], None]
 
 READ_BYTES = 65536
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
--- a/src/catkinpost_standins/bench/load.py
+++ b/src/catkinpost_standins/bench/load.py
@@ -34,6 +34,7 @@
     :param path: path; each request adds its number.
     :param share: share of all requests.
     :param once: whether the request carries an idempotency key.
+    :param same: whether all requests of the kind are the same one, sent again.
     """
 
     name: str
@@ -42,6 +43,7 @@
     path: str
     share: float
     once: bool = False
+    same: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -90,7 +92,7 @@
         key = f"{kind.name}-{number}"
         record = Record(kind=kind.name, key=key, sent=self.elapsed())
         self.records.append(record)
-        path = f"{kind.path}/{key}"
+        path = kind.path if kind.same else f"{kind.path}/{key}"
         attempt = 0
         with trio.move_on_after(PATIENCE_S):
             for _ in range(1 + CALLER_RETRIES):
--- a/src/catkinpost_standins/bench/workload.py
+++ b/src/catkinpost_standins/bench/workload.py
@@ -229,5 +229,6 @@
     method="GET",
     path="/depot/bad",
     share=0.01,
+    same=True,
 )
 DEPOT = "depot-finder"
--- a/src/catkinpost_standins/capacity_bench.py
+++ b/src/catkinpost_standins/capacity_bench.py
@@ -118,6 +118,7 @@
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         nursery.start_soon(trio.serve_listeners, server.serve_connection, listeners)
+        nursery.start_soon(pause.run)
         port = listeners[0].socket.getsockname()[1]
         for number in range(count):
             link = PeerLink(
