Bound learned tables in one place, and part what stood twice

Ruled out: a cache library for ten lines; functools.lru_cache keeps no values that change. Change: state/bounded.py serves five tables; one method names a key's holder; the client reads and ends in one place.

--- a/src/catkinpost/command/client.py
+++ b/src/catkinpost/command/client.py
@@ -67,6 +67,16 @@
     return sources
 
 
+def read_all(node: str, platform: str, path: str, model: type) -> dict:
+    """Read one document from every node that the options name."""
+    return trio.run(fetch_all, find_sources(node, platform), path, model)
+
+
+def exit_if_unreachable(found: dict) -> None:
+    if any(isinstance(item, Failure) for item in found.values()):
+        raise typer.Exit(EXIT_UNREACHABLE)
+
+
 @app.command()
 def check(
     file: Annotated[Path, typer.Argument(help="Policy document.")],
@@ -119,8 +129,7 @@
 
     Exits with 3 when a node cannot be reached.
     """
-    sources = find_sources(node, platform)
-    found = trio.run(fetch_all, sources, "/status", StatusReport)
+    found = read_all(node, platform, "/status", StatusReport)
     if json:
         print_json(found)
     elif node:
@@ -128,8 +137,7 @@
             print_status(report)
     else:
         print_fleet(found)
-    if any(isinstance(item, Failure) for item in found.values()):
-        raise typer.Exit(EXIT_UNREACHABLE)
+    exit_if_unreachable(found)
 
 
 def print_status(report: StatusReport | Failure) -> None:
@@ -268,14 +276,12 @@
 
     Exits with 3 when a node cannot be reached.
     """
-    sources = find_sources(node, platform)
-    found = trio.run(fetch_all, sources, "/histogram", HistogramReport)
+    found = read_all(node, platform, "/histogram", HistogramReport)
     if json:
         print_json(found)
     else:
         print_histograms(found)
-    if any(isinstance(item, Failure) for item in found.values()):
-        raise typer.Exit(EXIT_UNREACHABLE)
+    exit_if_unreachable(found)
 
 
 def print_histograms(found: dict[str, HistogramReport | Failure]) -> None:
--- a/src/catkinpost/coordination/hedge.py
+++ b/src/catkinpost/coordination/hedge.py
@@ -1,7 +1,6 @@
 """Second attempts for repeatable requests that take unusually long."""
 
-from collections import OrderedDict
-
+from catkinpost.state.bounded import BoundedDict
 from catkinpost.state.duration import QuantileEstimate
 
 __all__ = ["Hedging"]
@@ -17,17 +16,15 @@
     """Learns when to hedge and keeps hedges to a small share of all calls."""
 
     def __init__(self) -> None:
-        self.quantiles: OrderedDict[str, QuantileEstimate] = OrderedDict()
+        self.quantiles: BoundedDict[str, QuantileEstimate] = BoundedDict(MAX_CLASSES)
         self.tokens = MAX_TOKENS
 
     def add(self, call_class: str, seconds: float) -> None:
         """Learn from one answered call."""
         self.tokens = min(MAX_TOKENS, self.tokens + TOKENS_PER_CALL)
-        quantile = self.quantiles.get(call_class)
-        if quantile is None:
-            quantile = self.quantiles[call_class] = QuantileEstimate(HEDGE_QUANTILE)
-            if len(self.quantiles) > MAX_CLASSES:
-                self.quantiles.popitem(last=False)
+        quantile = self.quantiles.find_or_add(
+            call_class, lambda: QuantileEstimate(HEDGE_QUANTILE)
+        )
         quantile.add(seconds)
 
     def delay(self, call_class: str) -> float | None:
--- a/src/catkinpost/coordination/limiter.py
+++ b/src/catkinpost/coordination/limiter.py
@@ -1,8 +1,7 @@
 """Concurrency limit that learns from service times."""
 
-from collections import OrderedDict
-
 from catkinpost.protocol.policy import Mode, ServiceSection
+from catkinpost.state.bounded import BoundedDict
 from catkinpost.state.decision_log import DecisionLog
 
 __all__ = ["ConcurrencyLimiter"]
@@ -34,7 +33,7 @@
         self.section = section
         self.decisions = decisions
         self.limit = self.start_limit()
-        self.baselines: OrderedDict[str, float] = OrderedDict()
+        self.baselines: BoundedDict[str, float] = BoundedDict(MAX_GROUPS)
         self.window_start = 0.0
         self.ratio_sum = 0.0
         self.samples = 0
@@ -77,11 +76,7 @@
         :param in_flight: requests that ran when this one ended, itself included.
         :param now: time on the node's clock.
         """
-        baseline = self.baselines.get(group)
-        if baseline is None:
-            baseline = self.baselines[group] = seconds
-            if len(self.baselines) > MAX_GROUPS:
-                self.baselines.popitem(last=False)
+        baseline = self.baselines.find_or_add(group, lambda: seconds)
         ratio = seconds / max(baseline, 1e-6)
         if in_flight <= max(1, self.limit // 2) or ratio < 1:
             self.baselines[group] += BASELINE_WEIGHT * (seconds - baseline)
--- a/src/catkinpost/coordination/once.py
+++ b/src/catkinpost/coordination/once.py
@@ -106,12 +106,7 @@
         self, call: Call, record: KeyRecord, fingerprint: bytes
     ) -> Answer | Refusal:
         if record.state is KeyState.FENCED:
-            return self.refuse(
-                call,
-                Reason.ALREADY_SENT,
-                "another instance holds the key",
-                holder=record.holder,
-            )
+            return self.pass_on(call, record.holder)
         if record.fingerprint != fingerprint:
             return self.refuse(
                 call,
@@ -189,12 +184,7 @@
         reports = await self.replicas.ask_all(KeyFence(0, call.key, ""))
         holder = find_holder(reports)
         if holder:
-            return self.refuse(
-                call,
-                Reason.ALREADY_SENT,
-                "another instance holds the key",
-                holder=holder,
-            )
+            return self.pass_on(call, holder)
         return self.refuse(
             call,
             Reason.ALREADY_SENT,
@@ -228,12 +218,7 @@
         """Decide whether the replicas' reports allow a run."""
         holder = find_holder(reports)
         if holder:
-            return self.refuse(
-                call,
-                Reason.ALREADY_SENT,
-                "another instance holds the key",
-                holder=holder,
-            )
+            return self.pass_on(call, holder)
         if any(isinstance(report, Failure) for report in reports):
             return self.refuse(
                 call, Reason.ALREADY_SENT, "an instance cannot be asked about the key"
@@ -247,6 +232,15 @@
             )
         return None
 
+    def pass_on(self, call: Call, holder: str) -> Refusal:
+        """Name the instance that holds a call's key."""
+        return self.refuse(
+            call,
+            Reason.ALREADY_SENT,
+            "another instance holds the key",
+            holder=holder,
+        )
+
     def refuse(
         self,
         call: Call,
--- a/src/catkinpost/coordination/throttle.py
+++ b/src/catkinpost/coordination/throttle.py
@@ -1,11 +1,11 @@
 """Refusal at the sender of requests that their target refuses anyway."""
 
 import random
-from collections import OrderedDict
 
 import trio
 
 from catkinpost.protocol.policy import IMPORTANCE_RANK, Importance
+from catkinpost.state.bounded import BoundedDict
 
 __all__ = ["Throttle"]
 
@@ -47,17 +47,12 @@
     """
 
     def __init__(self) -> None:
-        self.entries: OrderedDict[tuple[str, int], tuple] = OrderedDict()
+        self.entries: BoundedDict[tuple[str, int], tuple] = BoundedDict(MAX_ENTRIES)
 
     def find(self, service: str, rank: int, now: float) -> tuple:
-        key = (service, rank)
-        entry = self.entries.get(key)
-        if entry is None:
-            entry = (DecayingCount(now), DecayingCount(now))
-            self.entries[key] = entry
-            if len(self.entries) > MAX_ENTRIES:
-                self.entries.popitem(last=False)
-        return entry
+        return self.entries.find_or_add(
+            (service, rank), lambda: (DecayingCount(now), DecayingCount(now))
+        )
 
     def add(self, service: str, rank: int, *, accepted: bool) -> None:
         """Count one request and whether its target took it."""
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -67,7 +67,8 @@
         self.leave_event = trio.Event()
         self.build_state()
         self.build_peers()
-        self.build_calls()
+        self.build_target()
+        self.build_entry()
         self.build_control()
 
     def build_state(self) -> None:
@@ -119,7 +120,7 @@
             decisions=self.decisions,
         )
 
-    def build_calls(self) -> None:
+    def build_target(self) -> None:
         settings = self.settings
         backend = parse_address(settings.backend.address)
         self.throttle = Throttle()
@@ -146,6 +147,9 @@
             spawn=self.spawn,
             decisions=self.decisions,
         )
+
+    def build_entry(self) -> None:
+        settings = self.settings
         self.ejector = Ejector(
             view=self.view,
             stats=self.stats,
--- a/src/catkinpost/state/crash_suspect.py
+++ b/src/catkinpost/state/crash_suspect.py
@@ -1,6 +1,6 @@
 """Crash counts of request fingerprints."""
 
-from collections import OrderedDict
+from catkinpost.state.bounded import BoundedDict
 
 __all__ = ["CrashSuspects"]
 
@@ -15,7 +15,7 @@
     """
 
     def __init__(self) -> None:
-        self.counts: OrderedDict[bytes, dict[str, int]] = OrderedDict()
+        self.counts: BoundedDict[bytes, dict[str, int]] = BoundedDict(MAX_SUSPECTS)
 
     def set_count(self, fingerprint: bytes, origin: str, crashes: int) -> bool:
         """Record the crashes that one node has seen.
@@ -27,13 +27,10 @@
         """
         if crashes == 0:
             return self.counts.pop(fingerprint, None) is not None
-        counts = self.counts.setdefault(fingerprint, {})
+        counts = self.counts.find_or_add(fingerprint, dict)
         if counts.get(origin, 0) >= crashes:
             return False
         counts[origin] = crashes
-        self.counts.move_to_end(fingerprint)
-        if len(self.counts) > MAX_SUSPECTS:
-            self.counts.popitem(last=False)
         return True
 
     def crashes(self, fingerprint: bytes) -> int:
--- a/src/catkinpost/state/duration.py
+++ b/src/catkinpost/state/duration.py
@@ -1,7 +1,8 @@
 """Learned service times by request class and by fingerprint within a class."""
 
 import math
-from collections import OrderedDict
+
+from catkinpost.state.bounded import BoundedDict
 
 __all__ = ["DurationModel", "QuantileEstimate"]
 
@@ -66,7 +67,7 @@
     """
 
     def __init__(self) -> None:
-        self.groups: OrderedDict[tuple[str, str], MovingMean] = OrderedDict()
+        self.groups: BoundedDict[tuple[str, str], MovingMean] = BoundedDict(MAX_GROUPS)
         self.log_typical = MovingMean()
 
     def add(self, call_class: str, path: str, seconds: float) -> None:
@@ -81,14 +82,7 @@
         self.log_typical.add(math.log(max(seconds, 1e-6)))
 
     def find(self, key: tuple[str, str]) -> MovingMean:
-        group = self.groups.get(key)
-        if group is None:
-            group = self.groups[key] = MovingMean()
-            if len(self.groups) > MAX_GROUPS:
-                self.groups.popitem(last=False)
-        else:
-            self.groups.move_to_end(key)
-        return group
+        return self.groups.find_or_add(key, MovingMean)
 
     def expected(self, call_class: str, path: str) -> float | None:
         """Return the expected service time of a request in seconds.
