Let operators observe the reserve and the throttle before they act

Cause: observe was a mode of each mechanism in name; the reserve logged nothing, and the throttle was silent unless it acted. Ruled out: a switch of its own for the throttle: it is the sender's part of admission.

--- a/src/catkinpost/coordination/admission.py
+++ b/src/catkinpost/coordination/admission.py
@@ -96,6 +96,8 @@
         """
         now = trio.current_time()
         long = self.durations.is_long(item.call_class, item.path)
+        if long and self.long_in_flight >= self.reserved_cap():
+            self.log_reserve(item)
         if self.section.admission is Mode.OFF:
             return self.admit(item, long, now)
         refusal = self.check_deadline(item, now)
@@ -195,6 +197,18 @@
             queued=self.queued,
         )
 
+    def log_reserve(self, item: WorkItem) -> None:
+        if self.section.reserve is not Mode.OFF:
+            self.decisions.add(
+                "reserve",
+                "hold back",
+                f"{item.call_class} {item.path}",
+                reason="long work has all the slots that the reserve leaves it",
+                mode=self.section.reserve,
+                long_in_flight=self.long_in_flight,
+                limit=self.limiter.current(),
+            )
+
     def retry_after(self) -> float:
         """Estimate the seconds in which the queue empties."""
         typical = self.durations.typical or MIN_RETRY_AFTER_S
@@ -204,8 +218,14 @@
 
     def long_cap(self) -> int:
         """Return how many slots long work may take."""
+        if self.section.reserve is not Mode.ON:
+            return self.limiter.current()
+        return self.reserved_cap()
+
+    def reserved_cap(self) -> int:
+        """Return how many slots the reserve leaves to long work."""
         limit = self.limiter.current()
-        if self.section.reserve is not Mode.ON or limit < 2:
+        if limit < 2:
             return limit
         reserved = max(1, math.ceil(limit * self.section.reserve_share))
         return max(1, limit - reserved)
--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -172,18 +172,22 @@
         )
 
     def is_throttled(self, call: EntryCall) -> bool:
-        section = self.store.policy.services[call.service]
+        mode = self.store.policy.services[call.service].admission
         # A running call was checked for its children; refusing one now wastes it.
-        if section.admission is not Mode.ON or call.parent is not None:
+        if mode is Mode.OFF or call.parent is not None:
             return False
-        if not self.throttle.refuses(call.service, call.rank):
+        if not self.throttle.would_refuse(call.service, call.rank):
             return False
         self.decisions.add(
             "throttle",
             "refuse",
             f"{call.service} {call.call_class}",
             reason="the service refuses most calls of this importance",
+            mode=mode,
         )
+        if mode is Mode.OBSERVE:
+            return False
+        self.throttle.add(call.service, call.rank, accepted=False)
         return True
 
     def may_retry(self, call: EntryCall, result: Refusal | Failure) -> bool:
--- a/src/catkinpost/coordination/throttle.py
+++ b/src/catkinpost/coordination/throttle.py
@@ -73,13 +73,9 @@
         return min(MAX_REFUSED_SHARE, max(0.0, excess / (requests + 1)))
 
     def would_refuse(self, service: str, rank: int) -> bool:
-        """Decide about work that needs the service later on; counts nothing."""
+        """Decide about one request, or about work that needs the service later.
+
+        Nothing is counted: whoever refuses a request for good counts it.
+        """
         probability = self.refusal_probability(service, rank)
         return probability > 0 and random.random() < probability
-
-    def refuses(self, service: str, rank: int) -> bool:
-        """Decide about one request; a refused one is counted."""
-        if not self.would_refuse(service, rank):
-            return False
-        self.add(service, rank, accepted=False)
-        return True
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -171,6 +171,21 @@
             self.assertIsInstance(short, Admitted)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock
+    async def test_observed_reserve_holds_nothing_back_and_logs(self):
+        admission = make_admission(slots=4, queue=10, reserve=Mode.OBSERVE)
+        await teach(admission, "short", 0.01, count=50)
+        await teach(admission, "long", 1.0, count=10)
+        for _ in range(4):
+            await admission.enter(make_item(call_class="long"))
+        self.assertEqual(admission.in_flight, 4)
+        modes = {
+            item.mode
+            for item in admission.decisions.decisions
+            if item.mechanism == "reserve"
+        }
+        self.assertEqual(modes, {Mode.OBSERVE})
+
     @on_mock_clock
     async def test_short_work_does_not_starve_long_work(self):
         admission = make_admission(slots=1, min_slots=1, queue=10)
--- a/tests/coordination/test_dispatcher.py
+++ b/tests/coordination/test_dispatcher.py
@@ -379,6 +379,25 @@
             await setup.send(method.encode(), **headers)
             self.assertEqual(setup.links.attempts, 1)
 
+    @params(("on", "throttled", 0), ("observe", None, 1), ("off", None, 1))
+    def test_switch_of_admission_decides_about_throttling(self, mode, reason, attempts):
+        self.check_throttle(mode, reason, attempts)
+
+    @on_mock_clock
+    async def check_throttle(self, mode, reason, attempts):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            switch = f"owner = sales\nadmission = {mode}\n"
+            text = POLICY.replace("owner = sales\n", switch, 1)
+            setup.store.accept_document(2, text, now=0.0, source="test")
+            setup.throttle.would_refuse = lambda service, rank: True
+            response = await setup.send()
+            found = find_header(response.headers, b"catkinpost-reason")
+            self.assertEqual(found, reason and reason.encode())
+            self.assertEqual(setup.links.attempts, attempts)
+            logged = [item.mode for item in setup.decisions.decisions]
+            self.assertEqual(logged, [] if mode == "off" else [mode])
+
     @on_mock_clock
     async def test_overloaded_service_is_not_hedged(self):
         async with trio.open_nursery() as nursery:
