Answer for faults of the node itself, and log rejected requests

Cause: an unexpected exception closed the caller's connection without a word, and at a target ended the calls of all others on the same link; requests that the entry rejects were counted but not logged. Ruled out: a catch in the transport: only the call's own code can word the answer. Change: both are answered as internal-error, outcome unknown, with a traceback in the log; rejections are decisions, so that like ones are counted within a second. Figures: the two new tests failed before the change (an exception) and pass.

--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import trio
+from eliot import write_traceback
 
 from catkinpost.coordination.attempt import OVERLOAD_REASONS, AttemptSender
 from catkinpost.coordination.entry import EntryCall, classify
@@ -31,6 +32,11 @@
 MAX_BACKOFF_S = 0.02
 THROTTLE_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 1.0
+INTERNAL_FAILURE = Failure(
+    reason=Reason.INTERNAL_ERROR,
+    outcome=Outcome.UNKNOWN,
+    detail="the node failed; see its log",
+)
 ELSEWHERE_REASONS = frozenset(
     {
         Reason.LEAVING,
@@ -74,6 +80,11 @@
         self.active += 1
         try:
             return await self.answer(request)
+        except Exception:
+            # A fault in one request must not leave its caller without an answer.
+            self.metrics.counters["internal-error"] += 1
+            write_traceback()
+            return failure_response(INTERNAL_FAILURE)
         finally:
             self.active -= 1
 
@@ -84,6 +95,7 @@
         call = classify(request, self.store.policy, self.running)
         if isinstance(call, Failure):
             self.metrics.counters[f"rejected:{call.reason.value}"] += 1
+            self.decisions.add("entry", "reject", call.reason, reason=call.detail)
             return failure_response(call)
         started = trio.current_time()
         result = await self.run_with_deadline(call)
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from eliot import write_traceback
 
 from catkinpost.coordination.admission import Admission, Admitted, WorkItem
 from catkinpost.coordination.crash_guard import CrashGuard
@@ -88,7 +89,17 @@
         :return: the whole answer, or a refusal that says whether the call ran.
         """
         with self.counted():
-            return await self.find_way(call)
+            try:
+                return await self.find_way(call)
+            except Exception:
+                # A fault in one call must not end the connection of all others.
+                write_traceback()
+                failure = Failure(
+                    reason=Reason.INTERNAL_ERROR,
+                    outcome=Outcome.UNKNOWN,
+                    detail="the node failed; see its log",
+                )
+                return self.refusal(call, failure, allowance=0)
 
     @contextmanager
     def counted(self) -> Iterator[None]:
--- a/tests/coordination/test_dispatcher.py
+++ b/tests/coordination/test_dispatcher.py
@@ -351,6 +351,8 @@
             setup = Setup(nursery, [])
             response = await setup.send(**headers)
             self.assertEqual((reason_of(response), response.status), (reason, status))
+            (decision,) = setup.decisions.decisions
+            self.assertEqual((decision.action, decision.subject), ("reject", reason))
             self.assertEqual(setup.links.attempts, 0)
 
     async def learn(self, setup):
@@ -409,6 +411,16 @@
             await setup.send(b"GET")
             self.assertLessEqual(setup.links.attempts, 1)
 
+    @on_mock_clock
+    async def test_fault_of_the_node_is_an_unknown_outcome(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            setup.sender.router = None
+            response = await setup.send()
+            self.assertEqual(response.status, 500)
+            self.assertEqual(outcome_of(response), Outcome.UNKNOWN)
+            self.assertEqual(setup.dispatcher.active, 0)
+
     @on_mock_clock
     async def test_node_without_policy_refuses(self):
         async with trio.open_nursery() as nursery:
--- a/tests/coordination/test_executor.py
+++ b/tests/coordination/test_executor.py
@@ -126,6 +126,16 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
         self.assertEqual(setup.client.requests, [])
 
+    @on_mock_clock
+    async def test_fault_of_the_node_is_an_unknown_outcome(self):
+        setup = Setup()
+        setup.client.exchange = None
+        refusal = await setup.run()
+        self.assertEqual(refusal.reason, Reason.INTERNAL_ERROR)
+        self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+        self.assertEqual(setup.executor.admission.in_flight, 0)
+        self.assertEqual(setup.executor.running.calls, {})
+
     @on_mock_clock
     async def test_call_for_another_service_is_refused(self):
         refusal = await Setup().run(service="sets")
