Test how a node's parts are put together

Cause: the pause of a process ended the watch over keys in a unit test that made the connection itself; removing it from the node was not found. Ruled out: leaving it to the end-to-end tests, which look at the count alone. Change: tests build a node from settings and look at what reaches its parts. Figures: the removal is found now (tests.test_node).

--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,63 @@
+"""Tests of how a node's parts are put together."""
+
+import unittest
+
+import trio
+
+from catkinpost.node import Node
+from catkinpost.protocol.policy import Mode
+from catkinpost.protocol.settings import read_settings
+from catkinpost.state.instance_view import InstanceState
+from tests.clock import on_mock_clock
+from tests.coordination.test_once import make_instance
+from tests.protocol.test_settings import GOOD
+
+POLICY = """\
+[service orders]
+owner = sales
+slots = 7
+crash_guard = observe
+"""
+
+
+class TestNode(unittest.TestCase):
+    @on_mock_clock
+    async def test_pause_of_the_process_ends_the_watch_over_keys(self):
+        node = Node(read_settings(GOOD))
+        node.replicas.watching_since = trio.current_time()
+        node.pause.observe()
+        await trio.sleep(10)
+        self.assertEqual(node.replicas.watched_s(), 10)
+        node.pause.observe()
+        self.assertEqual(node.replicas.watched_s(), 0)
+
+    @on_mock_clock
+    async def test_policy_reaches_the_parts_that_hold_its_sections(self):
+        async with trio.open_nursery() as nursery:
+            node = Node(read_settings(GOOD))
+            node.nursery = nursery
+            node.exchange.read(1, POLICY)
+            self.assertEqual(node.executor.admission.section.slots, 7)
+            self.assertEqual(node.crash_guard.mode, Mode.OBSERVE)
+
+    @on_mock_clock
+    async def test_instance_listed_as_leaving_takes_no_new_work(self):
+        async with trio.open_nursery() as nursery:
+            node = Node(read_settings(GOOD))
+            node.nursery = nursery
+            own = make_instance("orders-1", InstanceState.LEAVING)
+            change = node.view.apply(1, [own], 0.0)
+            node.list_changed(change)
+            self.assertTrue(node.leaving)
+            self.assertTrue(node.executor.load().leaving)
+
+    @on_mock_clock
+    async def test_observations_of_a_removed_instance_are_dropped(self):
+        async with trio.open_nursery() as nursery:
+            node = Node(read_settings(GOOD))
+            node.nursery = nursery
+            node.stats.of("orders-2").failures = 3
+            node.list_changed(node.view.apply(1, [make_instance("orders-2")], 0.0))
+            node.list_changed(node.view.apply(2, [], 1.0))
+            self.assertEqual(node.stats.of("orders-2").failures, 0)
+            nursery.cancel_scope.cancel()
