--- a/src/catkinpost_standins/bench/run.py
+++ b/src/catkinpost_standins/bench/run.py
@@ -1,5 +1,6 @@
 """One run of one variant of a scenario."""
 
+import itertools
 import random
 from collections import Counter
 
@@ -54,11 +55,21 @@
     hit = fleet.of_service(trigger.service)[: trigger.members]
     await trio.sleep(start)
     with trio.move_on_after(length):
+        if trigger.turn_s:
+            await take_turns(fleet, trigger, hit)
         await set_trigger(fleet, trigger, hit)
         await keep_running(fleet, trigger, hit)
     await end_trigger(fleet, trigger, hit)
 
 
+async def take_turns(fleet: Fleet, trigger: Trigger, hit: list[Member]) -> None:
+    """Set the fault on one instance after the other, until cancelled."""
+    for member in itertools.cycle(hit):
+        await fleet.set_faults(member, trigger.faults)
+        await trio.sleep(trigger.turn_s)
+        await fleet.set_faults(member, Faults())
+
+
 async def set_trigger(fleet: Fleet, trigger: Trigger, hit: list[Member]) -> None:
     if trigger.faults is not None:
         for member in hit:
--- a/src/catkinpost_standins/bench/scenario.py
+++ b/src/catkinpost_standins/bench/scenario.py
@@ -54,6 +54,8 @@
     :param platform: fault of the platform.
     :param relay: ports whose connections are hit, ``peers`` or ``backend``.
     :param cut: whether these pass nothing; else open ones go silent.
+    :param turn_s: seconds after which the fault moves on to the next instance;
+        0 when it stays.
     """
 
     service: str
@@ -62,6 +64,7 @@
     platform: Control | None = None
     relay: str = ""
     cut: bool = False
+    turn_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -187,6 +190,19 @@
             ),
         ),
         depot_scenario("stragglers-none", variants=("all on", "baseline")),
+        depot_scenario(
+            "brief-stragglers",
+            trigger=Trigger(
+                service=DEPOT, members=4, faults=Faults(slow_factor=10.0), turn_s=0.5
+            ),
+            variants=(
+                "all on",
+                "baseline",
+                "no routing",
+                "no ejection",
+                "no hedging",
+            ),
+        ),
         depot_scenario(
             "freeze",
             trigger=Trigger(service=DEPOT, members=1, faults=Faults(frozen=True)),
