Forget slowness in half a second, and hedge at three times the typical time

Change: slowness halves in 0.5 s; a call that is out counts from twice its typical time; a hedge begins at the 95th percentile or three times the typical time, whichever is less, for one call in ten at most.

--- a/src/catkinpost/coordination/attempt.py
+++ b/src/catkinpost/coordination/attempt.py
@@ -203,7 +203,8 @@
         if self.throttle.refusal_probability(call.service, call.rank) > 0:
             # An overloaded service is slow for want of slots, not by a straggler.
             return None
-        return self.hedging.delay(call.call_class)
+        typical = self.router.stats.class_times.typical(call.call_class)
+        return self.hedging.delay(call.call_class, typical)
 
     async def hedge(
         self,
--- a/src/catkinpost/coordination/hedge.py
+++ b/src/catkinpost/coordination/hedge.py
@@ -7,8 +7,9 @@
 
 HEDGE_QUANTILE = 0.95
 MIN_DELAY_S = 0.002
-TOKENS_PER_CALL = 0.05
-MAX_TOKENS = 5.0
+TYPICAL_FACTOR = 3.0
+TOKENS_PER_CALL = 0.1
+MAX_TOKENS = 10.0
 MAX_CLASSES = 512
 
 
@@ -27,12 +28,19 @@
         )
         quantile.add(seconds)
 
-    def delay(self, call_class: str) -> float | None:
-        """Return the seconds after which a call counts as unusually long."""
+    def delay(self, call_class: str, typical: float) -> float | None:
+        """Return the seconds after which a call counts as unusually long.
+
+        While many calls are slow the quantile is slow too: a multiple of the
+        typical time bounds it.
+
+        :param call_class: request class.
+        :param typical: typical answer time of the class in seconds.
+        """
         quantile = self.quantiles.get(call_class)
         if quantile is None or quantile.value is None:
             return None
-        return max(MIN_DELAY_S, quantile.value)
+        return max(MIN_DELAY_S, min(quantile.value, TYPICAL_FACTOR * typical))
 
     def spend(self) -> bool:
         """Take the right to one hedge."""
--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -8,9 +8,9 @@
 __all__ = ["ClassTimes", "PeerStat", "PeerStats"]
 
 SLOWNESS_WEIGHT = 0.2
-SLOWNESS_HALF_LIFE_S = 5.0
+SLOWNESS_HALF_LIFE_S = 0.5
 LOAD_LIFETIME_S = 1.0
-OVERDUE_DIVISOR = 4.0
+OVERDUE_DIVISOR = 2.0
 CLASS_WEIGHT = 0.02
 DEFAULT_CLASS_TIME_S = 0.01
 MAX_CLASSES = 1024
