Eject an instance only when it stays slow

Ruled out: switching it off: it keeps calls from instances that fail or stay slow. Change: an instance must stand out at three looks in a row, 1.5 s; three failures in a row eject as before.

--- a/src/catkinpost/coordination/ejection.py
+++ b/src/catkinpost/coordination/ejection.py
@@ -16,6 +16,7 @@
 SLOW_RATIO = 3.0
 MIN_SAMPLES = 5
 FAILURES_TO_EJECT = 3
+SLOW_CHECKS_TO_EJECT = 3
 FIRST_EJECTION_S = 2.0
 MAX_EJECTION_S = 30.0
 GOOD_TRIALS_TO_RETURN = 3
@@ -87,7 +88,9 @@
         if stat.failures >= FAILURES_TO_EJECT:
             return True
         enough = stat.samples + len(stat.outstanding) >= MIN_SAMPLES
-        return enough and slowness > SLOW_RATIO * max(1.0, median)
+        slow = enough and slowness > SLOW_RATIO * max(1.0, median)
+        stat.slow_checks = stat.slow_checks + 1 if slow else 0
+        return stat.slow_checks >= SLOW_CHECKS_TO_EJECT
 
     def eject(
         self,
@@ -120,6 +123,7 @@
         stat.ejected_until = now + seconds
         stat.ejections += 1
         stat.failures = 0
+        stat.slow_checks = 0
 
     def begin_trial(self, stat: PeerStat, now: float) -> None:
         """Put an instance on trial when its ejection is over."""
--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -53,6 +53,7 @@
     sent_since_load: int = 0
     outstanding: dict[int, tuple[float, float]] = field(default_factory=dict)
     failures: int = 0
+    slow_checks: int = 0
     ejected_until: float = -math.inf
     ejections: int = 0
     on_trial: bool = False
--- a/tests/coordination/test_ejection.py
+++ b/tests/coordination/test_ejection.py
@@ -25,6 +25,16 @@
         got = await setup.run({}, 100)
         self.assertGreater(got["near-1"], 20)
 
+    @on_mock_clock
+    async def test_instance_is_ejected_when_it_stays_slow_but_not_for_a_moment(self):
+        setup = Setup(SAME_CENTRE, "ejection_share = 0.5")
+        await setup.run({}, 40)
+        stat = setup.stats.of("near-1")
+        for checks in (1, 2, 3):
+            stat.slowness, stat.updated = 10.0, trio.current_time()
+            setup.ejector.check_service("sets")
+            self.assertEqual(stat.ejections, int(checks == 3))
+
     @on_mock_clock
     async def test_failed_trial_keeps_an_instance_out(self):
         setup = Setup(SAME_CENTRE, "ejection_share = 0.5")
