Remove what nobody reads

Cause: reading the whole change once more found a message field, a count of waiters and two constants without a reader, and a header's name that differed from the header. Ruled out: keeping the field for later releases; new fields can be added then. Change: they are gone; no behaviour changes.

--- a/src/catkinpost/coordination/attempt.py
+++ b/src/catkinpost/coordination/attempt.py
@@ -145,7 +145,6 @@
             target=call.request.target,
             headers=call.request.headers,
             body=call.request.body,
-            trial=target.trial,
         )
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -15,7 +15,7 @@
 from catkinpost.protocol.header import (
     OUTCOME_HEADER,
     PARENT_HEADER,
-    RETRIES_LEFT_HEADER,
+    RETRY_ALLOWANCE_HEADER,
 )
 from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
 from catkinpost.protocol.message import Answer, Call, Load, Refusal
@@ -34,7 +34,12 @@
 SILENCE_FACTOR = 5.0
 LEAVING_RETRY_AFTER_S = 0.1
 STRIPPED_HEADERS = frozenset(
-    {PARENT_HEADER, RETRIES_LEFT_HEADER, b"catkinpost-service", b"catkinpost-attempt"}
+    {
+        PARENT_HEADER,
+        RETRY_ALLOWANCE_HEADER,
+        b"catkinpost-service",
+        b"catkinpost-attempt",
+    }
 )
 
 
--- a/src/catkinpost/coordination/once.py
+++ b/src/catkinpost/coordination/once.py
@@ -114,11 +114,7 @@
                 "the key was used for a different request; choose a new key",
                 outcome=Outcome.NOT_RUN,
             )
-        record.waiters += 1
-        try:
-            await record.done.wait()
-        finally:
-            record.waiters -= 1
+        await record.done.wait()
         return self.replay(call, record)
 
     def replay(self, call: Call, record: KeyRecord) -> Answer | Refusal:
@@ -154,11 +150,7 @@
         """Run the call in a task of its own, so that a lost link cannot end it."""
         record = self.records.start(call.key, self.holder, fingerprint)
         self.spawn(self.run_recorded, call, record)
-        record.waiters += 1
-        try:
-            await record.done.wait()
-        finally:
-            record.waiters -= 1
+        await record.done.wait()
         result = record.result
         if result is None:
             return self.replay(call, record)
--- a/src/catkinpost/protocol/header.py
+++ b/src/catkinpost/protocol/header.py
@@ -16,13 +16,12 @@
     "service_of",
 ]
 
-HEADER_PREFIX = b"catkinpost-"
 SERVICE_HEADER = b"catkinpost-service"
 PARENT_HEADER = b"catkinpost-parent"
 CLASS_HEADER = b"catkinpost-class"
 OUTCOME_HEADER = b"catkinpost-outcome"
 REASON_HEADER = b"catkinpost-reason"
-RETRIES_LEFT_HEADER = b"catkinpost-retry-allowance"
+RETRY_ALLOWANCE_HEADER = b"catkinpost-retry-allowance"
 KEY_HEADER = b"idempotency-key"
 MAX_TIMEOUT_MS = 3_600_000
 MAX_RETRY_ALLOWANCE = 16
@@ -60,7 +59,7 @@
     CLASS_HEADER: "call_class",
     b"catkinpost-tenant": "tenant",
     b"catkinpost-timeout-ms": "timeout_ms",
-    RETRIES_LEFT_HEADER: "retry_allowance",
+    RETRY_ALLOWANCE_HEADER: "retry_allowance",
     b"catkinpost-attempt": "attempt",
     KEY_HEADER: "idempotency_key",
     PARENT_HEADER: "parent",
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -106,7 +106,6 @@
     target: bytes
     headers: Headers
     body: bytes
-    trial: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True, tag=5):
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -66,7 +66,6 @@
     Importance.NORMAL: 1,
     Importance.SHEDDABLE: 2,
 }
-IMPORTANCE_BY_RANK = {rank: item for item, rank in IMPORTANCE_RANK.items()}
 
 
 class ServiceSection(
--- a/src/catkinpost/state/key_record.py
+++ b/src/catkinpost/state/key_record.py
@@ -42,7 +42,6 @@
     since: float = 0.0
     result: Answer | Refusal | None = None
     done: trio.Event = field(default_factory=trio.Event)
-    waiters: int = 0
 
 
 class KeyRecords:
