Build the internal failure, paired figures and faults of orders in one place

Cause: entry and target worded the same failure twice, two measurements collected their figures in the same loop, and seven loops of the end-to-end tests set one fault on all orders servers.

--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -19,7 +19,13 @@
 )
 from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, Refusal
-from catkinpost.protocol.outcome import Failure, Outcome, Reason, merge_outcomes
+from catkinpost.protocol.outcome import (
+    INTERNAL_FAILURE,
+    Failure,
+    Outcome,
+    Reason,
+    merge_outcomes,
+)
 from catkinpost.protocol.policy import IMPORTANCE_RANK, Importance, Mode
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
@@ -32,11 +38,6 @@
 MAX_BACKOFF_S = 0.02
 THROTTLE_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 1.0
-INTERNAL_FAILURE = Failure(
-    reason=Reason.INTERNAL_ERROR,
-    outcome=Outcome.UNKNOWN,
-    detail="the node failed; see its log",
-)
 ELSEWHERE_REASONS = frozenset(
     {
         Reason.LEAVING,
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -19,7 +19,7 @@
 )
 from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
 from catkinpost.protocol.message import Answer, Call, Load, Refusal
-from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.outcome import INTERNAL_FAILURE, Failure, Outcome, Reason
 from catkinpost.protocol.policy import Mode
 from catkinpost.state.allowance import Allowance
 from catkinpost.state.decision_log import DecisionLog
@@ -99,12 +99,7 @@
             except Exception:
                 # A fault in one call must not end the connection of all others.
                 write_traceback()
-                failure = Failure(
-                    reason=Reason.INTERNAL_ERROR,
-                    outcome=Outcome.UNKNOWN,
-                    detail="the node failed; see its log",
-                )
-                return self.refusal(call, failure, allowance=0)
+                return self.refusal(call, INTERNAL_FAILURE, allowance=0)
 
     @contextmanager
     def counted(self) -> Iterator[None]:
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -3,7 +3,14 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["Failure", "Outcome", "Reason", "STATUS_BY_REASON", "merge_outcomes"]
+__all__ = [
+    "INTERNAL_FAILURE",
+    "STATUS_BY_REASON",
+    "Failure",
+    "Outcome",
+    "Reason",
+    "merge_outcomes",
+]
 
 
 class Outcome(enum.StrEnum):
@@ -96,6 +103,13 @@
         return STATUS_BY_REASON.get(self.reason, DEFAULT_FAILURE_STATUS)
 
 
+INTERNAL_FAILURE = Failure(
+    reason=Reason.INTERNAL_ERROR,
+    outcome=Outcome.UNKNOWN,
+    detail="the node failed; see its log",
+)
+
+
 def merge_outcomes(earlier: Outcome, latest: Outcome) -> Outcome:
     """Combine the outcomes of two attempts of one request.
 
--- a/src/catkinpost_standins/capacity_bench.py
+++ b/src/catkinpost_standins/capacity_bench.py
@@ -346,13 +346,15 @@
     return 0.0
 
 
+def measure_pairs(measure, sizes: tuple[int, ...]) -> tuple[list, list]:
+    """Return both figures of an asynchronous measurement at every size."""
+    pairs = [trio.run(measure, size) for size in sizes]
+    return [first for first, _ in pairs], [second for _, second in pairs]
+
+
 def measure_processes() -> list[Slope]:
     """Measure whole idle nodes, each linked with all others."""
-    shares, memories = [], []
-    for count in NODE_COUNTS:
-        share, memory = trio.run(measure_nodes, count)
-        shares.append(share)
-        memories.append(memory)
+    shares, memories = measure_pairs(measure_nodes, NODE_COUNTS)
     return [
         fit("node: idle processor share", "% of a core per peer", NODE_COUNTS, shares),
         fit("node: resident memory", "MiB per peer", NODE_COUNTS, memories),
@@ -361,11 +363,7 @@
 
 def measure_all() -> list[Slope]:
     """Measure every slope."""
-    cpu, volume = [], []
-    for size in SIZES:
-        share, rate = trio.run(measure_links, size)
-        cpu.append(share)
-        volume.append(rate)
+    cpu, volume = measure_pairs(measure_links, SIZES)
     return [
         fit("links: processor share, both ends", "% of a core per link", SIZES, cpu),
         fit("links: control bytes, idle", "bytes/s per link", SIZES, volume),
--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -134,6 +134,11 @@
         await trio.sleep(0.02)
 
 
+async def set_orders(fleet, faults):
+    for member in fleet.of_service("orders"):
+        await fleet.set_faults(member, faults)
+
+
 async def runs_of(fleet, key):
     journals = await fleet.journals()
     return sum(item["runs_by_key"].get(key, 0) for item in journals.values())
@@ -156,8 +161,7 @@
     @with_fleet
     async def test_planned_stop_finishes_the_running_request(self, fleet):
         entry = fleet.members["certs-1"]
-        for member in fleet.of_service("orders"):
-            await fleet.set_faults(member, Faults(frozen=True))
+        await set_orders(fleet, Faults(frozen=True))
         results = []
 
         async def order():
@@ -179,8 +183,7 @@
                 )
 
             await until(is_known)
-            for member in fleet.of_service("orders"):
-                await fleet.set_faults(member, Faults())
+            await set_orders(fleet, Faults())
         self.assertEqual((results[0].status, outcome_of(results[0])), (200, "done"))
         for number in range(10):
             response = await send(entry, key=b"new-%d" % number, attempt=0)
@@ -191,8 +194,7 @@
     @with_fleet
     async def test_killed_node_leaves_an_order_unknown_and_never_run_twice(self, fleet):
         entry = fleet.members["certs-1"]
-        for member in fleet.of_service("orders"):
-            await fleet.set_faults(member, Faults(frozen=True))
+        await set_orders(fleet, Faults(frozen=True))
         results = []
 
         async def order():
@@ -205,8 +207,7 @@
             (name,) = [n for n, item in journals.items() if item["runs_by_key"]]
             fleet.members[name].node_process.kill()
         self.assertEqual(outcome_of(results[0]), "unknown")
-        for member in fleet.of_service("orders"):
-            await fleet.set_faults(member, Faults())
+        await set_orders(fleet, Faults())
         again = await send(entry, key=b"k", attempt=1)
         self.assertEqual(outcome_of(again), "unknown")
         self.assertEqual(await runs_of(fleet, "k"), 1)
@@ -280,8 +281,7 @@
     @with_fleet
     async def test_request_that_crashes_backend_servers_is_stopped(self, fleet):
         entry = fleet.members["certs-1"]
-        for member in fleet.of_service("orders"):
-            await fleet.set_faults(member, Faults(crash_path="/orders/bad"))
+        await set_orders(fleet, Faults(crash_path="/orders/bad"))
 
         crashed = 0
         reasons = []
@@ -308,8 +308,7 @@
     async def test_silent_link_is_replaced_and_the_order_is_not_repeated(self, fleet):
         entry = fleet.members["certs-1"]
         orders = fleet.of_service("orders")
-        for member in orders:
-            await fleet.set_faults(member, Faults(frozen=True))
+        await set_orders(fleet, Faults(frozen=True))
         results = []
 
         async def order():
@@ -320,8 +319,7 @@
             await until(lambda: has_started(fleet, "k"))
             names = [f"{member.spec.name}/peers" for member in orders]
             await fleet.set_relay(RelayFaults(silence=names))
-            for member in orders:
-                await fleet.set_faults(member, Faults())
+            await set_orders(fleet, Faults())
         self.assertEqual(outcome_of(results[0]), "unknown")
 
         async def is_answered():
