Say in a field whether an attempt was sent

Cause: whether a withdrawn attempt may have run was read from which of two empty functions stood as its way to withdraw it. Ruled out: asking the link; a local call has none. Change: an awaited answer has a field sent, set where the request leaves; the second empty function is gone. Behaviour is the same.

--- a/src/catkinpost/coordination/attempt.py
+++ b/src/catkinpost/coordination/attempt.py
@@ -9,7 +9,7 @@
 from catkinpost.coordination.executor import Executor
 from catkinpost.coordination.hedge import Hedging
 from catkinpost.coordination.link_table import LinkTable
-from catkinpost.coordination.pending import Pending, do_nothing
+from catkinpost.coordination.pending import Pending
 from catkinpost.coordination.router import Router, Target
 from catkinpost.coordination.throttle import Throttle
 from catkinpost.protocol.message import Answer, Call, Refusal
@@ -149,7 +149,7 @@
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
         if target.instance.name == self.instance and alone:
-            pending.cancel = do_nothing_more
+            pending.sent = True
             pending.resolve(await self.executor.run(message))
         elif target.instance.name == self.instance:
             self.run_here(message, pending)
@@ -160,6 +160,7 @@
     def run_here(self, message: Call, pending: Pending) -> None:
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
+        pending.sent = True
         self.spawn(self.run_local, message, pending, scope)
 
     async def run_local(
@@ -176,7 +177,7 @@
             attempt.target, call.call_class, result, seconds=seconds
         )
         if result is None:
-            if attempt.pending.cancel is not do_nothing:
+            if attempt.pending.sent:
                 call.note(Outcome.UNKNOWN)
             return
         if isinstance(result, (Answer, Refusal)):
@@ -254,7 +255,3 @@
                 await self.event.wait()
         if self.event.is_set():
             self.event = trio.Event()
-
-
-def do_nothing_more() -> None:
-    """Withdraw a local call, which the cancellation itself has ended."""
--- a/src/catkinpost/coordination/link.py
+++ b/src/catkinpost/coordination/link.py
@@ -307,6 +307,7 @@
             return
         identity = self.pending.add(pending)
         pending.cancel = lambda: self.withdraw(identity)
+        pending.sent = True
         request = with_id(request, identity)
         try:
             await self.frames.send(request)
--- a/src/catkinpost/coordination/pending.py
+++ b/src/catkinpost/coordination/pending.py
@@ -14,14 +14,17 @@
     """One awaited answer.
 
     :param notify: called once when the answer is there.
+
+    ``sent`` tells whether the request may have reached its target.
     """
 
-    __slots__ = ("cancel", "notify", "result")
+    __slots__ = ("cancel", "notify", "result", "sent")
 
     def __init__(self, notify: Callable[[], None]) -> None:
         self.notify = notify
         self.cancel: Callable[[], None] = do_nothing
         self.result: Result | None = None
+        self.sent = False
 
     def resolve(self, result: Result) -> None:
         """Deliver the answer; later ones are dropped."""
@@ -31,7 +34,7 @@
 
 
 def do_nothing() -> None:
-    """Withdraw a request that was never sent."""
+    """Withdraw a request that nobody works on."""
 
 
 class PendingTable:
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -98,6 +98,7 @@
             return
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
+        pending.sent = True
         self.flying[pending] = scope
         node.spawn(self.deliver, node, request, pending, scope)
 
--- a/tests/coordination/test_dispatcher.py
+++ b/tests/coordination/test_dispatcher.py
@@ -104,6 +104,7 @@
         self.runs += ran
         if fault != "no link":
             pending.cancel = self.withdraw
+            pending.sent = True
         result = result()
         if result is None:
             return
