--- a/src/catkinpost/coordination/attempt.py
+++ b/src/catkinpost/coordination/attempt.py
@@ -145,6 +145,7 @@
             target=call.request.target,
             headers=call.request.headers,
             body=call.request.body,
+            incarnation=target.instance.incarnation,
         )
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
--- /dev/null
+++ b/src/catkinpost/coordination/dialect.py
@@ -0,0 +1,116 @@
+"""How callers and backend servers are spoken to."""
+
+from typing import Protocol
+
+import trio
+
+from catkinpost.coordination.entry import EntryCall, classify
+from catkinpost.protocol.header import (
+    OUTCOME_HEADER,
+    PARENT_HEADER,
+    REASON_HEADER,
+    RETRY_ALLOWANCE_HEADER,
+    failure_response,
+    outcome_headers,
+)
+from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
+from catkinpost.protocol.message import Answer, Call
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import Policy, ServiceSection
+from catkinpost.state.running import RunningCall, RunningCalls
+
+__all__ = ["Dialect", "NativeDialect"]
+
+STRIPPED_HEADERS = frozenset(
+    {
+        PARENT_HEADER,
+        RETRY_ALLOWANCE_HEADER,
+        b"catkinpost-service",
+        b"catkinpost-attempt",
+        b"catkinpost-timeout-ms",
+    }
+)
+
+
+class Dialect(Protocol):
+    """Headers and statuses by which requests and answers tell what they mean."""
+
+    def classify(
+        self, request: HttpRequest, policy: Policy, running: RunningCalls
+    ) -> EntryCall | Failure:
+        """Find out what a request is and how it is to be treated."""
+
+    def present_answer(self, answer: Answer) -> HttpResponse:
+        """Build the caller's answer from that of a backend server."""
+
+    def present_failure(self, failure: Failure) -> HttpResponse:
+        """Build the answer that reports a failure to a caller."""
+
+    def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
+        """Build the request for the backend server."""
+
+    def belongs(self, request: HttpRequest, response: HttpResponse) -> bool:
+        """Tell whether an answer of the backend server is the one to a request."""
+
+    def read_refusal(
+        self, call: Call, response: HttpResponse, section: ServiceSection
+    ) -> Failure | None:
+        """Tell whether an answer of the backend server is no result of a run."""
+
+
+class NativeDialect:
+    """The headers of :mod:`catkinpost.protocol.header`."""
+
+    def classify(
+        self, request: HttpRequest, policy: Policy, running: RunningCalls
+    ) -> EntryCall | Failure:
+        """Classify by the caller's headers."""
+        return classify(request, policy, running)
+
+    def present_answer(self, answer: Answer) -> HttpResponse:
+        """Add the outcome to the backend server's answer."""
+        headers = [pair for pair in answer.headers if keeps(pair[0])]
+        headers += outcome_headers(Outcome.DONE)
+        return HttpResponse(answer.status, headers, answer.body)
+
+    def present_failure(self, failure: Failure) -> HttpResponse:
+        """Report outcome, reason and retry time."""
+        return failure_response(failure)
+
+    def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
+        """Name the parent of child calls, and the time that is left.
+
+        The backend server copies the parent header to its child calls; deadline
+        and allowance of the children follow from it.
+        """
+        headers = [pair for pair in call.headers if pair[0] not in STRIPPED_HEADERS]
+        left_ms = max(1, int((running.deadline - trio.current_time()) * 1000))
+        headers.append((b"catkinpost-timeout-ms", b"%d" % left_ms))
+        headers.append((PARENT_HEADER, running.token.encode()))
+        return HttpRequest(call.method, call.target, headers, call.body)
+
+    def belongs(self, request: HttpRequest, response: HttpResponse) -> bool:
+        """Accept every answer: backend servers answer in order."""
+        return True
+
+    def read_refusal(
+        self, call: Call, response: HttpResponse, section: ServiceSection
+    ) -> Failure | None:
+        """Recognize the promise of a backend server that it ran nothing."""
+        if not section.sheds_before_running or not is_shed(response):
+            return None
+        return Failure(
+            reason=Reason.BACKEND_SHED,
+            detail="the backend server shed the request",
+        )
+
+
+def keeps(name: bytes) -> bool:
+    return name not in (OUTCOME_HEADER, REASON_HEADER)
+
+
+def is_shed(response: HttpResponse) -> bool:
+    """Tell whether the backend server says that it shed the request."""
+    if response.status != 503:
+        return False
+    return find_header(response.headers, OUTCOME_HEADER) == b"not-run"
--- a/src/catkinpost/coordination/dispatcher.py
+++ b/src/catkinpost/coordination/dispatcher.py
@@ -2,21 +2,16 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 from eliot import write_traceback
 
 from catkinpost.coordination.attempt import OVERLOAD_REASONS, AttemptSender
-from catkinpost.coordination.entry import EntryCall, classify
+from catkinpost.coordination.dialect import Dialect, NativeDialect
+from catkinpost.coordination.entry import EntryCall
 from catkinpost.coordination.identity import instance_of_holder
 from catkinpost.coordination.throttle import Throttle
-from catkinpost.protocol.header import (
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    failure_response,
-    outcome_headers,
-)
 from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import (
@@ -30,6 +25,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.retry_budget import RetryBudget
 from catkinpost.state.running import RunningCalls
 
 __all__ = ["Dispatcher"]
@@ -38,6 +34,8 @@
 MAX_BACKOFF_S = 0.02
 THROTTLE_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 1.0
+DEADLINE_RETRY_AFTER_S = 0.5
+MODE_ORDER = [Mode.OFF, Mode.OBSERVE, Mode.ON]
 ELSEWHERE_REASONS = frozenset(
     {
         Reason.LEAVING,
@@ -47,6 +45,22 @@
         Reason.PEER_SILENT,
         Reason.BACKEND_CONNECTION_LOST,
         Reason.BACKEND_BAD_ANSWER,
+        Reason.BACKEND_REPLACED,
+    }
+)
+# Refusals by a node: the backend server was given nothing.
+UNOFFERED_REASONS = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.PEER_UNREACHABLE,
+        Reason.BACKEND_UNREACHABLE,
+        Reason.QUEUE_FULL,
+        Reason.QUEUE_TIMEOUT,
+        Reason.PREEMPTED,
+        Reason.DOWNSTREAM_OVERLOADED,
+        Reason.LIMIT_REACHED,
+        Reason.UNKNOWN_SERVICE,
+        Reason.NO_POLICY,
     }
 )
 
@@ -62,6 +76,8 @@
     :param throttle: refuses what targets refuse anyway.
     :param metrics: counters and histograms.
     :param decisions: log for decisions.
+    :param dialect: how callers are spoken to.
+    :param retry_budget: bound on repeated arrivals at a service.
     """
 
     store: PolicyStore
@@ -71,6 +87,8 @@
     throttle: Throttle
     metrics: Metrics
     decisions: DecisionLog
+    dialect: Dialect = field(default_factory=NativeDialect)
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
     active: int = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -85,19 +103,19 @@
             # A fault in one request must not leave its caller without an answer.
             self.metrics.counters["internal-error"] += 1
             write_traceback()
-            return failure_response(INTERNAL_FAILURE)
+            return self.dialect.present_failure(INTERNAL_FAILURE)
         finally:
             self.active -= 1
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         if not self.ready():
             self.metrics.counters["not-ready"] += 1
-            return failure_response(not_ready())
-        call = classify(request, self.store.policy, self.running)
+            return self.dialect.present_failure(not_ready())
+        call = self.dialect.classify(request, self.store.policy, self.running)
         if isinstance(call, Failure):
             self.metrics.counters[f"rejected:{call.reason.value}"] += 1
             self.decisions.add("entry", "reject", call.reason, reason=call.detail)
-            return failure_response(call)
+            return self.dialect.present_failure(call)
         started = trio.current_time()
         result = await self.run_with_deadline(call)
         failure = None if isinstance(result, Answer) else result
@@ -109,10 +127,8 @@
             failure=failure,
         )
         if failure is not None:
-            return failure_response(failure)
-        headers = [pair for pair in result.headers if keeps(pair[0])]
-        headers += outcome_headers(Outcome.DONE)
-        return HttpResponse(result.status, headers, result.body)
+            return self.dialect.present_failure(failure)
+        return self.dialect.present_answer(result)
 
     async def run_with_deadline(self, call: EntryCall) -> Answer | Failure:
         parent = call.parent
@@ -134,6 +150,7 @@
                 reason=Reason.DEADLINE_EXCEEDED,
                 outcome=call.outcome,
                 detail="no answer came in time",
+                retry_after=DEADLINE_RETRY_AFTER_S,
             )
         return result
 
@@ -148,6 +165,7 @@
             return self.conclude(call, failure)
         exclude: set[str] = set()
         redirects = 0
+        self.retry_budget.note_request(call.service, trio.current_time())
         target = self.sender.choose(call, exclude)
         while True:
             if isinstance(target, Failure):
@@ -161,16 +179,39 @@
                 name = instance_of_holder(holder)
                 target = self.sender.router.take_named(name, call.call_class)
                 continue
-            if not self.may_retry(call, result):
+            offered = result.reason not in UNOFFERED_REASONS
+            call.arrivals += offered
+            if not offered and call.moves > 0:
+                call.moves -= 1
+                self.metrics.counters["moves"] += 1
+                free = True
+            elif self.may_retry(call, result):
+                await trio.sleep(random.uniform(0, MAX_BACKOFF_S))
+                free = False
+            else:
+                return self.conclude(call, result)
+            if call.arrivals and not self.take_repeat(call):
                 return self.conclude(call, result)
-            await trio.sleep(random.uniform(0, MAX_BACKOFF_S))
             following = self.sender.choose(call, exclude)
             if isinstance(following, Failure):
                 return self.conclude(call, result)
-            call.allowance.spend()
-            self.metrics.counters["retries"] += 1
+            if not free:
+                call.allowance.spend()
+                self.metrics.counters["retries"] += 1
             target = following
 
+    def take_repeat(self, call: EntryCall) -> bool:
+        """Take one repeated arrival from the service's budget."""
+        if self.retry_budget.take(call.service, trio.current_time()):
+            return True
+        self.decisions.add(
+            "retries",
+            "do not repeat",
+            call.service,
+            reason="the budget of repeated arrivals is used up",
+        )
+        return False
+
     def conclude(self, call: EntryCall, result: Refusal | Failure) -> Failure:
         """Word a failure so that it holds for all attempts together."""
         if isinstance(result, Refusal):
@@ -185,7 +226,9 @@
         )
 
     def is_throttled(self, call: EntryCall) -> bool:
-        mode = self.store.policy.services[call.service].admission
+        section = self.store.policy.services[call.service]
+        # The throttle acts on refusals by admission, and so no further than it.
+        mode = min(section.admission, section.throttle, key=MODE_ORDER.index)
         # A running call was checked for its children; refusing one now wastes it.
         if mode is Mode.OFF or call.parent is not None:
             return False
@@ -215,10 +258,6 @@
         return result.reason in ELSEWHERE_REASONS
 
 
-def keeps(name: bytes) -> bool:
-    return name not in (OUTCOME_HEADER, REASON_HEADER)
-
-
 def not_ready() -> Failure:
     return Failure(
         reason=Reason.NO_POLICY,
--- a/src/catkinpost/coordination/entry.py
+++ b/src/catkinpost/coordination/entry.py
@@ -35,6 +35,9 @@
     :param key: full idempotency key, empty for none.
     :param attempt: mark that the caller gave to this sending.
     :param outcome: what is known of earlier sendings and attempts.
+    :param moves: times that it may still go elsewhere after it was refused
+        without having been given to a backend server.
+    :param arrivals: attempts that may have reached a backend server.
     """
 
     request: HttpRequest
@@ -49,6 +52,8 @@
     key: str
     attempt: int
     outcome: Outcome
+    moves: int = 0
+    arrivals: int = 0
 
     @property
     def repeatable(self) -> bool:
@@ -145,6 +150,7 @@
         key=f"{service}/{tenant}/{key}" if key else "",
         attempt=attempt,
         outcome=earlier_outcome(key, attempt),
+        moves=section.moves,
     )
 
 
--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -2,22 +2,18 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 from eliot import write_traceback
 
 from catkinpost.coordination.admission import Admission, Admitted, WorkItem
 from catkinpost.coordination.crash_guard import CrashGuard
+from catkinpost.coordination.dialect import Dialect, NativeDialect
 from catkinpost.coordination.fixed_limit import FixedLimits
 from catkinpost.coordination.once import OnceGuard, fingerprint_of
 from catkinpost.coordination.throttle import Throttle
-from catkinpost.protocol.header import (
-    OUTCOME_HEADER,
-    PARENT_HEADER,
-    RETRY_ALLOWANCE_HEADER,
-)
-from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
+from catkinpost.protocol.http import HttpResponse
 from catkinpost.protocol.message import Answer, Call, Load, Refusal
 from catkinpost.protocol.outcome import INTERNAL_FAILURE, Failure, Outcome, Reason
 from catkinpost.protocol.policy import Mode
@@ -33,14 +29,6 @@
 CRASH_SETTLE_S = 0.02
 SILENCE_FACTOR = 5.0
 LEAVING_RETRY_AFTER_S = 0.1
-STRIPPED_HEADERS = frozenset(
-    {
-        PARENT_HEADER,
-        RETRY_ALLOWANCE_HEADER,
-        b"catkinpost-service",
-        b"catkinpost-attempt",
-    }
-)
 
 
 @dataclass(kw_only=True, eq=False)
@@ -57,6 +45,7 @@
     :param throttle: what other services refuse at present.
     :param decisions: log for decisions.
     :param leaving: whether the instance takes no new work.
+    :param dialect: how the backend server is spoken to.
     """
 
     service: str
@@ -71,6 +60,7 @@
     dependencies: Dependencies = field(default_factory=Dependencies)
     once: OnceGuard | None = None
     leaving: Callable[[], bool] = lambda: False
+    dialect: Dialect = field(default_factory=NativeDialect)
     active: int = 0
     crash_check: trio.Event | None = None
     lost_runs: int = 0
@@ -211,7 +201,8 @@
         result: HttpResponse | Failure | None = None
         try:
             with trio.CancelScope(deadline=running.deadline) as scope:
-                result = await self.client.exchange(backend_request(call, running))
+                request = self.dialect.build_request(call, running)
+                result = self.read_result(call, await self.client.exchange(request))
                 if is_lost(result):
                     await self.find_crash()
             if scope.cancelled_caught:
@@ -237,9 +228,7 @@
             running.cancel_children()
             self.suspect_silence(running, admitted.item)
         seconds = trio.current_time() - running.started if completed else None
-        if completed and is_shed(result):
-            seconds = None
-        elif completed:
+        if completed:
             self.dependencies.add(running.call_class, running.called_services)
         self.admission.leave(admitted, seconds=seconds)
         self.crash_guard.ended(running.fingerprint, completed=completed)
@@ -255,6 +244,19 @@
         if expected is not None and waited > SILENCE_FACTOR * expected:
             self.client.close_idle()
 
+    def read_result(
+        self, call: Call, result: HttpResponse | Failure
+    ) -> HttpResponse | Failure:
+        """Tell a result of a run from an answer that reports none."""
+        if isinstance(result, Failure):
+            return result
+        failure = self.dialect.read_refusal(call, result, self.admission.section)
+        if failure is None:
+            return result
+        if failure.retry_after is None:
+            return replace(failure, retry_after=self.admission.retry_after())
+        return failure
+
     async def find_crash(self) -> None:
         """Find out whether the backend server has crashed.
 
@@ -286,14 +288,6 @@
         unused = running.allowance.remaining
         if isinstance(result, Failure):
             return self.refusal(call, result, allowance=unused)
-        section = self.admission.section
-        if section.sheds_before_running and is_shed(result):
-            failure = Failure(
-                reason=Reason.BACKEND_SHED,
-                detail="the backend server shed the request",
-                retry_after=self.admission.retry_after(),
-            )
-            return self.refusal(call, failure, allowance=unused)
         return Answer(
             call.id, result.status, result.headers, result.body, unused, self.load()
         )
@@ -312,28 +306,7 @@
         )
 
 
-def backend_request(call: Call, running: RunningCall) -> HttpRequest:
-    """Build the request for the backend server.
-
-    The backend server copies the parent header to its child calls; deadline and
-    allowance of the children follow from it.
-    """
-    headers = [pair for pair in call.headers if pair[0] not in STRIPPED_HEADERS]
-    left_ms = max(1, int((running.deadline - trio.current_time()) * 1000))
-    headers = [pair for pair in headers if pair[0] != b"catkinpost-timeout-ms"]
-    headers.append((b"catkinpost-timeout-ms", b"%d" % left_ms))
-    headers.append((PARENT_HEADER, running.token.encode()))
-    return HttpRequest(call.method, call.target, headers, call.body)
-
-
 def is_lost(result: HttpResponse | Failure) -> bool:
     return (
         isinstance(result, Failure) and result.reason is Reason.BACKEND_CONNECTION_LOST
     )
-
-
-def is_shed(response: HttpResponse) -> bool:
-    """Tell whether the backend server says that it shed the request."""
-    if response.status != 503:
-        return False
-    return find_header(response.headers, OUTCOME_HEADER) == b"not-run"
--- a/src/catkinpost/coordination/limiter.py
+++ b/src/catkinpost/coordination/limiter.py
@@ -53,6 +53,9 @@
             return
         raised = section.slots > self.section.slots
         self.section = section
+        if section.freeze and section.slow_start == 0:
+            self.limit = section.slots
+            return
         if not raised:
             self.limit = max(section.min_slots, min(self.limit, section.slots))
 
--- a/src/catkinpost/coordination/status.py
+++ b/src/catkinpost/coordination/status.py
@@ -13,6 +13,7 @@
 from catkinpost.state.instance_view import Instance
 
 if TYPE_CHECKING:
+    from catkinpost.native import NativeEnvironment
     from catkinpost.node import Node
 
 __all__ = ["StatusBuilder"]
@@ -22,24 +23,27 @@
     """Builds status reports from the parts of a node.
 
     :param node: the node.
+    :param environment: its watches.
     """
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: "Node", environment: "NativeEnvironment") -> None:
         self.node = node
+        self.environment = environment
 
     def build(self) -> StatusReport:
         """Report the current state."""
         node = self.node
         admission = node.executor.admission
         place = node.settings.node
-        backend = node.backend_watch.report
+        environment = self.environment
+        backend = environment.backend_watch.report
         return StatusReport(
             instance=place.instance,
             incarnation=node.identity.incarnation,
             service=place.service,
             data_centre=place.data_centre,
             region=place.region,
-            ready=node.gate.ready(),
+            ready=node.environment.ready(),
             leaving=node.leaving,
             policy=self.build_policy(),
             list_version=node.view.version,
@@ -51,8 +55,8 @@
             backend_reachable=backend.reachable,
             backend_reported_in_flight=backend.in_flight,
             pauses=node.pause.pauses,
-            platform_bytes=node.platform.read_bytes,
-            platform_reads=node.platform.reads,
+            platform_bytes=environment.platform.read_bytes,
+            platform_reads=environment.platform.reads,
             counters=dict(node.metrics.counters),
             outcomes=self.build_outcomes(),
             peers=[
@@ -66,7 +70,7 @@
         node = self.node
         store = node.store
         in_force = None if store.since is None else trio.current_time() - store.since
-        watch = node.policy_watch
+        watch = self.environment.policy_watch
         return PolicyReport(
             version=store.version,
             digest=store.digest.hex(),
--- /dev/null
+++ b/src/catkinpost/native.py
@@ -0,0 +1,73 @@
+"""The environment that a node's own settings file names."""
+
+from functools import partial
+
+import trio
+
+from catkinpost.coordination.backend_watch import BackendWatch
+from catkinpost.coordination.dialect import NativeDialect
+from catkinpost.coordination.instance_watch import InstanceWatch
+from catkinpost.coordination.operator_api import OperatorApi
+from catkinpost.coordination.policy_watch import PolicyGate, PolicyWatch
+from catkinpost.coordination.status import StatusBuilder
+from catkinpost.node import Node
+from catkinpost.protocol.settings import parse_address
+from catkinpost.transport.platform_client import PlatformClient
+
+__all__ = ["NativeEnvironment"]
+
+
+class NativeEnvironment:
+    """Policy, list, backend server and operators in the product's own formats."""
+
+    def __init__(self) -> None:
+        self.dialect = NativeDialect()
+
+    def attach(self, node: Node) -> None:
+        """Build the watches of a node.
+
+        :param node: node whose other parts are built.
+        """
+        settings = node.settings
+        self.operators = parse_address(settings.listen.operators)
+        self.gate = PolicyGate(
+            exchange=node.exchange,
+            view=node.view,
+            instance=node.identity.instance,
+            start_wait=settings.peers.start_wait,
+            partners=node.partner_names,
+        )
+        self.platform = PlatformClient(settings.platform)
+        self.policy_watch = PolicyWatch(
+            client=self.platform,
+            exchange=node.exchange,
+            view=node.view,
+            instance=node.identity.instance,
+        )
+        self.instance_watch = InstanceWatch(
+            client=self.platform,
+            view=node.view,
+            changed=node.list_changed,
+            decisions=node.decisions,
+        )
+        self.backend_watch = BackendWatch(
+            settings.backend, drained=partial(node.leave, "the backend server drains")
+        )
+        self.api = OperatorApi(
+            status=StatusBuilder(node, self).build,
+            decisions=node.decisions,
+            metrics=node.metrics,
+            store=node.store,
+        )
+
+    def ready(self) -> bool:
+        """Whether the policy in force is known."""
+        return self.gate.ready()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.api.serve, self.operators)
+            nursery.start_soon(self.policy_watch.run)
+            nursery.start_soon(self.instance_watch.run)
+            nursery.start_soon(self.backend_watch.run)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -2,67 +2,97 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
+from typing import Protocol
 
+import msgspec
 import trio
 from eliot import log_message, write_traceback
 
 from catkinpost.coordination.admission import Admission
 from catkinpost.coordination.attempt import AttemptSender
-from catkinpost.coordination.backend_watch import BackendWatch
 from catkinpost.coordination.crash_guard import CrashGuard
+from catkinpost.coordination.dialect import Dialect
 from catkinpost.coordination.dispatcher import Dispatcher
 from catkinpost.coordination.ejection import Ejector
 from catkinpost.coordination.executor import Executor
 from catkinpost.coordination.fixed_limit import FixedLimits
 from catkinpost.coordination.hedge import Hedging
 from catkinpost.coordination.identity import Identity
-from catkinpost.coordination.instance_watch import InstanceWatch
 from catkinpost.coordination.link import LinkSettings
 from catkinpost.coordination.link_table import LinkTable, find_partners
 from catkinpost.coordination.once import OnceGuard
-from catkinpost.coordination.operator_api import OperatorApi
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peer_handler import PeerHandler
 from catkinpost.coordination.peer_server import PeerServer
 from catkinpost.coordination.policy_exchange import PolicyExchange
-from catkinpost.coordination.policy_watch import PolicyGate, PolicyWatch
 from catkinpost.coordination.region_budget import RegionBudget
 from catkinpost.coordination.replicas import ServiceReplicas
 from catkinpost.coordination.router import Place, Router
-from catkinpost.coordination.status import StatusBuilder
 from catkinpost.coordination.throttle import Throttle
 from catkinpost.protocol.message import KeyRecords, Message, Pong
 from catkinpost.protocol.outcome import Failure
-from catkinpost.protocol.policy import ServiceSection
+from catkinpost.protocol.policy import EntrySection, ServiceSection
 from catkinpost.protocol.settings import Address, NodeSettings, parse_address
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceState, InstanceView, ListChange
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.retry_budget import RetryBound, RetryBudget
 from catkinpost.state.running import RunningCalls
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
-from catkinpost.transport.platform_client import PlatformClient
 
-__all__ = ["Node"]
+__all__ = ["Environment", "Node"]
 
 MIN_LEAVING_S = 2.0
 IDLE_CHECK_S = 0.05
+# A full queue of new connections costs each caller seconds until its next try.
+LISTEN_BACKLOG = 1024
 UNKNOWN_SERVICE_SECTION = ServiceSection(owner="default")
 
 
+class Environment(Protocol):
+    """What a node is connected to, besides callers, peers and its backend server.
+
+    :ivar dialect: how callers and backend servers are spoken to.
+    """
+
+    dialect: Dialect
+
+    def attach(self, node: "Node") -> None:
+        """Build the watches of a node whose other parts are built."""
+
+    def ready(self) -> bool:
+        """Whether the node knows enough to serve."""
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+
+
 class Node:
     """The process beside one backend server.
 
     :param settings: checked settings.
+    :param environment: sources of policy and instances, and the operators' side;
+        those of the settings when absent.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, environment: Environment | None = None
+    ) -> None:
+        if environment is None:
+            # Its libraries take long to import, and another environment needs none.
+            from catkinpost.native import NativeEnvironment
+
+            environment = NativeEnvironment()
+        self.environment = environment
         self.settings = settings
         self.nursery: trio.Nursery | None = None
         self.leaving = False
+        self.stopping = False
         self.nodes_in_region = 1
         self.leave_event = trio.Event()
         self.build_state()
@@ -70,6 +100,7 @@
         self.build_target()
         self.build_entry()
         self.build_control()
+        self.environment.attach(self)
 
     def build_state(self) -> None:
         section = self.settings.node
@@ -86,6 +117,18 @@
         self.stats = PeerStats()
         self.running = RunningCalls()
         self.pause = PauseWatch(self.decisions)
+        self.retry_budget = RetryBudget(self.retry_bound())
+
+    def retry_bound(self) -> RetryBound | None:
+        """Return the bound on repeated arrivals, ``None`` when there is none."""
+        bounds = self.settings.bounds
+        if bounds.repeat_ratio is None:
+            return None
+        return RetryBound(
+            ratio=bounds.repeat_ratio,
+            window=bounds.repeat_window,
+            extra=bounds.repeat_extra,
+        )
 
     def build_peers(self) -> None:
         bounds = self.settings.bounds
@@ -125,7 +168,10 @@
         backend = parse_address(settings.backend.address)
         self.throttle = Throttle()
         self.client = BackendClient(
-            backend.host, backend.port, limits=settings.http_limits
+            backend.host,
+            backend.port,
+            limits=settings.http_limits,
+            belongs=self.environment.dialect.belongs,
         )
         self.executor = Executor(
             service=self.identity.service,
@@ -138,6 +184,7 @@
             throttle=self.throttle,
             decisions=self.decisions,
             leaving=lambda: self.leaving,
+            dialect=self.environment.dialect,
         )
         self.executor.once = OnceGuard(
             holder=self.identity.holder,
@@ -173,13 +220,6 @@
                 decisions=self.decisions,
             ),
         )
-        self.gate = PolicyGate(
-            exchange=self.exchange,
-            view=self.view,
-            instance=self.identity.instance,
-            start_wait=settings.peers.start_wait,
-            partners=self.partner_names,
-        )
         self.sender = AttemptSender(
             instance=self.identity.instance,
             store=self.store,
@@ -194,12 +234,14 @@
         )
         self.dispatcher = Dispatcher(
             store=self.store,
-            ready=self.gate.ready,
+            ready=self.environment.ready,
             running=self.running,
             sender=self.sender,
             throttle=self.throttle,
             metrics=self.metrics,
             decisions=self.decisions,
+            dialect=self.environment.dialect,
+            retry_budget=self.retry_budget,
         )
 
     def build_control(self) -> None:
@@ -227,28 +269,7 @@
             self.dispatcher.handle,
             limits=settings.http_limits,
             report=self.report_bad_request,
-        )
-        self.platform = PlatformClient(settings.platform)
-        self.policy_watch = PolicyWatch(
-            client=self.platform,
-            exchange=self.exchange,
-            view=self.view,
-            instance=self.identity.instance,
-        )
-        self.instance_watch = InstanceWatch(
-            client=self.platform,
-            view=self.view,
-            changed=self.list_changed,
-            decisions=self.decisions,
-        )
-        self.backend_watch = BackendWatch(
-            settings.backend, drained=partial(self.leave, "the backend server drains")
-        )
-        self.api = OperatorApi(
-            status=StatusBuilder(self).build,
-            decisions=self.decisions,
-            metrics=self.metrics,
-            store=self.store,
+            refusal=self.environment.dialect.present_failure,
         )
 
     async def run(self) -> None:
@@ -259,12 +280,9 @@
             nursery.start_soon(self.watch_signals)
             nursery.start_soon(self.pause.run)
             nursery.start_soon(self.http_server.watch_connections)
-            nursery.start_soon(self.api.serve, parse_address(listen.operators))
             await self.listen(listen.peers, self.peer_server.serve_connection)
             await self.listen(listen.calls, self.http_server.serve_connection)
-            nursery.start_soon(self.policy_watch.run)
-            nursery.start_soon(self.instance_watch.run)
-            nursery.start_soon(self.backend_watch.run)
+            nursery.start_soon(self.environment.run)
             nursery.start_soon(self.ejector.run)
             log_message("node: started", instance=self.identity.instance)
             await self.leave_event.wait()
@@ -277,7 +295,9 @@
     ) -> None:
         """Accept connections at an address."""
         where: Address = parse_address(address)
-        listeners = await trio.open_tcp_listeners(where.port, host=where.host)
+        listeners = await trio.open_tcp_listeners(
+            where.port, host=where.host, backlog=LISTEN_BACKLOG
+        )
 
         async def guarded(stream: trio.SocketStream) -> None:
             try:
@@ -317,23 +337,51 @@
     def policy_changed(self) -> None:
         """Apply a new policy to the parts that hold its sections."""
         section = self.store.policy.services.get(self.identity.service)
-        section = section or UNKNOWN_SERVICE_SECTION
+        section = self.with_own_slots(section or UNKNOWN_SERVICE_SECTION)
         self.executor.admission.update_section(section)
         self.crash_guard.mode = section.crash_guard
+        for entry in self.store.policy.entries.values():
+            self.update_limits(entry)
+
+    def with_own_slots(self, section: ServiceSection) -> ServiceSection:
+        """Use the slots that the list tells of this node's backend server."""
+        own = self.view.instances.get(self.identity.instance)
+        if own is None or own.slots is None:
+            return section
+        return msgspec.structs.replace(section, slots=own.slots)
+
+    def update_limits(self, entry: EntrySection) -> None:
+        """Bound what callers may send as the policy says."""
+        limits = replace(
+            self.settings.http_limits,
+            max_head_bytes=entry.max_head_bytes,
+            max_body_bytes=entry.max_body_bytes,
+            head_timeout=entry.head_timeout,
+            idle_timeout=entry.idle_timeout,
+        )
+        self.http_server.limits = limits
 
     def list_changed(self, change: ListChange) -> None:
         """Follow the list of instances."""
         for instance in change.removed:
             self.stats.forget(instance.name)
+        for name in change.restarted:
+            self.stats.forget(name)
+        self.retry_budget.nodes = len(self.view.instances)
         region = self.settings.node.region
         self.nodes_in_region = sum(
             item.region == region for item in self.view.instances.values()
         )
         self.links.refresh()
         self.replicas.refresh()
+        self.policy_changed()
         own = self.view.instances.get(self.identity.instance)
         if own is not None and own.state is InstanceState.LEAVING:
             self.leave("the list of instances says so")
+        elif own is not None and own.name in change.restarted and not self.stopping:
+            self.leaving = False
+        elif any(item.name == self.identity.instance for item in change.removed):
+            self.leave("the list of instances has dropped it")
 
     def partner_names(self) -> set[str]:
         return {item.name for item in find_partners(self.view, self.identity.instance)}
@@ -351,6 +399,7 @@
     async def watch_signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
+                self.stopping = True
                 self.leave("a planned stop was asked for")
                 self.http_server.leaving = True
                 self.leave_event.set()
--- /dev/null
+++ b/src/catkinpost/platform/dialect.py
@@ -0,0 +1,182 @@
+"""Headers and statuses by which the platform's requests and answers are understood."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from catkinpost.coordination.entry import EntryCall
+from catkinpost.platform.names import (
+    ATTEMPT_ID,
+    CALLING_SERVICE,
+    DEADLINE_REMAINING,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+    RESPONSE_SIGNATURE,
+)
+from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
+from catkinpost.protocol.message import Answer, Call
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import ClassSection, Policy, ServiceSection
+from catkinpost.state.allowance import Allowance
+from catkinpost.state.running import RunningCall, RunningCalls
+
+__all__ = ["PlatformDialect"]
+
+# An answer must reach its caller before the deadline does.
+RETURN_MARGIN_S = 0.02
+DEFAULT_RETRY_AFTER_S = 0.3
+MAX_DEADLINE_MS = 3_600_000
+REPLACED_HEADERS = frozenset({EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING})
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+NOT_FOUND = 404
+MISDIRECTED = 421
+# Statuses that promise to a caller that its request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
+OWN_FAULT_STATUS = {
+    Reason.MALFORMED_REQUEST: 400,
+    Reason.INVALID_HEADER: 400,
+    Reason.HEAD_TOO_LARGE: 431,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.SLOW_SENDER: 408,
+    Reason.UNKNOWN_CLASS: NOT_FOUND,
+}
+
+
+class PlatformDialect:
+    """Routes by host and path; attempts by their id; outcomes by status.
+
+    :param calling_service: returns the service of this machine's server.
+    """
+
+    def __init__(self, calling_service: Callable[[], str]) -> None:
+        self.calling_service = calling_service
+
+    def classify(
+        self, request: HttpRequest, policy: Policy, running: RunningCalls
+    ) -> EntryCall | Failure:
+        """Find the class by host and path, and the deadline by the headers."""
+        hosts = [value for name, value in request.headers if name == b"host"]
+        if len(hosts) != 1:
+            return malformed("a request names one host")
+        host = hosts[0].decode("latin-1").partition(":")[0]
+        path = request.target.decode("latin-1").partition("?")[0]
+        name = policy.class_at(host, path)
+        if name is None:
+            return Failure(
+                reason=Reason.UNKNOWN_CLASS, detail="no class has this host and path"
+            )
+        section = policy.classes[name]
+        left = read_deadline(request, section)
+        if isinstance(left, Failure):
+            return left
+        return EntryCall(
+            request=self.forwarded(request),
+            service=choose_share(section),
+            call_class=name,
+            section=section,
+            tenant=section.tenant,
+            rank=section.importance.rank,
+            deadline=trio.current_time() + left,
+            allowance=Allowance(section.retries),
+            parent=None,
+            key="",
+            attempt=0,
+            outcome=Outcome.NOT_RUN,
+            moves=section.moves,
+        )
+
+    def forwarded(self, request: HttpRequest) -> HttpRequest:
+        """Name the calling service, whatever the caller named."""
+        headers = [pair for pair in request.headers if pair[0] not in REPLACED_HEADERS]
+        headers.append((CALLING_SERVICE, self.calling_service().encode()))
+        return HttpRequest(request.method, request.target, headers, request.body)
+
+    def present_answer(self, answer: Answer) -> HttpResponse:
+        """Return the server's answer unchanged."""
+        return HttpResponse(answer.status, answer.headers, answer.body)
+
+    def present_failure(self, failure: Failure) -> HttpResponse:
+        """Word a failure by what is known of the run.
+
+        Only a request that has not run and never will gets a promise.
+        """
+        if failure.outcome is not Outcome.NOT_RUN:
+            overdue = failure.reason is Reason.DEADLINE_EXCEEDED
+            status = GATEWAY_TIMEOUT if overdue else BAD_GATEWAY
+            return HttpResponse(status, [], failure.reason.value.encode())
+        status = OWN_FAULT_STATUS.get(failure.reason, UNAVAILABLE)
+        headers = []
+        if status == UNAVAILABLE:
+            seconds = failure.retry_after or DEFAULT_RETRY_AFTER_S
+            headers.append((b"retry-after", b"%.3f" % seconds))
+        return HttpResponse(status, headers, failure.reason.value.encode())
+
+    def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
+        """Tell the server the time that is left, and which process is meant."""
+        left_ms = max(1, int((running.deadline - trio.current_time()) * 1000))
+        headers = [*call.headers, (DEADLINE_REMAINING, b"%d" % left_ms)]
+        identity = call.incarnation.partition("#")[0]
+        if identity:
+            headers.append((EXPECTED_INSTANCE, identity.encode()))
+        return HttpRequest(call.method, call.target, headers, call.body)
+
+    def belongs(self, request: HttpRequest, response: HttpResponse) -> bool:
+        """Compare the attempt that an answer names with the request's."""
+        named = find_header(response.headers, ATTEMPT_ID)
+        return named is None or named == find_header(request.headers, ATTEMPT_ID)
+
+    def read_refusal(
+        self, call: Call, response: HttpResponse, section: ServiceSection
+    ) -> Failure | None:
+        """Tell promises, results, and answers that are neither."""
+        if response.status == MISDIRECTED:
+            return Failure(
+                reason=Reason.BACKEND_REPLACED, detail="another server has the address"
+            )
+        if find_header(response.headers, NOT_EXECUTED) is not None:
+            return Failure(
+                reason=Reason.BACKEND_SHED, detail="the server did not run the request"
+            )
+        if find_header(response.headers, b"content-encoding") is not None:
+            return untrusted("the answer is encoded, though none was asked for")
+        signed = find_header(response.headers, RESPONSE_SIGNATURE) is not None
+        if not signed and response.status < 300:
+            return untrusted("a success without a signature")
+        if response.status in PROMISES:
+            # The server has not said that it did not run the request, and its
+            # status would promise just that to the caller.
+            return untrusted(f"status {response.status} without its promise")
+        return None
+
+
+def choose_share(section: ClassSection) -> str:
+    """Choose the service of one request by the weights of its class."""
+    shares = section.shares
+    if len(shares) == 1:
+        return shares[0][0]
+    names = [name for name, _ in shares]
+    return random.choices(names, [weight for _, weight in shares])[0]
+
+
+def read_deadline(request: HttpRequest, section: ClassSection) -> float | Failure:
+    """Return the seconds in which a request must be answered."""
+    value = find_header(request.headers, DEADLINE_REMAINING)
+    if value is None:
+        return section.timeout
+    if not value.isdigit():
+        return malformed("the deadline is no number of milliseconds")
+    left = min(int(value), MAX_DEADLINE_MS) / 1000 - RETURN_MARGIN_S
+    return max(0.0, min(section.timeout, left))
+
+
+def malformed(detail: str) -> Failure:
+    return Failure(reason=Reason.MALFORMED_REQUEST, detail=detail)
+
+
+def untrusted(detail: str) -> Failure:
+    return Failure(
+        reason=Reason.BACKEND_BAD_ANSWER, outcome=Outcome.UNKNOWN, detail=detail
+    )
--- /dev/null
+++ b/src/catkinpost/platform/document.py
@@ -0,0 +1,164 @@
+"""The operator's configuration, and the policy document that says the same."""
+
+from typing import Annotated
+
+import msgspec
+
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.policy import Importance
+
+__all__ = ["Configuration", "read_configuration", "render_policy"]
+
+OWNER = "operator"
+SAFE = "safe"
+# Nodes refuse without giving a request to a server; trying the other servers of
+# a service costs no arrival and is bounded by this.
+MOVES = 3
+MAX_RETRIES = 16
+# The platform's servers queue some requests themselves; the node's queue holds
+# what waits for an answer that is still of use.
+QUEUE = 512
+LOWEST_IMPORTANCE = Importance.SHEDDABLE
+IMPORTANCE_BY_PRIORITY = {0: Importance.CRITICAL, 1: Importance.NORMAL}
+
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Text = Annotated[str, msgspec.Meta(pattern=r"^\S+$")]
+
+
+class Renamed(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    """Part of the configuration; unknown fields are ignored."""
+
+
+class Part(Renamed):
+    """One service that shares a route."""
+
+    service: Text
+    weight: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class Route(Renamed):
+    """Requests of one host below one prefix."""
+
+    name: Text
+    host: Text
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/\S*$")]
+    kind: str
+    timeout_s: Seconds
+    target_latency_s: Seconds | None = None
+    priority: int = 0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    service: Text | None = None
+    traffic_split: list[Part] = []
+
+    @property
+    def parts(self) -> list[Part]:
+        """Services that get the route's requests, each with its weight."""
+        if self.service is not None:
+            return [Part(service=self.service, weight=1.0)]
+        return [part for part in self.traffic_split if part.weight > 0]
+
+
+class Service(Renamed):
+    """One service."""
+
+    name: Text
+    health_check_path: str = "/health"
+    max_connections: int = 0
+
+
+class Limits(Renamed):
+    """What callers may send."""
+
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16384
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 * 1024 * 1024
+    header_timeout_s: Seconds = 3.0
+    idle_timeout_s: Seconds = 15.0
+
+
+class Configuration(Renamed):
+    """One version of the operator's configuration, in full."""
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    routes: list[Route]
+    services: list[Service]
+    limits: Limits = Limits()
+
+
+def read_configuration(body: bytes) -> Configuration | Failure:
+    """Check a configuration as it lies in the store.
+
+    :param body: JSON document.
+    """
+    try:
+        config = msgspec.json.decode(body, type=Configuration)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return bad_document(str(error))
+    names = {service.name for service in config.services}
+    for route in config.routes:
+        unknown = [part.service for part in route.parts if part.service not in names]
+        if unknown or not route.parts:
+            return bad_document(f"route {route.name} names no listed service")
+    return config
+
+
+def bad_document(detail: str) -> Failure:
+    return Failure(reason=Reason.PLATFORM_BAD_DOCUMENT, detail=detail)
+
+
+def render_policy(config: Configuration) -> str:
+    """Write a configuration as a policy document.
+
+    :param config: checked configuration.
+    """
+    parts = [render_entry(config.limits)]
+    parts += [render_service(service) for service in config.services]
+    parts += [render_route(route) for route in config.routes]
+    return "\n".join(parts)
+
+
+def render_entry(limits: Limits) -> str:
+    return f"""\
+[entry callers]
+owner = {OWNER}
+max_head_bytes = {limits.max_header_bytes}
+max_body_bytes = {limits.max_body_bytes}
+head_timeout = {limits.header_timeout_s:g}
+idle_timeout = {limits.idle_timeout_s:g}
+"""
+
+
+def render_service(service: Service) -> str:
+    return f"""\
+[service {service.name}]
+owner = {OWNER}
+queue = {QUEUE}
+queue_wait = 3600
+slow_start = 0
+freeze = yes
+reserve = off
+hedging = off
+throttle = off
+sheds_before_running = yes
+"""
+
+
+def render_route(route: Route) -> str:
+    importance = IMPORTANCE_BY_PRIORITY.get(route.priority, LOWEST_IMPORTANCE)
+    objective = min(route.target_latency_s or route.timeout_s, route.timeout_s)
+    lines = [
+        f"[class {route.name}]",
+        f"owner = {OWNER}",
+        f"service = {route.parts[0].service}",
+        f"host = {route.host}",
+        f"prefix = {route.prefix}",
+        f"importance = {importance}",
+        f"repeatable = {'yes' if route.kind == SAFE else 'no'}",
+        f"timeout = {route.timeout_s:g}",
+        f"objective = {objective:g}",
+        f"retries = {min(MAX_RETRIES, route.max_attempts - 1)}",
+        f"moves = {MOVES}",
+    ]
+    if len(route.parts) > 1:
+        split = " ".join(f"{part.service}:{part.weight:g}" for part in route.parts)
+        lines.append(f"split = {split}")
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/catkinpost/platform/environment.py
@@ -0,0 +1,223 @@
+"""The platform as a node's environment: store, readiness and settings file."""
+
+import random
+from pathlib import Path
+
+import trio
+from eliot import log_message
+
+from catkinpost.node import Node
+from catkinpost.platform.dialect import PlatformDialect
+from catkinpost.platform.document import read_configuration, render_policy
+from catkinpost.platform.listing import ServerList, read_server
+from catkinpost.platform.names import CONFIG_KEY, READINESS_PATH, SERVERS_PREFIX
+from catkinpost.platform.settings import PlatformSettings, read_platform_settings
+from catkinpost.platform.store import Event, Snapshot, StoreClient
+from catkinpost.protocol.http import HttpRequest, HttpResponse
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.settings import parse_address
+from catkinpost.transport.http_server import HttpServer
+
+__all__ = ["PlatformEnvironment"]
+
+# A change must be in force 2.5 s after it was made: a watch that has gone silent
+# is noticed after one wait and its time-out, and the read that follows is short.
+WATCH_WAIT_S = 1.7
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+# Entries lapse after several missed heartbeats, not in a shorter outage.
+OUTAGE_S = 1.0
+SETTINGS_CHECK_S = 1.0
+
+
+class PlatformEnvironment:
+    """Reads what the platform publishes and answers its readiness probe.
+
+    :param settings: checked settings.
+    :param path: settings file, which may change at any time.
+    """
+
+    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+        self.settings = settings
+        self.path = path
+        self.dialect = PlatformDialect(self.calling_service)
+        address = parse_address(settings.node.platform.address)
+        self.store = StoreClient(address)
+        self.servers = ServerList(
+            peer_port=settings.peer_port, regions=settings.regions
+        )
+        self.revision: int | None = None
+        self.failed_at: float | None = None
+        self.back_since: float | None = None
+        self.last_error = ""
+        self.list_version = 0
+
+    def attach(self, node: Node) -> None:
+        """Build the watches of a node.
+
+        :param node: node whose other parts are built.
+        """
+        self.node = node
+        self.probe = HttpServer(
+            self.answer_probe,
+            limits=self.settings.node.http_limits,
+            report=node.report_bad_request,
+        )
+
+    def calling_service(self) -> str:
+        """Service of the server on this machine."""
+        return self.settings.node.node.service
+
+    def ready(self) -> bool:
+        """Whether a configuration is in force and the servers are known."""
+        return self.node.store.known and self.node.view.read_at is not None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        ready = parse_address(self.settings.ready)
+        listeners = await trio.open_tcp_listeners(ready.port, host=ready.host)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                trio.serve_listeners, self.probe.serve_connection, listeners
+            )
+            nursery.start_soon(self.watch_store)
+            nursery.start_soon(self.watch_lapsed)
+            nursery.start_soon(self.watch_settings)
+
+    async def answer_probe(self, request: HttpRequest) -> HttpResponse:
+        if not request.target.startswith(READINESS_PATH):
+            return HttpResponse(404)
+        serving = self.ready() and not self.node.stopping
+        return HttpResponse(200 if serving else 503)
+
+    async def watch_store(self) -> None:
+        """Follow the store: read everything once, then what changes."""
+        retry = MIN_RETRY_S
+        while True:
+            if self.revision is None:
+                page = await self.store.read_all()
+            else:
+                page = await self.store.watch(self.revision, wait=WATCH_WAIT_S)
+            if isinstance(page, Failure):
+                self.note_failure(page)
+                if page.reason is Reason.PLATFORM_HISTORY_GONE:
+                    self.revision = None
+                await trio.sleep(random.uniform(0.5, 1.0) * retry)
+                retry = min(MAX_RETRY_S, retry * 2)
+                continue
+            retry = MIN_RETRY_S
+            self.note_success()
+            self.revision = page.at
+            self.take(page.events, whole=isinstance(page, Snapshot))
+
+    def note_failure(self, failure: Failure) -> None:
+        if self.failed_at is None:
+            self.failed_at = trio.current_time()
+        if failure.detail != self.last_error:
+            log_message("store: not read", reason=failure.reason, why=failure.detail)
+        self.last_error = failure.detail
+
+    def note_success(self) -> None:
+        if self.failed_at is None:
+            return
+        now = trio.current_time()
+        if now - self.failed_at >= OUTAGE_S:
+            self.back_since = now
+        log_message("store: read again", seconds=round(now - self.failed_at, 3))
+        self.failed_at = None
+        self.last_error = ""
+
+    def take(self, events: list[Event], *, whole: bool) -> None:
+        """Take over changes.
+
+        :param events: changed keys.
+        :param whole: whether keys that are not among them are gone.
+        """
+        now = trio.current_time()
+        for event in events:
+            if event.key == CONFIG_KEY:
+                self.take_configuration(event.value)
+            elif event.key.startswith(SERVERS_PREFIX):
+                self.take_server(event, now)
+        if whole:
+            named = {event.key.removeprefix(SERVERS_PREFIX) for event in events}
+            for identity in list(self.servers.listed):
+                if identity not in named:
+                    self.servers.remove(identity, now, back_since=self.back_since)
+        if whole or any(event.key.startswith(SERVERS_PREFIX) for event in events):
+            self.apply_list()
+
+    def take_configuration(self, value: bytes | None) -> None:
+        if value is None:
+            return
+        config = read_configuration(value)
+        if isinstance(config, Failure):
+            log_message("store: configuration ignored", why=config.detail)
+            return
+        if config.version > self.node.store.version:
+            self.node.exchange.read(config.version, render_policy(config))
+
+    def take_server(self, event: Event, now: float) -> None:
+        identity = event.key.removeprefix(SERVERS_PREFIX)
+        if event.value is None:
+            self.servers.remove(identity, now, back_since=self.back_since)
+            return
+        server = read_server(event.value)
+        if isinstance(server, Failure):
+            log_message("store: entry ignored", entry=identity, why=server.detail)
+            return
+        self.servers.put(identity, server, now)
+
+    def apply_list(self) -> None:
+        """Bring the list of servers into force."""
+        self.list_version += 1
+        change = self.node.view.apply(
+            self.list_version, self.servers.instances(), trio.current_time()
+        )
+        if change is not None and not change.empty:
+            log_message(
+                "store: servers changed",
+                added=change.added,
+                removed=[item.name for item in change.removed],
+                leaving=change.leaving,
+                restarted=change.restarted,
+            )
+        self.node.list_changed(change)
+
+    async def watch_lapsed(self) -> None:
+        """Drop entries that did not come back after an outage of the store."""
+        while True:
+            await trio.sleep(0.1)
+            if self.servers.expire(trio.current_time()):
+                self.apply_list()
+
+    async def watch_settings(self) -> None:
+        """Follow the settings file, which changes with or without a signal."""
+        text = self.path.read_text(encoding="utf-8")
+        while True:
+            await trio.sleep(SETTINGS_CHECK_S)
+            try:
+                latest = self.path.read_text(encoding="utf-8")
+            except OSError as error:
+                log_message("settings: not read", why=repr(error))
+                continue
+            if latest != text:
+                text = latest
+                self.reload(text)
+
+    def reload(self, text: str) -> None:
+        """Take over what may change while the process runs."""
+        settings = read_platform_settings(text)
+        if isinstance(settings, Failure):
+            log_message("settings: ignored", why=settings.detail)
+            return
+        log_message("settings: read again", service=settings.node.node.service)
+        self.settings = settings
+        self.servers.regions = settings.regions
+        backend = parse_address(settings.node.backend.address)
+        self.node.client.host = backend.host
+        self.node.client.port = backend.port
+        self.node.executor.service = settings.node.node.service
+        store = parse_address(settings.node.platform.address)
+        if store != self.store.address:
+            self.store = StoreClient(store)
--- /dev/null
+++ b/src/catkinpost/platform/names.py
@@ -0,0 +1,28 @@
+"""Names that the platform gives to headers, keys and calls."""
+
+__all__ = [
+    "ATTEMPT_ID",
+    "CALLING_SERVICE",
+    "CONFIG_KEY",
+    "DEADLINE_REMAINING",
+    "EXPECTED_INSTANCE",
+    "NOT_EXECUTED",
+    "READINESS_PATH",
+    "RESPONSE_SIGNATURE",
+    "SERVERS_PREFIX",
+    "SERVER_LOAD",
+    "SETTINGS_VARIABLE",
+]
+
+ATTEMPT_ID = b"attempt-id"
+DEADLINE_REMAINING = b"deadline-remaining"
+RESPONSE_SIGNATURE = b"response-signature"
+EXPECTED_INSTANCE = b"expected-instance"
+SERVER_LOAD = b"server-load"
+NOT_EXECUTED = b"not-executed"
+CALLING_SERVICE = b"calling-service"
+
+READINESS_PATH = b"/v1/readiness"
+CONFIG_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+SETTINGS_VARIABLE = "CATKINPOST_CONFIG"
--- /dev/null
+++ b/src/catkinpost/platform/settings.py
@@ -0,0 +1,171 @@
+"""The platform's settings of one process, and the node's settings from them."""
+
+import tomllib
+from dataclasses import dataclass
+
+import msgspec
+
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.settings import (
+    AddressText,
+    BackendSection,
+    BoundsSection,
+    ListenSection,
+    NodeSection,
+    NodeSettings,
+    PeersSection,
+    PlatformSection,
+)
+
+__all__ = ["PlatformSettings", "read_platform_settings"]
+
+# The platform gives its processes no common secret: whoever reaches the internal
+# ports can speak as a peer (docs/design/platform.md says what that allows).
+PEER_SECRET = "no-secret-is-given"
+# A silent link is dropped well before the shortest usual deadline of a call.
+PEER_SILENCE_S = 0.8
+# Half of the platform's ratio: child calls of a repeated request are repeats, too.
+REPEAT_RATIO_SHARE = 0.5
+# Part of the extra repeats that is used, as restarted nodes begin anew.
+REPEAT_EXTRA_SHARE = 0.4
+# Answers must be out before the platform kills the process.
+STOP_SHARE_OF_GRACE = 0.8
+
+
+class Renamed(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    """Table of the platform's settings; unknown fields are ignored."""
+
+
+class SelfTable(Renamed):
+    """``[self]``: this process and its backend server."""
+
+    node_name: str
+    ip_address: str
+    zone: str
+    region: str
+    application_address: AddressText
+    service: str
+
+
+class ListenTable(Renamed):
+    """``[network.listen-addresses]``: where the platform expects the process."""
+
+    outbound: AddressText
+    ready: AddressText
+    inbound: AddressText | None = None
+
+
+class NetworkTable(Renamed):
+    """``[network]``: addresses, ports for peers, and the regions of zones."""
+
+    internal_port_range: tuple[int, int]
+    listen_addresses: ListenTable
+    zones: dict[str, str] = {}
+
+
+class StoreTable(Renamed):
+    """``[platform.platform]``: the store that is read."""
+
+    address: AddressText
+    history_s: float = 20.0
+
+
+class PlatformTable(Renamed):
+    """``[platform]``."""
+
+    platform: StoreTable
+    heartbeat_interval_s: float = 1.5
+
+
+class BoundsTable(Renamed):
+    """``[terms.bounds]``: figures of the platform's rules, in seconds."""
+
+    grace_period_s: float = 6.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_extra_retries: float = 0.0
+    drain_s: float = 2.5
+    config_propagation_s: float = 2.5
+
+
+class TermsTable(Renamed):
+    """``[terms]``."""
+
+    bounds: BoundsTable = BoundsTable()
+
+
+class SettingsFile(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole file."""
+
+    process: SelfTable = msgspec.field(name="self")
+    network: NetworkTable
+    platform: PlatformTable
+    terms: TermsTable = TermsTable()
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformSettings:
+    """What the node needs of the platform's settings.
+
+    :param node: settings in the product's own form.
+    :param ready: IP:port of the readiness probe.
+    :param peer_port: port at which every node accepts its peers.
+    :param regions: region of each data centre.
+    """
+
+    node: NodeSettings
+    ready: str
+    peer_port: int
+    regions: dict[str, str]
+
+
+def read_platform_settings(text: str) -> PlatformSettings | Failure:
+    """Check the platform's settings file.
+
+    :param text: the file, in TOML.
+    :return: the settings, or the reason why they can't be used.
+    """
+    try:
+        file = msgspec.convert(tomllib.loads(text), SettingsFile)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        return Failure(reason=Reason.BAD_SETTINGS, detail=str(error))
+    first, last = file.network.internal_port_range
+    if last <= first:
+        detail = f"internal-port-range [{first}, {last}] has room for no two ports"
+        return Failure(reason=Reason.BAD_SETTINGS, detail=detail)
+    return PlatformSettings(
+        node=build_node_settings(file),
+        ready=file.network.listen_addresses.ready,
+        peer_port=first,
+        regions=file.network.zones,
+    )
+
+
+def build_node_settings(file: SettingsFile) -> NodeSettings:
+    process = file.process
+    first = file.network.internal_port_range[0]
+    bounds = file.terms.bounds
+    return NodeSettings(
+        node=NodeSection(
+            instance=process.ip_address,
+            service=process.service,
+            data_centre=process.zone,
+            region=process.region,
+        ),
+        listen=ListenSection(
+            calls=file.network.listen_addresses.outbound,
+            peers=f"{process.ip_address}:{first}",
+            operators=f"{process.ip_address}:{first + 1}",
+        ),
+        backend=BackendSection(address=process.application_address),
+        platform=PlatformSection(address=file.platform.platform.address),
+        peers=PeersSection(secret=PEER_SECRET, silence=PEER_SILENCE_S),
+        bounds=BoundsSection(
+            max_body_bytes=64 * 1024 * 1024,
+            stop_timeout=bounds.grace_period_s * STOP_SHARE_OF_GRACE,
+            repeat_ratio=bounds.retry_budget_ratio * REPEAT_RATIO_SHARE,
+            repeat_window=bounds.budget_window_s,
+            repeat_extra=bounds.budget_extra_retries * REPEAT_EXTRA_SHARE,
+            unsized_answers=True,
+        ),
+    )
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -42,23 +42,30 @@
     :param max_body_bytes: largest body, after chunked decoding.
     :param head_timeout: seconds in which a started message must be whole.
     :param idle_timeout: seconds an idle connection is kept.
+    :param unsized_answers: whether an answer without a length is whole when its
+        connection is closed in an orderly way.
     """
 
     max_head_bytes: int = 32 * 1024
     max_body_bytes: int = 1024 * 1024
     head_timeout: float = 10.0
     idle_timeout: float = 120.0
+    unsized_answers: bool = False
 
 
 @dataclass(slots=True)
 class HttpRequest:
-    """One whole request; header names are in lower case."""
+    """One whole request; header names are in lower case.
+
+    :param source: IP address that it came from, empty where unknown.
+    """
 
     method: bytes
     target: bytes
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
+    source: str = ""
 
 
 @dataclass(slots=True)
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -91,7 +91,11 @@
 
 
 class Call(msgspec.Struct, array_like=True, tag=4):
-    """One attempt of a request, for the receiver's backend server."""
+    """One attempt of a request, for the receiver's backend server.
+
+    :param incarnation: the one process of the backend server that may run it;
+        any when empty.
+    """
 
     id: int
     service: str
@@ -106,6 +110,7 @@
     target: bytes
     headers: Headers
     body: bytes
+    incarnation: str = ""
 
 
 class Answer(msgspec.Struct, array_like=True, tag=5):
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -40,6 +40,7 @@
     LIMIT_REACHED = "limit-reached"
     LEAVING = "leaving"
     BACKEND_SHED = "backend-shed"
+    BACKEND_REPLACED = "backend-replaced"
     BACKEND_UNREACHABLE = "backend-unreachable"
     BACKEND_CONNECTION_LOST = "backend-connection-lost"
     BACKEND_BAD_ANSWER = "backend-bad-answer"
@@ -57,6 +58,9 @@
     DOWNSTREAM_OVERLOADED = "downstream-overloaded"
     THROTTLED = "throttled"
     PLATFORM_UNREACHABLE = "platform-unreachable"
+    PLATFORM_BAD_DOCUMENT = "platform-bad-document"
+    PLATFORM_HISTORY_GONE = "platform-history-gone"
+    BAD_SETTINGS = "bad-settings"
     INTERNAL_ERROR = "internal-error"
 
 
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -19,6 +19,7 @@
 __all__ = [
     "CheckedDocument",
     "ClassSection",
+    "EntrySection",
     "Importance",
     "KnownSection",
     "LimitSection",
@@ -38,6 +39,7 @@
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Retries = Annotated[int, msgspec.Meta(ge=0, le=16)]
+SPLIT_PATTERN = r"^\S+:\d+(\.\d+)?( \S+:\d+(\.\d+)?)*$"
 
 
 class Mode(enum.StrEnum):
@@ -86,6 +88,7 @@
     :param ejection: mode of ejecting slow backend servers.
     :param ejection_share: share of a service that may be ejected at once.
     :param hedging: mode of second attempts for slow repeatable requests.
+    :param throttle: mode of refusing at the sender what targets refuse anyway.
     :param crash_guard: mode of stopping requests that crash backend servers.
     :param slow_start: seconds in which a new backend server is given its share.
     :param sheds_before_running: whether a 503 that carries
@@ -105,6 +108,7 @@
     ejection: Mode = Mode.ON
     ejection_share: Fraction = 0.34
     hedging: Mode = Mode.ON
+    throttle: Mode = Mode.ON
     crash_guard: Mode = Mode.ON
     slow_start: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 10.0
     sheds_before_running: bool = False
@@ -119,22 +123,44 @@
     :param owner: team that owns the section.
     :param service: service that the class belongs to.
     :param match: method and path prefix, for requests that name no class.
+    :param host: host whose requests belong to the class when their path has the
+        ``prefix``; such a class is found before any service is known.
+    :param prefix: path prefix below ``host``.
+    :param split: services that share the class, each with its weight, written
+        ``NAME:WEIGHT NAME:WEIGHT``; without it all requests go to ``service``.
     :param importance: order of shedding.
     :param repeatable: whether a request may run more than once.
     :param timeout: seconds after which the answer is of no use.
+    :param objective: seconds within which an answer is of full use; as long as
+        ``timeout`` when absent.
     :param retries: retries for one request over the whole call chain.
+    :param moves: times that a request may go to another instance, besides its
+        retries, when an instance refused it without giving it to its server.
     :param tenant: tenant of requests that name none.
     """
 
     owner: Text
     service: Text
     match: Annotated[str, msgspec.Meta(pattern=r"^[A-Z]+ /\S*$")] | None = None
+    host: Text | None = None
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/\S*$")] | None = None
+    split: Annotated[str, msgspec.Meta(pattern=SPLIT_PATTERN)] | None = None
     importance: Importance = Importance.NORMAL
     repeatable: bool = False
     timeout: Seconds = 10.0
+    objective: Seconds | None = None
     retries: Retries = 2
+    moves: Retries = 0
     tenant: Text = "default"
 
+    @property
+    def shares(self) -> list[tuple[str, float]]:
+        """Services that the class's requests go to, each with its weight."""
+        if self.split is None:
+            return [(self.service, 1.0)]
+        parts = [part.rpartition(":") for part in self.split.split()]
+        return [(name, float(weight)) for name, _, weight in parts]
+
 
 class LimitSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -170,14 +196,34 @@
     mode: Mode = Mode.ON
 
 
+class EntrySection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """``[entry NAME]``: what callers may send to any node.
+
+    :param owner: team that owns the section.
+    :param max_head_bytes: largest head of a request.
+    :param max_body_bytes: largest body of a request.
+    :param head_timeout: seconds in which a started request must be whole.
+    :param idle_timeout: seconds for which an idle connection is kept.
+    """
+
+    owner: Text
+    max_head_bytes: Annotated[int, msgspec.Meta(ge=256, le=1024 * 1024)]
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=1024 * 1024 * 1024)]
+    head_timeout: Seconds
+    idle_timeout: Seconds
+
+
 MAX_HINTS = 20
 
-Section = ServiceSection | ClassSection | LimitSection | LinkSection
+Section = ServiceSection | ClassSection | LimitSection | LinkSection | EntrySection
 MODEL_BY_KIND = {
     "service": ServiceSection,
     "class": ClassSection,
     "limit": LimitSection,
     "link": LinkSection,
+    "entry": EntrySection,
 }
 DEFAULT_CLASS_PREFIX = "default:"
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -191,22 +237,39 @@
     :param classes: class sections.
     :param limits: limit sections.
     :param links: budgets by region.
+    :param entries: bounds on what callers may send.
     """
 
     services: dict[str, ServiceSection] = field(default_factory=dict)
     classes: dict[str, ClassSection] = field(default_factory=dict)
     limits: dict[str, LimitSection] = field(default_factory=dict)
     links: dict[str, LinkSection] = field(default_factory=dict)
+    entries: dict[str, EntrySection] = field(default_factory=dict)
     matches: dict[str, list[tuple[str, str, str]]] = field(default_factory=dict)
+    routes: dict[str, list[tuple[str, str]]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for name, section in self.classes.items():
+            if section.host is not None and section.prefix is not None:
+                self.routes.setdefault(section.host, []).append((section.prefix, name))
             if section.match is not None:
                 method, _, prefix = section.match.partition(" ")
                 rules = self.matches.setdefault(section.service, [])
                 rules.append((method, prefix, name))
         for rules in self.matches.values():
             rules.sort(key=lambda rule: -len(rule[1]))
+        for routes in self.routes.values():
+            routes.sort(key=lambda route: -len(route[0]))
+
+    def class_at(self, host: str, path: str) -> str | None:
+        """Name the class of a request by its host and path.
+
+        :return: the class with the longest prefix of the path, ``None`` for none.
+        """
+        for prefix, name in self.routes.get(host, ()):
+            if path.startswith(prefix):
+                return name
+        return None
 
     def class_of(self, service: str, method: str, path: str) -> str:
         """Name the class of a request that names none itself.
@@ -266,6 +329,9 @@
     service = getattr(model, "service", None)
     if service is not None and f"service {service}" not in names:
         return "service"
+    shares = model.shares if isinstance(model, ClassSection) else []
+    if any(f"service {name}" not in names for name, _ in shares):
+        return "split"
     wanted = getattr(model, "request_class", None)
     if wanted is not None and f"class {wanted}" not in names:
         return "request_class"
@@ -297,6 +363,7 @@
         classes=by_kind["class"],
         limits=by_kind["limit"],
         links=by_kind["link"],
+        entries=by_kind["entry"],
     )
 
 
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -140,6 +140,11 @@
     :param idle_timeout: seconds for which an idle connection is kept.
     :param stop_timeout: seconds that a planned stop waits for running requests.
     :param key_lifetime: seconds for which callers may repeat an idempotency key.
+    :param repeat_ratio: repeated arrivals at a service for each request to it that
+        this node has seen; no bound besides the classes' own when absent.
+    :param repeat_window: seconds over which both are counted.
+    :param repeat_extra: repeated arrivals that all nodes together may add.
+    :param unsized_answers: whether the end of a connection may end an answer.
     """
 
     max_head_bytes: Bytes = 32 * 1024
@@ -148,6 +153,10 @@
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
     key_lifetime: Seconds = 120.0
+    repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
+    repeat_window: Seconds = 10.0
+    repeat_extra: Annotated[float, msgspec.Meta(ge=0)] = 10.0
+    unsized_answers: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -169,6 +178,7 @@
             max_body_bytes=self.bounds.max_body_bytes,
             head_timeout=self.bounds.head_timeout,
             idle_timeout=self.bounds.idle_timeout,
+            unsized_answers=self.bounds.unsized_answers,
         )
 
 
--- a/src/catkinpost/state/instance_view.py
+++ b/src/catkinpost/state/instance_view.py
@@ -40,7 +40,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Instance:
-    """A backend server with its node, as listed by the platform."""
+    """A backend server with its node, as listed by the platform.
+
+    :param incarnation: identity of the running backend server, where the list
+        tells it; another process at the same address has another.
+    :param slots: requests that the backend server runs at once, where told.
+    :param cold_until: time on this node's clock until which it is slow.
+    """
 
     name: str
     service: str
@@ -50,6 +56,9 @@
     peers: Address
     operators: Address
     state: InstanceState
+    incarnation: str = ""
+    slots: int | None = None
+    cold_until: float = 0.0
 
 
 def read_instances(body: bytes) -> tuple[int, list[Instance], list[str]] | None:
@@ -93,11 +102,12 @@
     added: list[str] = field(default_factory=list)
     removed: list[Instance] = field(default_factory=list)
     leaving: list[str] = field(default_factory=list)
+    restarted: list[str] = field(default_factory=list)
 
     @property
     def empty(self) -> bool:
         """Whether the list brought nothing new."""
-        return not (self.added or self.removed or self.leaving)
+        return not (self.added or self.removed or self.leaving or self.restarted)
 
 
 class InstanceView:
@@ -134,6 +144,11 @@
                 if item.state is InstanceState.LEAVING
                 and (name not in old or old[name].state is InstanceState.LIVE)
             ],
+            restarted=[
+                name
+                for name, item in new.items()
+                if name in old and old[name].incarnation != item.incarnation
+            ],
         )
         self.instances = new
         self.by_service = {}
--- /dev/null
+++ b/src/catkinpost/state/retry_budget.py
@@ -0,0 +1,77 @@
+"""Bound on repeated arrivals at a service, kept without coordination."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from catkinpost.state.bounded import BoundedDict
+
+__all__ = ["RetryBound", "RetryBudget"]
+
+MAX_SERVICES = 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class RetryBound:
+    """Bound on the repeated arrivals at one service, summed over all nodes.
+
+    :param ratio: repeated arrivals for each request.
+    :param window: seconds over which both are counted.
+    :param extra: repeated arrivals allowed besides.
+    """
+
+    ratio: float = 0.1
+    window: float = 10.0
+    extra: float = 10.0
+
+
+@dataclass(slots=True)
+class ServiceWindow:
+    """Requests and repeats of one service in the last window."""
+
+    requests: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+
+class RetryBudget:
+    """This node's share of the bound.
+
+    A node may repeat ``ratio`` of the requests that it has itself seen within a
+    window, and an equal part of ``extra``. Shares add up to the bound however
+    uneven the load is; a node that has just started has seen nothing and adds
+    no more than its part of ``extra``.
+
+    :param bound: bound for each service over all nodes, ``None`` for no bound.
+    """
+
+    def __init__(self, bound: RetryBound | None = None) -> None:
+        self.bound = bound
+        self.nodes = 1
+        self.windows: BoundedDict[str, ServiceWindow] = BoundedDict(MAX_SERVICES)
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count one request for a service."""
+        if self.bound is not None:
+            self.find(service, now).requests.append(now)
+
+    def take(self, service: str, now: float) -> bool:
+        """Take one repeat if the bound allows it.
+
+        :param service: service that would get the repeat.
+        :param now: time on the node's clock.
+        """
+        if self.bound is None:
+            return True
+        window = self.find(service, now)
+        allowed = self.bound.ratio * len(window.requests)
+        allowed += self.bound.extra / max(1, self.nodes)
+        if len(window.repeats) + 1 > allowed:
+            return False
+        window.repeats.append(now)
+        return True
+
+    def find(self, service: str, now: float) -> ServiceWindow:
+        window = self.windows.find_or_add(service, ServiceWindow)
+        for times in (window.requests, window.repeats):
+            while times and now - times[0] > self.bound.window:
+                times.popleft()
+        return window
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -1,6 +1,7 @@
 """Client side of HTTP/1.1 towards one backend server."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -10,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     encode_request,
+    find_header,
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.transport.http_parser import ResponseParser, bad_answer
@@ -19,14 +21,23 @@
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 1.0
 REUSE_AGE_S = 15.0
+# A request sent just as the other side closes an idle connection may be lost.
+KEEP_ALIVE_MARGIN_S = 1.0
+MAX_STRAY_ANSWERS = 2
+
+AnswerCheck = Callable[[HttpRequest, HttpResponse], bool]
 
 
 @dataclass(slots=True)
 class IdleConnection:
-    """Open connection that waits for its next request."""
+    """Open connection that waits for its next request.
+
+    :param stream: the connection.
+    :param usable_until: time from which the other side may close it.
+    """
 
     stream: trio.SocketStream
-    idle_since: float
+    usable_until: float
 
 
 class BackendClient:
@@ -35,12 +46,22 @@
     :param host: IP address of the backend server.
     :param port: TCP port of the backend server.
     :param limits: bounds on each answer.
+    :param belongs: tells whether an answer is the one to a request; without it
+        the order alone tells.
     """
 
-    def __init__(self, host: str, port: int, *, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        limits: HttpLimits,
+        belongs: AnswerCheck | None = None,
+    ) -> None:
         self.host = host
         self.port = port
         self.limits = limits
+        self.belongs = belongs
         self.idle: deque[IdleConnection] = deque()
 
     async def exchange(self, request: HttpRequest) -> HttpResponse | Failure:
@@ -58,14 +79,15 @@
             stream = await self.connect()
             if isinstance(stream, Failure):
                 return stream
-        reusable = False
+        usable_until = None
         try:
             answer = await self.send_and_read(stream, request)
-            reusable = isinstance(answer, HttpResponse) and answer.keep_alive
+            if isinstance(answer, HttpResponse) and answer.keep_alive:
+                usable_until = trio.current_time() + reuse_age(answer)
             return answer
         finally:
-            if reusable:
-                self.idle.append(IdleConnection(stream, trio.current_time()))
+            if usable_until is not None:
+                self.idle.append(IdleConnection(stream, usable_until))
             else:
                 await trio.aclose_forcefully(stream)
 
@@ -73,7 +95,7 @@
         now = trio.current_time()
         while self.idle:
             connection = self.idle.pop()
-            fresh = now - connection.idle_since < REUSE_AGE_S
+            fresh = now < connection.usable_until
             # Input on an idle connection is its end: nothing was asked on it.
             if fresh and not connection.stream.socket.is_readable():
                 return connection.stream
@@ -94,20 +116,35 @@
         self, stream: trio.SocketStream, request: HttpRequest
     ) -> HttpResponse | Failure:
         parser = ResponseParser(self.limits, head_only=request.method == b"HEAD")
+        stray = 0
         try:
             await stream.send_all(encode_request(request))
-            while not parser.messages:
-                data = await stream.receive_some(READ_BYTES)
-                if not data:
-                    return connection_lost("the answer was cut")
-                failure = parser.feed(data)
-                if failure is not None:
-                    return failure
+            while True:
+                while not parser.messages:
+                    data = await stream.receive_some(READ_BYTES)
+                    if not data:
+                        parser.end()
+                        if parser.messages:
+                            break
+                        return connection_lost("the answer was cut")
+                    failure = parser.feed(data)
+                    if failure is not None and not parser.messages:
+                        return failure
+                response = parser.messages.popleft()
+                if self.belongs is None or self.belongs(request, response):
+                    break
+                # A late answer to an earlier request; the own one may follow.
+                stray += 1
+                if stray > MAX_STRAY_ANSWERS or not response.keep_alive:
+                    return bad_answer("the answer belongs to another request")
         except trio.BrokenResourceError as error:
             return connection_lost(str(error))
-        if len(parser.messages) > 1:
+        surplus = parser.messages or parser.in_message or parser.failure is not None
+        if surplus and self.belongs is None:
             return bad_answer("more than one answer to one request")
-        return parser.messages.popleft()
+        if surplus or stray:
+            response.keep_alive = False
+        return response
 
     def close_idle(self) -> None:
         """Close the connections that no request uses."""
@@ -115,6 +152,17 @@
             self.idle.pop().stream.socket.close()
 
 
+def reuse_age(answer: HttpResponse) -> float:
+    """Return the seconds for which a connection may wait for its next request."""
+    value = find_header(answer.headers, b"keep-alive") or b""
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name == b"timeout" and seconds.isdigit():
+            told = int(seconds)
+            return min(REUSE_AGE_S, max(told - KEEP_ALIVE_MARGIN_S, told / 2))
+    return REUSE_AGE_S
+
+
 def connection_lost(detail: str) -> Failure:
     return Failure(
         reason=Reason.BACKEND_CONNECTION_LOST,
--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -126,6 +126,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.head_only = head_only
         self.sized = False
+        self.ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         super().on_header(name, value)
@@ -138,7 +139,9 @@
         if self.head_only and status >= 200 and not self.messages:
             self.messages.append(self.build_message())
         elif not self.sized and status >= 200 and status not in (204, 304):
-            self.failure = bad_answer("the answer has no length and may be cut")
+            self.ends_with_connection = self.limits.unsized_answers
+            if not self.ends_with_connection:
+                self.failure = bad_answer("the answer has no length and may be cut")
 
     def on_message_complete(self) -> None:
         if self.parser.get_status_code() < 200:
@@ -154,6 +157,17 @@
             keep_alive=self.parser.should_keep_alive(),
         )
 
+    def end(self) -> None:
+        """Complete an answer that ends with its connection.
+
+        It is called only after an orderly close: a reset leaves it incomplete.
+        """
+        if self.ends_with_connection and self.in_message:
+            self.in_message = False
+            response = self.build_message()
+            response.keep_alive = False
+            self.messages.append(response)
+
     def feed(self, data: bytes) -> Failure | None:
         """Consume bytes; a whole response is appended to ``messages``.
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,7 +1,7 @@
 """Server side of HTTP/1.1 on the call path: one task for each connection."""
 
 import enum
-import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -19,11 +19,9 @@
 
 __all__ = ["HttpServer"]
 
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
-ErrorReporter = Callable[[Failure], None]
-
 READ_BYTES = 65536
 CHECK_INTERVAL_S = 0.1
+MAX_PIPELINED = 32
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -36,41 +34,85 @@
     SENDING = "sending"
 
 
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+ErrorReporter = Callable[[Failure], None]
+
+
+@dataclass(eq=False, slots=True)
+class Exchange:
+    """One request of a connection and its answer, once there is one."""
+
+    keep_alive: bool
+    head_only: bool
+    response: HttpResponse | None = None
+
+
 @dataclass(eq=False, slots=True)
 class Connection:
     """One accepted connection.
 
     :param stream: the connection.
+    :param source: IP address of the caller.
+    :param parser: parser of what arrives.
     :param phase: what it waits for.
     :param since: time at which the phase began.
+    :param exchanges: unanswered requests in the order of their arrival.
+    :param closing: whether no further request is taken.
+    :param room: set while another request may be taken.
     """
 
     stream: trio.SocketStream
+    source: str
     parser: RequestParser
     phase: Phase = Phase.IDLE
     since: float = 0.0
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    exchanges: deque[Exchange] = field(default_factory=deque)
+    sending: bool = False
+    closing: bool = False
+    room: trio.Event = field(default_factory=trio.Event)
 
     def enter(self, phase: Phase) -> None:
         """Begin a phase."""
         self.phase = phase
         self.since = trio.current_time()
 
+    def update_phase(self) -> None:
+        """Derive the phase from what has been read and answered."""
+        if self.exchanges:
+            wanted = Phase.SENDING if self.sending else Phase.ANSWERING
+        elif self.parser.in_message:
+            wanted = Phase.READING
+        else:
+            wanted = Phase.IDLE
+        if wanted is not self.phase or wanted is Phase.IDLE:
+            self.enter(wanted)
+
 
 class HttpServer:
     """Reads requests from connections and writes the handler's answers.
 
+    Requests that follow each other on a connection are handled side by side and
+    answered in their order.
+
     :param handler: answers one request; it is cancelled when the caller leaves.
-    :param limits: bounds on each message.
+    :param limits: bounds on each message; new connections use the latest.
     :param report: receives each failure that ends a connection.
+    :param refusal: builds the answer for such a failure.
     """
 
     def __init__(
-        self, handler: Handler, *, limits: HttpLimits, report: ErrorReporter
+        self,
+        handler: Handler,
+        *,
+        limits: HttpLimits,
+        report: ErrorReporter,
+        refusal: Callable[[Failure], HttpResponse] = failure_response,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.report = report
+        self.refusal = refusal
         self.leaving = False
         self.connections: set[Connection] = set()
 
@@ -80,24 +122,24 @@
         return any(item.phase is not Phase.IDLE for item in self.connections)
 
     async def watch_connections(self) -> None:
-        """End overdue connections and those of callers that have gone.
+        """End overdue connections, until cancelled.
 
-        Connections are looked at in turns, until cancelled: a task or a scope
-        for each request would cost every call what only few need.
+        Connections are looked at in turns: a scope for each request would cost
+        every call what only few need.
         """
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             now = trio.current_time()
             for connection in list(self.connections):
-                if await self.is_over(connection, now):
+                if self.is_over(connection, now):
                     connection.scope.cancel()
 
-    async def is_over(self, connection: Connection, now: float) -> bool:
+    def is_over(self, connection: Connection, now: float) -> bool:
         waited = now - connection.since
-        if connection.phase is Phase.ANSWERING:
-            return await is_closed(connection.stream)
         if connection.phase is Phase.READING:
             return waited > self.limits.head_timeout
+        if connection.phase is Phase.ANSWERING:
+            return False
         return waited > self.limits.idle_timeout
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
@@ -105,7 +147,13 @@
 
         :param stream: accepted connection; closed on return.
         """
-        connection = Connection(stream, RequestParser(self.limits))
+        try:
+            source = stream.socket.getpeername()[0]
+        except OSError:
+            # The caller closed the connection while it waited to be accepted.
+            await stream.aclose()
+            return
+        connection = Connection(stream, source, RequestParser(self.limits))
         connection.enter(Phase.IDLE)
         self.connections.add(connection)
         try:
@@ -113,73 +161,113 @@
                 with connection.scope:
                     await self.serve(connection)
                 if connection.phase is Phase.READING:
-                    await self.refuse(connection, self.slow_sender())
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    await self.refuse_slow_sender(connection)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: there is nobody left to answer.
             pass
         finally:
             self.connections.discard(connection)
 
-    def slow_sender(self) -> Failure:
-        return Failure(
+    async def refuse_slow_sender(self, connection: Connection) -> None:
+        failure = Failure(
             reason=Reason.SLOW_SENDER,
             detail=f"the request made no progress for {self.limits.head_timeout} s",
         )
+        self.report(failure)
+        data = encode_response(self.refusal(failure), keep_alive=False, head_only=False)
+        with trio.move_on_after(self.limits.head_timeout):
+            await connection.stream.send_all(data)
 
     async def serve(self, connection: Connection) -> None:
+        async with trio.open_nursery() as nursery:
+            if await self.read(connection, nursery):
+                # The caller has left: what it asked for is of no use any more.
+                nursery.cancel_scope.cancel()
+
+    async def read(self, connection: Connection, nursery: trio.Nursery) -> bool:
+        """Take requests until none may follow.
+
+        :return: whether the caller has closed the connection.
+        """
         parser = connection.parser
         while True:
-            if not parser.in_message:
-                connection.enter(Phase.IDLE)
-            elif connection.phase is not Phase.READING:
-                connection.enter(Phase.READING)
+            connection.update_phase()
             data = await connection.stream.receive_some(READ_BYTES)
             if not data:
-                connection.enter(Phase.IDLE)
-                return
+                return True
+            if connection.closing:
+                # What follows an announced close counts as not read.
+                continue
             failure = parser.feed(data)
-            while parser.messages:
-                if not await self.answer(connection, parser.messages.popleft()):
-                    return
-            if failure is not None:
-                await self.refuse(connection, failure)
-                return
+            while parser.messages and not connection.closing:
+                await self.take(connection, parser.messages.popleft(), nursery)
+            if failure is not None and not connection.closing:
+                self.report(failure)
+                connection.closing = True
+                exchange = Exchange(keep_alive=False, head_only=False)
+                connection.exchanges.append(exchange)
+                await self.finish(connection, exchange, self.refusal(failure))
+                return False
             if parser.in_message and parser.head_complete:
                 await self.send_continue(connection)
 
+    async def take(
+        self, connection: Connection, request: HttpRequest, nursery: trio.Nursery
+    ) -> None:
+        while len(connection.exchanges) >= MAX_PIPELINED:
+            connection.room = trio.Event()
+            await connection.room.wait()
+            if connection.closing:
+                return
+        exchange = Exchange(request.keep_alive, request.method == b"HEAD")
+        connection.exchanges.append(exchange)
+        connection.closing = connection.closing or not request.keep_alive
+        connection.update_phase()
+        nursery.start_soon(self.answer, connection, exchange, request)
+
     async def send_continue(self, connection: Connection) -> None:
         parser = connection.parser
-        if parser.body_bytes == 0 and (b"expect", b"100-continue") in parser.headers:
-            parser.headers.remove((b"expect", b"100-continue"))
+        expected = (b"expect", b"100-continue")
+        if (
+            parser.body_bytes == 0
+            and not connection.exchanges
+            and expected in parser.headers
+        ):
+            parser.headers.remove(expected)
             await connection.stream.send_all(CONTINUE_LINE)
 
-    async def refuse(self, connection: Connection, failure: Failure) -> None:
-        connection.enter(Phase.SENDING)
-        self.report(failure)
-        data = encode_response(
-            failure_response(failure), keep_alive=False, head_only=False
-        )
-        with trio.move_on_after(self.limits.head_timeout):
-            await connection.stream.send_all(data)
-
-    async def answer(self, connection: Connection, request: HttpRequest) -> bool:
-        """Answer one request; tells whether the connection stays open."""
-        connection.enter(Phase.ANSWERING)
+    async def answer(
+        self, connection: Connection, exchange: Exchange, request: HttpRequest
+    ) -> None:
+        request.source = connection.source
         response = await self.handler(request)
-        connection.enter(Phase.SENDING)
-        keep_alive = request.keep_alive and not self.leaving
-        data = encode_response(
-            response, keep_alive=keep_alive, head_only=request.method == b"HEAD"
-        )
-        await connection.stream.send_all(data)
-        return keep_alive
-
-
-async def is_closed(stream: trio.SocketStream) -> bool:
-    """Tell whether the other side has closed a connection."""
-    if not stream.socket.is_readable():
-        return False
-    try:
-        return await stream.socket.recv(1, socket.MSG_PEEK) == b""
-    except OSError:
-        return True
+        await self.finish(connection, exchange, response)
+
+    async def finish(
+        self, connection: Connection, exchange: Exchange, response: HttpResponse
+    ) -> None:
+        """Send an answer, and those behind it that have waited for it."""
+        exchange.response = response
+        if connection.sending:
+            return
+        connection.sending = True
+        connection.update_phase()
+        while connection.exchanges and connection.exchanges[0].response is not None:
+            first = connection.exchanges[0]
+            # Requests behind this one have begun to run: only the last may close.
+            if self.leaving and len(connection.exchanges) == 1:
+                connection.closing = True
+            last = connection.closing and len(connection.exchanges) == 1
+            keep_alive = first.keep_alive and not last
+            data = encode_response(
+                first.response, keep_alive=keep_alive, head_only=first.head_only
+            )
+            await connection.stream.send_all(data)
+            connection.exchanges.popleft()
+            connection.room.set()
+            if last:
+                connection.enter(Phase.IDLE)
+                connection.scope.cancel()
+                return
+        connection.sending = False
+        connection.update_phase()
