Wake up less often for each call, and tell lateness by the middle call

Ruled out: our own functions (a quarter of the time), logging, garbage collection.

Bytes between regions did not fall when another region had to save 0.25 s instead of 0.04 s: one call in thirty takes seven times as long, and the oldest unanswered call counted as the instance's lateness.

--- a/src/catkinpost/coordination/executor.py
+++ b/src/catkinpost/coordination/executor.py
@@ -1,7 +1,6 @@
 """Execution of calls at the node's own backend server."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import trio
@@ -83,20 +82,13 @@
         :param call: call for this node's service.
         :return: the whole answer, or a refusal that says whether the call ran.
         """
-        with self.counted():
-            try:
-                return await self.find_way(call)
-            except Exception:
-                # A fault in one call must not end the connection of all others.
-                write_traceback()
-                return self.refusal(call, INTERNAL_FAILURE, allowance=0)
-
-    @contextmanager
-    def counted(self) -> Iterator[None]:
-        """Count a call that a planned stop must wait for."""
         self.active += 1
         try:
-            yield
+            return await self.find_way(call)
+        except Exception:
+            # A fault in one call must not end the connection of all others.
+            write_traceback()
+            return self.refusal(call, INTERNAL_FAILURE, allowance=0)
         finally:
             self.active -= 1
 
@@ -116,8 +108,11 @@
 
         It is counted by itself, as it may go on after its caller has left.
         """
-        with self.counted():
+        self.active += 1
+        try:
             return await self.run_unless_refused(call)
+        finally:
+            self.active -= 1
 
     async def run_unless_refused(self, call: Call) -> Answer | Refusal:
         deadline = trio.current_time() + call.budget_us / 1e6
--- a/src/catkinpost/coordination/link.py
+++ b/src/catkinpost/coordination/link.py
@@ -10,6 +10,7 @@
 from catkinpost.coordination.identity import Identity, new_nonce
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.pending import Pending, PendingTable
+from catkinpost.coordination.tick import sleep_to_tick
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
     Answer,
@@ -272,7 +273,7 @@
                     return
             elif now - self.last_heard >= self.ping_interval():
                 await self.ping(frames, now)
-            await trio.sleep(CHECK_INTERVAL_S)
+            await sleep_to_tick(CHECK_INTERVAL_S)
 
     def ping_interval(self) -> float:
         busy = self.pending.entries or self.probe_due
--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from catkinpost.coordination.tick import sleep_to_tick
 from catkinpost.state.decision_log import DecisionLog
 
 __all__ = ["PauseWatch"]
@@ -49,4 +50,4 @@
         """Look for pauses until cancelled."""
         while True:
             self.observe()
-            await trio.sleep(TICK_S)
+            await sleep_to_tick(TICK_S)
--- a/src/catkinpost/coordination/peer_server.py
+++ b/src/catkinpost/coordination/peer_server.py
@@ -12,6 +12,7 @@
     LinkSettings,
 )
 from catkinpost.coordination.pause import PauseWatch
+from catkinpost.coordination.tick import sleep_to_tick
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
     Answer,
@@ -31,6 +32,8 @@
 
 __all__ = ["PeerServer", "PeerSession"]
 
+SILENCE_CHECK_S = 0.5
+
 CallHandler = Callable[[Call], Awaitable[Answer | Refusal]]
 
 
@@ -40,6 +43,7 @@
     def __init__(self, frames: FrameStream, hello: Hello) -> None:
         self.frames = frames
         self.hello = hello
+        self.last_heard = trio.current_time()
         self.scopes: dict[int, trio.CancelScope] = {}
 
     @property
@@ -144,12 +148,10 @@
 
     async def read(self, session: PeerSession, nursery: trio.Nursery) -> None:
         epoch = self.pause.observe()
+        nursery.start_soon(self.watch, session)
         while True:
-            with trio.move_on_after(IDLE_PING_S + 2 * self.settings.silence) as scope:
-                message = await session.frames.receive()
-            if scope.cancelled_caught:
-                log_message("peer: silent", peer=session.instance)
-                return
+            message = await session.frames.receive()
+            session.last_heard = trio.current_time()
             if message is None or self.pause.observe() != epoch:
                 return
             if isinstance(message, Failure):
@@ -168,6 +170,14 @@
             else:
                 await self.events.peer_message(session, message)
 
+    async def watch(self, session: PeerSession) -> None:
+        """Close a connection on which the peer has been silent for too long."""
+        longest = IDLE_PING_S + 2 * self.settings.silence
+        while trio.current_time() - session.last_heard < longest:
+            await sleep_to_tick(SILENCE_CHECK_S)
+        log_message("peer: silent", peer=session.instance)
+        await session.frames.close()
+
     def pong(self, ping: Ping) -> Pong:
         return Pong(ping.sequence, self.load(), self.store.version, self.store.digest)
 
--- /dev/null
+++ b/src/catkinpost/coordination/tick.py
@@ -0,0 +1,18 @@
+"""Periodic work that shares its wake-ups."""
+
+import trio
+
+__all__ = ["sleep_to_tick"]
+
+
+async def sleep_to_tick(interval: float) -> None:
+    """Sleep until the clock reaches the next multiple of an interval.
+
+    Tasks with the same interval, or multiples of it, run at the same moment: a
+    process that is woken once for all of them costs less than one that is woken
+    for each.
+
+    :param interval: seconds, the longest sleep.
+    """
+    now = trio.current_time()
+    await trio.sleep_until((now // interval + 1) * interval)
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -7,6 +7,7 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.tick import sleep_to_tick
 from catkinpost.node import Node
 from catkinpost.platform.dialect import PlatformDialect
 from catkinpost.platform.document import read_configuration, render_policy
@@ -28,7 +29,7 @@
 MAX_RETRY_S = 1.0
 # Entries lapse after several missed heartbeats, not in a shorter outage.
 OUTAGE_S = 1.0
-LAPSE_CHECK_S = 0.2
+LAPSE_CHECK_S = 0.25
 SETTINGS_CHECK_S = 1.0
 
 
@@ -190,7 +191,7 @@
     async def watch_lapsed(self) -> None:
         """Drop entries that did not come back after an outage of the store."""
         while True:
-            await trio.sleep(LAPSE_CHECK_S)
+            await sleep_to_tick(LAPSE_CHECK_S)
             if self.servers.expire(trio.current_time()):
                 self.apply_list()
 
--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from itertools import islice
 
 from catkinpost.protocol.message import Load
 
@@ -99,12 +100,16 @@
         return 1.0 + (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
 
     def overdue(self, now: float) -> float:
-        """Return how late the oldest unanswered call is.
+        """Return how late the middle one of the unanswered calls is.
+
+        A call that takes many times longer than others is nearly always among
+        many; half of them are late only where the instance is.
 
         :return: its age as a multiple of what is typical of its class, reduced so
             that a call of ordinary length does not count.
         """
-        for started, expected in self.outstanding.values():
+        middle = len(self.outstanding) // 2
+        for started, expected in islice(self.outstanding.values(), middle, None):
             return (now - started) / expected / OVERDUE_DIVISOR
         return 0.0
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -21,7 +21,8 @@
 __all__ = ["HttpServer"]
 
 READ_BYTES = 65536
-CHECK_INTERVAL_S = 0.1
+# A caller that leaves is noticed within this, well before half a second.
+CHECK_INTERVAL_S = 0.2
 MAX_PIPELINED = 32
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -59,6 +60,8 @@
     :param exchanges: unanswered requests in the order of their arrival.
     :param closing: whether no further request is taken.
     :param room: set while another request may be taken.
+    :param attended: whether the connection is read while requests are answered.
+    :param nursery: parent of the connection's tasks.
     """
 
     stream: trio.SocketStream
@@ -70,6 +73,15 @@
     sending: bool = False
     closing: bool = False
     room: trio.Event = field(default_factory=trio.Event)
+    attended: bool = False
+    nursery: trio.Nursery | None = None
+
+    @property
+    def has_one_request(self) -> bool:
+        """Whether a single request has come, and nothing before or behind it."""
+        parser = self.parser
+        alone = not self.attended and not self.exchanges
+        return alone and len(parser.messages) == 1 and not parser.in_message
 
     def enter(self, phase: Phase) -> None:
         """Begin a phase."""
@@ -121,10 +133,10 @@
         return any(item.phase is not Phase.IDLE for item in self.connections)
 
     async def watch_connections(self) -> None:
-        """End overdue connections, until cancelled.
+        """End overdue connections and read on where there is news, until cancelled.
 
-        Connections are looked at in turns: a scope for each request would cost
-        every call what only few need.
+        Connections are looked at in turns: a scope or a task for each request
+        would cost every call what only few need.
         """
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
@@ -132,6 +144,18 @@
             for connection in list(self.connections):
                 if self.is_over(connection, now):
                     connection.scope.cancel()
+                elif connection.exchanges and not connection.attended:
+                    self.attend(connection)
+
+    def attend(self, connection: Connection) -> None:
+        """Read a connection beside its only request, if anything has come.
+
+        It is either the caller's leave or another request; whoever sends several
+        at a time will do so again, so that it stays attended.
+        """
+        if connection.stream.socket.is_readable():
+            connection.attended = True
+            connection.nursery.start_soon(self.read, connection)
 
     def is_over(self, connection: Connection, now: float) -> bool:
         waited = now - connection.since
@@ -173,50 +197,64 @@
 
     async def serve(self, connection: Connection) -> None:
         async with trio.open_nursery() as nursery:
-            if await self.read(connection, nursery):
-                # The caller has left: what it asked for is of no use any more.
-                nursery.cancel_scope.cancel()
+            connection.nursery = nursery
+            await self.read(connection)
 
-    async def read(self, connection: Connection, nursery: trio.Nursery) -> bool:
-        """Take requests until none may follow.
-
-        :return: whether the caller has closed the connection.
-        """
+    async def read(self, connection: Connection) -> None:
+        """Take requests until none may follow."""
         parser = connection.parser
         while True:
             connection.update_phase()
             data = await receive_some(connection.stream, READ_BYTES)
             if not data:
-                return True
+                # The caller has left: what it asked for is of no use any more.
+                connection.nursery.cancel_scope.cancel()
+                return
             if connection.closing:
                 # What follows an announced close counts as not read.
                 continue
             failure = parser.feed(data)
+            if failure is None and connection.has_one_request:
+                await self.answer_alone(connection, parser.messages.popleft())
+                if connection.attended:
+                    # Another task has taken over the reading meanwhile.
+                    return
+                continue
+            if parser.messages:
+                connection.attended = True
             while parser.messages and not connection.closing:
-                await self.take(connection, parser.messages.popleft(), nursery)
+                await self.take(connection, parser.messages.popleft())
             if failure is not None and not connection.closing:
                 self.report(failure)
                 connection.closing = True
                 exchange = Exchange(keep_alive=False, head_only=False)
                 connection.exchanges.append(exchange)
                 await self.finish(connection, exchange, self.refusal(failure))
-                return False
+                return
             if parser.in_message and parser.head_complete:
                 await self.send_continue(connection)
 
-    async def take(
-        self, connection: Connection, request: HttpRequest, nursery: trio.Nursery
-    ) -> None:
+    async def answer_alone(self, connection: Connection, request: HttpRequest) -> None:
+        """Answer the only request of a connection without a task of its own."""
+        exchange = self.begin(connection, request)
+        await self.answer(connection, exchange, request)
+
+    async def take(self, connection: Connection, request: HttpRequest) -> None:
+        """Begin to answer a request beside others."""
         while len(connection.exchanges) >= MAX_PIPELINED:
             connection.room = trio.Event()
             await connection.room.wait()
             if connection.closing:
                 return
+        exchange = self.begin(connection, request)
+        connection.nursery.start_soon(self.answer, connection, exchange, request)
+
+    def begin(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         connection.exchanges.append(exchange)
         connection.closing = connection.closing or not request.keep_alive
         connection.update_phase()
-        nursery.start_soon(self.answer, connection, exchange, request)
+        return exchange
 
     async def send_continue(self, connection: Connection) -> None:
         parser = connection.parser
