--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -32,6 +32,9 @@
 
 MAX_REDIRECTS = 2
 MAX_BACKOFF_S = 0.02
+# Where one instance has no room the others seldom have: each further question
+# costs every node work when there is too much of it.
+MAX_OVERLOAD_MOVES = 1
 THROTTLE_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 1.0
 DEADLINE_RETRY_AFTER_S = 0.5
@@ -182,6 +185,8 @@
             offered = result.reason not in UNOFFERED_REASONS
             call.arrivals += offered
             refused = result.outcome is Outcome.NOT_RUN and not offered
+            if result.reason in OVERLOAD_REASONS:
+                call.moves = min(call.moves, MAX_OVERLOAD_MOVES)
             if refused and call.moves > 0:
                 call.moves -= 1
                 self.metrics.counters["moves"] += 1
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -24,6 +24,7 @@
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.retry_budget import RetryBound, RetryBudget
 from catkinpost.state.running import RunningCalls
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_instance
@@ -191,6 +192,45 @@
     return find_header(response.headers, b"catkinpost-reason").decode()
 
 
+class TestMoves(unittest.TestCase):
+    """Refusals that reached no server, and repeats that a budget bounds."""
+
+    @params(
+        (["leaving", "no link", "backend refused"], 4, 200),
+        (["leaving"] * 4, 4, 503),
+        (["queue full"], 2, 200),
+        (["queue full", "queue full"], 2, 503),
+        (["link lost before", "leaving"], 1, 502),
+        (["leaving", "link lost before"], 2, 502),
+    )
+    def test_refused_request_moves_without_a_retry(self, faults, attempts, status):
+        self.check_moves(faults, attempts, status)
+
+    @on_mock_clock
+    async def check_moves(self, faults, attempts, status):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            text = POLICY.replace(f"retries = {RETRIES}", "retries = 0\nmoves = 3")
+            setup.store.accept_document(2, text, now=0.0, source="test")
+            response = await setup.send()
+            self.assertEqual(
+                (setup.links.attempts, response.status), (attempts, status)
+            )
+            self.assertLessEqual(setup.links.runs, 1)
+
+    @params((None, 3), (RetryBound(ratio=0.0, extra=1.0), 2))
+    def test_budget_bounds_repeated_arrivals(self, bound, attempts):
+        self.check_budget(bound, attempts)
+
+    @on_mock_clock
+    async def check_budget(self, bound, attempts):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["answer cut", "answer cut"])
+            setup.dispatcher.retry_budget = RetryBudget(bound)
+            await setup.send(b"GET")
+            self.assertEqual(setup.links.attempts, attempts)
+
+
 class TestDispatcher(unittest.TestCase):
     @params(
         ("POST", ["answered"], "done", 1),
