Drop a waiter in one place, and ask when to give up without building one

Preempting a waiter and refusing one that has become hopeless wrote the same three steps, the early refusal built a waiter with an event for every arrival that has to wait only to learn when it would be given up, and a refusal was copied to change its time to come back. One method drops a waiter, the time to give up follows from item and arrival, and a refusal takes its time to come back. Behaviour and tests are as before.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import trio
 
@@ -134,7 +134,7 @@
         return await self.wait(waiter)
 
     async def wait(self, waiter: Waiter) -> Admitted | Failure:
-        until = self.give_up_at(waiter)
+        until = self.give_up_at(waiter.item, waiter.arrived)
         try:
             with trio.CancelScope(deadline=until):
                 await waiter.event.wait()
@@ -151,19 +151,18 @@
             waiter.item, Reason.QUEUE_TIMEOUT, "no slot came free in time"
         )
 
-    def give_up_at(self, waiter: Waiter) -> float:
+    def give_up_at(self, item: WorkItem, arrived: float) -> float:
         """Return the time at which a waiter is refused.
 
         The most important requests wait for as long as an answer is of use:
         work done for them further up would be lost with them.
         """
-        item = waiter.item
         expected = self.durations.expected(item.call_class, item.path) or 0.0
         needed = max(expected * NEEDED_TIME_SHARE, MIN_NEEDED_S)
         useful = min(item.deadline - needed, item.useful_until)
         if item.rank == MOST_IMPORTANT_RANK:
             return useful
-        return min(useful, waiter.arrived + self.section.queue_wait)
+        return min(useful, arrived + self.section.queue_wait)
 
     def remove(self, waiter: Waiter) -> None:
         if waiter.result is None:
@@ -183,14 +182,15 @@
         if self.section.early_refusal is Mode.OFF:
             return None
         wait = self.expected_wait(self.count_ahead(item.rank))
-        if wait is None or now + wait <= self.give_up_at(Waiter(item, False, now)):
+        if wait is None or now + wait <= self.give_up_at(item, now):
             return None
         detail = "the wait would outlast the use of the answer"
         if self.section.early_refusal is Mode.OBSERVE:
             self.log_refusal(item, Reason.QUEUE_FULL, detail)
             return None
-        failure = self.refuse(item, Reason.QUEUE_FULL, detail)
-        return replace(failure, retry_after=self.spread(wait))
+        return self.refuse(
+            item, Reason.QUEUE_FULL, detail, retry_after=self.spread(wait)
+        )
 
     def count_ahead(self, rank: int) -> int:
         """Count the waiters that are served before a newcomer of a rank."""
@@ -225,18 +225,31 @@
                     wait = self.expected_wait(ahead)
                     if wait is None:
                         return
-                    if now + wait <= self.give_up_at(waiter):
+                    if now + wait <= self.give_up_at(waiter.item, waiter.arrived):
                         ahead += 1
                         continue
                     queue.remove(waiter)
-                    self.queued -= 1
-                    failure = self.refuse(
-                        waiter.item,
+                    self.drop(
+                        waiter,
                         Reason.QUEUE_TIMEOUT,
                         "more important requests have taken its turn",
+                        retry_after=self.spread(wait),
                     )
-                    waiter.result = replace(failure, retry_after=self.spread(wait))
-                    waiter.event.set()
+
+    def drop(
+        self,
+        waiter: Waiter,
+        reason: Reason,
+        detail: str,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
+        """Refuse a waiter that was taken out of its queue."""
+        self.queued -= 1
+        waiter.result = self.refuse(
+            waiter.item, reason, detail, retry_after=retry_after
+        )
+        waiter.event.set()
 
     def spread(self, wait: float) -> float:
         """Return a time to come back after a wait that is too long."""
@@ -252,19 +265,26 @@
                 queue = self.queues[rank, long]
                 if queue:
                     waiter = queue.popleft()
-                    self.queued -= 1
-                    waiter.result = self.refuse(
-                        waiter.item,
+                    self.drop(
+                        waiter,
                         Reason.PREEMPTED,
                         "more important requests need the queue",
                     )
-                    waiter.event.set()
                     return None
         return self.refuse(item, Reason.QUEUE_FULL, "the queue is full")
 
-    def refuse(self, item: WorkItem, reason: Reason, detail: str) -> Failure:
+    def refuse(
+        self,
+        item: WorkItem,
+        reason: Reason,
+        detail: str,
+        *,
+        retry_after: float | None = None,
+    ) -> Failure:
         self.log_refusal(item, reason, detail)
-        return Failure(reason=reason, detail=detail, retry_after=self.retry_after())
+        if retry_after is None:
+            retry_after = self.retry_after()
+        return Failure(reason=reason, detail=detail, retry_after=retry_after)
 
     def log_refusal(self, item: WorkItem, reason: Reason, detail: str) -> None:
         self.decisions.add(
