--- a/src/catkinpost/command/node.py
+++ b/src/catkinpost/command/node.py
@@ -1,21 +1,19 @@
 """``catkinpost-node``: the process beside one backend server."""
 
-import gc
 import sys
 from pathlib import Path
 from typing import Annotated
 
 import eliot
-import trio
 import typer
 
 from catkinpost.node import Node
+from catkinpost.process import run_process
 from catkinpost.protocol.settings import read_settings
 
 __all__ = ["main"]
 
 EXIT_BAD_SETTINGS = 2
-GC_THRESHOLD = 20_000
 
 app = typer.Typer(add_completion=True)
 
@@ -42,10 +40,7 @@
         typer.echo(f"{settings_file}: the settings are valid")
         return
     eliot.to_file(sys.stderr)
-    # Most objects of a call die young; full collections only add to its tail.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 50, 50)
-    trio.run(start, settings)
+    run_process(start, settings)
 
 
 async def start(settings) -> None:
--- a/src/catkinpost/platform/__main__.py
+++ b/src/catkinpost/platform/__main__.py
@@ -1,24 +1,22 @@
 """``python -m catkinpost.platform``: a node on the users' platform."""
 
-import gc
 import os
 import signal
 import sys
 from pathlib import Path
 
 import eliot
-import trio
 
 from catkinpost.node import Node
 from catkinpost.platform.environment import PlatformEnvironment
 from catkinpost.platform.names import SETTINGS_VARIABLE
 from catkinpost.platform.settings import read_platform_settings
+from catkinpost.process import run_process
 from catkinpost.protocol.outcome import Failure
 
 __all__ = ["main"]
 
 EXIT_BAD_SETTINGS = 2
-GC_THRESHOLD = 20_000
 
 
 def main() -> int:
@@ -31,11 +29,8 @@
         print(f"{path}: {settings.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     eliot.to_file(sys.stdout)
-    # Most objects of a call die young; full collections only add to its tail.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 50, 50)
     node = Node(settings.node, PlatformEnvironment(settings, path))
-    trio.run(node.run)
+    run_process(node.run)
     return 0
 
 
--- /dev/null
+++ b/src/catkinpost/process.py
@@ -0,0 +1,24 @@
+"""Start of a node's process, the same for every environment."""
+
+import gc
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from catkinpost.transport.moderation import PollModerator
+
+__all__ = ["run_process"]
+
+# Most objects of a call die young; full collections only add to its tail.
+GC_THRESHOLD = 20_000
+
+
+def run_process(start: Callable[..., Awaitable[None]], *args) -> None:
+    """Run the event loop of a node until the node ends.
+
+    :param start: the node's main task.
+    :param args: its arguments.
+    """
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 50, 50)
+    trio.run(start, *args, instruments=[PollModerator()])
--- /dev/null
+++ b/tests/transport/test_moderation.py
@@ -0,0 +1,83 @@
+"""Tests of the moderation of polls."""
+
+import unittest
+
+from catkinpost.transport.moderation import (
+    FULL_SHARE,
+    IDLE_SHARE,
+    MAX_INTERVAL_S,
+    PollModerator,
+)
+
+
+class FakeLoop:
+    """Event loop whose turns take the time that a test says."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.slept: list[float] = []
+        self.moderator = PollModerator(clock=lambda: self.now, sleep=self.sleep)
+
+    def sleep(self, seconds: float) -> None:
+        self.slept.append(seconds)
+        self.now += seconds
+
+    def turn(self, *, idle: float, busy: float, timeout: float = 1.0) -> float:
+        """Take one turn and return the seconds slept before its poll."""
+        self.slept.clear()
+        self.moderator.before_io_wait(timeout)
+        self.now += idle
+        self.moderator.after_io_wait(timeout)
+        self.now += busy
+        return sum(self.slept)
+
+    def settle(self, share: float) -> None:
+        for _ in range(20_000):
+            self.turn(idle=0.001 * (1 - share), busy=0.001 * share, timeout=0.0)
+
+
+class TestPollModerator(unittest.TestCase):
+    def test_interval_follows_the_share_of_work(self):
+        middle = (IDLE_SHARE + FULL_SHARE) / 2
+        cases = [
+            (0.0, 0.0),
+            (IDLE_SHARE / 2, 0.0),
+            (middle, MAX_INTERVAL_S / 2),
+            (2 * FULL_SHARE, MAX_INTERVAL_S),
+            (1.0, MAX_INTERVAL_S),
+        ]
+        for share, wanted in cases:
+            with self.subTest(share=share):
+                loop = FakeLoop()
+                loop.settle(share)
+                self.assertAlmostEqual(loop.moderator.interval, wanted, delta=2e-4)
+
+    def test_wait_before_a_poll(self):
+        cases = [
+            # (idle and busy seconds of the last turn, timeout, wanted wait)
+            ("soon after the last poll", 0.0, 0.001, 1.0, MAX_INTERVAL_S - 0.001),
+            ("long after the last poll", 0.0, 0.02, 1.0, 0.0),
+            ("a deadline is due sooner", 0.0, 0.001, 0.002, 0.002),
+            ("tasks are ready to run", 0.0, 0.001, 0.0, 0.0),
+        ]
+        for name, idle, busy, timeout, wanted in cases:
+            with self.subTest(name):
+                loop = FakeLoop()
+                loop.settle(0.9)
+                loop.turn(idle=idle, busy=busy, timeout=0.0)
+                slept = loop.turn(idle=0.0, busy=0.0, timeout=timeout)
+                self.assertAlmostEqual(slept, wanted, places=6)
+
+    def test_idle_loop_never_waits(self):
+        loop = FakeLoop()
+        for _ in range(1000):
+            self.assertEqual(loop.turn(idle=0.0143, busy=0.0007), 0.0)
+
+    def test_share_is_one_of_time(self):
+        loop = FakeLoop()
+        for _ in range(2000):
+            # Ten short busy turns beside one long idle one: 1 ms of 101 ms is work.
+            for _ in range(10):
+                loop.turn(idle=0.0, busy=0.0001, timeout=0.0)
+            loop.turn(idle=0.1, busy=0.0)
+        self.assertLess(loop.moderator.busy_share, IDLE_SHARE)
