--- a/src/catkinpost/state/running.py
+++ b/src/catkinpost/state/running.py
@@ -16,7 +16,7 @@
 class RunningCall:
     """One request that the backend server works on.
 
-    :param token: identity that the backend server passes on to child calls.
+    :param named: calls of the same node by their tokens.
     :param service: service that runs the call.
     :param call_class: request class.
     :param tenant: tenant.
@@ -29,7 +29,7 @@
     :param called_services: services of all child calls.
     """
 
-    token: str
+    named: dict[str, "RunningCall"]
     service: str
     call_class: str
     tenant: str
@@ -40,6 +40,18 @@
     started: float = 0.0
     children: set[trio.CancelScope] = field(default_factory=set)
     called_services: set[str] = field(default_factory=set)
+    token_text: str = ""
+
+    @property
+    def token(self) -> str:
+        """Identity that the backend server passes on to child calls.
+
+        It is made when it is first asked for: not every backend server is told one.
+        """
+        if not self.token_text:
+            self.token_text = secrets.token_urlsafe(TOKEN_BYTES)
+            self.named[self.token_text] = self
+        return self.token_text
 
     def cancel_children(self) -> None:
         """Cancel every child call in progress."""
@@ -48,24 +60,26 @@
 
 
 class RunningCalls:
-    """Running calls by token."""
+    """Running calls, and those of them that have a token."""
 
     def __init__(self) -> None:
-        self.calls: dict[str, RunningCall] = {}
+        self.calls: set[RunningCall] = set()
+        self.named: dict[str, RunningCall] = {}
 
     def start(self, **fields) -> RunningCall:
-        """Register a call under a fresh token.
+        """Register a call.
 
-        :param fields: fields of :class:`RunningCall` but the token.
+        :param fields: fields of :class:`RunningCall` but the table of tokens.
         """
-        call = RunningCall(token=secrets.token_urlsafe(TOKEN_BYTES), **fields)
-        self.calls[call.token] = call
+        call = RunningCall(named=self.named, **fields)
+        self.calls.add(call)
         return call
 
     def finish(self, call: RunningCall) -> None:
         """Forget a call."""
-        self.calls.pop(call.token, None)
+        self.calls.discard(call)
+        self.named.pop(call.token_text, None)
 
     def find(self, token: str) -> RunningCall | None:
         """Return the running call of a token, ``None`` when it has ended."""
-        return self.calls.get(token)
+        return self.named.get(token)
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -115,7 +115,8 @@
         self.assertIsInstance(answer, Answer)
         self.assertEqual(find_header(headers, b"catkinpost-timeout-ms"), b"3000")
         self.assertTrue(find_header(headers, PARENT_HEADER))
-        self.assertEqual(setup.executor.running.calls, {})
+        self.assertEqual(setup.executor.running.calls, set())
+        self.assertEqual(setup.executor.running.named, {})
 
     @on_mock_clock
     async def test_leaving_instance_takes_no_new_call(self):
@@ -134,7 +135,8 @@
         self.assertEqual(refusal.reason, Reason.INTERNAL_ERROR)
         self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
         self.assertEqual(setup.executor.admission.in_flight, 0)
-        self.assertEqual(setup.executor.running.calls, {})
+        self.assertEqual(setup.executor.running.calls, set())
+        self.assertEqual(setup.executor.running.named, {})
 
     @on_mock_clock
     async def test_call_for_another_service_is_refused(self):
