--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -149,7 +149,8 @@
             for identity in list(self.servers.listed):
                 if identity not in named:
                     self.servers.remove(identity, now, back_since=self.back_since)
-        if whole or any(event.key.startswith(SERVERS_PREFIX) for event in events):
+        if whole or events:
+            # A new configuration may name the services of entries that are known.
             self.apply_list()
 
     def take_configuration(self, value: bytes | None) -> None:
@@ -176,9 +177,8 @@
     def apply_list(self) -> None:
         """Bring the list of servers into force."""
         self.list_version += 1
-        change = self.node.view.apply(
-            self.list_version, self.servers.instances(), trio.current_time()
-        )
+        instances = self.servers.instances(self.node.store.policy.services)
+        change = self.node.view.apply(self.list_version, instances, trio.current_time())
         if change is not None and not change.empty:
             log_message(
                 "store: servers changed",
--- a/src/catkinpost/platform/listing.py
+++ b/src/catkinpost/platform/listing.py
@@ -1,6 +1,7 @@
 """Servers that the platform lists, and the instances that they are."""
 
 import enum
+from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -109,12 +110,17 @@
             del self.lapsed[name]
         return bool(over)
 
-    def instances(self) -> list[Instance]:
-        """Return the newest server of each machine as an instance."""
-        newest: dict[str, tuple[tuple[int, float], str, Listed]] = {}
+    def instances(self, services: Container[str] = ()) -> list[Instance]:
+        """Return the newest server of each machine as an instance.
+
+        :param services: services of the configuration; an entry that names none of
+            them was not written by a server, and does not hide one that was.
+        """
+        newest: dict[str, tuple[tuple[bool, int, float], str, Listed]] = {}
         for identity, item in self.listed.items():
             host = parse_address(item.server.address).host
-            age = (item.server.born, item.read_at)
+            known_service = item.server.service in services
+            age = (known_service, item.server.born, item.read_at)
             known = newest.get(host)
             if known is None or known[0] < age:
                 newest[host] = (age, identity, item)
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -53,6 +53,12 @@
         self.put("i-1", state="draining")
         self.assertIs(self.servers.instances()[0].state, InstanceState.LEAVING)
 
+    def test_entry_of_an_unknown_service_does_not_hide_a_server(self):
+        self.put("i-1", born=1000)
+        self.put("other-writer", born=2000, service="none-of-ours")
+        (item,) = self.servers.instances({"orders"})
+        self.assertEqual((item.service, item.incarnation), ("orders", "i-1#1000"))
+
     @params((1000, 2000, "i-2#2000"), (2000, 1000, "i-1#2000"), (1, 1, "i-2#1"))
     def test_newest_server_of_a_machine_counts(self, first, second, expected):
         self.put("i-1", now=1.0, born=first)
