--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format demo bench
+.PHONY: setup test lint format demo demo-platform bench
 
 $(VENV)/.installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -25,5 +25,8 @@
 demo: setup
 	$(BIN)/catkinpost-demo
 
+demo-platform: setup
+	$(BIN)/catkinpost-platform-demo
+
 bench: setup
 	$(BIN)/catkinpost-path-bench
--- a/tests/platform/store.py
+++ b/src/catkinpost_standins/users_platform/store.py
@@ -2,11 +2,12 @@
 
 import base64
 import json
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
 import trio
 
-from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["StandInStore"]
@@ -16,28 +17,33 @@
 
 
 class StandInStore:
-    """Keys with revisions, ranges in pages, watches, and scripted faults."""
+    """Keys with revisions, ranges in pages, watches, and scripted faults.
 
-    def __init__(self):
-        self.items = {}
-        self.history = []
+    ``fault`` answers every call in place of the store while it is set.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict] = {}
+        self.history: list[dict] = []
         self.revision = 1
         self.first_revision = 0
         self.changed = trio.Event()
-        self.fault = None
-        self.reads = []
+        self.fault: Callable[[], Awaitable[HttpResponse]] | None = None
+        self.reads: list[str] = []
+        self.port = 0
         self.server = HttpServer(
             self.handle, limits=HttpLimits(), report=lambda failure: None
         )
 
-    async def start(self, nursery):
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen on a free port."""
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         nursery.start_soon(
             trio.serve_listeners, self.server.serve_connection, listeners
         )
         self.port = listeners[0].socket.getsockname()[1]
 
-    def put(self, key, value):
+    def put(self, key: str, value: bytes | None) -> None:
         """Write a key, ``None`` to delete it."""
         self.revision += 1
         event = {"key": key, "revision": self.revision}
@@ -50,15 +56,18 @@
         self.history.append(event)
         self.wake()
 
-    def forget_history(self):
+    def forget_history(self) -> None:
+        """Answer watches of all earlier revisions with 410."""
         self.history = []
         self.first_revision = self.revision
 
-    def wake(self):
+    def wake(self) -> None:
+        """Let waiting watches look again."""
         self.changed.set()
         self.changed = trio.Event()
 
-    async def handle(self, request):
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
         parts = urlsplit(request.target.decode())
         query = {
             key: values[0]
@@ -73,7 +82,7 @@
             return await self.watch(query)
         return HttpResponse(404)
 
-    def range(self, query):
+    def range(self, query: dict[str, str]) -> HttpResponse:
         keys = sorted(key for key in self.items if key > query.get("after", ""))
         body = {
             "items": [self.items[key] for key in keys[:PAGE_ITEMS]],
@@ -82,7 +91,7 @@
         }
         return HttpResponse(200, [], json.dumps(body).encode())
 
-    async def watch(self, query):
+    async def watch(self, query: dict[str, str]) -> HttpResponse:
         after = int(query["after"])
         if after < self.first_revision:
             return HttpResponse(410)
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -14,8 +14,8 @@
 from catkinpost.platform.settings import read_platform_settings
 from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.state.instance_view import InstanceState
+from catkinpost_standins.users_platform.store import StandInStore
 from tests.clock import on_mock_clock
-from tests.platform.store import StandInStore
 from tests.platform.test_document import CONFIG
 from tests.platform.test_listing import make_entry
 from tests.platform.test_settings import SETTINGS
