--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -223,18 +223,26 @@
         """Give everything back that a run has held."""
         self.running.finish(running)
         completed = isinstance(result, HttpResponse)
-        failed = result is not None and not (
-            completed and result.status < SERVER_FAULT_STATUS
-        )
         if not completed:
             running.cancel_children()
             self.suspect_silence(running, admitted.item)
         seconds = trio.current_time() - running.started if completed else None
         if completed:
             self.dependencies.add(running.call_class, running.called_services)
+        failed = self.failed_under_load(result)
         self.admission.leave(admitted, seconds=seconds, failed=failed)
         self.crash_guard.ended(running.fingerprint, completed=completed)
 
+    def failed_under_load(self, result: HttpResponse | Failure | None) -> bool:
+        """Tell whether a run failed for want of room, here or further down.
+
+        A lost answer or a fault of the server's own is no sign of load.
+        """
+        if isinstance(result, HttpResponse):
+            fault = result.status >= SERVER_FAULT_STATUS
+            return fault and self.throttle.sees_refusals()
+        return result is not None and result.reason is Reason.DEADLINE_EXCEEDED
+
     def suspect_silence(self, running: RunningCall, item: WorkItem) -> None:
         """Stop using idle connections when a request got no answer for long.
 
--- a/src/catkinpost/coordination/admission/throttle.py
+++ b/src/catkinpost/coordination/admission/throttle.py
@@ -12,6 +12,9 @@
 HALF_LIFE_S = 0.5
 MAX_REFUSED_SHARE = 0.9
 MAX_ENTRIES = 1024
+# Fewer recent refusals than this are no sign of overload.
+MIN_REFUSALS = 2.0
+SHEDDABLE_RANK = IMPORTANCE_RANK[Importance.SHEDDABLE]
 HEADROOM_BY_RANK = {
     IMPORTANCE_RANK[Importance.CRITICAL]: 3.0,
     IMPORTANCE_RANK[Importance.NORMAL]: 1.5,
@@ -79,3 +82,16 @@
         """
         probability = self.refusal_probability(service, rank)
         return probability > 0 and random.random() < probability
+
+    def sees_refusals(self) -> bool:
+        """Tell whether any service refuses requests that are not sheddable now.
+
+        Sheddable ones are refused first, and say nothing of what a running request
+        needs.
+        """
+        now = trio.current_time()
+        return any(
+            requests.decayed(now) - accepts.decayed(now) > MIN_REFUSALS
+            for (_, rank), (requests, accepts) in self.entries.items()
+            if rank != SHEDDABLE_RANK
+        )
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -36,6 +36,8 @@
 in_flight = 1
 """
 LOST = Failure(reason=Reason.BACKEND_CONNECTION_LOST, outcome=Outcome.UNKNOWN)
+LATE = Failure(reason=Reason.DEADLINE_EXCEEDED, outcome=Outcome.UNKNOWN)
+NORMAL_RANK, SHEDDABLE_RANK = 1, 2
 REFUSED = Failure(reason=Reason.BACKEND_UNREACHABLE)
 
 
@@ -279,6 +281,29 @@
         self.assertIn(Reason.DOWNSTREAM_OVERLOADED, reasons)
         self.assertLess(len(setup.client.requests), 20)
 
+    @params(
+        # (end of a run, refusals of that rank seen, whether load made it fail)
+        (HttpResponse(200), NORMAL_RANK, False),
+        (HttpResponse(404), NORMAL_RANK, False),
+        (HttpResponse(500), NORMAL_RANK, True),
+        (HttpResponse(500), SHEDDABLE_RANK, False),
+        (HttpResponse(500), None, False),
+        (LOST, NORMAL_RANK, False),
+        (LATE, None, True),
+        (None, NORMAL_RANK, False),
+    )
+    def test_failure_under_load(self, result, rank, wanted):
+        self.check_failure_under_load(result, rank, wanted)
+
+    @on_mock_clock
+    async def check_failure_under_load(self, result, rank, wanted):
+        setup = Setup(limits=False)
+        for _ in range(5):
+            setup.throttle.add("sets", SHEDDABLE_RANK, accepted=True)
+            if rank is not None:
+                setup.throttle.add("sets", rank, accepted=False)
+        self.assertIs(setup.executor.failed_under_load(result), wanted)
+
 
 async def run_body(setup, body):
     await setup.run(body=body)
