--- a/src/catkinpost/platform/document.py
+++ b/src/catkinpost/platform/document.py
@@ -22,7 +22,7 @@
 # Bytes between zones and between regions are paid for: a crossing must spare a
 # caller this much.
 CENTRE_WAIT_S = 0.05
-REGION_WAIT_S = 1.5
+REGION_WAIT_S = 0.5
 # A request may reach servers a few times after its third crash.
 CRASH_LIMIT = 3
 LOWEST_IMPORTANCE = Importance.SHEDDABLE
