--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -20,7 +20,9 @@
 __all__ = ["BackendClient"]
 
 READ_BYTES = 65536
-CONNECT_TIMEOUT_S = 1.0
+# Backend servers run on the node's own machine: one that takes no connection in this
+# time is gone or silent, and its calls must reach another well before their deadline.
+CONNECT_TIMEOUT_S = 0.3
 REUSE_AGE_S = 15.0
 # A request sent just as the other side closes an idle connection may be lost.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -64,6 +66,8 @@
         self.limits = limits
         self.belongs = belongs
         self.idle: deque[IdleConnection] = deque()
+        self.unreachable = False
+        self.connecting = 0
 
     async def exchange(self, request: HttpRequest) -> HttpResponse | Failure:
         """Send one request and return its whole answer.
@@ -104,14 +108,30 @@
         return None
 
     async def connect(self) -> trio.SocketStream | Failure:
+        """Open a connection.
+
+        After one has failed, one try at a time shows whether the next succeeds: the
+        other requests need not wait for the same time-out.
+        """
+        if self.unreachable and self.connecting:
+            return self.connect_failure("another try has not ended yet")
+        self.connecting += 1
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                return await trio.open_tcp_stream(self.host, self.port)
+                stream = await trio.open_tcp_stream(self.host, self.port)
         except (OSError, trio.TooSlowError) as error:
-            return Failure(
-                reason=Reason.BACKEND_UNREACHABLE,
-                detail=f"cannot connect to {self.host}:{self.port}: {error!r}",
-            )
+            self.unreachable = True
+            return self.connect_failure(repr(error))
+        finally:
+            self.connecting -= 1
+        self.unreachable = False
+        return stream
+
+    def connect_failure(self, detail: str) -> Failure:
+        return Failure(
+            reason=Reason.BACKEND_UNREACHABLE,
+            detail=f"cannot connect to {self.host}:{self.port}: {detail}",
+        )
 
     async def send_and_read(
         self, stream: trio.SocketStream, request: HttpRequest
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -1,13 +1,14 @@
 """Tests of the client towards a backend server, with real connections."""
 
 import unittest
+from unittest import mock
 
 import trio
 from nose2.tools import params
 
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse, find_header
 from catkinpost.protocol.outcome import Outcome, Reason
-from catkinpost.transport.http_client import BackendClient
+from catkinpost.transport.http_client import CONNECT_TIMEOUT_S, BackendClient
 from tests.clock import on_mock_clock
 
 REQUEST = HttpRequest(b"POST", b"/orders", [(b"host", b"orders")], b"body")
@@ -54,6 +55,10 @@
         return BackendClient(HOST, port, limits=self.limits, **self.options)
 
 
+async def never_connected(host, port):
+    await trio.sleep_forever()
+
+
 class TestBackendClient(unittest.TestCase):
     @on_mock_clock(io=True)
     async def test_connection_is_used_again(self):
@@ -88,6 +93,27 @@
             self.assertEqual(server.accepted, 2)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock
+    async def test_silent_server_holds_up_one_request_at_a_time(self):
+        """A server on the same machine falls silent while many calls come."""
+        client = BackendClient(HOST, 1, limits=HttpLimits())
+        waits = []
+
+        async def call():
+            begun = trio.current_time()
+            failure = await client.exchange(REQUEST)
+            self.assertIs(failure.reason, Reason.BACKEND_UNREACHABLE)
+            self.assertIs(failure.outcome, Outcome.NOT_RUN)
+            waits.append(trio.current_time() - begun)
+
+        with mock.patch.object(trio, "open_tcp_stream", never_connected):
+            await call()
+            async with trio.open_nursery() as nursery:
+                for _ in range(10):
+                    nursery.start_soon(call)
+        self.assertEqual(sorted(waits)[:9], [0.0] * 9)
+        self.assertEqual(waits.count(CONNECT_TIMEOUT_S), 2)
+
     @on_mock_clock(io=True)
     async def test_refused_connection_means_not_run(self):
         listeners = await trio.open_tcp_listeners(0, host=HOST)
