--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -1,6 +1,5 @@
 """One node: all parts put together, from start to planned stop."""
 
-import signal
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -29,7 +28,7 @@
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import Place, Router
-from catkinpost.protocol.message import KeyRecords, Message, Pong
+from catkinpost.protocol.message import Message, Pong
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address, NodeSettings, parse_address
@@ -40,12 +39,12 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.retry_budget import RetryBudget, read_retry_bound
 from catkinpost.state.running import RunningCalls
+from catkinpost.stop import PlannedStop
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["Node"]
 
-IDLE_CHECK_S = 0.05
 # A full queue of new connections costs each caller seconds until its next try.
 LISTEN_BACKLOG = 1024
 UNKNOWN_SERVICE_SECTION = ServiceSection(owner="default")
@@ -71,9 +70,8 @@
         self.settings = settings
         self.nursery: trio.Nursery | None = None
         self.leaving = False
-        self.stopping = False
+        self.stop = PlannedStop(self)
         self.nodes_in_region = 1
-        self.leave_event = trio.Event()
         self.build_state()
         self.build_peers()
         self.build_target()
@@ -246,7 +244,7 @@
         listen = self.settings.listen
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            nursery.start_soon(self.watch_signals)
+            nursery.start_soon(self.stop.watch_signals)
             nursery.start_soon(self.pause.run)
             nursery.start_soon(self.http_server.watch_connections)
             await self.listen(listen.peers, self.peer_server.serve_connection)
@@ -254,8 +252,7 @@
             nursery.start_soon(self.environment.run)
             nursery.start_soon(self.ejector.run)
             log_message("node: started", instance=self.identity.instance)
-            await self.leave_event.wait()
-            await self.finish()
+            await self.stop.run()
             # A send to a peer that takes nothing would outlast the cancellation.
             await self.links.disconnect()
             await self.peer_server.disconnect()
@@ -339,7 +336,7 @@
         own = self.view.instances.get(self.identity.instance)
         if own is not None and own.state is InstanceState.LEAVING:
             self.leave("the list of instances says so")
-        elif own is not None and own.name in change.restarted and not self.stopping:
+        elif own is not None and own.name in change.restarted and not self.stop.begun:
             self.leaving = False
         elif any(item.name == self.identity.instance for item in change.removed):
             self.leave("the list of instances has dropped it")
@@ -356,39 +353,3 @@
         self.announce(
             Pong(0, self.executor.load(), self.store.version, self.store.digest)
         )
-
-    async def watch_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.stopping = True
-                self.leave("a planned stop was asked for")
-                self.http_server.leaving = True
-                self.leave_event.set()
-
-    def is_busy(self) -> bool:
-        """Whether any request is in progress here."""
-        return bool(
-            self.executor.active or self.dispatcher.active or self.http_server.busy
-        )
-
-    async def finish(self) -> None:
-        """Wait for the running requests and hand the idempotency keys over."""
-        with trio.move_on_after(self.settings.bounds.stop_timeout) as scope:
-            await trio.sleep(self.settings.bounds.leave_notice)
-            while self.is_busy():
-                await trio.sleep(IDLE_CHECK_S)
-        if scope.cancelled_caught:
-            self.decisions.add(
-                "leaving",
-                "cut off requests",
-                "this node",
-                reason="they did not end within stop_timeout",
-                running=self.executor.active,
-            )
-        copies = self.executor.once.records.copies()
-        for copy in copies:
-            message = KeyRecords([copy])
-            for link in self.replicas.find_links():
-                if link.up:
-                    await link.notice(message)
-        log_message("node: keys handed over", count=len(copies))
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -88,7 +88,7 @@
     async def answer_probe(self, request: HttpRequest) -> HttpResponse:
         if not request.target.startswith(READINESS_PATH):
             return HttpResponse(404)
-        serving = self.ready() and not self.node.stopping
+        serving = self.ready() and not self.node.stop.begun
         return HttpResponse(200 if serving else 503)
 
     async def watch_store(self) -> None:
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -33,6 +33,8 @@
 REPEAT_EXTRA_SHARE = 0.1
 # Readiness is asked for once a second, and two misses take a machine out.
 LEAVE_NOTICE_S = 2.5
+# A call takes about a second at the most: what peers send until then ends by itself.
+PEER_NOTICE_S = 1.5
 # Answers must be out before the platform kills the process.
 STOP_SHARE_OF_GRACE = 0.9
 
@@ -165,6 +167,7 @@
             max_body_bytes=64 * 1024 * 1024,
             stop_timeout=bounds.grace_period_s * STOP_SHARE_OF_GRACE,
             leave_notice=LEAVE_NOTICE_S,
+            peer_notice=PEER_NOTICE_S,
             repeat_ratio=(1 + bounds.retry_budget_ratio) ** (1 / CHAIN_SERVICES) - 1,
             repeat_window=bounds.budget_window_s,
             repeat_extra=bounds.budget_extra_retries * REPEAT_EXTRA_SHARE,
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -141,6 +141,8 @@
     :param stop_timeout: seconds that a planned stop waits for running requests.
     :param leave_notice: seconds for which a planned stop serves on at least, as
         callers learn of it late.
+    :param peer_notice: seconds of these in which calls of peers are still taken, so
+        that a backend server that runs on is out of reach for less time.
     :param key_lifetime: seconds for which callers may repeat an idempotency key.
     :param repeat_ratio: repeated arrivals at a service for each request to it that
         this node has seen; no bound besides the classes' own when absent.
@@ -155,6 +157,7 @@
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
     leave_notice: Seconds = 2.0
+    peer_notice: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
     key_lifetime: Seconds = 120.0
     repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
     repeat_window: Seconds = 10.0
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,86 @@
+"""Tests of the planned stop, on a node that listens nowhere."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+import msgspec
+import trio
+import trio.testing
+from nose2.tools import params
+
+from catkinpost.node import Node
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.settings import read_settings
+from tests.clock import on_mock_clock
+from tests.protocol.test_settings import GOOD
+
+NOTICE_S = 2.5
+UNREACHABLE = Failure(reason=Reason.BACKEND_UNREACHABLE)
+
+
+class Setup:
+    """Node that is told to stop at second 0."""
+
+    def __init__(self, *, reachable=True, **bounds):
+        settings = read_settings(GOOD)
+        bounds = {"leave_notice": NOTICE_S, "stop_timeout": 5.0} | bounds
+        bounds = msgspec.structs.replace(settings.bounds, **bounds)
+        self.node = Node(dataclasses.replace(settings, bounds=bounds))
+        self.reachable = reachable
+        self.refused_at = None
+        self.node.leave = self.note_refusal
+
+    def note_refusal(self, reason):
+        self.refused_at = trio.current_time() - self.begun_at
+
+    async def connect(self):
+        if not self.reachable:
+            return UNREACHABLE
+        return trio.testing.memory_stream_pair()[0]
+
+    async def run(self):
+        """Stop the node and return the seconds that it took."""
+        self.begun_at = trio.current_time()
+        with mock.patch.object(self.node.client, "connect", self.connect):
+            self.node.stop.begin()
+            await self.node.stop.run()
+        return trio.current_time() - self.begun_at
+
+
+class TestPlannedStop(unittest.TestCase):
+    @params(
+        # (seconds for peers, server reachable, second from which peers are refused)
+        (0.0, True, 0.0),
+        (1.5, True, 1.5),
+        (1.5, False, 0.0),
+        (9.0, True, NOTICE_S),
+    )
+    def test_peers_are_refused_from(self, peer_notice, reachable, second):
+        self.check_notice(peer_notice, reachable, second)
+
+    @on_mock_clock
+    async def check_notice(self, peer_notice, reachable, second):
+        setup = Setup(peer_notice=peer_notice, reachable=reachable)
+        self.assertAlmostEqual(await setup.run(), NOTICE_S)
+        self.assertAlmostEqual(setup.refused_at, second)
+        self.assertTrue(setup.node.stop.begun)
+        self.assertTrue(setup.node.http_server.leaving)
+
+    @params((1, 4.0, 4.0), (1, 9.0, 5.0))
+    def test_running_requests_are_waited_for(self, active, ends_at, stopped_at):
+        self.check_running(active, ends_at, stopped_at)
+
+    @on_mock_clock
+    async def check_running(self, active, ends_at, stopped_at):
+        setup = Setup()
+        setup.node.executor.active = active
+
+        async def end():
+            await trio.sleep(ends_at)
+            setup.node.executor.active = 0
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end)
+            self.assertAlmostEqual(await setup.run(), stopped_at, delta=0.1)
+            nursery.cancel_scope.cancel()
