--- a/src/catkinpost/command/client.py
+++ b/src/catkinpost/command/client.py
@@ -1,6 +1,7 @@
 """``catkinpost``: the operators' client."""
 
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated
 
@@ -9,6 +10,7 @@
 import typer
 
 from catkinpost.command.difference import SectionDifference, compare_documents
+from catkinpost.command.explanation import find_request, format_line
 from catkinpost.command.fetch import Source, fetch, fetch_all, find_nodes
 from catkinpost.protocol.ini import Problem
 from catkinpost.protocol.outcome import Failure
@@ -302,6 +304,40 @@
             )
 
 
+@app.command()
+def explain(
+    request: Annotated[str, typer.Argument(help="Identity of the request.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files of any nodes; standard input without any."),
+    ] = None,
+    json: JsonOption = False,
+) -> None:
+    """Show what the logs of several nodes say of one request.
+
+    Exits with 1 when they say nothing, and 2 when a file cannot be read.
+    """
+    found = find_request(read_lines(files or []), request)
+    if json:
+        print_json(found)
+    for line in [] if json else found:
+        typer.echo(format_line(line))
+    if not found:
+        fail(f"no line names request {request}", EXIT_PROBLEMS)
+
+
+def read_lines(files: list[Path]) -> Iterator[str]:
+    """Return the lines of all files, of standard input when there are none."""
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            fail(f"{file}: {error}", EXIT_USAGE)
+
+
 def main() -> None:
     """Run the command."""
     try:
--- /dev/null
+++ b/src/catkinpost/command/explanation.py
@@ -0,0 +1,75 @@
+"""The way of one request, put together from the log lines of several nodes."""
+
+import re
+from collections.abc import Iterable
+
+import msgspec
+
+__all__ = ["LogLine", "find_request", "format_line"]
+
+# Lines may carry what the platform that collects them puts before their JSON.
+JSON_START = re.compile(r"\{")
+HIDDEN_FIELDS = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
+
+
+class LogLine(msgspec.Struct, kw_only=True):
+    """One line that names a request.
+
+    :param prefix: what stands before the JSON, such as time and node.
+    :param time: seconds since 1970 on the clock of its node.
+    :param kind: part and event.
+    :param fields: everything else.
+    """
+
+    prefix: str
+    time: float
+    kind: str
+    fields: dict
+
+
+def find_request(lines: Iterable[str], request: str) -> list[LogLine]:
+    """Return the lines of one request in the order of their time.
+
+    :param lines: log lines of any number of nodes; what is no log line is skipped.
+    :param request: identity of the request.
+    """
+    found = []
+    for line in lines:
+        if request not in line:
+            continue
+        start = JSON_START.search(line)
+        if start is None:
+            continue
+        try:
+            fields = msgspec.json.decode(line[start.start() :], type=dict)
+        except msgspec.DecodeError:
+            continue
+        if fields.get("request") == request:
+            found.append(
+                LogLine(
+                    prefix=line[: start.start()].strip(),
+                    time=fields.get("timestamp", 0.0),
+                    kind=fields.get("message_type", ""),
+                    fields={
+                        name: value
+                        for name, value in fields.items()
+                        if name not in HIDDEN_FIELDS
+                    },
+                )
+            )
+    return sorted(found, key=lambda item: item.time)
+
+
+def format_line(line: LogLine) -> str:
+    """Return a line for people: what happened first, then what decided it."""
+    fields = dict(line.fields)
+    detail = fields.pop("detail", "")
+    attempts = fields.pop("attempts", [])
+    fields.pop("request", None)
+    text = [f"{line.time:.3f} {line.prefix} {line.kind}: {detail}".replace("  ", " ")]
+    shown = ", ".join(f"{name} {value}" for name, value in fields.items())
+    text.append(f"    {shown}")
+    for number, attempt in enumerate(attempts, start=1):
+        parts = ", ".join(f"{name} {value}" for name, value in attempt.items())
+        text.append(f"    attempt {number}: {parts}")
+    return "\n".join(text)
--- a/src/catkinpost/command/node.py
+++ b/src/catkinpost/command/node.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 from typing import Annotated
 
-import eliot
 import typer
 
+from catkinpost.log import start_log
 from catkinpost.node import Node
 from catkinpost.process import run_process
 from catkinpost.protocol.settings import read_settings
@@ -39,7 +39,7 @@
     if check:
         typer.echo(f"{settings_file}: the settings are valid")
         return
-    eliot.to_file(sys.stderr)
+    start_log(sys.stderr.fileno())
     run_process(start, settings)
 
 
--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -3,12 +3,12 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
 
 import trio
 
 from catkinpost.coordination.admission.class_limiter import ClassLimiter
 from catkinpost.coordination.admission.limiter import ConcurrencyLimiter
+from catkinpost.coordination.admission.work import Admitted, Waiter, WorkItem
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import (
     IMPORTANCE_RANK,
@@ -37,49 +37,6 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class WorkItem:
-    """Request that wants to run.
-
-    :param rank: rank of importance; 0 is shed last.
-    :param deadline: time at which the answer is of no use.
-    :param useful_until: time until which it is worth waiting for a slot.
-    :param call_class: request class.
-    :param path: path of the request without its query.
-    """
-
-    rank: int
-    deadline: float
-    call_class: str
-    path: str
-    useful_until: float = math.inf
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Admitted:
-    """Right to run one request; it is given back by :meth:`Admission.leave`.
-
-    :param item: admitted request.
-    :param long: whether it counts as long work.
-    :param since: time of admission.
-    """
-
-    item: WorkItem
-    long: bool
-    since: float
-
-
-@dataclass(eq=False, slots=True)
-class Waiter:
-    """Request in the queue."""
-
-    item: WorkItem
-    long: bool
-    arrived: float
-    event: trio.Event = field(default_factory=trio.Event)
-    result: Admitted | Failure | None = None
-
-
 class Admission:
     """Decides which requests run at the backend server, wait or are refused.
 
--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -20,6 +20,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.dependency import Dependencies
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_log import RequestLog
 from catkinpost.state.running import RunningCall, RunningCalls
 from catkinpost.transport.http_client import BackendClient
 
@@ -45,6 +46,7 @@
     :param decisions: log for decisions.
     :param leaving: whether the instance takes no new work.
     :param dialect: how the backend server is spoken to.
+    :param request_log: log of calls that end badly.
     """
 
     service: str
@@ -60,6 +62,7 @@
     once: OnceGuard | None = None
     leaving: Callable[[], bool] = lambda: False
     dialect: Dialect = field(default_factory=NativeDialect)
+    request_log: RequestLog = field(default_factory=RequestLog)
     active: int = 0
     crash_check: trio.Event | None = None
     lost_runs: int = 0
@@ -83,8 +86,11 @@
         :return: the whole answer, or a refusal that says whether the call ran.
         """
         self.active += 1
+        begun = trio.current_time()
         try:
-            return await self.find_way(call)
+            result = await self.find_way(call)
+            self.log_end(call, result, trio.current_time() - begun)
+            return result
         except Exception:
             # A fault in one call must not end the connection of all others.
             write_traceback()
@@ -92,6 +98,34 @@
         finally:
             self.active -= 1
 
+    def log_end(self, call: Call, result: Answer | Refusal, seconds: float) -> None:
+        """Log a call that was refused, or whose run failed."""
+        if isinstance(result, Answer) and result.status < SERVER_FAULT_STATUS:
+            return
+        if not self.request_log.has_room():
+            return
+        admission = self.admission
+        answered = isinstance(result, Answer)
+        refused = not answered and result.outcome is Outcome.NOT_RUN
+        detail = (
+            f"the backend server answered {result.status}"
+            if answered
+            else f"{result.reason.value}: {result.detail}"
+        )
+        self.request_log.add(
+            "target: refused" if refused else "target: failed",
+            self.dialect.identify(call.headers),
+            request_class=call.call_class,
+            detail=detail,
+            seconds=round(seconds, 4),
+            budget=round(call.budget_us / 1e6, 4),
+            policy_version=self.store.version,
+            incarnation=call.incarnation,
+            running=admission.in_flight,
+            limit=admission.limiter.current(),
+            queued=admission.queued,
+        )
+
     async def find_way(self, call: Call) -> Answer | Refusal:
         if call.service != self.service:
             failure = Failure(
--- /dev/null
+++ b/src/catkinpost/coordination/admission/work.py
@@ -0,0 +1,53 @@
+"""Requests that want to run at one backend server, wait for it, or run there."""
+
+import math
+from dataclasses import dataclass, field
+
+import trio
+
+from catkinpost.protocol.outcome import Failure
+
+__all__ = ["Admitted", "Waiter", "WorkItem"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkItem:
+    """Request that wants to run.
+
+    :param rank: rank of importance; 0 is shed last.
+    :param deadline: time at which the answer is of no use.
+    :param useful_until: time until which it is worth waiting for a slot.
+    :param call_class: request class.
+    :param path: path of the request without its query.
+    """
+
+    rank: int
+    deadline: float
+    call_class: str
+    path: str
+    useful_until: float = math.inf
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Admitted:
+    """Right to run one request; it is given back by :meth:`Admission.leave`.
+
+    :param item: admitted request.
+    :param long: whether it counts as long work.
+    :param since: time of admission.
+    """
+
+    item: WorkItem
+    long: bool
+    since: float
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """Request in the queue."""
+
+    item: WorkItem
+    long: bool
+    arrived: float
+    event: trio.Event = field(default_factory=trio.Event)
+    result: Admitted | Failure | None = None
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -9,7 +9,7 @@
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.pending import Pending
-from catkinpost.coordination.routing.entry import EntryCall
+from catkinpost.coordination.routing.entry import AttemptEnd, EntryCall
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.router import Router, Target
 from catkinpost.protocol.message import Answer, Call, Refusal
@@ -175,6 +175,9 @@
         """Learn from the end of an attempt and settle its allowance."""
         attempt.judged = True
         seconds = trio.current_time() - attempt.started
+        call.ends.append(
+            AttemptEnd(attempt.target.instance.name, describe(result), seconds)
+        )
         self.router.note_result(
             attempt.target, call.call_class, result, seconds=seconds
         )
@@ -236,6 +239,13 @@
         await self.start(call, target, signal, attempts, exclude, alone=False)
 
 
+def describe(result: Result | None) -> str:
+    """Name the end of an attempt in one word."""
+    if result is None:
+        return "withdrawn"
+    return str(result.status) if isinstance(result, Answer) else result.reason.value
+
+
 def useful_us(call: EntryCall, now: float) -> int:
     """Return the microseconds for which a call is worth waiting."""
     if call.useful_until is None:
--- a/src/catkinpost/coordination/routing/dialect.py
+++ b/src/catkinpost/coordination/routing/dialect.py
@@ -6,6 +6,7 @@
 
 from catkinpost.coordination.routing.entry import EntryCall, classify
 from catkinpost.protocol.header import (
+    KEY_HEADER,
     OUTCOME_HEADER,
     PARENT_HEADER,
     REASON_HEADER,
@@ -13,7 +14,12 @@
     failure_response,
     outcome_headers,
 )
-from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
+from catkinpost.protocol.http import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from catkinpost.protocol.message import Answer, Call
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import Policy, ServiceSection
@@ -40,6 +46,9 @@
     ) -> EntryCall | Failure:
         """Find out what a request is and how it is to be treated."""
 
+    def identify(self, headers: Headers) -> str:
+        """Return the name by which callers and logs know a request."""
+
     def present_answer(self, answer: Answer) -> HttpResponse:
         """Build the caller's answer from that of a backend server."""
 
@@ -67,6 +76,10 @@
         """Classify by the caller's headers."""
         return classify(request, policy, running)
 
+    def identify(self, headers: Headers) -> str:
+        """Name a request by its idempotency key."""
+        return (find_header(headers, KEY_HEADER) or b"").decode("latin-1")
+
     def present_answer(self, answer: Answer) -> HttpResponse:
         """Add the outcome to the backend server's answer."""
         headers = [pair for pair in answer.headers if keeps(pair[0])]
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -12,7 +12,7 @@
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
 from catkinpost.coordination.routing.entry import EntryCall
-from catkinpost.protocol.http import HttpRequest, HttpResponse
+from catkinpost.protocol.http import SERVER_FAULT_STATUS, HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import (
     INTERNAL_FAILURE,
@@ -25,6 +25,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_log import RequestLog
 from catkinpost.state.retry_budget import RetryBudget
 from catkinpost.state.running import RunningCalls
 
@@ -81,6 +82,7 @@
     :param decisions: log for decisions.
     :param dialect: how callers are spoken to.
     :param retry_budget: bound on repeated arrivals at a service.
+    :param request_log: log of requests that end badly.
     """
 
     store: PolicyStore
@@ -92,6 +94,7 @@
     decisions: DecisionLog
     dialect: Dialect = field(default_factory=NativeDialect)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    request_log: RequestLog = field(default_factory=RequestLog)
     active: int = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -122,17 +125,48 @@
         started = trio.current_time()
         result = await self.run_with_deadline(call)
         failure = None if isinstance(result, Answer) else result
+        seconds = trio.current_time() - started
         self.metrics.record(
             call.service,
             call.call_class,
             call.tenant,
-            seconds=trio.current_time() - started,
+            seconds=seconds,
             failure=failure,
         )
+        self.log_end(call, result, seconds)
         if failure is not None:
             return self.dialect.present_failure(failure)
         return self.dialect.present_answer(result)
 
+    def log_end(
+        self, call: EntryCall, result: Answer | Failure, seconds: float
+    ) -> None:
+        """Log a request that was refused, failed or answered late."""
+        kind, detail = describe_end(call, result, seconds)
+        if kind is None or not self.request_log.has_room():
+            return
+        now = trio.current_time()
+        stats = self.sender.router.stats
+        self.request_log.add(
+            f"entry: {kind}",
+            call.identity,
+            request_class=call.call_class,
+            service=call.service,
+            detail=detail,
+            seconds=round(seconds, 4),
+            seconds_left=round(call.deadline - now, 4),
+            policy_version=self.store.version,
+            attempts=[
+                {
+                    "instance": end.instance,
+                    "result": end.result,
+                    "seconds": round(end.seconds, 4),
+                    **stats.of(end.instance).describe_load(now),
+                }
+                for end in call.ends
+            ],
+        )
+
     async def run_with_deadline(self, call: EntryCall) -> Answer | Failure:
         parent = call.parent
         result: Answer | Failure | None = None
@@ -267,6 +301,22 @@
         return result.reason in ELSEWHERE_REASONS
 
 
+def describe_end(
+    call: EntryCall, result: Answer | Failure, seconds: float
+) -> tuple[str | None, str]:
+    """Return the kind of an end that is worth a line, and what is known of it."""
+    if isinstance(result, Failure):
+        refused = result.outcome is Outcome.NOT_RUN
+        kind = "refused" if refused else "failed"
+        return kind, f"{result.reason.value}: {result.detail}"
+    if result.status >= SERVER_FAULT_STATUS:
+        return "failed", f"the backend server answered {result.status}"
+    objective = call.section.objective
+    if objective is not None and seconds > objective:
+        return "late", f"answered after its objective of {objective} s"
+    return None, ""
+
+
 def not_ready() -> Failure:
     return Failure(
         reason=Reason.NO_POLICY,
--- a/src/catkinpost/coordination/routing/entry.py
+++ b/src/catkinpost/coordination/routing/entry.py
@@ -1,6 +1,6 @@
 """Classification of requests that enter the system at this node."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -16,7 +16,22 @@
 from catkinpost.state.allowance import Allowance
 from catkinpost.state.running import RunningCall, RunningCalls
 
-__all__ = ["EntryCall", "classify", "system_retries"]
+__all__ = ["AttemptEnd", "EntryCall", "classify", "system_retries"]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """End of one attempt.
+
+    :param instance: instance that it was sent to.
+    :param result: reason of its failure, status of its answer, or that it was
+        withdrawn.
+    :param seconds: time from its sending.
+    """
+
+    instance: str
+    result: str
+    seconds: float
 
 
 @dataclass(kw_only=True, eq=False)
@@ -40,6 +55,8 @@
     :param arrivals: attempts that may have reached a backend server.
     :param useful_until: time until which it is worth waiting for a slot, the
         deadline when ``None``.
+    :param identity: name by which its caller and the log know it.
+    :param ends: how its attempts ended so far.
     """
 
     request: HttpRequest
@@ -57,6 +74,8 @@
     moves: int = 0
     arrivals: int = 0
     useful_until: float | None = None
+    identity: str = ""
+    ends: list[AttemptEnd] = field(default_factory=list)
 
     @property
     def repeatable(self) -> bool:
@@ -154,6 +173,7 @@
         attempt=attempt,
         outcome=earlier_outcome(key, attempt),
         moves=section.moves,
+        identity=headers.idempotency_key or "",
     )
 
 
--- a/src/catkinpost/platform/__main__.py
+++ b/src/catkinpost/platform/__main__.py
@@ -5,8 +5,7 @@
 import sys
 from pathlib import Path
 
-import eliot
-
+from catkinpost.log import start_log
 from catkinpost.node import Node
 from catkinpost.platform.environment import PlatformEnvironment
 from catkinpost.platform.names import SETTINGS_VARIABLE
@@ -28,7 +27,7 @@
     if isinstance(settings, Failure):
         print(f"{path}: {settings.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    eliot.to_file(sys.stdout)
+    start_log(sys.stdout.fileno())
     node = Node(settings.node, PlatformEnvironment(settings, path))
     run_process(node.run)
     return 0
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -14,7 +14,12 @@
     NOT_EXECUTED,
     RESPONSE_SIGNATURE,
 )
-from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
+from catkinpost.protocol.http import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from catkinpost.protocol.message import Answer, Call
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ClassSection, Importance, Policy, ServiceSection
@@ -93,8 +98,13 @@
             outcome=Outcome.NOT_RUN,
             moves=section.moves,
             useful_until=None if waits else now + objective,
+            identity=self.identify(request.headers),
         )
 
+    def identify(self, headers: Headers) -> str:
+        """Name a request by its attempt."""
+        return (find_header(headers, ATTEMPT_ID) or b"").decode("latin-1")
+
     def forwarded(self, request: HttpRequest) -> HttpRequest:
         """Name the calling service, whatever the caller named."""
         headers = [pair for pair in request.headers if pair[0] not in REPLACED_HEADERS]
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "HOP_BY_HOP_HEADERS",
+    "Headers",
     "SERVER_FAULT_STATUS",
     "HttpLimits",
     "HttpRequest",
--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -72,6 +72,16 @@
         self.load_at = now
         self.sent_since_load = 0
 
+    def describe_load(self, now: float) -> dict[str, float | int | None]:
+        """Return the load that was told last, and its age, for the log."""
+        known = self.load_at > -math.inf
+        return {
+            "running": self.load.in_flight,
+            "limit": self.load.limit,
+            "queued": self.load.queued,
+            "load_age": round(now - self.load_at, 3) if known else None,
+        }
+
     def add_answer(self, ratio: float, now: float) -> None:
         """Learn from one answer.
 
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -28,6 +28,7 @@
 from catkinpost.state.running import RunningCalls
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_instance
+from tests.log import CapturedLog
 
 RETRIES = 3
 POLICY = f"""\
@@ -192,6 +193,32 @@
     return find_header(response.headers, b"catkinpost-reason").decode()
 
 
+class TestRequestLines(unittest.TestCase):
+    @params(
+        # (faults, kind of line, ends of the attempts)
+        ([], None, []),
+        (["leaving"] * 3, "entry: refused", ["leaving"] * 3),
+        (["backend crashed"], "entry: failed", ["backend-connection-lost"]),
+        (["leaving", "silent after"], "entry: failed", ["leaving", "withdrawn"]),
+    )
+    def test_line_of_a_request_that_ends_badly(self, faults, kind, ends):
+        self.check_line(faults, kind, ends)
+
+    @on_mock_clock
+    async def check_line(self, faults, kind, ends):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            with CapturedLog() as messages:
+                await setup.send(idempotency_key="k-1", catkinpost_attempt=0)
+            lines = [item for item in messages if item.get("request") == "k-1"]
+            kinds = [item["message_type"] for item in lines]
+            self.assertEqual(kinds, [kind] if kind else [])
+            for line in lines:
+                results = [item["result"] for item in line["attempts"]]
+                self.assertEqual(results, ends)
+                self.assertEqual(line["policy_version"], 1)
+
+
 class TestMoves(unittest.TestCase):
     """Refusals that reached no server, and repeats that a budget bounds."""
 
--- /dev/null
+++ b/tests/log.py
@@ -0,0 +1,17 @@
+"""Log messages as tests see them."""
+
+from eliot import add_destinations, remove_destination
+
+__all__ = ["CapturedLog"]
+
+
+class CapturedLog:
+    """Messages that are logged within a ``with`` block."""
+
+    def __enter__(self):
+        self.messages = []
+        add_destinations(self.messages.append)
+        return self.messages
+
+    def __exit__(self, *error):
+        remove_destination(self.messages.append)
