--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -15,6 +15,10 @@
 FAULT_HALF_LIFE_S = 2.0
 LOAD_LIFETIME_S = 1.0
 OVERDUE_DIVISOR = 2.0
+# A few calls in a hundred take many times longer than others: fewer unanswered calls
+# than this say less of their instance, the fewer they are.
+OVERDUE_CALLS = 4
+MIN_RATIO = 0.01
 CLASS_WEIGHT = 0.02
 DEFAULT_CLASS_TIME_S = 0.01
 MAX_CLASSES = 1024
@@ -45,7 +49,8 @@
 class PeerStat:
     """Observations of one instance.
 
-    :param slowness: answer times as a multiple of what is typical.
+    :param slowness: geometric mean of answer times as a multiple of what is typical,
+        which a single long request does not decide.
     :param load: load that the instance has told last.
     """
 
@@ -88,8 +93,9 @@
         :param ratio: answer time as a multiple of what is typical of its class.
         :param now: time on the node's clock.
         """
-        current = self.slowness_at(now)
-        self.slowness = current + SLOWNESS_WEIGHT * (ratio - current)
+        current = math.log(self.slowness_at(now))
+        change = math.log(max(ratio, MIN_RATIO)) - current
+        self.slowness = math.exp(current + SLOWNESS_WEIGHT * change)
         self.updated = now
         self.samples += 1
         self.failures = 0
@@ -107,7 +113,7 @@
     def slowness_at(self, now: float) -> float:
         """Return the slowness, which old observations lose."""
         age = now - self.updated
-        return 1.0 + (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        return self.slowness ** (0.5 ** (age / SLOWNESS_HALF_LIFE_S))
 
     def overdue(self, now: float) -> float:
         """Return how late the middle one of the unanswered calls is.
@@ -118,9 +124,10 @@
         :return: its age as a multiple of what is typical of its class, reduced so
             that a call of ordinary length does not count.
         """
-        middle = len(self.outstanding) // 2
-        for started, expected in islice(self.outstanding.values(), middle, None):
-            return (now - started) / expected / OVERDUE_DIVISOR
+        count = len(self.outstanding)
+        for started, expected in islice(self.outstanding.values(), count // 2, None):
+            late = (now - started) / expected / OVERDUE_DIVISOR
+            return late ** min(1.0, count / OVERDUE_CALLS) if late > 1 else late
         return 0.0
 
     def apparent_slowness(self, now: float) -> float:
