--- a/src/catkinpost/coordination/admission/crash_guard.py
+++ b/src/catkinpost/coordination/admission/crash_guard.py
@@ -14,6 +14,8 @@
 
 CRASH_WINDOW_S = 1.0
 RETRY_AFTER_S = 60.0
+# A node that has just connected is told the latest suspects, in a few kilobytes.
+MAX_TOLD_SUSPECTS = 64
 
 DEFAULT_SECTION = ServiceSection(owner="default")
 
@@ -134,6 +136,14 @@
                 beside=len(self.running) - 1,
             )
 
+    def known_suspects(self) -> list[SuspectNotice]:
+        """Return what a node that knows nothing yet must be told."""
+        known = self.suspects.known()[-MAX_TOLD_SUSPECTS:]
+        return [
+            SuspectNotice(fingerprint, crashes, origin)
+            for fingerprint, origin, crashes in known
+        ]
+
     def notice(self, notice: SuspectNotice) -> None:
         """Take over what another node has seen."""
         self.suspects.set_count(notice.fingerprint, notice.origin, notice.crashes)
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -68,10 +68,16 @@
         self.incarnations[link.instance] = welcome.incarnation
         if welcome.service == self.replicas.service:
             self.replicas.replica_up(link.instance)
+            link.spawn(self.tell_suspects, link)
         link.spawn(
             self.exchange.note, link, welcome.policy_version, welcome.policy_digest
         )
 
+    async def tell_suspects(self, link: PeerLink) -> None:
+        """Tell a node of the same service, which may have just started."""
+        for notice in self.crash_guard.known_suspects():
+            await link.notice(notice)
+
     def link_down(self, link: PeerLink, failure: Failure) -> None:
         """Note that a link was lost."""
         log_message(
--- a/src/catkinpost/state/crash_suspect.py
+++ b/src/catkinpost/state/crash_suspect.py
@@ -33,6 +33,14 @@
         counts[origin] = crashes
         return True
 
+    def known(self) -> list[tuple[bytes, str, int]]:
+        """Return fingerprint, origin and crashes of all that is known."""
+        return [
+            (fingerprint, origin, crashes)
+            for fingerprint, counts in self.counts.items()
+            for origin, crashes in counts.items()
+        ]
+
     def crashes(self, fingerprint: bytes) -> int:
         """Return the crashes over the whole fleet, as far as known here."""
         return sum(self.counts.get(fingerprint, {}).values())
--- a/tests/coordination/admission/test_crash_guard.py
+++ b/tests/coordination/admission/test_crash_guard.py
@@ -51,6 +51,20 @@
         self.assertEqual(failure.reason, Reason.CRASH_SUSPECT)
         self.assertEqual(failure.outcome, Outcome.NOT_RUN)
 
+    @on_mock_clock
+    async def test_node_that_starts_anew_is_told(self):
+        one, two, _ = Fleet(3).guards
+        await crash(one, b"bad")
+        await crash(two, b"bad")
+        (fresh,) = Fleet(1).guards
+        for notice in one.known_suspects():
+            fresh.notice(notice)
+        self.assertEqual(fresh.check(b"bad").reason, Reason.CRASH_SUSPECT)
+        # Told twice, by both, it counts the same.
+        for notice in two.known_suspects():
+            fresh.notice(notice)
+        self.assertEqual(fresh.suspects.crashes(b"bad"), 2)
+
     @on_mock_clock
     async def test_request_beside_the_crashing_one_is_released_when_it_completes(self):
         one, two = Fleet(2).guards
