--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -1,7 +1,6 @@
 """One node: all parts put together, from start to planned stop."""
 
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import msgspec
 import trio
@@ -71,6 +70,7 @@
         self.nursery: trio.Nursery | None = None
         self.leaving = False
         self.stop = PlannedStop(self)
+        self.calls_scope = trio.CancelScope()
         self.nodes_in_region = 1
         self.build_state()
         self.build_peers()
@@ -248,7 +248,9 @@
             nursery.start_soon(self.pause.run)
             nursery.start_soon(self.http_server.watch_connections)
             await self.listen(listen.peers, self.peer_server.serve_connection)
-            await self.listen(listen.calls, self.http_server.serve_connection)
+            await self.listen(
+                listen.calls, self.http_server.serve_connection, self.calls_scope
+            )
             nursery.start_soon(self.environment.run)
             nursery.start_soon(self.ejector.run)
             log_message("node: started", instance=self.identity.instance)
@@ -260,9 +262,17 @@
         log_message("node: stopped", instance=self.identity.instance)
 
     async def listen(
-        self, address: str, serve: Callable[[trio.abc.Stream], Awaitable[None]]
+        self,
+        address: str,
+        serve: Callable[[trio.abc.Stream], Awaitable[None]],
+        scope: trio.CancelScope | None = None,
     ) -> None:
-        """Accept connections at an address."""
+        """Accept connections at an address.
+
+        :param address: IP:port.
+        :param serve: serves one connection.
+        :param scope: ends the accepting when it is cancelled; connections go on.
+        """
         where: Address = parse_address(address)
         listeners = await trio.open_tcp_listeners(
             where.port, host=where.host, backlog=LISTEN_BACKLOG
@@ -275,9 +285,16 @@
                 # A fault in one connection must not end the process.
                 self.report_fault()
 
-        self.nursery.start_soon(
-            partial(trio.serve_listeners, guarded, listeners),
-        )
+        self.nursery.start_soon(self.accept, guarded, listeners, scope)
+
+    async def accept(
+        self,
+        serve: Callable[[trio.abc.Stream], Awaitable[None]],
+        listeners: list[trio.SocketListener],
+        scope: trio.CancelScope | None,
+    ) -> None:
+        with scope or trio.CancelScope():
+            await trio.serve_listeners(serve, listeners, handler_nursery=self.nursery)
 
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose fault does not end the process."""
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -22,8 +22,8 @@
 
     Callers are told at once, as they learn of it late. Peers learn of it at once
     when they are told: their calls are taken for a while yet, so that a backend
-    server that runs on is out of reach for no longer than a restart takes. What
-    has been taken is answered.
+    server that runs on is out of reach for no longer than a restart takes. After the
+    notice nothing more is read, and what has been read is answered.
 
     :param node: node that stops.
     """
@@ -58,6 +58,9 @@
         await self.asked.wait()
         with trio.move_on_after(node.settings.bounds.stop_timeout) as scope:
             await self.give_notice()
+            # A request that is read later could not be answered in time any more.
+            node.calls_scope.cancel()
+            node.http_server.end_reading()
             while self.is_busy():
                 await trio.sleep(IDLE_CHECK_S)
         if scope.cancelled_caught:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -132,6 +132,18 @@
         """Whether a request is being read, answered or its answer sent."""
         return any(item.phase is not Phase.IDLE for item in self.connections)
 
+    def end_reading(self) -> None:
+        """Take no further request: close what waits for one, and the rest after it.
+
+        A request that is not whole yet has not been read, and its caller knows that
+        it may send it again.
+        """
+        self.leaving = True
+        for connection in list(self.connections):
+            connection.closing = True
+            if connection.phase in (Phase.IDLE, Phase.READING):
+                connection.scope.cancel()
+
     async def watch_connections(self) -> None:
         """End overdue connections and read on where there is news, until cancelled.
 
@@ -177,7 +189,7 @@
             async with stream:
                 with connection.scope:
                     await self.serve(connection)
-                if connection.phase is Phase.READING:
+                if connection.phase is Phase.READING and not connection.closing:
                     await self.refuse_slow_sender(connection)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: there is nobody left to answer.
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -149,6 +149,33 @@
         self.assertEqual(entry.process.returncode, 0)
         self.assertTrue(all(count == 1 for count in server.runs.values()))
 
+    @on_fleet
+    async def test_requests_that_keep_coming_do_not_outlast_a_stop(self, fleet):
+        """Callers go on though the node is not ready: each is answered, or not read."""
+        server = fleet.of_service("orders")[0].server
+        server.seconds = 0.3
+        entry = fleet.of_service("sets")[0]
+        statuses, not_read = [], []
+
+        async def order(number):
+            attempt = f"late-{number}"
+            answer = await fleet.call(entry, make_request(ORDER, attempt))
+            if isinstance(answer, HttpResponse):
+                statuses.append(answer.status)
+            else:
+                not_read.append(attempt.encode())
+
+        async with trio.open_nursery() as nursery:
+            entry.process.send_signal(signal.SIGTERM)
+            number = 0
+            while entry.process.poll() is None:
+                number += 1
+                nursery.start_soon(order, number)
+                await trio.sleep(0.02)
+        self.assertEqual(entry.process.returncode, 0)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual([name for name in not_read if server.runs[name]], [])
+
     @on_fleet
     async def test_draining_server_gets_no_new_request(self, fleet):
         leaving, staying = fleet.of_service("sets")
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -66,6 +66,7 @@
         self.assertAlmostEqual(setup.refused_at, second)
         self.assertTrue(setup.node.stop.begun)
         self.assertTrue(setup.node.http_server.leaving)
+        self.assertTrue(setup.node.calls_scope.cancel_called)
 
     @params((1, 4.0, 4.0), (1, 9.0, 5.0))
     def test_running_requests_are_waited_for(self, active, ends_at, stopped_at):
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -150,6 +150,39 @@
             self.assertIn(b"connection: close", answer)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (bytes sent before reading ends, what is answered)
+        (b"", []),
+        (b"GET /half HTTP/1.1\r\n", []),
+        (b"GET /1 HTTP/1.1\r\n\r\n", [b"/1 "]),
+        (b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n", [b"/1 ", b"/2 "]),
+    )
+    def test_after_the_end_of_reading(self, sent, answered):
+        self.check_end_of_reading(sent, answered)
+
+    @on_mock_clock(io=True)
+    async def check_end_of_reading(self, sent, answered):
+        async with trio.open_nursery() as nursery:
+            setup = Setup()
+            setup.hold = trio.Event()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(sent)
+            await trio.sleep(0.5)
+            setup.server.end_reading()
+            if answered:
+                # What follows is not read, nor does it run.
+                await stream.send_all(b"GET /later HTTP/1.1\r\n\r\n")
+                await trio.sleep(0.5)
+            setup.hold.set()
+            data = await read_all(stream)
+            for number, body in enumerate(answered, start=1):
+                self.assertIn(body, data.split(b"\r\n\r\n")[number])
+            self.assertEqual(data.count(b"HTTP/1.1 200"), len(answered))
+            await trio.sleep(0.5)
+            self.assertFalse(setup.server.busy)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_server_is_busy_until_the_answer_is_sent(self):
         async with trio.open_nursery() as nursery:
