--- a/src/catkinpost/coordination/admission/class_limiter.py
+++ b/src/catkinpost/coordination/admission/class_limiter.py
@@ -15,6 +15,9 @@
 # Classes that need much of their time even at low load are judged by their own best.
 BASELINE_FACTOR = 1.5
 BASELINE_RISE = 1.01
+# The best of a node that has known nothing but overload is no measure: runs that take
+# more than this on average fail in numbers, as they differ from each other.
+MOST_WANTED_SHARE = 0.7
 # A window must hold enough ends to tell load from chance.
 MIN_SAMPLES = 20
 WINDOW_S = 0.25
@@ -128,7 +131,8 @@
     def close_window(self, call_class: str, state: ClassState, now: float) -> None:
         mean = state.share_sum / state.samples
         state.baseline = min(mean, state.baseline * BASELINE_RISE)
-        wanted = max(WANTED_SHARE, BASELINE_FACTOR * state.baseline)
+        natural = BASELINE_FACTOR * state.baseline
+        wanted = min(MOST_WANTED_SHARE, max(WANTED_SHARE, natural))
         if not self.section.freeze:
             self.adjust(call_class, state, mean / wanted, now)
         state.begin_window(now)
