--- a/src/catkinpost/coordination/admission/class_limiter.py
+++ b/src/catkinpost/coordination/admission/class_limiter.py
@@ -22,7 +22,7 @@
 MIN_SAMPLES = 20
 WINDOW_S = 0.25
 MAX_DECREASE = 0.6
-MAX_INCREASE = 1.15
+MAX_INCREASE = 1.4
 # A run that fails has used its time for nothing, however short it was.
 FAILED_SHARE = 1.0
 # Some requests always run, or nothing would show that the load has passed.
@@ -168,6 +168,5 @@
             ratio=round(ratio, 2),
         )
         if self.section.class_limiting is Mode.ON:
-            if ratio > 1:
-                state.changed_at = now
+            state.changed_at = now
             state.limit = limit
