--- a/src/catkinpost/command/node.py
+++ b/src/catkinpost/command/node.py
@@ -1,6 +1,7 @@
 """``catkinpost-node``: the process beside one backend server."""
 
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -9,7 +10,7 @@
 from catkinpost.log import start_log
 from catkinpost.node import Node
 from catkinpost.process import run_process
-from catkinpost.protocol.settings import read_settings
+from catkinpost.protocol.settings import NodeSettings, read_settings
 
 __all__ = ["main"]
 
@@ -40,10 +41,10 @@
         typer.echo(f"{settings_file}: the settings are valid")
         return
     start_log(sys.stderr.fileno())
-    run_process(start, settings)
+    run_process(partial(start, settings), poll_interval=settings.bounds.poll_interval)
 
 
-async def start(settings) -> None:
+async def start(settings: NodeSettings) -> None:
     await Node(settings).run()
 
 
--- a/src/catkinpost/platform/__main__.py
+++ b/src/catkinpost/platform/__main__.py
@@ -29,7 +29,7 @@
         return EXIT_BAD_SETTINGS
     start_log(sys.stdout.fileno())
     node = Node(settings.node, PlatformEnvironment(settings, path))
-    run_process(node.run)
+    run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
     return 0
 
 
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -35,6 +35,9 @@
 LEAVE_NOTICE_S = 2.5
 # A call takes about a second at the most: what peers send until then ends by itself.
 PEER_NOTICE_S = 1.5
+# Two nodes poll four times for a call: the time added stays under a tenth of the
+# shortest objective, 250 ms.
+POLL_INTERVAL_S = 0.005
 # Answers must be out before the platform kills the process.
 STOP_SHARE_OF_GRACE = 0.9
 
@@ -171,6 +174,7 @@
             repeat_ratio=(1 + bounds.retry_budget_ratio) ** (1 / CHAIN_SERVICES) - 1,
             repeat_window=bounds.budget_window_s,
             repeat_extra=bounds.budget_extra_retries * REPEAT_EXTRA_SHARE,
+            poll_interval=POLL_INTERVAL_S,
             unsized_answers=True,
         ),
     )
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -13,12 +13,13 @@
 GC_THRESHOLD = 20_000
 
 
-def run_process(start: Callable[..., Awaitable[None]], *args) -> None:
+def run_process(start: Callable[[], Awaitable[None]], *, poll_interval: float) -> None:
     """Run the event loop of a node until the node ends.
 
     :param start: the node's main task.
-    :param args: its arguments.
+    :param poll_interval: longest time between two polls under load, in seconds.
     """
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 50, 50)
-    trio.run(start, *args, instruments=[PollModerator()])
+    instruments = [PollModerator(poll_interval)] if poll_interval else []
+    trio.run(start, instruments=instruments)
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -148,6 +148,8 @@
         this node has seen; no bound besides the classes' own when absent.
     :param repeat_window: seconds over which both are counted.
     :param repeat_extra: repeated arrivals that all nodes together may add.
+    :param poll_interval: seconds by which the event loop may keep its polls apart
+        under load; a call over two nodes may take four times as long more.
     :param unsized_answers: whether the end of a connection may end an answer.
     """
 
@@ -162,6 +164,7 @@
     repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
     repeat_window: Seconds = 10.0
     repeat_extra: Annotated[float, msgspec.Meta(ge=0)] = 10.0
+    poll_interval: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     unsized_answers: bool = False
 
 
--- a/src/catkinpost/transport/moderation.py
+++ b/src/catkinpost/transport/moderation.py
@@ -7,15 +7,12 @@
 
 __all__ = ["PollModerator"]
 
-# Two nodes poll four times for a call: the time added stays under a tenth of the
-# shortest objective, 250 ms.
-MAX_INTERVAL_S = 0.005
 # Below this share of the processor a call is better served at once.
 IDLE_SHARE = 0.08
 # From this share on, polls are as far apart as they may be.
 FULL_SHARE = 0.12
-# Weight of one turn in the measured share; demand swings within seconds.
-TURN_WEIGHT = 0.02
+# Time over which the share is measured; demand swings within seconds.
+SHARE_TIME_S = 0.25
 
 
 class PollModerator(trio.abc.Instrument):
@@ -25,16 +22,20 @@
     Under load messages come close together: waiting a little before a poll serves
     several with one wake-up. An idle process polls at once.
 
+    :param max_interval: longest time between two polls that it brings about, in
+        seconds; 0 for none.
     :param clock: steady time in seconds.
     :param sleep: waits for some seconds.
     """
 
     def __init__(
         self,
+        max_interval: float,
         *,
         clock: Callable[[], float] = time.perf_counter,
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
+        self.max_interval = max_interval
         self.clock = clock
         self.sleep = sleep
         self.polled_at = clock()
@@ -45,7 +46,7 @@
     def interval(self) -> float:
         """Shortest time between two polls in seconds."""
         excess = (self.busy_share - IDLE_SHARE) / (FULL_SHARE - IDLE_SHARE)
-        return MAX_INTERVAL_S * min(1.0, max(0.0, excess))
+        return self.max_interval * min(1.0, max(0.0, excess))
 
     def before_io_wait(self, timeout: float) -> None:
         """Wait until the next poll is due, unless tasks are ready to run.
@@ -73,6 +74,6 @@
         if turn <= 0:
             return
         # Long turns weigh more: the share is one of time, not of turns.
-        weight = min(1.0, TURN_WEIGHT * turn / MAX_INTERVAL_S)
+        weight = min(1.0, turn / SHARE_TIME_S)
         share = (now - self.woken_at) / turn
         self.busy_share += weight * (share - self.busy_share)
--- a/tests/transport/test_moderation.py
+++ b/tests/transport/test_moderation.py
@@ -5,10 +5,11 @@
 from catkinpost.transport.moderation import (
     FULL_SHARE,
     IDLE_SHARE,
-    MAX_INTERVAL_S,
     PollModerator,
 )
 
+MAX_INTERVAL_S = 0.005
+
 
 class FakeLoop:
     """Event loop whose turns take the time that a test says."""
@@ -16,7 +17,9 @@
     def __init__(self) -> None:
         self.now = 0.0
         self.slept: list[float] = []
-        self.moderator = PollModerator(clock=lambda: self.now, sleep=self.sleep)
+        self.moderator = PollModerator(
+            MAX_INTERVAL_S, clock=lambda: self.now, sleep=self.sleep
+        )
 
     def sleep(self, seconds: float) -> None:
         self.slept.append(seconds)
@@ -68,6 +71,11 @@
                 slept = loop.turn(idle=0.0, busy=0.0, timeout=timeout)
                 self.assertAlmostEqual(slept, wanted, places=6)
 
+    def test_interval_of_none(self):
+        moderator = PollModerator(0.0)
+        moderator.busy_share = 1.0
+        self.assertEqual(moderator.interval, 0.0)
+
     def test_idle_loop_never_waits(self):
         loop = FakeLoop()
         for _ in range(1000):
