--- a/src/catkinpost/coordination/admission/class_limiter.py
+++ b/src/catkinpost/coordination/admission/class_limiter.py
@@ -32,6 +32,8 @@
 # and learns within seconds whether there is room for more.
 START_SHARE = 0.25
 MAX_CLASSES = 512
+LOWER_REASON = "runs take too much of their time, or fail"
+RAISE_REASON = "runs end in time"
 
 
 @dataclass(eq=False, slots=True)
@@ -140,33 +142,36 @@
     def adjust(
         self, call_class: str, state: ClassState, ratio: float, now: float
     ) -> None:
-        """Bring the mean share closer to the wanted one."""
-        floor = max(1.0, FLOOR_SHARE * self.section.slots)
-        if ratio > 1:
-            reached = min(state.limit, float(state.most))
-            limit = max(floor, reached * max(MAX_DECREASE, 1 / ratio))
-            if limit >= state.limit:
-                return
-        elif state.most >= USED_SHARE * state.limit:
-            limit = state.limit * min(MAX_INCREASE, 1 / ratio) + 1
-            if limit > self.section.slots:
-                limit = math.inf
-        else:
-            return
+        """Bring the mean share closer to the wanted one.
+
+        :param ratio: mean share of the last window over the wanted one.
+        """
+        limit = self.next_limit(state, ratio)
         if limit == state.limit:
             return
+        lower = limit < state.limit
+        mode = self.section.class_limiting
         self.decisions.add(
             "class-limit",
-            "raise" if limit > state.limit else "lower",
+            "lower" if lower else "raise",
             call_class,
-            reason="runs take too much of their time, or fail"
-            if ratio > 1
-            else "runs end in time",
-            mode=self.section.class_limiting,
+            reason=LOWER_REASON if lower else RAISE_REASON,
+            mode=mode,
             limit=round(min(limit, self.section.slots), 1),
             running=state.running,
             ratio=round(ratio, 2),
         )
-        if self.section.class_limiting is Mode.ON:
+        if mode is Mode.ON:
             state.changed_at = now
             state.limit = limit
+
+    def next_limit(self, state: ClassState, ratio: float) -> float:
+        """Return the limit that the last window calls for."""
+        if ratio > 1:
+            reached = min(state.limit, float(state.most))
+            floor = max(1.0, FLOOR_SHARE * self.section.slots)
+            return min(state.limit, max(floor, reached * max(MAX_DECREASE, 1 / ratio)))
+        if state.most < USED_SHARE * state.limit:
+            return state.limit
+        limit = state.limit * min(MAX_INCREASE, 1 / ratio) + 1
+        return math.inf if limit > self.section.slots else limit
