--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -20,7 +20,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.dependency import Dependencies
 from catkinpost.state.policy_store import PolicyStore
-from catkinpost.state.request_log import RequestLog
+from catkinpost.state.request_log import RequestLog, describe_end
 from catkinpost.state.running import RunningCall, RunningCalls
 from catkinpost.transport.http_client import BackendClient
 
@@ -100,20 +100,13 @@
 
     def log_end(self, call: Call, result: Answer | Refusal, seconds: float) -> None:
         """Log a call that was refused, or whose run failed."""
-        if isinstance(result, Answer) and result.status < SERVER_FAULT_STATUS:
-            return
-        if not self.request_log.has_room():
+        end = describe_end(result)
+        if end is None or not self.request_log.has_room():
             return
+        kind, detail = end
         admission = self.admission
-        answered = isinstance(result, Answer)
-        refused = not answered and result.outcome is Outcome.NOT_RUN
-        detail = (
-            f"the backend server answered {result.status}"
-            if answered
-            else f"{result.reason.value}: {result.detail}"
-        )
         self.request_log.add(
-            "target: refused" if refused else "target: failed",
+            f"target: {kind}",
             self.dialect.identify(call.headers),
             request_class=call.call_class,
             detail=detail,
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -12,7 +12,7 @@
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
 from catkinpost.coordination.routing.entry import EntryCall
-from catkinpost.protocol.http import SERVER_FAULT_STATUS, HttpRequest, HttpResponse
+from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import (
     INTERNAL_FAILURE,
@@ -25,7 +25,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
-from catkinpost.state.request_log import RequestLog
+from catkinpost.state.request_log import RequestLog, describe_end
 from catkinpost.state.retry_budget import RetryBudget
 from catkinpost.state.running import RunningCalls
 
@@ -142,9 +142,10 @@
         self, call: EntryCall, result: Answer | Failure, seconds: float
     ) -> None:
         """Log a request that was refused, failed or answered late."""
-        kind, detail = describe_end(call, result, seconds)
-        if kind is None or not self.request_log.has_room():
+        end = describe_late(call, result, seconds)
+        if end is None or not self.request_log.has_room():
             return
+        kind, detail = end
         now = trio.current_time()
         stats = self.sender.router.stats
         self.request_log.add(
@@ -301,20 +302,15 @@
         return result.reason in ELSEWHERE_REASONS
 
 
-def describe_end(
+def describe_late(
     call: EntryCall, result: Answer | Failure, seconds: float
-) -> tuple[str | None, str]:
-    """Return the kind of an end that is worth a line, and what is known of it."""
-    if isinstance(result, Failure):
-        refused = result.outcome is Outcome.NOT_RUN
-        kind = "refused" if refused else "failed"
-        return kind, f"{result.reason.value}: {result.detail}"
-    if result.status >= SERVER_FAULT_STATUS:
-        return "failed", f"the backend server answered {result.status}"
+) -> tuple[str, str] | None:
+    """Tell a bad end, or a good one that came after the objective."""
     objective = call.section.objective
-    if objective is not None and seconds > objective:
-        return "late", f"answered after its objective of {objective} s"
-    return None, ""
+    bad = describe_end(result)
+    if bad is not None or objective is None or seconds <= objective:
+        return bad
+    return "late", f"answered after its objective of {objective} s"
 
 
 def not_ready() -> Failure:
--- a/src/catkinpost/state/request_log.py
+++ b/src/catkinpost/state/request_log.py
@@ -5,7 +5,11 @@
 import trio
 from eliot import log_message
 
-__all__ = ["RequestLog"]
+from catkinpost.protocol.http import SERVER_FAULT_STATUS
+from catkinpost.protocol.message import Answer, Refusal
+from catkinpost.protocol.outcome import Failure, Outcome
+
+__all__ = ["RequestLog", "describe_end"]
 
 # A node answers up to some hundred requests a second; when most of them fail, some
 # tens of lines still show why, at a few parts in a thousand of the processor.
@@ -54,3 +58,17 @@
         """
         left_out, self.left_out = self.left_out, 0
         log_message(kind, request=request, left_out=left_out, **fields)
+
+
+def describe_end(result: Answer | Refusal | Failure) -> tuple[str, str] | None:
+    """Tell a bad end and what is known of it.
+
+    :return: "refused" or "failed", and the detail; ``None`` for a good end.
+    """
+    if not isinstance(result, Answer):
+        refused = result.outcome is Outcome.NOT_RUN
+        kind = "refused" if refused else "failed"
+        return kind, f"{result.reason.value}: {result.detail}"
+    if result.status >= SERVER_FAULT_STATUS:
+        return "failed", f"the backend server answered {result.status}"
+    return None
--- a/tests/log.py
+++ b/tests/log.py
@@ -11,6 +11,8 @@
     def __enter__(self):
         self.messages = []
         add_destinations(self.messages.append)
+        # The first destination of a process also gets what was logged before it.
+        self.messages.clear()
         return self.messages
 
     def __exit__(self, *error):
