--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -145,8 +145,8 @@
 
     def check_class(self, item: WorkItem) -> Failure | None:
         """Refuse what would probably fail further down the call graph."""
-        mode = self.section.class_limiting
-        if mode is Mode.OFF or item.rank != SHEDDABLE_RANK:
+        # A limit that was learned while the mode was on must not act after it.
+        if self.section.class_limiting is not Mode.ON or item.rank != SHEDDABLE_RANK:
             return None
         if not self.class_limiter.is_full(item.call_class):
             return None
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -47,6 +47,22 @@
     )
 
 
+class TestClassLimit(unittest.TestCase):
+    @params((Mode.ON, True), (Mode.OBSERVE, False), (Mode.OFF, False))
+    def test_limit_learned_before_acts_only_while_the_mode_is_on(self, mode, refused):
+        self.check_mode(mode, refused)
+
+    @on_mock_clock
+    async def check_mode(self, mode, refused):
+        admission = make_admission(slots=50, class_limiting=Mode.ON)
+        admission.class_limiter.find("lookup").limit = 1
+        await admission.enter(make_item(SHEDDABLE))
+        section = ServiceSection(owner="test", slots=50, class_limiting=mode)
+        admission.update_section(section)
+        result = await admission.enter(make_item(SHEDDABLE))
+        self.assertEqual(isinstance(result, Failure), refused)
+
+
 class TestEarlyRefusal(unittest.TestCase):
     """Demand above capacity: what can't be served in time is told so at once."""
 
