Let a link to a removed instance deliver its pending answers

Cause: an entry that left the list ended the link to its node at once, with calls in flight. It also gave up the work of a server that was only late to report.

Change: the link is retired. It takes no new requests, is not opened again, and closes once nothing is pending. Loads in late answers are not recorded for the next instance of the same name.

Tests: four in test_link, one in test_router; the first fails on the code before (its answer is lost).

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -119,6 +119,7 @@
         self.ping_unanswered = False
         self.epoch = 0
         self.failed_connects = 0
+        self.is_retired = False
 
     @property
     def is_up(self) -> bool:
@@ -131,11 +132,19 @@
         return self.frames is None and self.failed_connects > 0
 
     async def run(self) -> None:
-        """Connect, and reconnect with backoff, until :meth:`stop` is called."""
+        """Connect, and reconnect with backoff, until :meth:`retire` is called."""
         with self.cancel_scope:
             backoff = MIN_BACKOFF_S
             while True:
                 failure = await self.run_connection()
+                if self.is_retired:
+                    log_message(
+                        "link: lost after its retirement",
+                        peer=self.instance,
+                        reason=failure.reason,
+                        why=failure.detail,
+                    )
+                    break
                 if failure.reason is Reason.PEER_UNREACHABLE:
                     self.failed_connects += 1
                     backoff = min(MAX_BACKOFF_S, backoff * 2)
@@ -146,11 +155,22 @@
                 await trio.sleep(MIN_BACKOFF_S)
                 with trio.move_on_after(backoff - MIN_BACKOFF_S):
                     await self.connect_requested.wait()
+        self.failed_connects += 1
+        self.notify_waiters()
         self.pending.resolve_all(build_connection_failure("the link was given up"))
 
-    def stop(self) -> None:
-        """Close the link for good."""
-        self.cancel_scope.cancel()
+    def retire(self) -> None:
+        """Close the link for good once no request is pending.
+
+        A peer that has left the list still answers the requests that it runs. If the
+        connection is lost meanwhile, it is not opened again.
+        """
+        self.is_retired = True
+        self.stop_if_retired()
+
+    def stop_if_retired(self) -> None:
+        if self.is_retired and not self.pending.requests:
+            self.cancel_scope.cancel()
 
     def notify_waiters(self) -> None:
         self.state_changed.set()
@@ -250,9 +270,13 @@
             self.ping_unanswered = False
             if isinstance(message, (Answer, Refusal, KeyReport)):
                 self.pending.resolve(message.id, message)
+                self.stop_if_retired()
                 continue
             if isinstance(message, Pong):
                 self.record_round_trip(message)
+            if self.is_retired:
+                # Another instance may have the name by now.
+                continue
             await self.events.on_peer_message(self, message)
 
     def record_round_trip(self, pong: Pong) -> None:
@@ -334,11 +358,12 @@
     def cancel_request(self, request_id: int) -> None:
         if request_id in self.pending.requests:
             self.pending.remove(request_id)
-            self.send_cancel(request_id)
+            self.spawn(self.send_cancel, request_id)
 
-    def send_cancel(self, request_id: int) -> None:
+    async def send_cancel(self, request_id: int) -> None:
         """Notify the peer that the response is no longer awaited."""
-        self.spawn(self.send_notification, Cancel(request_id))
+        await self.send_notification(Cancel(request_id))
+        self.stop_if_retired()
 
     async def send_notification(self, message: Message) -> bool:
         """Send a message that has no response.
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -21,7 +21,7 @@
 
 
 class LinkTable:
-    """Opens links on demand and closes the links to removed instances.
+    """Opens links on demand and retires the links to removed instances.
 
     :param identity: identity of this node.
     :param store: policy in force.
@@ -57,13 +57,13 @@
     def open_link(self, name: str, address: Address) -> PeerLink:
         """Return the link to a named instance at an address, opened if needed.
 
-        A link to another address of the same name is stopped.
+        A link to another address of the same name is retired.
         """
         link = self.links.get(name)
         if link is not None and link.address == address:
             return link
         if link is not None:
-            link.stop()
+            link.retire()
         link = PeerLink(
             name,
             address,
@@ -79,10 +79,10 @@
         return link
 
     def refresh(self) -> None:
-        """Close links to removed instances; open links to replicas and partners."""
+        """Retire links to removed instances; open links to replicas and partners."""
         for name in list(self.links):
             if name not in self.view.instances:
-                self.close_link(name)
+                self.retire_link(name)
         own_name = self.identity.instance
         for instance in self.view.get_service_instances(self.identity.service):
             if instance.name != own_name:
@@ -103,12 +103,12 @@
         for link in self.links.values():
             link.ping_due = True
 
-    def close_link(self, name: str) -> None:
-        """Close the link to an instance for good."""
+    def retire_link(self, name: str) -> None:
+        """Open no new requests to an instance; its pending requests continue."""
         link = self.links.pop(name, None)
         if link is not None:
-            log_message("links: dropped", peer=name)
-            link.stop()
+            log_message("links: retired", peer=name, pending=len(link.pending.requests))
+            link.retire()
 
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
--- a/src/catkinpost/coordination/routing/router.py
+++ b/src/catkinpost/coordination/routing/router.py
@@ -285,6 +285,9 @@
         :param result: result of the attempt, ``None`` when it was withdrawn.
         :param duration_s: seconds from sending to the end.
         """
+        if self.is_replaced(target.instance):
+            self.record_response_time(target, call_class, result, duration_s)
+            return
         name = target.instance.name
         stat = self.stats.get_or_create(name)
         now = trio.current_time()
@@ -295,8 +298,8 @@
         if has_response or getattr(result, "reason", None) in SERVER_FAULT_REASONS:
             is_fault = not has_response or result.status >= MIN_SERVER_ERROR_STATUS
             stat.record_attempt_end(fault=is_fault, now=now)
+        self.record_response_time(target, call_class, result, duration_s)
         if has_response and not result.replayed:
-            self.stats.class_times.record_time(call_class, duration_s)
             stat.record_response(duration_s / target.expected_s, now)
         elif result is None:
             # The response of a withdrawn attempt would have taken at least this long.
@@ -310,7 +313,25 @@
             self.ejector.record_trial(
                 name, stat, succeeded=has_response and not is_slow
             )
-        if target.leaves_region and has_response:
+
+    def is_replaced(self, instance: Instance) -> bool:
+        """Return whether an instance has left the list or has another incarnation."""
+        listed = self.view.instances.get(instance.name)
+        return listed is None or listed.incarnation != instance.incarnation
+
+    def record_response_time(
+        self,
+        target: Target,
+        call_class: str,
+        result: Answer | Refusal | Failure | None,
+        duration_s: float,
+    ) -> None:
+        """Record what a response tells about its class and its way."""
+        if not isinstance(result, Answer):
+            return
+        if not result.replayed:
+            self.stats.class_times.record_time(call_class, duration_s)
+        if target.leaves_region:
             self.budget.charge(len(result.body))
 
 
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -152,6 +152,81 @@
             self.assertEqual(setup.cancelled, 1)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_retired_link_delivers_pending_answers_and_then_closes(self):
+        """Guards against a run that is given up when its instance leaves the list."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            await setup.start()
+            results = []
+
+            async def call():
+                results.append(await setup.call(b"running"))
+
+            nursery.start_soon(call)
+            await trio.sleep(0.5)
+            setup.link.retire()
+            await trio.sleep(30)
+            self.assertEqual(results, [])
+            self.assertEqual(setup.cancelled, 0)
+            setup.hold.set()
+            await trio.sleep(0.5)
+            self.assertEqual([result.body for result in results], [b"running"])
+            self.assertEqual(setup.server.sessions, {})
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_retired_link_that_is_lost_is_not_opened_again(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            await setup.start()
+            results = []
+
+            async def call():
+                results.append(await setup.call())
+
+            nursery.start_soon(call)
+            await trio.sleep(0.5)
+            setup.link.retire()
+            await setup.server.close_connections()
+            await trio.sleep(5)
+            self.assertEqual(results[0].outcome, Outcome.UNKNOWN)
+            self.assertEqual(len(setup.events.ups), 1)
+            self.assertEqual(setup.server.sessions, {})
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_withdrawn_request_ends_a_retired_link(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            await setup.start()
+            with trio.move_on_after(1.0):
+                async with trio.open_nursery() as callers:
+                    callers.start_soon(setup.call)
+                    await trio.sleep(0.5)
+                    setup.link.retire()
+            await trio.sleep(0.5)
+            self.assertEqual(setup.cancelled, 1)
+            self.assertEqual(setup.server.sessions, {})
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_request_on_a_link_that_was_retired_means_not_run(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await setup.events.up.wait()
+            setup.link.retire()
+            await trio.sleep(0.5)
+            result = await setup.call()
+            self.assertEqual(result.reason, Reason.PEER_UNREACHABLE)
+            self.assertEqual(result.outcome, Outcome.NOT_RUN)
+            self.assertEqual(setup.started, [])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_silent_connection_is_given_up_and_a_new_one_works(self):
         async with trio.open_nursery() as nursery:
--- a/tests/coordination/routing/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -69,7 +69,7 @@
             budget=self.budget,
         )
 
-    def publish(self, states):
+    def publish(self, states, incarnation=""):
         address = Address("127.0.0.1", 1)
         instances = [
             Instance(
@@ -81,6 +81,7 @@
                 peers=address,
                 operators=address,
                 state=states.get(name, InstanceState.LIVE),
+                incarnation=incarnation,
             )
             for name in self.names
         ]
@@ -150,6 +151,21 @@
         )
         self.assertEqual(await setup.run({}, 30), {"near-2": 30})
 
+    @on_mock_clock
+    async def test_late_answer_says_nothing_about_the_next_instance_of_the_name(self):
+        """Guards against a new instance that gets no calls as its predecessor left."""
+        setup = Setup(("near-1",))
+        target = setup.choose()
+        setup.names = ()
+        setup.publish({})
+        setup.stats.remove("near-1")
+        setup.names = ("near-1",)
+        setup.publish({}, incarnation="next")
+        late = Answer(0, 200, [], b"", 0, Load(leaving=True))
+        setup.router.record_result(target, "lookup", late, duration_s=9.0)
+        self.assertEqual(await setup.run({}, 3), {"near-1": 3})
+        self.assertLess(setup.stats.get_or_create("near-1").slowness, 2.0)
+
     @on_mock_clock
     async def test_instance_listed_as_leaving_gets_no_call(self):
         setup = Setup(SAME_CENTRE)
