Discard a request that arrives when its connection expires

Cause: a request that was read in the same step of the event loop in which its connection was found overdue was started, and then cancelled at its first wait: passed on, cut off without an answer about 1 ms later.

Change: an overdue connection counts as closing, so that the request is left unread and its caller may send it again.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -61,6 +61,7 @@
     :param exchanges: requests without a sent response, in the order of their arrival.
     :param sending: whether a response is being sent.
     :param closing: whether no further request is accepted.
+    :param overdue: whether the connection is closed because it made no progress.
     :param capacity_available: set when a response was sent, so that another pipelined
         request may start.
     :param has_reader_task: whether the connection is read while requests are handled.
@@ -75,6 +76,7 @@
     exchanges: deque[Exchange] = field(default_factory=deque)
     sending: bool = False
     closing: bool = False
+    overdue: bool = False
     capacity_available: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
     nursery: trio.Nursery | None = None
@@ -156,12 +158,21 @@
         """
         while True:
             await trio.sleep(CONNECTION_CHECK_INTERVAL_S)
-            now = trio.current_time()
-            for connection in list(self.connections):
-                if self.is_overdue(connection, now):
-                    connection.scope.cancel()
-                elif connection.exchanges and not connection.has_reader_task:
-                    self.start_reader_if_readable(connection)
+            self.check_connections(trio.current_time())
+
+    def check_connections(self, now: float) -> None:
+        """Close overdue connections, and start readers where needed.
+
+        A request may have arrived that its task has not read yet. It must be discarded
+        as unread, because the cancellation takes effect only after it was started.
+        """
+        for connection in list(self.connections):
+            if self.is_overdue(connection, now):
+                connection.overdue = True
+                connection.closing = True
+                connection.scope.cancel()
+            elif connection.exchanges and not connection.has_reader_task:
+                self.start_reader_if_readable(connection)
 
     def start_reader_if_readable(self, connection: Connection) -> None:
         """Start to read a connection beside its only request if it is readable.
@@ -193,7 +204,7 @@
             async with stream:
                 with connection.scope:
                     await self.run_connection(connection)
-                if connection.phase is Phase.READING and not connection.closing:
+                if connection.phase is Phase.READING and connection.overdue:
                     await self.refuse_slow_sender(connection)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: no response can be sent.
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -55,6 +55,14 @@
         data += piece
 
 
+async def receive_or_nothing(stream):
+    try:
+        return await stream.receive_some(65536)
+    except trio.BrokenResourceError:
+        # The server has closed the connection with the request unread.
+        return b""
+
+
 class TestHttpServer(unittest.TestCase):
     @on_mock_clock(io=True)
     async def test_each_request_gets_its_own_answer_in_order(self):
@@ -122,6 +130,40 @@
             self.assertEqual(setup.reported_failures, [])
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_request_that_arrives_when_its_connection_expires_is_whole(self):
+        """Guards against a request that is started and then cut by the idle timeout.
+
+        The request arrives in the same step of the event loop in which the connection
+        is found overdue: the cancellation is delivered after the request was started.
+        """
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            started = []
+
+            async def handle(request):
+                started.append(request.target)
+                await trio.sleep(0.1)
+                return HttpResponse(200, [], request.target)
+
+            setup.server.handler = handle
+            await setup.start(nursery)
+            streams = [await setup.connect() for _ in range(20)]
+            await trio.sleep(0.5)
+            for connection in setup.server.connections:
+                connection.phase_started_at -= LIMITS.idle_timeout
+            for number, stream in enumerate(streams):
+                stream.socket._sock.send(b"GET /%d HTTP/1.1\r\n\r\n" % number)
+            await trio.lowlevel.checkpoint()
+            setup.server.check_connections(trio.current_time())
+            answered = []
+            for number, stream in enumerate(streams):
+                with trio.move_on_after(1.0):
+                    if b"HTTP/1.1 200" in await receive_or_nothing(stream):
+                        answered.append(b"/%d" % number)
+            self.assertEqual(sorted(answered), sorted(started))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_request_is_cancelled_when_its_caller_leaves(self):
         async with trio.open_nursery() as nursery:
