Bound bytes of a server that complete no answer

Cause: blank lines, interim answers, chunk extensions and trailers without end counted towards no limit, and trailers were kept as headers. An answer could take 64 MiB on the platform, and many at once more than a machine has.

Change: framing that exceeds a multiple of head and body limits ends the answer (unknown outcome, 502), trailers are dropped, and all unfinished answers share 32 MiB, above which those of at least the average size fail.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -28,6 +28,9 @@
 # A request sent while the server closes an idle connection may be lost.
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_STRAY_RESPONSES = 2
+# All unfinished responses together. Servers that send without end must not exhaust the
+# memory of the node, which is about 200 MB at the least.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 ResponseMatcher = Callable[[HttpRequest, HttpResponse], bool]
 
@@ -45,6 +48,40 @@
     expires_at: float
 
 
+class ResponseBuffer:
+    """Sizes of all unfinished responses, which share one bound.
+
+    :param max_bytes: bound on the sum of all sizes.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+        self.sizes: dict[ResponseParser, int] = {}
+
+    def update(self, parser: ResponseParser) -> Failure | None:
+        """Record the current size of a response.
+
+        Above the bound, only responses of at least the average size fail: a response
+        without end must not make the small ones fail.
+
+        :return: the failure if this response must be given up.
+        """
+        size = parser.body_bytes
+        self.used_bytes += size - self.sizes.get(parser, 0)
+        self.sizes[parser] = size
+        is_large = size * len(self.sizes) >= self.max_bytes
+        if self.used_bytes <= self.max_bytes or not is_large:
+            return None
+        return build_bad_answer_failure(
+            f"the unfinished answers exceed {self.max_bytes} bytes"
+        )
+
+    def remove(self, parser: ResponseParser) -> None:
+        """Release the size of a response that has ended."""
+        self.used_bytes -= self.sizes.pop(parser, 0)
+
+
 class BackendClient:
     """HTTP client of one backend server with a pool of keep-alive connections.
 
@@ -70,6 +107,7 @@
         self.idle_connections: deque[IdleConnection] = deque()
         self.last_connect_failed = False
         self.connecting_count = 0
+        self.buffer = ResponseBuffer(MAX_BUFFERED_BYTES)
 
     async def send_request(self, request: HttpRequest) -> HttpResponse | Failure:
         """Send one request and return the complete response.
@@ -140,33 +178,31 @@
         self, stream: trio.SocketStream, request: HttpRequest
     ) -> HttpResponse | Failure:
         parser = ResponseParser(self.limits, head_only=request.method == b"HEAD")
-        stray_count = 0
         try:
-            await send_all(stream, encode_request(request))
-            while True:
-                while not parser.messages:
-                    data = await receive_some(stream, READ_BYTES)
-                    if not data:
-                        parser.finish_at_close()
-                        if parser.messages:
-                            break
-                        return build_connection_lost_failure("the answer was cut")
-                    failure = parser.feed(data)
-                    if failure is not None and not parser.messages:
-                        return failure
-                response = parser.messages.popleft()
-                if self.is_matching_response is None or self.is_matching_response(
-                    request, response
-                ):
-                    break
-                # A late response to an earlier request; the expected one may follow.
-                stray_count += 1
-                if stray_count > MAX_STRAY_RESPONSES or not response.keep_alive:
-                    return build_bad_answer_failure(
-                        "the answer belongs to another request"
-                    )
+            return await self.receive_response(stream, request, parser)
         except trio.BrokenResourceError as error:
             return build_connection_lost_failure(str(error))
+        finally:
+            self.buffer.remove(parser)
+
+    async def receive_response(
+        self, stream: trio.SocketStream, request: HttpRequest, parser: ResponseParser
+    ) -> HttpResponse | Failure:
+        stray_count = 0
+        await send_all(stream, encode_request(request))
+        while True:
+            failure = await self.receive_message(stream, parser)
+            if failure is not None:
+                return failure
+            response = parser.messages.popleft()
+            if self.is_matching_response is None or self.is_matching_response(
+                request, response
+            ):
+                break
+            # A late response to an earlier request; the expected one may follow.
+            stray_count += 1
+            if stray_count > MAX_STRAY_RESPONSES or not response.keep_alive:
+                return build_bad_answer_failure("the answer belongs to another request")
         has_surplus = parser.messages or parser.in_message or parser.failure is not None
         if has_surplus and self.is_matching_response is None:
             return build_bad_answer_failure("more than one answer to one request")
@@ -174,6 +210,22 @@
             response.keep_alive = False
         return response
 
+    async def receive_message(
+        self, stream: trio.SocketStream, parser: ResponseParser
+    ) -> Failure | None:
+        """Receive until the parser has a complete response, or return the failure."""
+        while not parser.messages:
+            data = await receive_some(stream, READ_BYTES)
+            if not data:
+                parser.finish_at_close()
+                if parser.messages:
+                    return None
+                return build_connection_lost_failure("the answer was cut")
+            failure = parser.feed(data) or self.buffer.update(parser)
+            if failure is not None and not parser.messages:
+                return failure
+        return None
+
     def close_idle_connections(self) -> None:
         """Close all idle connections."""
         while self.idle_connections:
--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -9,6 +9,11 @@
 
 __all__ = ["RequestParser", "ResponseParser"]
 
+# Bytes of framing that a message may have, relative to its limits. The smallest chunk
+# has 5 bytes of framing for 1 byte of body, the shortest header line 3 bytes for 1.
+FRAMING_PER_BODY_BYTE = 8
+FRAMING_PER_HEAD_BYTE = 4
+
 
 class MessageCollector:
     """Base parser that assembles messages from callbacks and enforces size limits."""
@@ -19,6 +24,8 @@
         self.failure: Failure | None = None
         self.in_message = False
         self.unfinished_head_bytes = 0
+        self.framing_bytes = 0
+        self.is_message_complete = False
         self.reset_message()
 
     def reset_message(self) -> None:
@@ -38,6 +45,9 @@
         self.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.head_complete:
+            # A trailer is no header: it could forge one that was checked already.
+            return
         self.headers.append((name.lower(), value))
         self.head_bytes += len(name) + len(value)
 
@@ -58,6 +68,7 @@
 
     def on_message_complete(self) -> None:
         self.in_message = False
+        self.is_message_complete = True
         if self.failure is None:
             self.messages.append(self.build_message())
 
@@ -70,6 +81,28 @@
             detail=f"the head exceeds {self.limits.max_head_bytes} bytes",
         )
 
+    def limit_fed_bytes(self, fed_bytes: int, body_bytes: int) -> None:
+        """Reject bytes that exceed the limits without completing a message.
+
+        Blank lines, interim responses, chunk extensions and trailers count towards no
+        other limit.
+
+        :param fed_bytes: bytes that were just parsed.
+        :param body_bytes: size of the body before they were parsed.
+        """
+        self.limit_unfinished_head(fed_bytes)
+        if self.is_message_complete:
+            self.is_message_complete = False
+            self.framing_bytes = 0
+            return
+        self.framing_bytes += fed_bytes - max(0, self.body_bytes - body_bytes)
+        max_framing_bytes = (
+            FRAMING_PER_HEAD_BYTE * self.limits.max_head_bytes
+            + FRAMING_PER_BODY_BYTE * self.body_bytes
+        )
+        if self.framing_bytes > max_framing_bytes:
+            self.reject_large_head()
+
     def limit_unfinished_head(self, fed_bytes: int) -> None:
         """Reject a head that exceeds the limit before its current line is complete."""
         if not self.in_message or self.head_complete:
@@ -102,6 +135,7 @@
         :param data: bytes from the connection.
         :return: the failure for which the connection must be closed, if any.
         """
+        body_bytes = self.body_bytes
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -114,7 +148,7 @@
                 reason=Reason.MALFORMED_REQUEST,
                 detail=f"not a valid HTTP/1.1 request: {error}",
             )
-        self.limit_unfinished_head(len(data))
+        self.limit_fed_bytes(len(data), body_bytes)
         return self.failure
 
 
@@ -130,7 +164,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         super().on_header(name, value)
-        if self.headers[-1][0] in (b"content-length", b"transfer-encoding"):
+        if name.lower() in (b"content-length", b"transfer-encoding"):
             self.has_length = True
 
     def on_headers_complete(self) -> None:
@@ -176,13 +210,14 @@
         :param data: bytes from the connection.
         :return: the failure that makes the response unusable, if any.
         """
+        body_bytes = self.body_bytes
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.failure = build_bad_answer_failure(
                 f"not a valid HTTP/1.1 response: {error}"
             )
-        self.limit_unfinished_head(len(data))
+        self.limit_fed_bytes(len(data), body_bytes)
         if self.failure and self.failure.reason is not Reason.BACKEND_BAD_ANSWER:
             self.failure = build_bad_answer_failure(self.failure.detail)
         return self.failure
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -169,6 +169,97 @@
             nursery.cancel_scope.cancel()
 
 
+class EndlessServer:
+    """Server that sends the same bytes until its client closes the connection."""
+
+    def __init__(self, head, repeated):
+        self.head = head
+        self.repeated = repeated * (16 * 1024 // len(repeated))
+        self.closed_by_client = trio.Event()
+
+    async def serve(self, stream):
+        async with stream:
+            request = await stream.receive_some(65536)
+            if b"/small" in request:
+                await stream.send_all(GOOD)
+                return
+            try:
+                await stream.send_all(self.head)
+                while True:
+                    await stream.send_all(self.repeated)
+            except trio.BrokenResourceError:
+                self.closed_by_client.set()
+
+    async def start(self, nursery):
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        nursery.start_soon(trio.serve_listeners, self.serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        limits = HttpLimits(max_body_bytes=64 * 1024 * 1024, unsized_answers=True)
+        return BackendClient(HOST, port, limits=limits)
+
+
+class TestEndlessAnswers(unittest.TestCase):
+    """Tests with a server that sends bytes that are no answer, without end."""
+
+    @params(
+        (b"", b"\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"body"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"body"),
+    )
+    def test_answer_without_end_is_given_up(self, head, repeated):
+        self.check_answer_without_end(head, repeated)
+
+    @on_mock_clock(io=True)
+    async def check_answer_without_end(self, head, repeated):
+        async with trio.open_nursery() as nursery:
+            server = EndlessServer(head, repeated)
+            client = await server.start(nursery)
+            failure = await client.send_request(REQUEST)
+            self.assertIs(failure.reason, Reason.BACKEND_BAD_ANSWER)
+            self.assertIs(failure.outcome, Outcome.UNKNOWN)
+            await server.closed_by_client.wait()
+            self.assertFalse(client.idle_connections)
+            self.assertEqual(client.buffer.used_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_answers_without_end_share_one_bound(self):
+        async with trio.open_nursery() as nursery:
+            server = EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", b"body")
+            client = await server.start(nursery)
+            client.buffer.max_bytes = 1024 * 1024
+            largest_sum = 0
+            results = []
+            update = client.buffer.update
+
+            def record_largest_sum(parser):
+                nonlocal largest_sum
+                failure = update(parser)
+                largest_sum = max(largest_sum, client.buffer.used_bytes)
+                return failure
+
+            client.buffer.update = record_largest_sum
+
+            async def call(target):
+                request = HttpRequest(b"GET", target, [(b"host", b"orders")])
+                results.append((target, await client.send_request(request)))
+
+            async with trio.open_nursery() as callers:
+                for number in range(20):
+                    callers.start_soon(call, b"/%d" % number)
+                    callers.start_soon(call, b"/small")
+            self.assertLess(largest_sum, 2 * client.buffer.max_bytes)
+            for target, result in results:
+                if target == b"/small":
+                    self.assertEqual(result.body, b"ok")
+                else:
+                    self.assertIs(result.reason, Reason.BACKEND_BAD_ANSWER)
+            nursery.cancel_scope.cancel()
+
+
 def build_named_response(name, *, body=b"ok"):
     """Build a response whose ``Name`` header identifies its request."""
     head = b"HTTP/1.1 200 OK\r\nName: %b\r\nContent-Length: %d\r\n\r\n"
--- a/tests/transport/test_http_parser.py
+++ b/tests/transport/test_http_parser.py
@@ -8,6 +8,8 @@
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.transport.http_parser import RequestParser, ResponseParser
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+MAX_FED_BYTES = 64 * 1024
 LIMITS = HttpLimits(max_head_bytes=256, max_body_bytes=64)
 
 
@@ -104,3 +106,43 @@
         failure = ResponseParser(LIMITS, head_only=False).feed(data)
         self.assertEqual(failure.reason, Reason.BACKEND_BAD_ANSWER)
         self.assertEqual(failure.outcome, Outcome.UNKNOWN)
+
+    @params(
+        (b"", b"\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nA: ", b"b"),
+        (CHUNKED_HEAD + b"1;", b"extension;"),
+        (CHUNKED_HEAD + b"0\r\n", b"A: b\r\n"),
+        (CHUNKED_HEAD, b"1\r\nx\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"endless body "),
+    )
+    def test_bytes_without_end_are_rejected(self, head, repeated):
+        """Guards against a server that sends bytes until its caller closes."""
+        limits = HttpLimits(
+            max_head_bytes=256, max_body_bytes=1024, unsized_answers=True
+        )
+        parser = ResponseParser(limits, head_only=False)
+        self.assertIsNone(parser.feed(head) if head else None)
+        fed_bytes = 0
+        failure = None
+        while failure is None and fed_bytes < MAX_FED_BYTES:
+            failure = parser.feed(repeated)
+            fed_bytes += len(repeated)
+        self.assertEqual(failure.reason, Reason.BACKEND_BAD_ANSWER)
+        self.assertEqual(failure.outcome, Outcome.UNKNOWN)
+        self.assertFalse(parser.messages)
+        self.assertLess(sum(map(len, parser.body_parts)), 2 * limits.max_body_bytes)
+        self.assertLess(len(parser.headers), limits.max_head_bytes)
+
+    @params(1, 7, 1000)
+    def test_small_chunks_are_no_excess(self, size):
+        parser = ResponseParser(LIMITS, head_only=False)
+        data = CHUNKED_HEAD + b"1\r\nx\r\n" * 60 + b"0\r\n\r\n"
+        self.assertIsNone(feed_in_chunks(parser, data, size))
+        self.assertEqual(parser.messages[0].body, b"x" * 60)
+
+    def test_trailer_is_no_header(self):
+        parser = ResponseParser(LIMITS, head_only=False)
+        parser.feed(CHUNKED_HEAD + b"2\r\nok\r\n0\r\nSigned: yes\r\n\r\n")
+        self.assertNotIn((b"signed", b"yes"), parser.messages[0].headers)
