Share reads of the store between nodes

Change: the first two nodes of each region in a fixed order read, and the others follow two of these over their links: changes with revisions and their age, merged by revision. While no feed is fresh, a node tries the next readers in the same order, and reads for itself when it hears from no peer. A start makes one cheap read, which only names the peers; the node is ready once a reader has confirmed the state. Welcome tells whether a peer understands feeds.

Pages now carry only the sender's own confirmation, and are passed on only with new changes.

--- /dev/null
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -0,0 +1,369 @@
+"""Relay of the platform's keys: from the platform or peers to this node and peers."""
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+from eliot import log_message
+
+from catkinpost.coordination.feed.selection import (
+    FeedSelector,
+    FeedStatus,
+    rank_readers,
+)
+from catkinpost.coordination.peers.link import PeerLink
+from catkinpost.coordination.peers.link_table import LinkTable
+from catkinpost.coordination.tick import sleep_until_next_tick
+from catkinpost.protocol.message import FeedCancel, FeedPage, FeedSubscribe, Message
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.feed_state import (
+    NO_REVISION,
+    ChangePage,
+    FeedState,
+    KeyChange,
+    Snapshot,
+)
+from catkinpost.state.instance_view import InstanceView
+
+__all__ = ["FeedRelay", "FeedSettings", "Source"]
+
+SELECTION_INTERVAL_S = 0.25
+# Changes that come close together are read with one call.
+MIN_WATCH_INTERVAL_S = 0.2
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+MAX_BOOTSTRAP_DELAY_S = 2.0
+# Entries expire after several missed heartbeats, hence not in a shorter outage.
+MIN_OUTAGE_S = 1.0
+# Stands for no confirmation at all.
+MAX_AGE_S = 1e6
+
+
+@dataclass(frozen=True, kw_only=True)
+class FeedSettings:
+    """Bounds of a relay.
+
+    :param wait_s: longest watch of the platform.
+    :param max_age_s: age from which a feed counts as stale.
+    """
+
+    wait_s: float = 1.0
+    max_age_s: float = 1.75
+
+
+class Source(Protocol):
+    """Platform whose keys are read."""
+
+    async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
+        """Read every key.
+
+        :param may_be_stale: whether the platform may answer with an older state, which
+            costs it less.
+        """
+
+    async def watch(self, after: int, *, wait_s: float) -> ChangePage | Failure:
+        """Wait for changes after a revision."""
+
+
+class Session(Protocol):
+    """Connection of a subscriber."""
+
+    instance: str
+
+    async def send_notification(self, message: Message) -> bool:
+        """Send a message that gets no response."""
+
+
+@dataclass(eq=False, slots=True)
+class Subscriber:
+    """Peer that follows this node.
+
+    :param revision: revision up to which changes were sent.
+    :param is_sending: whether a page is being sent.
+    :param is_due: whether there is news since the page that is being sent.
+    """
+
+    session: Session
+    revision: int
+    is_sending: bool = False
+    is_due: bool = False
+
+
+class FeedRelay:
+    """Relay that keeps a copy of the platform's keys and passes changes on.
+
+    :param instance: name of this node's instance.
+    :param region: region of this node.
+    :param view: list of instances.
+    :param links: links to peers.
+    :param source: the platform.
+    :param on_changes: called with new changes, and once with none when the first state
+        was read.
+    :param spawn: starts a background task.
+    :param settings: bounds.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        region: str,
+        view: InstanceView,
+        links: LinkTable,
+        source: Source,
+        on_changes: Callable[[list[KeyChange]], None],
+        spawn: Callable[..., None],
+        settings: FeedSettings,
+    ) -> None:
+        self.instance = instance
+        self.region = region
+        self.view = view
+        self.links = links
+        self.source = source
+        self.on_changes = on_changes
+        self.spawn = spawn
+        self.settings = settings
+        self.state = FeedState()
+        self.selector = FeedSelector(instance, settings.max_age_s)
+        self.selected: list[str] = []
+        self.subscribers: dict[int, Subscriber] = {}
+        self.read_requested = trio.Event()
+        self.failed_at: float | None = None
+        self.recovered_at: float | None = None
+        self.needs_snapshot = False
+        self.last_error = ""
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the platform has confirmed the state since the start."""
+        return self.selector.confirmed_at > -math.inf
+
+    @property
+    def must_read(self) -> bool:
+        """Whether this node reads the platform itself."""
+        return self.instance in self.selected or bool(self.subscribers)
+
+    @property
+    def own_status(self) -> FeedStatus:
+        """Status of this node's own reading."""
+        return self.selector.get_or_create(self.instance)
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        await self.read_first_list()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.read_while_needed)
+            while True:
+                self.update_selection()
+                await sleep_until_next_tick(SELECTION_INTERVAL_S)
+
+    async def read_first_list(self) -> None:
+        """Read until the list names an instance.
+
+        The state may be stale: it only tells which peers to ask.
+        """
+        delay_s = MIN_RETRY_DELAY_S
+        while True:
+            page = await self.source.read_snapshot(may_be_stale=True)
+            if isinstance(page, Failure):
+                self.record_failure(page)
+            else:
+                self.record_success()
+                self.apply(self.state.merge(page))
+                if self.view.instances:
+                    return
+            await trio.sleep(random.uniform(0.5, 1.0) * delay_s)
+            delay_s = min(MAX_BOOTSTRAP_DELAY_S, 2 * delay_s)
+
+    async def read_while_needed(self) -> None:
+        """Read the platform while this node or its subscribers need it."""
+        retry_delay_s = MIN_RETRY_DELAY_S
+        while True:
+            if not self.must_read:
+                self.read_requested = trio.Event()
+                await self.read_requested.wait()
+            page = await self.read_page()
+            if isinstance(page, Failure):
+                self.record_failure(page)
+                self.push_to_subscribers()
+                if page.reason is Reason.PLATFORM_HISTORY_GONE:
+                    self.needs_snapshot = True
+                await trio.sleep(random.uniform(0.5, 1.0) * retry_delay_s)
+                retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
+                continue
+            retry_delay_s = MIN_RETRY_DELAY_S
+            self.record_success()
+            self.needs_snapshot = False
+            self.selector.record_confirmation(self.instance, trio.current_time())
+            changes = self.state.merge(page)
+            self.apply(changes)
+            self.push_to_subscribers()
+            if changes:
+                await trio.sleep(MIN_WATCH_INTERVAL_S)
+
+    async def read_page(self) -> ChangePage | Failure:
+        if self.needs_snapshot or self.state.revision == NO_REVISION:
+            return await self.source.read_snapshot()
+        age_s = trio.current_time() - self.own_status.confirmed_at
+        # The first watch only confirms the state, which others wait for.
+        wait_s = self.settings.wait_s if age_s < self.settings.max_age_s else 0.0
+        return await self.source.watch(self.state.revision, wait_s=wait_s)
+
+    def record_failure(self, failure: Failure) -> None:
+        """Log a failure of the source, and count its duration."""
+        if self.failed_at is None:
+            self.failed_at = trio.current_time()
+        if failure.detail != self.last_error:
+            log_message("feed: not read", reason=failure.reason, why=failure.detail)
+        self.last_error = failure.detail
+        self.own_status.failing = True
+
+    def record_success(self) -> None:
+        """End an outage of the source."""
+        self.own_status.failing = False
+        if self.failed_at is None:
+            return
+        now = trio.current_time()
+        if now - self.failed_at >= MIN_OUTAGE_S:
+            self.recovered_at = now
+        log_message("feed: read again", seconds=round(now - self.failed_at, 3))
+        self.failed_at = None
+        self.last_error = ""
+
+    def apply(self, changes: list[KeyChange]) -> None:
+        """Apply new changes, also none while the list was never applied."""
+        if changes or self.view.read_at is None:
+            self.on_changes(changes)
+
+    def update_selection(self) -> None:
+        """Follow the feeds that are selected now, and no others."""
+        ranked = rank_readers(self.view, self.region)
+        selected = self.selector.select(ranked, trio.current_time())
+        if selected != self.selected:
+            log_message("feed: selected", feeds=selected, was=self.selected)
+            self.change_feeds(selected)
+        for name in selected:
+            link = self.links.links.get(name)
+            if link is not None and not link.is_up:
+                link.connect_requested.set()
+        if self.must_read:
+            self.read_requested.set()
+
+    def change_feeds(self, selected: list[str]) -> None:
+        previous, self.selected = self.selected, selected
+        for name in selected:
+            if name not in previous:
+                self.subscribe(name)
+        for name in previous:
+            link = self.links.links.get(name)
+            if name not in selected and link is not None and link.is_up:
+                self.send_cancel(link)
+
+    def send_cancel(self, link: PeerLink) -> None:
+        if link.welcome.feeds:
+            self.spawn(link.send_notification, FeedCancel())
+
+    def subscribe(self, name: str) -> None:
+        """Ask a peer for all changes from now on."""
+        instance = self.view.instances.get(name)
+        if instance is None or name == self.instance:
+            return
+        link = self.links.get_or_open_link(instance)
+        if link.is_up:
+            self.send_subscription(link)
+
+    def send_subscription(self, link: PeerLink) -> None:
+        # Earlier releases close a connection on which they get an unknown message.
+        if link.welcome.feeds:
+            message = FeedSubscribe(self.state.revision)
+            self.spawn(link.send_notification, message)
+
+    def on_link_up(self, link: PeerLink) -> None:
+        """Subscribe again over a new connection."""
+        if link.instance in self.selected:
+            self.send_subscription(link)
+
+    def on_link_down(self, name: str) -> None:
+        """Count the feed of a lost peer as stale."""
+        if name in self.selector.statuses:
+            self.selector.statuses[name].failing = True
+            self.update_selection()
+
+    def on_page(self, link: PeerLink, page: FeedPage) -> None:
+        """Apply the changes that a peer has sent."""
+        if link.instance not in self.selected:
+            return
+        now = trio.current_time()
+        changes = self.state.merge_feed_page(page, now)
+        status = self.selector.get_or_create(link.instance)
+        status.heard_at = now
+        if changes is None:
+            log_message("feed: gap", peer=link.instance, since=page.since)
+            self.send_subscription(link)
+            return
+        status.failing = page.failing
+        self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
+        if page.recovered_us >= 0:
+            recovered_at = now - page.recovered_us / 1e6
+            self.recovered_at = max(self.recovered_at or recovered_at, recovered_at)
+        self.apply(changes)
+        if changes:
+            self.push_to_subscribers()
+        if page.failing:
+            self.update_selection()
+
+    def on_subscribe(self, session: Session, message: FeedSubscribe) -> None:
+        """Add a subscriber and send it the current state."""
+        subscriber = Subscriber(session, message.after)
+        self.subscribers[id(session)] = subscriber
+        self.push(subscriber)
+        if self.must_read:
+            self.read_requested.set()
+
+    def on_cancel(self, session: Session) -> None:
+        """Remove a subscriber."""
+        self.subscribers.pop(id(session), None)
+
+    def push_to_subscribers(self) -> None:
+        """Send the current state to each subscriber."""
+        for subscriber in list(self.subscribers.values()):
+            self.push(subscriber)
+
+    def push(self, subscriber: Subscriber) -> None:
+        """Send what a subscriber does not know yet; at most one page at a time."""
+        if self.own_status.confirmed_at == -math.inf and not self.own_status.failing:
+            # The first reading is about to end.
+            return
+        subscriber.is_due = True
+        if not subscriber.is_sending:
+            subscriber.is_sending = True
+            self.spawn(self.send_pages, subscriber)
+
+    async def send_pages(self, subscriber: Subscriber) -> None:
+        try:
+            while subscriber.is_due:
+                subscriber.is_due = False
+                page = self.build_page(subscriber.revision)
+                subscriber.revision = page.revision
+                if not await subscriber.session.send_notification(page):
+                    self.on_cancel(subscriber.session)
+                    return
+        finally:
+            subscriber.is_sending = False
+
+    def build_page(self, since: int) -> FeedPage:
+        now = trio.current_time()
+        recovered_s = -1.0 if self.recovered_at is None else now - self.recovered_at
+        # Only the own reading confirms the state: nodes that follow each other would
+        # otherwise confirm each other without end.
+        age_s = min(now - self.own_status.confirmed_at, MAX_AGE_S)
+        return self.state.build_page(
+            since,
+            now,
+            age_s=age_s,
+            recovered_s=recovered_s,
+            failing=self.own_status.failing,
+        )
--- a/src/catkinpost/coordination/peers/identity.py
+++ b/src/catkinpost/coordination/peers/identity.py
@@ -101,4 +101,5 @@
             policy_digest=digest,
             proof=self.compute_proof(hello.nonce, b"welcome"),
             load=load,
+            feeds=True,
         )
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -9,9 +9,13 @@
 from catkinpost.coordination.at_most_once.once import OnceGuard
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
+from catkinpost.coordination.feed.relay import FeedRelay
 from catkinpost.coordination.peers.link import PeerLink
 from catkinpost.coordination.peers.peer_server import PeerSession
 from catkinpost.protocol.message import (
+    FeedCancel,
+    FeedPage,
+    FeedSubscribe,
     KeyFence,
     KeyRecords,
     Load,
@@ -39,6 +43,7 @@
     :param replicas: nodes of the same service.
     :param once: idempotency keys.
     :param crash_guard: counts of requests that crash backend servers.
+    :ivar feed: relay of the platform's keys, ``None`` when the node has none.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         self.replicas = replicas
         self.once = once
         self.crash_guard = crash_guard
+        self.feed: FeedRelay | None = None
         self.incarnations: dict[str, str] = {}
 
     def on_link_up(self, link: PeerLink, welcome: Welcome) -> None:
@@ -69,6 +75,8 @@
         if welcome.service == self.replicas.service:
             self.replicas.on_replica_connected(link.instance)
             link.spawn(self.send_suspects, link)
+        if self.feed is not None:
+            self.feed.on_link_up(link)
         link.spawn(
             self.exchange.handle_peer_version,
             link,
@@ -87,6 +95,8 @@
             "link: down", peer=link.instance, reason=failure.reason, why=failure.detail
         )
         self.replicas.on_replica_lost(link.instance)
+        if self.feed is not None:
+            self.feed.on_link_down(link.instance)
 
     def on_link_silent(self, link: PeerLink) -> None:
         """Request pings on all links, as others may be silent as well."""
@@ -146,3 +156,18 @@
     @handle.register
     async def handle_suspect(self, message: SuspectNotice, sender: Sender) -> None:
         self.crash_guard.apply_notice(message)
+
+    @handle.register
+    async def handle_subscribe(self, message: FeedSubscribe, sender: Sender) -> None:
+        if self.feed is not None:
+            self.feed.on_subscribe(sender, message)
+
+    @handle.register
+    async def handle_feed_cancel(self, message: FeedCancel, sender: Sender) -> None:
+        if self.feed is not None:
+            self.feed.on_cancel(sender)
+
+    @handle.register
+    async def handle_feed_page(self, message: FeedPage, sender: Sender) -> None:
+        if self.feed is not None:
+            self.feed.on_page(sender, message)
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -1,12 +1,12 @@
 """Environment of a node on the platform: store, readiness and settings file."""
 
-import random
 import signal
 from pathlib import Path
 
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.feed import FeedRelay
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.node import Node
 from catkinpost.platform.dialect import PlatformDialect
@@ -14,21 +14,15 @@
 from catkinpost.platform.listing import ServerList, parse_server_entry
 from catkinpost.platform.names import CONFIG_KEY, READINESS_PATH, SERVERS_PREFIX
 from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
-from catkinpost.platform.store import KeyChange, Snapshot, StoreClient
+from catkinpost.platform.store import StoreClient
 from catkinpost.protocol.http import HttpRequest, HttpResponse
-from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import parse_address
+from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["PlatformEnvironment"]
 
-# A change must be in force 2.5 s after it was made: a silent watch is detected after
-# one wait plus its timeout, and the read that follows is short.
-WATCH_WAIT_S = 1.7
-MIN_RETRY_DELAY_S = 0.1
-MAX_RETRY_DELAY_S = 1.0
-# Entries expire after several missed heartbeats, hence not in a shorter outage.
-MIN_OUTAGE_S = 1.0
 EXPIRY_CHECK_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
@@ -49,10 +43,6 @@
         self.servers = ServerList(
             peer_port=settings.peer_port, regions=settings.regions
         )
-        self.revision: int | None = None
-        self.failed_at: float | None = None
-        self.recovered_at: float | None = None
-        self.last_error = ""
         self.list_version = 0
         self.settings_text = ""
 
@@ -62,6 +52,17 @@
         :param node: node whose other parts exist already.
         """
         self.node = node
+        self.relay = FeedRelay(
+            instance=node.identity.instance,
+            region=self.settings.node.node.region,
+            view=node.view,
+            links=node.links,
+            source=self,
+            on_changes=self.apply_changes,
+            spawn=node.spawn,
+            settings=self.settings.feed,
+        )
+        node.peer_handler.feed = self.relay
         self.probe_server = HttpServer(
             self.handle_probe,
             limits=self.settings.node.http_limits,
@@ -73,8 +74,16 @@
         return self.settings.node.node.service
 
     def is_ready(self) -> bool:
-        """Return whether a configuration is in force and the server list was read."""
-        return self.node.store.has_policy and self.node.view.read_at is not None
+        """Return whether configuration and servers are known and were confirmed."""
+        return self.node.store.has_policy and self.relay.is_confirmed
+
+    async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
+        """Read every key of the store in the current settings."""
+        return await self.store_client.read_snapshot(may_be_stale=may_be_stale)
+
+    async def watch(self, after: int, *, wait_s: float) -> ChangePage | Failure:
+        """Wait for changes of the store in the current settings."""
+        return await self.store_client.watch(after, wait_s=wait_s)
 
     async def run(self) -> None:
         """Run the watches and the readiness probe until cancelled."""
@@ -83,7 +92,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.probe_server.watch_connections)
-            nursery.start_soon(self.watch_store)
+            nursery.start_soon(self.relay.run)
             nursery.start_soon(self.watch_expiring_entries)
             nursery.start_soon(self.watch_settings)
 
@@ -93,71 +102,25 @@
         is_serving = self.is_ready() and not self.node.planned_stop.is_requested
         return HttpResponse(200 if is_serving else 503)
 
-    async def watch_store(self) -> None:
-        """Read the whole store, then apply its changes until cancelled."""
-        retry_delay_s = MIN_RETRY_DELAY_S
-        while True:
-            if self.revision is None:
-                page = await self.store_client.read_snapshot()
-            else:
-                page = await self.store_client.watch(self.revision, wait_s=WATCH_WAIT_S)
-            if isinstance(page, Failure):
-                self.record_failure(page)
-                if page.reason is Reason.PLATFORM_HISTORY_GONE:
-                    self.revision = None
-                await trio.sleep(random.uniform(0.5, 1.0) * retry_delay_s)
-                retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
-                continue
-            retry_delay_s = MIN_RETRY_DELAY_S
-            self.record_success()
-            self.revision = page.revision
-            try:
-                self.apply_changes(page.changes, is_snapshot=isinstance(page, Snapshot))
-            except Exception:
-                # An exception in one change must not end the watch for later changes.
-                self.node.report_internal_error()
-
-    def record_failure(self, failure: Failure) -> None:
-        if self.failed_at is None:
-            self.failed_at = trio.current_time()
-        if failure.detail != self.last_error:
-            log_message("store: not read", reason=failure.reason, why=failure.detail)
-        self.last_error = failure.detail
-
-    def record_success(self) -> None:
-        if self.failed_at is None:
-            return
-        now = trio.current_time()
-        if now - self.failed_at >= MIN_OUTAGE_S:
-            self.recovered_at = now
-        log_message("store: read again", seconds=round(now - self.failed_at, 3))
-        self.failed_at = None
-        self.last_error = ""
-
-    def apply_changes(self, changes: list[KeyChange], *, is_snapshot: bool) -> None:
-        """Apply changes of the store.
+    def apply_changes(self, changes: list[KeyChange]) -> None:
+        """Apply changes of the store to the node.
 
         :param changes: changed keys.
-        :param is_snapshot: whether all other keys were deleted.
         """
-        now = trio.current_time()
         for change in changes:
-            if change.key == CONFIG_KEY:
-                self.apply_configuration(change.value)
-            elif change.key.startswith(SERVERS_PREFIX):
-                self.apply_server_change(change, now)
-        if is_snapshot:
-            listed_identities = {
-                change.key.removeprefix(SERVERS_PREFIX) for change in changes
-            }
-            for identity in list(self.servers.entries):
-                if identity not in listed_identities:
-                    self.servers.remove_entry(
-                        identity, now, recovered_at=self.recovered_at
-                    )
-        if is_snapshot or changes:
-            # A new configuration may add services of entries that were read before.
-            self.apply_list()
+            try:
+                self.apply_change(change)
+            except Exception:
+                # An exception in one change must not prevent the others.
+                self.node.report_internal_error()
+        # A new configuration may add services of entries that were read before.
+        self.apply_list()
+
+    def apply_change(self, change: KeyChange) -> None:
+        if change.key == CONFIG_KEY:
+            self.apply_configuration(change.value)
+        elif change.key.startswith(SERVERS_PREFIX):
+            self.apply_server_change(change)
 
     def apply_configuration(self, value: bytes | None) -> None:
         if value is None:
@@ -169,16 +132,18 @@
         if config.version > self.node.store.version:
             self.node.exchange.apply_document(config.version, render_policy(config))
 
-    def apply_server_change(self, change: KeyChange, now: float) -> None:
+    def apply_server_change(self, change: KeyChange) -> None:
         identity = change.key.removeprefix(SERVERS_PREFIX)
         if change.value is None:
-            self.servers.remove_entry(identity, now, recovered_at=self.recovered_at)
+            self.servers.remove_entry(
+                identity, trio.current_time(), recovered_at=self.relay.recovered_at
+            )
             return
         server = parse_server_entry(change.value)
         if isinstance(server, Failure):
             log_message("store: entry ignored", entry=identity, why=server.detail)
             return
-        self.servers.accept_entry(identity, server, now)
+        self.servers.accept_entry(identity, server, change.read_at)
 
     def apply_list(self) -> None:
         """Apply the list of servers to the node."""
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from catkinpost.coordination.feed import FeedSettings
 from catkinpost.platform.model import PlatformModel
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import (
@@ -41,6 +42,10 @@
 # Two nodes poll four times for one call: the added latency stays under a tenth of the
 # shortest objective, 250 ms.
 POLL_INTERVAL_S = 0.005
+# A change must be in force within a bound. Watches are shorter, so that a silent one
+# is noticed, and a node whose feeds are stale still has time to find another one.
+WATCH_WAIT_SHARE = 0.4
+MAX_AGE_SHARE = 0.7
 # Share of the grace period: responses must be sent before the platform kills the
 # process.
 STOP_TIMEOUT_SHARE = 0.9
@@ -121,12 +126,14 @@
     :param readiness_address: IP:port at which readiness is probed.
     :param peer_port: port at which every node accepts connections of peers.
     :param regions: region by data centre.
+    :param feed: bounds on the age of what the node knows of the store.
     """
 
     node: NodeSettings
     readiness_address: str
     peer_port: int
     regions: dict[str, str]
+    feed: FeedSettings = FeedSettings()
 
 
 def parse_platform_settings(text: str) -> PlatformSettings | Failure:
@@ -150,6 +157,14 @@
         readiness_address=file.network.listen_addresses.ready,
         peer_port=first_port,
         regions=file.network.zones,
+        feed=build_feed_settings(file.terms.bounds),
+    )
+
+
+def build_feed_settings(bounds: BoundsTable) -> FeedSettings:
+    bound_s = min(bounds.config_propagation_s, bounds.drain_s)
+    return FeedSettings(
+        wait_s=WATCH_WAIT_SHARE * bound_s, max_age_s=MAX_AGE_SHARE * bound_s
     )
 
 
--- a/src/catkinpost/platform/store.py
+++ b/src/catkinpost/platform/store.py
@@ -1,8 +1,7 @@
-"""Client of the platform's store: a read of all keys, then a watch for changes."""
+"""Client of the platform's store: reads of all keys, and watches for changes."""
 
 import base64
 import binascii
-from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -12,9 +11,10 @@
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import Address
+from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
 from catkinpost.transport.http_client import BackendClient
 
-__all__ = ["KeyChange", "ChangePage", "Snapshot", "StoreClient"]
+__all__ = ["StoreClient"]
 
 # A silent connection is detected within this plus one wait, which is less than the
 # time in which a change must be in force.
@@ -52,30 +52,6 @@
     at: int
 
 
-@dataclass(frozen=True, kw_only=True)
-class KeyChange:
-    """Change of one key.
-
-    :param key: changed key.
-    :param value: new value, ``None`` when the key was deleted.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@dataclass(frozen=True, kw_only=True)
-class ChangePage:
-    """Changes up to a revision."""
-
-    changes: list[KeyChange]
-    revision: int
-
-
-class Snapshot(ChangePage):
-    """All keys of the store; an absent key was deleted."""
-
-
 class StoreClient:
     """Reader of the store.
 
@@ -117,9 +93,12 @@
             return build_unreachable_failure(f"the store answered {response.status}")
         return response.body
 
-    async def read_snapshot(self) -> Snapshot | Failure:
+    async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
         """Read every key.
 
+        :param may_be_stale: whether the state may be seconds old; such a read costs a
+            tenth and is never turned away for too many reads.
+
         The pages are read at different times, so the watch continues from the revision
         of the first one: a change between two pages is seen twice rather than missed.
         """
@@ -128,6 +107,8 @@
         after = ""
         for _ in range(MAX_PAGES):
             target = "/v1/kv-range?prefix="
+            if may_be_stale:
+                target += "&serializable=1"
             if after:
                 target += f"&after={quote(after, safe='')}"
             body = await self.fetch_page(target)
@@ -158,15 +139,20 @@
 
 
 def build_change(item: StoredItem) -> KeyChange:
-    if item.deleted:
-        return KeyChange(key=item.key, value=None)
+    return KeyChange(
+        key=item.key,
+        value=None if item.deleted else decode_value(item.value),
+        revision=item.revision,
+        read_at=trio.current_time(),
+    )
+
+
+def decode_value(text: str) -> bytes:
     try:
-        return KeyChange(
-            key=item.key, value=base64.b64decode(item.value, validate=True)
-        )
+        return base64.b64decode(text, validate=True)
     except binascii.Error:
         # The reader of the key reports an empty value as invalid.
-        return KeyChange(key=item.key, value=b"")
+        return b""
 
 
 def decode_body(body: bytes, model: type[msgspec.Struct]) -> msgspec.Struct | Failure:
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -15,6 +15,10 @@
     "Call",
     "Cancel",
     "Challenge",
+    "FeedCancel",
+    "FeedItem",
+    "FeedPage",
+    "FeedSubscribe",
     "Hello",
     "KeyFence",
     "KeyRecordCopy",
@@ -78,7 +82,10 @@
 
 
 class Welcome(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """Handshake message of the accepting side, sent in response to :class:`Hello`."""
+    """Handshake message of the accepting side, sent in response to :class:`Hello`.
+
+    :param feeds: whether the sender understands :class:`FeedSubscribe`.
+    """
 
     version: int
     instance: str
@@ -88,6 +95,7 @@
     policy_digest: bytes
     proof: bytes
     load: Load = Load()
+    feeds: bool = False
 
 
 class Call(msgspec.Struct, array_like=True, tag=4):
@@ -276,6 +284,50 @@
     origin: str
 
 
+class FeedSubscribe(msgspec.Struct, array_like=True, tag=17, frozen=True):
+    """Request for all changes of the platform's keys after a revision, from now on."""
+
+    after: int
+
+
+class FeedCancel(msgspec.Struct, array_like=True, tag=18, frozen=True):
+    """End of a subscription."""
+
+
+class FeedItem(msgspec.Struct, array_like=True, frozen=True):
+    """Change of one key.
+
+    :param age_us: microseconds since the value was read.
+    :param value: new value, ``None`` when the key was deleted.
+    """
+
+    key: str
+    revision: int
+    age_us: int
+    value: bytes | None
+
+
+class FeedPage(msgspec.Struct, array_like=True, tag=19, frozen=True):
+    """Changes of the platform's keys, and how recently the platform confirmed them.
+
+    :param since: revision up to which the receiver must know all changes.
+    :param revision: revision up to which the changes are complete.
+    :param age_us: microseconds since the platform has confirmed this state.
+    :param recovered_us: microseconds since the platform's last recovery from an outage,
+        negative for none.
+    :param failing: whether the sender fails to read the platform.
+    :param keys: all keys, when deletions after ``since`` may be missing in ``items``.
+    """
+
+    since: int
+    revision: int
+    age_us: int
+    recovered_us: int
+    failing: bool
+    items: list[FeedItem]
+    keys: list[str] | None = None
+
+
 Message = (
     Challenge
     | Hello
@@ -293,6 +345,9 @@
     | KeyReport
     | KeyRecords
     | SuspectNotice
+    | FeedSubscribe
+    | FeedCancel
+    | FeedPage
 )
 
 encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/tests/coordination/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relay of the platform's keys."""
--- /dev/null
+++ b/tests/coordination/feed/test_relay.py
@@ -0,0 +1,160 @@
+"""Tests of the relay of the platform's keys, with many nodes on a mocked clock."""
+
+import random
+import unittest
+
+import trio
+from nose2.tools import params
+
+from catkinpost_standins.feed_emulator import EmulatedFleet
+from tests.clock import on_mock_clock
+
+# A change must be in force within this time, and the wait of a node for its answer.
+PROPAGATION_S = 2.5
+READERS_PER_REGION = 2
+REGIONS = 2
+FLEET = 60
+
+
+def with_fleet(test):
+    @on_mock_clock
+    async def run(self, *args):
+        async with trio.open_nursery() as nursery:
+            fleet = EmulatedFleet(nursery, FLEET)
+            fleet.start_all()
+            await trio.sleep(5.0)
+            await test(self, fleet, *args)
+            nursery.cancel_scope.cancel()
+
+    return run
+
+
+def count_calls(fleet):
+    return sum(fleet.platform.calls.values())
+
+
+class TestRelay(unittest.TestCase):
+    @with_fleet
+    async def test_few_nodes_read_and_all_know(self, fleet):
+        self.assertEqual(len(fleet.get_readers()), REGIONS * READERS_PER_REGION)
+        self.assertLessEqual(fleet.platform.stale_calls, FLEET)
+        calls = count_calls(fleet)
+        for version in range(10):
+            fleet.platform.put("config", b"%d" % version)
+            seconds = await fleet.wait_until_known(fleet.platform.revision)
+            self.assertLess(seconds, 0.5)
+            await trio.sleep(2.0)
+        self.assertLessEqual(count_calls(fleet) - calls, 4 * 4 * 10)
+        self.assertLess(fleet.measure_oldest_s(), 1.75)
+
+    @params("killed", "cut off from the platform", "both readers killed")
+    def test_lost_readers_delay_no_change(self, how):
+        self.check_lost_readers(how)
+
+    @with_fleet
+    async def check_lost_readers(self, fleet, how):
+        readers = fleet.get_readers()
+        for name in readers if how.startswith("both") else readers[:1]:
+            if "killed" in how:
+                fleet.kill(name)
+            else:
+                fleet.nodes[name].source.is_cut = True
+        fleet.platform.put("config", b"next")
+        seconds = await fleet.wait_until_known(fleet.platform.revision)
+        self.assertLess(seconds, PROPAGATION_S)
+
+    @with_fleet
+    async def test_both_readers_of_a_region_cut_off_silently(self, fleet):
+        for name in fleet.get_readers():
+            fleet.nodes[name].source.is_cut = True
+        fleet.platform.put("config", b"next")
+        self.assertLess(
+            await fleet.wait_until_known(fleet.platform.revision), PROPAGATION_S
+        )
+
+    @with_fleet
+    async def test_nobody_stampedes_while_the_platform_is_away(self, fleet):
+        fleet.platform.is_down = True
+        fleet.platform.changed.set()
+        await trio.sleep(1.0)
+        fleet.platform.calls.clear()
+        await trio.sleep(30.0)
+        fleet.platform.is_down = False
+        fleet.platform.put("config", b"next")
+        self.assertLess(await fleet.wait_until_known(fleet.platform.revision), 2.5)
+        await trio.sleep(5.0)
+        self.assertLessEqual(max(fleet.platform.calls.values()), 40)
+        self.assertEqual(len(fleet.get_readers()), REGIONS * READERS_PER_REGION)
+
+    @with_fleet
+    async def test_restart_of_all_nodes_is_followed_by_one_cheap_read_each(self, fleet):
+        for name in list(fleet.nodes):
+            fleet.kill(name)
+        fleet.platform.put("config", b"next")
+        fleet.platform.stale_calls = 0
+        calls = count_calls(fleet)
+        fleet.start_all()
+        await trio.sleep(0.31)
+        await fleet.wait_until_known(fleet.platform.revision)
+        await trio.sleep(1.0)
+        self.assertLess(fleet.measure_oldest_s(), 2.0)
+        self.assertEqual(fleet.platform.stale_calls, FLEET)
+        self.assertLessEqual(count_calls(fleet) - calls, FLEET / 2)
+
+    @with_fleet
+    async def test_restarted_node_does_not_bring_back_what_was_deleted(self, fleet):
+        """Guards against a server that has left and is used again after a restart.
+
+        The restarted node's first read is old, and still names the server.
+        """
+        gone = next(name for name in fleet.names if name not in fleet.get_readers())
+        old_items = dict(fleet.platform.items)
+        old_revision = fleet.platform.revision
+        fleet.kill(gone)
+        fleet.platform.put(gone, None)
+        await trio.sleep(1.0)
+        name = next(name for name in fleet.nodes if name not in fleet.get_readers())
+        fleet.kill(name)
+        new_items, fleet.platform.items = fleet.platform.items, old_items
+        new_revision, fleet.platform.revision = fleet.platform.revision, old_revision
+        await fleet.start(name)
+        node = fleet.nodes[name]
+        while not node.relay.state.items:
+            await trio.sleep(0.001)
+        fleet.platform.items = new_items
+        fleet.platform.revision = new_revision
+        self.assertIn(gone, node.view.instances)
+        self.assertFalse(node.relay.is_confirmed)
+        while not node.relay.is_confirmed:
+            await trio.sleep(0.001)
+        self.assertNotIn(gone, node.view.instances)
+        for other in fleet.nodes.values():
+            self.assertNotIn(gone, other.view.instances)
+
+    @with_fleet
+    async def test_nodes_that_follow_each_other_do_not_confirm_each_other(self, fleet):
+        fleet.platform.is_down = True
+        fleet.platform.changed.set()
+        await trio.sleep(20.0)
+        newest = max(node.relay.selector.confirmed_at for node in fleet.nodes.values())
+        self.assertGreater(trio.current_time() - newest, 15.0)
+        messages = fleet.messages
+        await trio.sleep(10.0)
+        self.assertLess((fleet.messages - messages) / 10.0 / FLEET, 20)
+
+    @with_fleet
+    async def test_random_cuts_and_restarts_keep_every_change_in_time(self, fleet):
+        rng = random.Random(3)
+        for version in range(40):
+            name = rng.choice(fleet.names)
+            if name not in fleet.nodes:
+                await fleet.start(name)
+            elif rng.random() < 0.5:
+                fleet.kill(name)
+            else:
+                source = fleet.nodes[name].source
+                source.is_cut = not source.is_cut
+            fleet.platform.put("config", b"%d" % version)
+            revision = fleet.platform.revision
+            self.assertLess(await fleet.wait_until_known(revision), PROPAGATION_S)
+            await trio.sleep(rng.uniform(0.0, 3.0))
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -64,7 +64,7 @@
         self.node.nursery = nursery
         self.node.links.refresh = lambda: None
         self.node.replicas.update_watch = lambda: None
-        nursery.start_soon(self.environment.watch_store)
+        nursery.start_soon(self.environment.relay.run)
         nursery.start_soon(self.environment.watch_expiring_entries)
 
     def get_live_instances(self):
@@ -211,7 +211,7 @@
     async def test_fault_in_one_change_does_not_end_the_watch(self, setup):
         await setup.publish()
 
-        def fail(change, now):
+        def fail(change):
             raise KeyError(change.key)
 
         setup.environment.apply_server_change = fail
