End the import circle between node, environments and planned stop

Cause: environments, status report and planned stop imported the node's type, and the node imported the native environment.

Change: coordination/environment.py names the parts that they use; native/ is a folder beside platform/, and commands hand the environment to the node. The status builder gets the watches that it reports. No behaviour changes.

--- a/src/catkinpost/command/node.py
+++ b/src/catkinpost/command/node.py
@@ -8,6 +8,7 @@
 import typer
 
 from catkinpost.log import start_log
+from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.process import run_process
 from catkinpost.protocol.settings import NodeSettings, parse_settings
@@ -47,7 +48,7 @@
 
 
 async def run_node(settings: NodeSettings) -> None:
-    await Node(settings).run()
+    await Node(settings, NativeEnvironment()).run()
 
 
 def main() -> None:
--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -1,13 +1,89 @@
-"""Interface to the sources of a node's policy and list of instances."""
+"""Interfaces between a node's parts and the sources of its policy and instances."""
 
-from typing import TYPE_CHECKING, Protocol
+from collections.abc import Awaitable, Callable
+from typing import Protocol
 
+import trio
+
+from catkinpost.coordination.admission.executor import Executor
+from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
+from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
+from catkinpost.coordination.pause import PauseWatch
+from catkinpost.coordination.peers.identity import Identity
+from catkinpost.coordination.peers.link_table import LinkTable
+from catkinpost.coordination.peers.peer_handler import PeerHandler
 from catkinpost.coordination.routing.dialect import Dialect
+from catkinpost.coordination.routing.dispatcher import Dispatcher
+from catkinpost.protocol.outcome import Failure
+from catkinpost.protocol.settings import NodeSettings
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.instance_view import InstanceView, ListChange
+from catkinpost.state.metric import Metrics
+from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_store import PolicyStore
+from catkinpost.transport.http_client import BackendClient
+from catkinpost.transport.http_server import HttpServer
+
+__all__ = ["Environment", "NodeParts", "StopState"]
+
+
+class StopState(Protocol):
+    """State of a planned stop."""
+
+    @property
+    def is_requested(self) -> bool:
+        """Whether a stop of the node has been requested."""
+
+
+class NodeParts(Protocol):
+    """Parts of a node that its environment and its planned stop use."""
+
+    settings: NodeSettings
+    environment: "Environment"
+    identity: Identity
+    decisions: DecisionLog
+    metrics: Metrics
+    store: PolicyStore
+    view: InstanceView
+    stats: PeerStats
+    pause_watch: PauseWatch
+    links: LinkTable
+    exchange: PolicyExchange
+    peer_handler: PeerHandler
+    backend_client: BackendClient
+    executor: Executor
+    dispatcher: Dispatcher
+    replicas: ServiceReplicas
+    http_server: HttpServer
+    accept_calls_scope: trio.CancelScope
+    planned_stop: StopState
+    is_leaving: bool
+
+    async def listen(
+        self,
+        address: str,
+        serve: Callable[[trio.abc.Stream], Awaitable[None]],
+        scope: trio.CancelScope | None = None,
+    ) -> None:
+        """Accept connections at an address."""
+
+    def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
+        """Start a background task whose exceptions do not end the process."""
+
+    def report_internal_error(self) -> None:
+        """Count and log the exception that is being handled."""
+
+    def report_bad_request(self, failure: Failure) -> None:
+        """Count and log a request that is not valid."""
+
+    def on_list_changed(self, change: ListChange) -> None:
+        """Apply a change of the instance list to all parts that depend on it."""
 
-if TYPE_CHECKING:
-    from catkinpost.node import Node
+    def get_partner_names(self) -> set[str]:
+        """Return the names of the node's partners."""
 
-__all__ = ["Environment"]
+    def start_leaving(self, reason: str) -> None:
+        """Refuse new work from now on, and notify the peers."""
 
 
 class Environment(Protocol):
@@ -18,7 +94,7 @@
 
     dialect: Dialect
 
-    def attach(self, node: "Node") -> None:
+    def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
 
         :param node: node whose other parts are built.
--- a/src/catkinpost/native/environment.py
+++ b/src/catkinpost/native/environment.py
@@ -1,22 +1,19 @@
 """Environment of a node that uses the product's own formats."""
 
 from functools import partial
-from typing import TYPE_CHECKING
 
 import trio
 
 from catkinpost.coordination.configuration.backend_watch import BackendWatch
 from catkinpost.coordination.configuration.instance_watch import InstanceWatch
 from catkinpost.coordination.configuration.policy_watch import PolicyGate, PolicyWatch
+from catkinpost.coordination.environment import NodeParts
 from catkinpost.coordination.operation.operator_api import OperatorApi
-from catkinpost.coordination.operation.status import StatusBuilder
 from catkinpost.coordination.routing.dialect import NativeDialect
+from catkinpost.native.status import StatusBuilder
 from catkinpost.protocol.settings import parse_address
 from catkinpost.transport.platform_client import PlatformClient
 
-if TYPE_CHECKING:
-    from catkinpost.node import Node
-
 __all__ = ["NativeEnvironment"]
 
 
@@ -26,7 +23,7 @@
     def __init__(self) -> None:
         self.dialect = NativeDialect()
 
-    def attach(self, node: "Node") -> None:
+    def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
 
         :param node: node whose other parts exist already.
@@ -58,7 +55,12 @@
             on_draining=partial(node.start_leaving, "the backend server drains"),
         )
         self.api = OperatorApi(
-            build_status=StatusBuilder(node, self).build,
+            build_status=StatusBuilder(
+                node,
+                platform=self.platform,
+                policy_watch=self.policy_watch,
+                backend_watch=self.backend_watch,
+            ).build,
             decisions=node.decisions,
             metrics=node.metrics,
             store=node.store,
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -1,9 +1,10 @@
 """Status report of a node."""
 
-from typing import TYPE_CHECKING
-
 import trio
 
+from catkinpost.coordination.configuration.backend_watch import BackendWatch
+from catkinpost.coordination.configuration.policy_watch import PolicyWatch
+from catkinpost.coordination.environment import NodeParts
 from catkinpost.protocol.report import (
     OutcomeRow,
     PeerReport,
@@ -11,10 +12,7 @@
     StatusReport,
 )
 from catkinpost.state.instance_view import Instance
-
-if TYPE_CHECKING:
-    from catkinpost.native import NativeEnvironment
-    from catkinpost.node import Node
+from catkinpost.transport.platform_client import PlatformClient
 
 __all__ = ["StatusBuilder"]
 
@@ -23,20 +21,30 @@
     """Builder of status reports.
 
     :param node: the node.
-    :param environment: watches of the node.
+    :param platform: client whose reads are counted.
+    :param policy_watch: watch of the policy.
+    :param backend_watch: watch of the backend server.
     """
 
-    def __init__(self, node: "Node", environment: "NativeEnvironment") -> None:
+    def __init__(
+        self,
+        node: NodeParts,
+        *,
+        platform: PlatformClient,
+        policy_watch: PolicyWatch,
+        backend_watch: BackendWatch,
+    ) -> None:
         self.node = node
-        self.environment = environment
+        self.platform = platform
+        self.policy_watch = policy_watch
+        self.backend_watch = backend_watch
 
     def build(self) -> StatusReport:
         """Build a report of the current state."""
         node = self.node
         admission = node.executor.admission
         node_settings = node.settings.node
-        environment = self.environment
-        backend = environment.backend_watch.report
+        backend = self.backend_watch.report
         return StatusReport(
             instance=node_settings.instance,
             incarnation=node.identity.incarnation,
@@ -55,8 +63,8 @@
             backend_reachable=backend.reachable,
             backend_reported_in_flight=backend.in_flight,
             pauses=node.pause_watch.pauses,
-            platform_bytes=environment.platform.read_bytes,
-            platform_reads=environment.platform.reads,
+            platform_bytes=self.platform.read_bytes,
+            platform_reads=self.platform.reads,
             counters=dict(node.metrics.counters),
             outcomes=self.build_outcomes(),
             peers=[
@@ -74,7 +82,7 @@
             if store.in_force_at is None
             else trio.current_time() - store.in_force_at
         )
-        watch = self.environment.policy_watch
+        watch = self.policy_watch
         return PolicyReport(
             version=store.version,
             digest=store.digest.hex(),
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -53,19 +53,10 @@
     """Process beside one backend server.
 
     :param settings: checked settings.
-    :param environment: sources of policy and instances, and the operators'
-        interface; ``None`` for those in the settings.
+    :param environment: sources of policy and instances, and the operators' interface.
     """
 
-    def __init__(
-        self, settings: NodeSettings, environment: Environment | None = None
-    ) -> None:
-        if environment is None:
-            # The libraries of the native environment are slow to import, and other
-            # environments don't need them.
-            from catkinpost.native import NativeEnvironment
-
-            environment = NativeEnvironment()
+    def __init__(self, settings: NodeSettings, environment: Environment) -> None:
         self.environment = environment
         self.settings = settings
         self.nursery: trio.Nursery | None = None
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -6,9 +6,9 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.environment import NodeParts
 from catkinpost.coordination.feed import FeedRelay
 from catkinpost.coordination.tick import sleep_until_next_tick
-from catkinpost.node import Node
 from catkinpost.platform.dialect import PlatformDialect
 from catkinpost.platform.document import parse_configuration, render_policy
 from catkinpost.platform.listing import ServerList, parse_server_entry
@@ -46,7 +46,7 @@
         self.list_version = 0
         self.settings_text = ""
 
-    def attach(self, node: Node) -> None:
+    def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
 
         :param node: node whose other parts exist already.
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -1,17 +1,14 @@
 """Planned stop of a node: order of its notifications and waits."""
 
 import signal
-from typing import TYPE_CHECKING
 
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.environment import NodeParts
 from catkinpost.protocol.message import KeyRecords
 from catkinpost.protocol.outcome import Failure
 
-if TYPE_CHECKING:
-    from catkinpost.node import Node
-
 __all__ = ["PlannedStop"]
 
 IDLE_CHECK_INTERVAL_S = 0.05
@@ -29,7 +26,7 @@
     :param node: node to stop.
     """
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: NodeParts) -> None:
         self.node = node
         self.requested = trio.Event()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.policy import Mode
 from catkinpost.protocol.settings import parse_settings
@@ -23,7 +24,7 @@
 class TestNode(unittest.TestCase):
     @on_mock_clock
     async def test_pause_of_the_process_ends_the_watch_over_keys(self):
-        node = Node(parse_settings(GOOD))
+        node = Node(parse_settings(GOOD), NativeEnvironment())
         node.replicas.watch_started_at = trio.current_time()
         node.pause_watch.check_for_pause()
         await trio.sleep(10)
@@ -34,7 +35,7 @@
     @on_mock_clock
     async def test_policy_reaches_the_parts_that_hold_its_sections(self):
         async with trio.open_nursery() as nursery:
-            node = Node(parse_settings(GOOD))
+            node = Node(parse_settings(GOOD), NativeEnvironment())
             node.nursery = nursery
             node.exchange.apply_document(1, POLICY)
             self.assertEqual(node.executor.admission.section.slots, 7)
@@ -43,7 +44,7 @@
     @on_mock_clock
     async def test_instance_listed_as_leaving_takes_no_new_work(self):
         async with trio.open_nursery() as nursery:
-            node = Node(parse_settings(GOOD))
+            node = Node(parse_settings(GOOD), NativeEnvironment())
             node.nursery = nursery
             own = make_instance("orders-1", InstanceState.LEAVING)
             change = node.view.apply_list(1, [own], 0.0)
@@ -54,7 +55,7 @@
     @on_mock_clock
     async def test_observations_of_a_removed_instance_are_dropped(self):
         async with trio.open_nursery() as nursery:
-            node = Node(parse_settings(GOOD))
+            node = Node(parse_settings(GOOD), NativeEnvironment())
             node.nursery = nursery
             node.stats.get_or_create("orders-2").failures = 3
             node.on_list_changed(
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,6 +9,7 @@
 import trio.testing
 from nose2.tools import params
 
+from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import parse_settings
@@ -26,7 +27,8 @@
         settings = parse_settings(GOOD)
         bounds = {"leave_notice": NOTICE_S, "stop_timeout": 5.0} | bounds
         bounds = msgspec.structs.replace(settings.bounds, **bounds)
-        self.node = Node(dataclasses.replace(settings, bounds=bounds))
+        settings = dataclasses.replace(settings, bounds=bounds)
+        self.node = Node(settings, NativeEnvironment())
         self.reachable = reachable
         self.refused_at = None
         self.node.start_leaving = self.record_refusal
