Count no confirmation that a reader does not have

Cause, found by reading: a reader that had never been confirmed sent a very large age, which a restarted node took for a confirmation of its stale first read. Ages did not include a pause of the process, as the steady clock stands still. A brief failure of a node's own reading became an outage of the platform minutes later.

Change: no confirmation is a negative age; a pause discards all confirmations; an outage begins no earlier than the newest confirmation of any feed. The order of the readers is computed once for each list.

Tests: three in test_relay, the first two fail without the change.

--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -38,8 +38,6 @@
 MAX_BOOTSTRAP_DELAY_S = 2.0
 # Entries expire after several missed heartbeats, hence not in a shorter outage.
 MIN_OUTAGE_S = 1.0
-# Stands for no confirmation at all.
-MAX_AGE_S = 1e6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -129,6 +127,8 @@
         self.state = FeedState()
         self.selector = FeedSelector(instance, settings.max_age_s)
         self.selected: list[str] = []
+        self.ranked: list[str] = []
+        self.ranked_version: int | None = None
         self.subscribers: dict[int, Subscriber] = {}
         self.read_requested = trio.Event()
         self.failed_at: float | None = None
@@ -227,9 +227,11 @@
         if self.failed_at is None:
             return
         now = trio.current_time()
-        if now - self.failed_at >= MIN_OUTAGE_S:
+        # A confirmation of any feed shows that the platform was there.
+        outage_s = now - max(self.failed_at, self.selector.confirmed_at)
+        if outage_s >= MIN_OUTAGE_S:
             self.recovered_at = now
-        log_message("feed: read again", seconds=round(now - self.failed_at, 3))
+        log_message("feed: read again", seconds=round(outage_s, 3))
         self.failed_at = None
         self.last_error = ""
 
@@ -238,10 +240,17 @@
         if changes or self.view.read_at is None:
             self.on_changes(changes)
 
+    def on_pause(self) -> None:
+        """Distrust all confirmations: their age does not include the pause."""
+        for status in self.selector.statuses.values():
+            status.confirmed_at = -math.inf
+
     def update_selection(self) -> None:
         """Follow the feeds that are selected now, and no others."""
-        ranked = rank_readers(self.view, self.region)
-        selected = self.selector.select(ranked, trio.current_time())
+        if self.ranked_version != self.view.version:
+            self.ranked_version = self.view.version
+            self.ranked = rank_readers(self.view, self.region)
+        selected = self.selector.select(self.ranked, trio.current_time())
         if selected != self.selected:
             log_message("feed: selected", feeds=selected, was=self.selected)
             self.change_feeds(selected)
@@ -305,7 +314,8 @@
             self.send_subscription(link)
             return
         status.failing = page.failing
-        self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
+        if page.age_us >= 0:
+            self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
         if page.recovered_us >= 0:
             recovered_at = now - page.recovered_us / 1e6
             self.recovered_at = max(self.recovered_at or recovered_at, recovered_at)
@@ -359,7 +369,8 @@
         recovered_s = -1.0 if self.recovered_at is None else now - self.recovered_at
         # Only the own reading confirms the state: nodes that follow each other would
         # otherwise confirm each other without end.
-        age_s = min(now - self.own_status.confirmed_at, MAX_AGE_S)
+        confirmed_at = self.own_status.confirmed_at
+        age_s = -1.0 if confirmed_at == -math.inf else now - confirmed_at
         return self.state.build_page(
             since,
             now,
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -63,6 +63,7 @@
             settings=self.settings.feed,
         )
         node.peer_handler.feed = self.relay
+        node.pause_watch.listeners.append(self.relay.on_pause)
         self.probe_server = HttpServer(
             self.handle_probe,
             limits=self.settings.node.http_limits,
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -312,7 +312,8 @@
 
     :param since: revision up to which the receiver must know all changes.
     :param revision: revision up to which the changes are complete.
-    :param age_us: microseconds since the platform has confirmed this state.
+    :param age_us: microseconds since the platform has confirmed this state to the
+        sender, negative for no confirmation.
     :param recovered_us: microseconds since the platform's last recovery from an outage,
         negative for none.
     :param failing: whether the sender fails to read the platform.
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -114,7 +114,8 @@
 
         :param since: revision up to which the receiver knows all changes.
         :param now: time on the node's clock.
-        :param age_s: seconds since the platform has confirmed the state.
+        :param age_s: seconds since the platform has confirmed the state, negative for
+            no confirmation.
         :param recovered_s: seconds since the platform's last recovery from an outage,
             negative for none.
         :param failing: whether the sender fails to read the platform.
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -28,7 +28,7 @@
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 
-__all__ = ["EmulatedFleet", "EmulatedNode", "EmulatedPlatform", "main"]
+__all__ = ["UNREACHABLE", "EmulatedFleet", "EmulatedNode", "EmulatedPlatform", "main"]
 
 LINK_LATENCY_S = 0.001
 CALL_LATENCY_S = 0.004
@@ -65,6 +65,15 @@
             self.items.pop(key, None)
         else:
             self.items[key] = change
+        self.wake_watches()
+
+    def stop_answering(self) -> None:
+        """Fail every call, also those that wait."""
+        self.is_down = True
+        self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Let waiting watches look again."""
         self.changed.set()
         self.changed = trio.Event()
 
--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -6,7 +6,7 @@
 import trio
 from nose2.tools import params
 
-from catkinpost_standins.feed_emulator import EmulatedFleet
+from catkinpost_standins.feed_emulator import UNREACHABLE, EmulatedFleet
 from tests.clock import on_mock_clock
 
 # A change must be in force within this time, and the wait of a node for its answer.
@@ -74,8 +74,7 @@
 
     @with_fleet
     async def test_nobody_stampedes_while_the_platform_is_away(self, fleet):
-        fleet.platform.is_down = True
-        fleet.platform.changed.set()
+        fleet.platform.stop_answering()
         await trio.sleep(1.0)
         fleet.platform.calls.clear()
         await trio.sleep(30.0)
@@ -131,10 +130,48 @@
         for other in fleet.nodes.values():
             self.assertNotIn(gone, other.view.instances)
 
+    @with_fleet
+    async def test_reader_that_was_never_confirmed_confirms_nobody(self, fleet):
+        """Guards against a restarted node that trusts its first, stale read."""
+        for name in list(fleet.nodes):
+            fleet.kill(name)
+        fleet.start_all()
+        for _ in range(400):
+            await trio.sleep(0.001)
+            # Every node makes its first read, and no other call succeeds.
+            for node in fleet.nodes.values():
+                node.source.is_cut = bool(node.relay.state.items)
+        await trio.sleep(5.0)
+        nodes = fleet.nodes.values()
+        self.assertEqual(len([node for node in nodes if node.view.instances]), FLEET)
+        self.assertFalse([node for node in nodes if node.relay.is_confirmed])
+        for node in nodes:
+            node.source.is_cut = False
+        await trio.sleep(5.0)
+        self.assertTrue(all(node.relay.is_confirmed for node in nodes))
+
+    @with_fleet
+    async def test_confirmations_from_before_a_pause_do_not_count(self, fleet):
+        reader = fleet.nodes[fleet.get_readers()[0]]
+        reader.relay.on_pause()
+        page = reader.relay.build_page(since=0)
+        self.assertLess(page.age_us, 0)
+        await trio.sleep(2.0)
+        self.assertGreaterEqual(reader.relay.build_page(since=0).age_us, 0)
+
+    @with_fleet
+    async def test_brief_failure_long_ago_is_no_outage_of_the_platform(self, fleet):
+        follower = next(
+            node for node in fleet.nodes.values() if not node.relay.must_read
+        )
+        follower.relay.record_failure(UNREACHABLE)
+        await trio.sleep(60.0)
+        follower.relay.record_success()
+        self.assertIsNone(follower.relay.recovered_at)
+
     @with_fleet
     async def test_nodes_that_follow_each_other_do_not_confirm_each_other(self, fleet):
-        fleet.platform.is_down = True
-        fleet.platform.changed.set()
+        fleet.platform.stop_answering()
         await trio.sleep(20.0)
         newest = max(node.relay.selector.confirmed_at for node in fleet.nodes.values())
         self.assertGreater(trio.current_time() - newest, 15.0)
