--- a/src/catkinpost/coordination/feed/selection.py
+++ b/src/catkinpost/coordination/feed/selection.py
@@ -1,9 +1,9 @@
 """Choice of the peers whose copy of the platform's keys a node follows."""
 
-import hashlib
 import math
 from dataclasses import dataclass
 
+from catkinpost.coordination.peers.link_table import compute_ring_position
 from catkinpost.state.instance_view import InstanceState, InstanceView
 
 __all__ = ["FeedSelector", "FeedStatus", "rank_readers"]
@@ -134,8 +134,4 @@
         item for item in view.instances.values() if item.state is InstanceState.LIVE
     ]
     regional = [item for item in live if item.region == own_region]
-    return sorted((item.name for item in regional or live), key=compute_order_key)
-
-
-def compute_order_key(name: str) -> bytes:
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return sorted((item.name for item in regional or live), key=compute_ring_position)
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -14,7 +14,7 @@
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 from catkinpost.state.policy_store import PolicyStore
 
-__all__ = ["LinkTable", "find_partners"]
+__all__ = ["LinkTable", "compute_ring_position", "find_partners"]
 
 CENTRE_PARTNERS = 2
 FLEET_PARTNERS = 1
@@ -167,4 +167,5 @@
 
 
 def compute_ring_position(name: str) -> bytes:
+    """Return the position of an instance in the order that all nodes agree on."""
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
