Log what a backend server says about itself and what it is sent

Change: the node beside a server reads its rate limit and its announcement that it leaves (ServerMonitor), keeps them by instance and incarnation (ServerNotices), logs each change ("server: notice") and, while a limit is in force, once a second the requests sent in 4 s. Nothing acts on it yet.

--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -13,6 +13,7 @@
 )
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
+from catkinpost.coordination.admission.server_monitor import ServerMonitor
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard, compute_fingerprint
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
@@ -46,6 +47,7 @@
     :param running_calls: calls in progress, to which child calls refer.
     :param fixed_limits: fixed limits.
     :param crash_guard: guard against requests that crash backend servers.
+    :param monitor: notices of the backend server.
     :param throttle: shares of requests that other services refuse at present.
     :param decisions: log for decisions.
     :param is_leaving: function that returns whether the instance refuses new work.
@@ -60,6 +62,7 @@
     running_calls: RunningCalls
     fixed_limits: FixedLimits
     crash_guard: CrashGuard
+    monitor: ServerMonitor
     throttle: Throttle
     decisions: DecisionLog
     dependencies: Dependencies = field(default_factory=Dependencies)
@@ -238,9 +241,9 @@
         try:
             with trio.CancelScope(deadline=running.deadline) as scope:
                 request = self.dialect.build_request(call, running)
-                result = self.interpret_result(
-                    call, await self.client.send_request(request)
-                )
+                self.monitor.record_send()
+                response = await self.client.send_request(request)
+                result = self.interpret_result(call, response)
                 if is_connection_lost(result):
                     await self.detect_crash()
             if scope.cancelled_caught:
@@ -303,6 +306,7 @@
         if isinstance(result, Failure):
             return result
         failure = self.dialect.find_refusal(call, result, self.admission.section)
+        self.monitor.record_response(call, result, failure)
         if failure is None:
             return result
         if failure.retry_after is None:
--- /dev/null
+++ b/src/catkinpost/coordination/admission/server_monitor.py
@@ -0,0 +1,106 @@
+"""Notices of the node's own backend server, and the requests that it is sent."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+
+import trio
+from eliot import log_message
+
+from catkinpost.coordination.routing.dialect import Dialect
+from catkinpost.protocol.http import HttpResponse
+from catkinpost.protocol.message import Call, ServerNotice
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.server_notice import ServerNotices
+
+__all__ = ["ServerMonitor"]
+
+# Span over which requests are counted for the log.
+COUNT_WINDOW_S = 4.0
+LOG_INTERVAL_S = 1.0
+
+
+class ServerMonitor:
+    """Reader of the notices in the responses of one backend server.
+
+    While the server names a rate limit, a line a second tells how many requests it
+    was sent.
+
+    :param instance: name of this node's instance.
+    :param notices: latest notices by instance.
+    :param dialect: HTTP conventions of the backend server.
+    :param on_leaving: called when the server announces that it leaves.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        notices: ServerNotices,
+        dialect: Dialect,
+        on_leaving: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.instance = instance
+        self.notices = notices
+        self.dialect = dialect
+        self.on_leaving = on_leaving
+        self.sent_at: deque[float] = deque()
+        self.logged_at = -math.inf
+
+    def get_notice(self) -> ServerNotice | None:
+        """Return the server's latest notice, ``None`` before its first response."""
+        return self.notices.get_latest(self.instance)
+
+    def record_send(self) -> None:
+        """Count a request that is about to be sent to the server."""
+        now = trio.current_time()
+        self.sent_at.append(now)
+        while self.sent_at[0] <= now - COUNT_WINDOW_S:
+            self.sent_at.popleft()
+        notice = self.get_notice()
+        if notice is None or notice.rate_limit is None:
+            return
+        if now >= self.logged_at + LOG_INTERVAL_S:
+            self.logged_at = now
+            log_message(
+                "server: requests under a rate limit",
+                rate_limit=notice.rate_limit,
+                sent=len(self.sent_at),
+                window_s=COUNT_WINDOW_S,
+            )
+
+    def record_response(
+        self, call: Call, response: HttpResponse, refusal: Failure | None
+    ) -> None:
+        """Record the notice in a response.
+
+        :param call: the call that was sent.
+        :param response: response of the server.
+        :param refusal: the failure that the response reports, ``None`` for a result.
+        """
+        if refusal is not None and refusal.reason is not Reason.BACKEND_SHED:
+            # Another server's response, or bytes that cannot be trusted.
+            return
+        rate_limit = self.dialect.read_rate_limit(response)
+        if isinstance(rate_limit, Failure):
+            log_message("server: rate limit ignored", why=rate_limit.detail)
+            latest = self.notices.get(self.instance, call.incarnation)
+            rate_limit = None if latest is None else latest.rate_limit
+        notice = ServerNotice(
+            call.incarnation, rate_limit, self.dialect.is_server_leaving(response)
+        )
+        self.record_notice(notice)
+
+    def record_notice(self, notice: ServerNotice) -> None:
+        """Record a notice of the server, and log one that differs."""
+        if not self.notices.record(self.instance, notice):
+            return
+        log_message(
+            "server: notice",
+            incarnation=notice.incarnation,
+            rate_limit=notice.rate_limit,
+            leaving=notice.leaving,
+            sent=len(self.sent_at),
+        )
+        if notice.leaving:
+            self.on_leaving()
--- a/src/catkinpost/coordination/routing/dialect.py
+++ b/src/catkinpost/coordination/routing/dialect.py
@@ -7,12 +7,15 @@
 from catkinpost.coordination.routing.entry import EntryCall, classify_request
 from catkinpost.protocol.header import (
     IDEMPOTENCY_KEY_HEADER,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     PARENT_HEADER,
+    RATE_LIMIT_HEADER,
     REASON_HEADER,
     RETRY_ALLOWANCE_HEADER,
     build_failure_response,
     build_outcome_headers,
+    parse_rate,
 )
 from catkinpost.protocol.http import (
     Headers,
@@ -66,6 +69,16 @@
     ) -> Failure | None:
         """Return the failure when a backend server's response is no result of a run."""
 
+    def read_rate_limit(self, response: HttpResponse) -> float | Failure | None:
+        """Return the requests per second that a backend server takes from all nodes.
+
+        :return: the rate, ``None`` when the response names none, or a failure when it
+            is no decimal number.
+        """
+
+    def is_server_leaving(self, response: HttpResponse) -> bool:
+        """Return whether a backend server announces that it is about to stop."""
+
 
 class NativeDialect:
     """Dialect of the headers in :mod:`catkinpost.protocol.header`."""
@@ -117,6 +130,14 @@
             detail="the backend server shed the request",
         )
 
+    def read_rate_limit(self, response: HttpResponse) -> float | Failure | None:
+        """Return the rate that the backend server names."""
+        return parse_rate(find_header(response.headers, RATE_LIMIT_HEADER))
+
+    def is_server_leaving(self, response: HttpResponse) -> bool:
+        """Return whether the backend server announces that it leaves."""
+        return find_header(response.headers, LEAVING_HEADER) is not None
+
 
 def is_forwarded_header(name: bytes) -> bool:
     return name not in (OUTCOME_HEADER, REASON_HEADER)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -10,6 +10,7 @@
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
+from catkinpost.coordination.admission.server_monitor import ServerMonitor
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
@@ -38,6 +39,7 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.retry_budget import RetryBudget, build_retry_bound
 from catkinpost.state.running import RunningCalls
+from catkinpost.state.server_notice import ServerNotices
 from catkinpost.stop import PlannedStop
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
@@ -84,6 +86,7 @@
         self.store = PolicyStore()
         self.view = InstanceView()
         self.stats = PeerStats()
+        self.notices = ServerNotices()
         self.running = RunningCalls()
         self.pause_watch = PauseWatch(self.decisions)
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
@@ -139,6 +142,11 @@
             running_calls=self.running,
             fixed_limits=FixedLimits(self.decisions),
             crash_guard=self.crash_guard,
+            monitor=ServerMonitor(
+                instance=self.identity.instance,
+                notices=self.notices,
+                dialect=self.environment.dialect,
+            ),
             throttle=self.throttle,
             decisions=self.decisions,
             is_leaving=lambda: self.is_leaving,
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -13,7 +13,10 @@
     EXPECTED_INSTANCE,
     NOT_EXECUTED,
     RESPONSE_SIGNATURE,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
 )
+from catkinpost.protocol.header import parse_rate
 from catkinpost.protocol.http import (
     Headers,
     HttpRequest,
@@ -180,6 +183,14 @@
             )
         return None
 
+    def read_rate_limit(self, response: HttpResponse) -> float | Failure | None:
+        """Return the requests per second that the server takes from all nodes."""
+        return parse_rate(find_header(response.headers, SERVER_LIMIT))
+
+    def is_server_leaving(self, response: HttpResponse) -> bool:
+        """Return whether the server announces that it leaves."""
+        return find_header(response.headers, SERVER_LEAVING) is not None
+
 
 def choose_service(section: ClassSection) -> str:
     """Choose the service of one request by the weights of its class."""
--- a/src/catkinpost/platform/names.py
+++ b/src/catkinpost/platform/names.py
@@ -10,6 +10,8 @@
     "READINESS_PATH",
     "RESPONSE_SIGNATURE",
     "SERVERS_PREFIX",
+    "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "SERVER_LOAD",
     "SETTINGS_VARIABLE",
 ]
@@ -19,6 +21,8 @@
 RESPONSE_SIGNATURE = b"response-signature"
 EXPECTED_INSTANCE = b"expected-instance"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 NOT_EXECUTED = b"not-executed"
 CALLING_SERVICE = b"calling-service"
 
--- a/src/catkinpost/protocol/header.py
+++ b/src/catkinpost/protocol/header.py
@@ -1,6 +1,7 @@
 """HTTP headers exchanged between callers, nodes and backend servers."""
 
 import math
+import re
 from typing import Annotated
 
 import msgspec
@@ -13,6 +14,7 @@
     "build_failure_response",
     "build_outcome_headers",
     "parse_call_headers",
+    "parse_rate",
     "parse_service_name",
 ]
 
@@ -23,10 +25,14 @@
 REASON_HEADER = b"catkinpost-reason"
 RETRY_ALLOWANCE_HEADER = b"catkinpost-retry-allowance"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+RATE_LIMIT_HEADER = b"catkinpost-rate-limit"
+LEAVING_HEADER = b"catkinpost-leaving"
 MAX_TIMEOUT_MS = 3_600_000
 MAX_RETRY_ALLOWANCE = 16
 MAX_ATTEMPT_NUMBER = 1000
 
+RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 
 
@@ -117,6 +123,20 @@
     return label.decode("latin-1")
 
 
+def parse_rate(value: bytes | None) -> float | Failure | None:
+    """Parse the requests per second that a header names.
+
+    :param value: value of the header, ``None`` when it is missing.
+    :return: the rate, ``None`` when the header is missing, or a failure when its value
+        is no decimal number.
+    """
+    if value is None:
+        return None
+    if RATE_PATTERN.fullmatch(value.strip()) is None:
+        return build_invalid_header_failure("the rate is no decimal number")
+    return float(value)
+
+
 def build_outcome_headers(outcome: Outcome) -> list[tuple[bytes, bytes]]:
     """Build the headers that report to a caller whether its request ran.
 
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -33,6 +33,7 @@
     "Pong",
     "Refusal",
     "SectionCopy",
+    "ServerNotice",
     "SuspectNotice",
     "Welcome",
     "decode_message",
@@ -43,6 +44,20 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class ServerNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What a backend server says about itself in its responses.
+
+    :param incarnation: incarnation of the server, as listed.
+    :param rate_limit: requests per second that the server takes from all nodes
+        together, ``None`` while it names no limit.
+    :param leaving: whether the server announces that it is about to stop.
+    """
+
+    incarnation: str = ""
+    rate_limit: float | None = None
+    leaving: bool = False
+
+
 class Load(msgspec.Struct, array_like=True, frozen=True):
     """Load of a backend server as measured by its own node.
 
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -10,8 +10,10 @@
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
+from catkinpost.coordination.admission.server_monitor import ServerMonitor
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard
+from catkinpost.coordination.routing.dialect import NativeDialect
 from catkinpost.protocol.header import PARENT_HEADER
 from catkinpost.protocol.http import HttpResponse, find_header
 from catkinpost.protocol.message import Answer
@@ -19,6 +21,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.running import RunningCalls
+from catkinpost.state.server_notice import ServerNotices
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
 
@@ -73,7 +76,8 @@
 class Setup:
     """Executor with real dependencies, except for the backend server."""
 
-    def __init__(self, options="", limits=True):
+    def __init__(self, options="", limits=True, dialect=None):
+        self.dialect = dialect or NativeDialect()
         self.decisions = DecisionLog()
         self.store = PolicyStore()
         text = POLICY.format(options=options)
@@ -83,6 +87,7 @@
         self.client = FakeClient()
         self.leaving = False
         self.throttle = Throttle()
+        self.notices = ServerNotices()
         self.crash_guard = CrashGuard(
             instance="orders-1",
             broadcast=lambda message: None,
@@ -96,8 +101,12 @@
             running_calls=RunningCalls(),
             fixed_limits=FixedLimits(self.decisions),
             crash_guard=self.crash_guard,
+            monitor=ServerMonitor(
+                instance="orders-1", notices=self.notices, dialect=self.dialect
+            ),
             throttle=self.throttle,
             decisions=self.decisions,
+            dialect=self.dialect,
             is_leaving=lambda: self.leaving,
         )
 
--- /dev/null
+++ b/tests/coordination/admission/test_server_monitor.py
@@ -0,0 +1,57 @@
+"""Tests of what a node learns from the notices of its backend server."""
+
+import unittest
+
+from nose2.tools import params
+
+from catkinpost.coordination.admission.server_monitor import ServerMonitor
+from catkinpost.platform.dialect import PlatformDialect
+from catkinpost.protocol.http import HttpResponse
+from catkinpost.protocol.message import ServerNotice
+from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.server_notice import ServerNotices
+from tests.clock import on_mock_clock
+from tests.coordination.at_most_once.test_once import make_call
+
+LIMIT, LEAVING = b"server-limit", b"server-leaving"
+SHED = Failure(reason=Reason.BACKEND_SHED)
+REPLACED = Failure(reason=Reason.BACKEND_REPLACED)
+BAD_ANSWER = Failure(reason=Reason.BACKEND_BAD_ANSWER)
+
+
+class TestServerMonitor(unittest.TestCase):
+    @params(
+        # (headers, refusal that the response stands for, rate limit, leaving)
+        ([(LIMIT, b"38.4")], None, 38.4, False),
+        ([(LIMIT, b"0")], None, 0.0, False),
+        ([(LIMIT, b"2"), (LEAVING, b"1")], None, 2.0, True),
+        ([(LIMIT, b"2")], SHED, 2.0, False),
+        ([], None, None, False),
+        ([], SHED, None, False),
+        # Kept from the response before.
+        ([(LIMIT, b"2")], REPLACED, 7.0, False),
+        ([(LEAVING, b"1")], BAD_ANSWER, 7.0, False),
+        ([(LIMIT, b"many")], None, 7.0, False),
+        ([(LIMIT, b"-1")], None, 7.0, False),
+        ([(LIMIT, b"nan")], None, 7.0, False),
+        ([(LIMIT, b"1e9")], None, 7.0, False),
+        ([(LIMIT, b"")], None, 7.0, False),
+    )
+    def test_notice_in_a_response(self, headers, refusal, rate_limit, leaving):
+        self.check_notice(headers, refusal, rate_limit, leaving)
+
+    @on_mock_clock
+    async def check_notice(self, headers, refusal, rate_limit, leaving):
+        left = []
+        monitor = ServerMonitor(
+            instance="orders-1",
+            notices=ServerNotices(),
+            dialect=PlatformDialect(lambda: "stock"),
+            on_leaving=lambda: left.append(True),
+        )
+        call = make_call("", 0)
+        monitor.record_response(call, HttpResponse(200, [(LIMIT, b"7")]), None)
+        monitor.record_response(call, HttpResponse(200, headers), refusal)
+        notice = ServerNotice(call.incarnation, rate_limit, leaving)
+        self.assertEqual(monitor.get_notice(), notice)
+        self.assertEqual(bool(left), leaving)
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -7,11 +7,13 @@
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
+from catkinpost.coordination.admission.server_monitor import ServerMonitor
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.routing.attempt import AttemptSender
+from catkinpost.coordination.routing.dialect import NativeDialect
 from catkinpost.coordination.routing.dispatcher import Dispatcher
 from catkinpost.coordination.routing.ejection import Ejector
 from catkinpost.coordination.routing.hedge import Hedging
@@ -28,6 +30,7 @@
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.running import RunningCalls
+from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["Cluster"]
 
@@ -147,6 +150,8 @@
         self.store.accept_document(1, policy, now=0.0, source="test")
         self.view = InstanceView()
         self.stats = PeerStats()
+        self.notices = ServerNotices()
+        self.dialect = NativeDialect()
         self.running = RunningCalls()
         self.throttle = Throttle()
         self.backend = FakeBackend(cluster, self)
@@ -171,8 +176,12 @@
                 broadcast=lambda message: None,
                 decisions=self.decisions,
             ),
+            monitor=ServerMonitor(
+                instance=self.name, notices=self.notices, dialect=self.dialect
+            ),
             throttle=self.throttle,
             decisions=self.decisions,
+            dialect=self.dialect,
             is_leaving=lambda: self.leaving,
         )
         self.once = OnceGuard(
