--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -57,6 +57,7 @@
             return BACKEND_DOWN
         root = request.target.rpartition(b"/")[2].decode()
         self.cluster.note_run(self.node.service, root)
+        self.cluster.note_arrival(self.node.name)
         await trio.sleep(SERVICE_S)
         while self.stalled:
             await trio.sleep(SERVICE_S)
@@ -67,7 +68,8 @@
             answer = await self.call_child(child, root, request)
             if answer.status != 200:
                 return HttpResponse(502, [], b"child failed")
-        return HttpResponse(200, [], request.target)
+        notice = self.cluster.notice_headers.get(self.node.name, [])
+        return HttpResponse(200, list(notice), request.target)
 
     async def call_child(self, service, root, request):
         parent = find_header(request.headers, PARENT_HEADER)
@@ -260,6 +262,8 @@
         self.states = dict.fromkeys(names, InstanceState.LIVE)
         self.list_version = 0
         self.runs = {}
+        self.arrivals = {}
+        self.notice_headers = {}
         self.attempts = {}
         self.logical = {}
         for name in names:
@@ -270,6 +274,9 @@
         key = (service, root)
         self.runs[key] = self.runs.get(key, 0) + 1
 
+    def note_arrival(self, name):
+        self.arrivals.setdefault(name, []).append(trio.current_time())
+
     def link(self, source, target):
         key = (source, target)
         if key not in self.links:
