Keep the rate that a backend server names, at the node beside it

What callers saw: nothing; the server got more than twice the rate that it had named, as it answers as fast as before and the expected wait decides its share. Cause: the capacity of a server was known from its slots and service times alone; what it says about itself in its responses was not read. Change: admission admits at the named rate (a token bucket that starts empty), queues by rank within it, and refuses what could not start in time. A call that can move to another instance waits for 0.1 s at most. Load carries the notice and the wait for the rate, so that entries choose by it; a call carries the limit that its sender knows, so that a node that has just started keeps it before its server's first response. `rate_limiting` is the mode of the section. Why it holds: only the node beside a server reaches it, so one bucket bounds the sum of all nodes; in 4 s at most 4 L + L/4, also after a pause, and with a restart twice the burst. Below a limit of zero 0.5 a second go on, since no other request would show its end.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -8,13 +8,16 @@
 
 from catkinpost.coordination.admission.class_limiter import ClassLimiter
 from catkinpost.coordination.admission.limiter import ConcurrencyLimiter
+from catkinpost.coordination.admission.rate_limiter import RateLimiter
 from catkinpost.coordination.admission.work import AdmissionPermit, Waiter, WorkItem
+from catkinpost.coordination.event import AutoResetEvent
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import (
     IMPORTANCE_RANK,
     Importance,
     Mode,
     ServiceSection,
+    get_weakest_mode,
 )
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.duration import DurationModel
@@ -50,6 +53,8 @@
         self.decisions = decisions
         self.limiter = ConcurrencyLimiter(section, decisions)
         self.class_limiter = ClassLimiter(section, decisions)
+        self.rate_limiter = RateLimiter()
+        self.pacing_changed = AutoResetEvent()
         self.durations = DurationModel()
         self.in_flight = 0
         self.long_in_flight = 0
@@ -65,6 +70,52 @@
         self.limiter.update_section(section)
         self.class_limiter.section = section
         self.admit_waiters()
+        self.pacing_changed.set()
+
+    def set_rate_limit(self, rate_limit: float | None) -> None:
+        """Apply the rate limit that the backend server names now.
+
+        :param rate_limit: requests per second, ``None`` for no limit.
+        """
+        previous = self.rate_limiter.rate_limit
+        if rate_limit == previous:
+            return
+        self.rate_limiter.set_limit(rate_limit)
+        self.decisions.add(
+            "rate-limit",
+            "stop pacing" if rate_limit is None else "pace",
+            f"{previous} to {rate_limit} a second",
+            reason="the backend server names what it takes from all nodes",
+            mode=self.get_rate_mode(),
+            in_flight=self.in_flight,
+            queued=self.queued,
+        )
+        self.admit_waiters()
+        self.pacing_changed.set()
+
+    def get_rate_mode(self) -> Mode:
+        """Return the mode of keeping the rate limit of the backend server."""
+        return get_weakest_mode(self.section.admission, self.section.rate_limiting)
+
+    async def run(self) -> None:
+        """Admit waiters at the pace of the rate limit until cancelled."""
+        while True:
+            await self.pacing_changed.wait(self.get_pacing_delay())
+            self.admit_waiters()
+            self.refuse_late_waiters()
+
+    def get_pacing_delay(self) -> float | None:
+        """Return the seconds until the rate limit allows the next waiter to start.
+
+        :return: the seconds, ``None`` while no waiter waits for the rate limit.
+        """
+        if not self.queued or self.is_within_rate():
+            return None
+        return self.rate_limiter.get_wait(0)
+
+    def is_within_rate(self) -> bool:
+        """Return whether the rate limit allows a request to start now."""
+        return self.rate_limiter.can_start() or self.get_rate_mode() is not Mode.ON
 
     async def acquire_slot(self, item: WorkItem) -> AdmissionPermit | Failure:
         """Wait for a slot in which a request may run.
@@ -87,7 +138,7 @@
             self.log_refusal(item, Reason.QUEUE_FULL, "the limit is reached")
             return self.grant_slot(item, is_long, now)
         if not self.has_free_slot(is_long):
-            refusal = self.check_expected_wait(item, now)
+            refusal = self.check_rate(item) or self.check_expected_wait(item, now)
             if refusal is not None:
                 return refusal
         if self.queued >= self.section.queue:
@@ -98,6 +149,7 @@
         self.queues[item.rank, is_long].append(waiter)
         self.queued += 1
         self.admit_waiters()
+        self.pacing_changed.set()
         return await self.wait_for_slot(waiter)
 
     async def wait_for_slot(self, waiter: Waiter) -> AdmissionPermit | Failure:
@@ -165,6 +217,23 @@
             retry_after=self.jitter_retry_after(wait_s or MIN_RETRY_AFTER_S),
         )
 
+    def check_rate(self, item: WorkItem) -> Failure | None:
+        """Refuse a request for whose rate another backend server may have room."""
+        wait_s = self.estimate_rate_wait(self.count_waiters_ahead(item.rank))
+        if wait_s <= item.max_rate_wait_s:
+            return None
+        return self.refuse(
+            item,
+            Reason.LIMIT_REACHED,
+            "the rate that the backend server names is used up",
+            retry_after=self.jitter_retry_after(wait_s),
+        )
+
+    def estimate_rate_wait(self, waiters_ahead: int) -> float:
+        """Estimate the seconds until the rate limit allows a waiter to start."""
+        wait_s = self.rate_limiter.get_wait(waiters_ahead)
+        return wait_s if wait_s and self.get_rate_mode() is Mode.ON else 0.0
+
     def check_expected_wait(self, item: WorkItem, now: float) -> Failure | None:
         """Refuse a request that would be queued past its wait deadline."""
         if self.section.early_refusal is Mode.OFF:
@@ -187,9 +256,22 @@
         )
 
     def estimate_wait(self, waiters_ahead: int) -> float | None:
-        """Estimate the seconds until a slot becomes free for a waiter.
+        """Estimate the seconds until a waiter may start.
 
         :param waiters_ahead: waiters that are served before this one.
+        :return: the seconds, ``None`` while they are unknown.
+        """
+        rate_wait_s = self.estimate_rate_wait(waiters_ahead)
+        slot_wait_s = self.estimate_slot_wait(waiters_ahead)
+        if rate_wait_s == 0:
+            return slot_wait_s
+        if slot_wait_s is None or self.in_flight < self.limiter.get_limit():
+            return rate_wait_s
+        return max(rate_wait_s, slot_wait_s)
+
+    def estimate_slot_wait(self, waiters_ahead: int) -> float | None:
+        """Estimate the seconds until a slot becomes free for a waiter.
+
         :return: the seconds, ``None`` while service times are unknown.
         """
         mean_s = self.durations.mean_s
@@ -293,6 +375,19 @@
             queued=self.queued,
         )
 
+    def log_excess_of_rate(self) -> None:
+        """Log a request above a rate limit that is only observed."""
+        if self.get_rate_mode() is not Mode.OBSERVE:
+            return
+        self.decisions.add(
+            "rate-limit",
+            "hold back",
+            f"{self.rate_limiter.rate_limit} a second",
+            reason="the rate that the backend server names is used up",
+            mode=Mode.OBSERVE,
+            in_flight=self.in_flight,
+        )
+
     def log_reserve(self, item: WorkItem) -> None:
         if self.section.reserve is not Mode.OFF:
             self.decisions.add(
@@ -310,6 +405,7 @@
         mean_s = self.durations.geometric_mean_s or MIN_RETRY_AFTER_S
         limit = max(1, self.limiter.get_limit())
         estimate_s = mean_s * (self.queued + 1) / limit
+        estimate_s = max(estimate_s, self.estimate_rate_wait(self.queued))
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, estimate_s))
 
     def get_long_work_limit(self) -> int:
@@ -327,11 +423,14 @@
         return max(1, limit - reserved_slots)
 
     def has_free_slot(self, is_long: bool) -> bool:
-        if self.in_flight >= self.limiter.get_limit():
+        if self.in_flight >= self.limiter.get_limit() or not self.is_within_rate():
             return False
         return not is_long or self.long_in_flight < self.get_long_work_limit()
 
     def grant_slot(self, item: WorkItem, is_long: bool, now: float) -> AdmissionPermit:
+        if not self.rate_limiter.can_start():
+            self.log_excess_of_rate()
+        self.rate_limiter.record_start()
         self.in_flight += 1
         self.long_in_flight += is_long
         if item.rank == SHEDDABLE_RANK:
@@ -361,6 +460,8 @@
         self.long_in_flight -= permit.is_long
         self.admit_waiters()
         self.refuse_late_waiters()
+        if self.queued:
+            self.pacing_changed.set()
 
     def record_class_end(
         self, permit: AdmissionPermit, *, has_result: bool, failed: bool
--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -1,5 +1,6 @@
 """Execution of calls at the node's own backend server."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -84,6 +85,8 @@
             admission.queued,
             int(mean_s * 1e6),
             self.is_leaving(),
+            self.monitor.get_notice(),
+            int(admission.estimate_rate_wait(admission.queued) * 1e6),
         )
 
     async def run(self, call: Call) -> Answer | Refusal:
@@ -154,6 +157,8 @@
 
     async def check_and_run(self, call: Call) -> Answer | Refusal:
         deadline = trio.current_time() + call.budget_us / 1e6
+        if call.notice is not None:
+            self.monitor.adopt_notice(call.notice)
         failure = self.check_call(call)
         if failure is not None:
             return self.build_refusal(call, failure)
@@ -213,6 +218,7 @@
             useful_until=get_useful_until(call, deadline),
             call_class=call.call_class,
             path=path,
+            max_rate_wait_s=call.rate_wait_us / 1e6 if call.rate_wait_us else math.inf,
         )
         permit = await self.admission.acquire_slot(item)
         if isinstance(permit, Failure):
--- a/src/catkinpost/coordination/admission/server_monitor.py
+++ b/src/catkinpost/coordination/admission/server_monitor.py
@@ -7,6 +7,7 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.admission.admission import Admission
 from catkinpost.coordination.routing.dialect import Dialect
 from catkinpost.protocol.http import HttpResponse
 from catkinpost.protocol.message import Call, ServerNotice
@@ -28,6 +29,7 @@
 
     :param instance: name of this node's instance.
     :param notices: latest notices by instance.
+    :param admission: keeps the rate limit that the server names.
     :param dialect: HTTP conventions of the backend server.
     :param on_leaving: called when the server announces that it leaves.
     """
@@ -37,11 +39,13 @@
         *,
         instance: str,
         notices: ServerNotices,
+        admission: Admission,
         dialect: Dialect,
         on_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         self.instance = instance
         self.notices = notices
+        self.admission = admission
         self.dialect = dialect
         self.on_leaving = on_leaving
         self.sent_at: deque[float] = deque()
@@ -92,9 +96,13 @@
         self.record_notice(notice)
 
     def record_notice(self, notice: ServerNotice) -> None:
-        """Record a notice of the server, and log one that differs."""
+        """Apply a notice of the server, and log one that differs."""
+        is_first = self.get_notice() is None
         if not self.notices.record(self.instance, notice):
             return
+        if is_first and notice.rate_limit is None and not notice.leaving:
+            return
+        self.admission.set_rate_limit(notice.rate_limit)
         log_message(
             "server: notice",
             incarnation=notice.incarnation,
@@ -104,3 +112,11 @@
         )
         if notice.leaving:
             self.on_leaving()
+
+    def adopt_notice(self, notice: ServerNotice) -> None:
+        """Adopt a notice that a peer has received, until the server's own response.
+
+        :param notice: notice from the time before this process started.
+        """
+        if self.get_notice() is None:
+            self.record_notice(notice)
--- a/src/catkinpost/coordination/admission/work.py
+++ b/src/catkinpost/coordination/admission/work.py
@@ -19,6 +19,8 @@
     :param useful_until: time until which the request may wait for a slot.
     :param call_class: request class.
     :param path: path of the request without its query.
+    :param max_rate_wait_s: longest wait for the rate limit of the backend server in
+        seconds, after which another one may take the request.
     """
 
     rank: int
@@ -26,6 +28,7 @@
     call_class: str
     path: str
     useful_until: float = math.inf
+    max_rate_wait_s: float = math.inf
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -29,6 +29,7 @@
 )
 from catkinpost.protocol.outcome import Failure
 from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["PeerHandler"]
 
@@ -40,6 +41,7 @@
 
     :param exchange: exchange of the policy.
     :param stats: observations by instance.
+    :param notices: latest notices of backend servers.
     :param replicas: nodes of the same service.
     :param once: idempotency keys.
     :param crash_guard: counts of requests that crash backend servers.
@@ -51,12 +53,14 @@
         *,
         exchange: PolicyExchange,
         stats: PeerStats,
+        notices: ServerNotices,
         replicas: ServiceReplicas,
         once: OnceGuard,
         crash_guard: CrashGuard,
     ) -> None:
         self.exchange = exchange
         self.stats = stats
+        self.notices = notices
         self.replicas = replicas
         self.once = once
         self.crash_guard = crash_guard
@@ -114,6 +118,8 @@
         await self.handle(message, sender)
 
     def record_load(self, instance: str, load: Load) -> None:
+        if load.notice is not None:
+            self.notices.record(instance, load.notice)
         self.stats.get_or_create(instance).record_load(load, trio.current_time())
 
     @singledispatchmethod
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -7,17 +7,20 @@
 
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.throttle import Throttle
+from catkinpost.coordination.event import AutoResetEvent
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.pending import PendingRequest
 from catkinpost.coordination.routing.entry import AttemptEnd, EntryCall
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.router import Router, Target
-from catkinpost.protocol.message import Answer, Call, Refusal
+from catkinpost.protocol.message import Answer, Call, Refusal, ServerNotice
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import Mode
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.instance_view import Instance
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["OVERLOAD_REASONS", "AttemptSender", "AttemptResult"]
 
@@ -31,6 +34,10 @@
     }
 )
 
+# Longest wait for the rate limit of one backend server while another may have room: an
+# attempt there costs up to two crossings between regions.
+MAX_RATE_WAIT_US = 100_000
+
 AttemptResult = Answer | Refusal | Failure
 
 
@@ -58,6 +65,7 @@
     :param router: chooses instances.
     :param links: connections to peers.
     :param executor: runs calls at this node's backend server.
+    :param notices: latest notices of backend servers.
     :param throttle: records which requests the targets refuse.
     :param hedging: delay and budget of hedged requests.
     :param metrics: counters.
@@ -70,6 +78,7 @@
     router: Router
     links: LinkTable
     executor: Executor
+    notices: ServerNotices
     throttle: Throttle
     hedging: Hedging
     metrics: Metrics
@@ -126,7 +135,7 @@
         self,
         call: EntryCall,
         target: Target,
-        attempt_ended: "AutoResetEvent",
+        attempt_ended: AutoResetEvent,
         attempts: list[Attempt],
         exclude: set[str],
         *,
@@ -158,6 +167,8 @@
             body=call.request.body,
             incarnation=target.instance.incarnation,
             useful_us=compute_useful_us(call, now),
+            notice=self.get_known_limit(target.instance),
+            rate_wait_us=self.compute_rate_wait_us(call, exclude),
         )
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
@@ -170,6 +181,22 @@
             link = self.links.get_or_open_link(target.instance)
             await link.send_request(message, pending)
 
+    def get_known_limit(self, instance: Instance) -> ServerNotice | None:
+        """Return the notice of a backend server that names a rate limit."""
+        notice = self.notices.get(instance.name, instance.incarnation)
+        return None if notice is None or notice.rate_limit is None else notice
+
+    def compute_rate_wait_us(self, call: EntryCall, exclude: set[str]) -> int:
+        """Return the microseconds for which a call may wait for a rate limit.
+
+        :return: the microseconds, 0 for no own bound, when the call cannot move to
+            another instance.
+        """
+        can_move = call.moves_left > 0 and self.router.has_instance(
+            call.service, exclude=exclude
+        )
+        return MAX_RATE_WAIT_US if can_move else 0
+
     def start_local_call(self, message: Call, pending: PendingRequest) -> None:
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
@@ -201,6 +228,8 @@
                 call.record_outcome(Outcome.UNKNOWN)
             return
         if isinstance(result, (Answer, Refusal)):
+            if result.load.notice is not None:
+                self.notices.record(attempt.target.instance.name, result.load.notice)
             call.allowance.release_unused(
                 result.allowance, reserved=attempt.reserved_retries
             )
@@ -234,7 +263,7 @@
     async def send_hedge(
         self,
         call: EntryCall,
-        attempt_ended: "AutoResetEvent",
+        attempt_ended: AutoResetEvent,
         attempts: list[Attempt],
         exclude: set[str],
     ) -> None:
@@ -273,29 +302,3 @@
     if call.useful_until is None:
         return 0
     return max(1, int((call.useful_until - now) * 1e6))
-
-
-class AutoResetEvent:
-    """Event that resets itself whenever a wait for it ends."""
-
-    __slots__ = ("event",)
-
-    def __init__(self) -> None:
-        self.event = trio.Event()
-
-    def set(self) -> None:
-        """Wake the waiting task."""
-        self.event.set()
-
-    async def wait(self, timeout: float | None) -> None:
-        """Wait for the next :meth:`set`.
-
-        :param timeout: longest wait in seconds, ``None`` for no limit.
-        """
-        if timeout is None:
-            await self.event.wait()
-        elif not self.event.is_set():
-            with trio.move_on_after(timeout):
-                await self.event.wait()
-        if self.event.is_set():
-            self.event = trio.Event()
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -21,7 +21,12 @@
     Reason,
     merge_outcomes,
 )
-from catkinpost.protocol.policy import IMPORTANCE_RANK, Importance, Mode
+from catkinpost.protocol.policy import (
+    IMPORTANCE_RANK,
+    Importance,
+    Mode,
+    get_weakest_mode,
+)
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
@@ -39,7 +44,6 @@
 THROTTLE_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 1.0
 DEADLINE_RETRY_AFTER_S = 0.5
-MODE_ORDER = [Mode.OFF, Mode.OBSERVE, Mode.ON]
 RETRYABLE_REASONS = frozenset(
     {
         Reason.LEAVING,
@@ -273,7 +277,7 @@
         section = self.store.policy.services[call.service]
         # The throttle predicts refusals by admission, so its mode cannot exceed
         # the mode of admission.
-        mode = min(section.admission, section.throttle, key=MODE_ORDER.index)
+        mode = get_weakest_mode(section.admission, section.throttle)
         # Admission of the parent covered its child calls; refusing one now would
         # waste the work of the parent.
         if mode is Mode.OFF or call.parent is not None:
--- a/src/catkinpost/coordination/routing/router.py
+++ b/src/catkinpost/coordination/routing/router.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import trio
@@ -123,13 +123,7 @@
         :param exclude: instances that have refused or failed already.
         :param repeatable: whether the call may try an ejected instance.
         """
-        candidates = [
-            item
-            for item in self.view.get_service_instances(service)
-            if item.state is InstanceState.LIVE
-            and not self.stats.get_or_create(item.name).load.leaving
-            and item.name not in exclude
-        ]
+        candidates = list(self.find_candidates(service, exclude))
         if not candidates:
             return build_no_instance_failure(service)
         candidates = [
@@ -155,6 +149,22 @@
             return best
         return self.record_attempt(best, call_class)
 
+    def find_candidates(
+        self, service: str, exclude: set[str] | frozenset[str]
+    ) -> Iterator[Instance]:
+        """Yield the instances of a service that take new work."""
+        for item in self.view.get_service_instances(service):
+            if (
+                item.name not in exclude
+                and item.state is InstanceState.LIVE
+                and not self.stats.get_or_create(item.name).load.leaving
+            ):
+                yield item
+
+    def has_instance(self, service: str, *, exclude: set[str]) -> bool:
+        """Return whether another instance of a service takes new work."""
+        return next(self.find_candidates(service, exclude), None) is not None
+
     def is_in_routing(self, item: Instance, now: float) -> bool:
         stat = self.stats.get_or_create(item.name)
         return stat.ejected_until <= now and not stat.on_trial
@@ -195,7 +205,7 @@
                 wait = self.estimate_wait(stat, typical, now)
                 if item.cold_until > now:
                     wait *= COLD_SLOWNESS
-                wait += extra_waits[distance]
+                wait += extra_waits[distance] + stat.estimate_rate_wait(now)
                 wait *= random.uniform(1 - WAIT_JITTER, 1 + WAIT_JITTER)
                 if best is None or wait < best[0]:
                     best = (wait, item)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -128,6 +128,7 @@
         settings = self.settings
         backend = parse_address(settings.backend.address)
         self.throttle = Throttle()
+        admission = Admission(UNKNOWN_SERVICE_SECTION, self.decisions)
         self.backend_client = BackendClient(
             backend.host,
             backend.port,
@@ -137,7 +138,7 @@
         self.executor = Executor(
             service=self.identity.service,
             client=self.backend_client,
-            admission=Admission(UNKNOWN_SERVICE_SECTION, self.decisions),
+            admission=admission,
             store=self.store,
             running_calls=self.running,
             fixed_limits=FixedLimits(self.decisions),
@@ -145,6 +146,7 @@
             monitor=ServerMonitor(
                 instance=self.identity.instance,
                 notices=self.notices,
+                admission=admission,
                 dialect=self.environment.dialect,
             ),
             throttle=self.throttle,
@@ -193,6 +195,7 @@
             router=self.router,
             links=self.links,
             executor=self.executor,
+            notices=self.notices,
             throttle=self.throttle,
             hedging=Hedging(),
             metrics=self.metrics,
@@ -216,6 +219,7 @@
         self.peer_handler = PeerHandler(
             exchange=self.exchange,
             stats=self.stats,
+            notices=self.notices,
             replicas=self.replicas,
             once=self.executor.once_guard,
             crash_guard=self.crash_guard,
@@ -253,6 +257,7 @@
             )
             nursery.start_soon(self.environment.run)
             nursery.start_soon(self.ejector.run)
+            nursery.start_soon(self.executor.admission.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
             # A send to a peer that does not read would outlast the cancellation.
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -66,6 +66,10 @@
     :param queued: requests waiting at the node.
     :param latency_us: recent mean service time in microseconds.
     :param leaving: whether the instance is draining and accepts no new work.
+    :param notice: latest notice of the backend server, ``None`` before its first
+        response to this node.
+    :param rate_wait_us: microseconds until the rate limit of the backend server
+        allows another request.
     """
 
     in_flight: int = 0
@@ -73,6 +77,8 @@
     queued: int = 0
     latency_us: int = 0
     leaving: bool = False
+    notice: ServerNotice | None = None
+    rate_wait_us: int = 0
 
 
 class Challenge(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -120,6 +126,10 @@
         request; any process when empty.
     :param useful_us: maximum time to wait for a slot in microseconds;
         ``budget_us`` applies when 0.
+    :param notice: latest notice of the backend server that the sender has received,
+        for a receiver that has just started; ``None`` when it contains no limit.
+    :param rate_wait_us: maximum time to wait for the rate limit of the backend server
+        in microseconds, as another instance may take the call; 0 for no own bound.
     """
 
     id: int
@@ -137,6 +147,8 @@
     body: bytes
     incarnation: str = ""
     useful_us: int = 0
+    notice: ServerNotice | None = None
+    rate_wait_us: int = 0
 
 
 class Answer(msgspec.Struct, array_like=True, tag=5):
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -20,6 +20,7 @@
     LinkSection,
     Mode,
     ServiceSection,
+    get_weakest_mode,
 )
 
 __all__ = [
@@ -36,6 +37,7 @@
     "ServiceSection",
     "build_policy",
     "check_document",
+    "get_weakest_mode",
     "build_default_class",
     "parse_accepted_section",
 ]
--- a/src/catkinpost/protocol/section.py
+++ b/src/catkinpost/protocol/section.py
@@ -17,6 +17,7 @@
     "LinkSection",
     "Mode",
     "ServiceSection",
+    "get_weakest_mode",
 ]
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -37,6 +38,14 @@
     OFF = "off"
 
 
+MODE_ORDER = [Mode.OFF, Mode.OBSERVE, Mode.ON]
+
+
+def get_weakest_mode(*modes: Mode) -> Mode:
+    """Return the mode of a mechanism that depends on others."""
+    return min(modes, key=MODE_ORDER.index)
+
+
 class Importance(enum.StrEnum):
     """Order of load shedding; sheddable requests are shed first."""
 
@@ -71,6 +80,8 @@
     :param admission: mode of the learned concurrency limit and the queue.
     :param early_refusal: mode of refusing a request at once when it is expected to
         wait until its response is no longer of use.
+    :param rate_limiting: mode of keeping the rate limit that a backend server names in
+        its responses; it cannot exceed ``admission``.
     :param class_limiting: mode of the limit on the running sheddable requests of a
         class, which is lowered when they take too long or fail.
     :param reserve: mode of the slots kept free for short requests.
@@ -104,6 +115,7 @@
     queue_wait: Seconds = 0.5
     admission: Mode = Mode.ON
     early_refusal: Mode = Mode.OFF
+    rate_limiting: Mode = Mode.ON
     class_limiting: Mode = Mode.OFF
     reserve: Mode = Mode.ON
     reserve_share: Fraction = 0.4
--- a/src/catkinpost/state/peer_stat.py
+++ b/src/catkinpost/state/peer_stat.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 from catkinpost.protocol.message import Load
+from catkinpost.state.server_notice import compute_pace
 
 __all__ = ["ClassTimes", "PeerStat", "PeerStats"]
 
@@ -148,6 +149,15 @@
         reported_calls = self.load.in_flight + self.load.queued + self.sent_since_load
         return max(own_calls, reported_calls) / max(1, self.load.limit)
 
+    def estimate_rate_wait(self, now: float) -> float:
+        """Estimate the seconds for which a call would wait for the rate limit."""
+        notice = self.load.notice
+        if notice is None or notice.rate_limit is None:
+            return 0.0
+        own_wait_s = self.sent_since_load / compute_pace(notice.rate_limit)
+        reported_wait_s = self.load.rate_wait_us / 1e6
+        return max(0.0, reported_wait_s + own_wait_s - (now - self.load_at))
+
 
 class PeerStats:
     """Observations by instance."""
--- a/src/catkinpost/state/server_notice.py
+++ b/src/catkinpost/state/server_notice.py
@@ -1,14 +1,20 @@
 """Latest notices of backend servers about themselves, by instance."""
 
-from collections.abc import Callable
-
 from catkinpost.protocol.message import ServerNotice
 from catkinpost.state.bounded import BoundedDict
 from catkinpost.state.instance_view import Instance, InstanceState
 
-__all__ = ["ServerNotices"]
+__all__ = ["ServerNotices", "compute_pace"]
 
 MAX_INSTANCES = 4096
+# Requests per second below a limit of zero: without any response nobody would learn
+# that the limit has ended.
+MIN_PACE_PER_S = 0.5
+
+
+def compute_pace(rate_limit: float) -> float:
+    """Return the requests per second that are sent under a rate limit."""
+    return max(MIN_PACE_PER_S, rate_limit)
 
 
 class ServerNotices:
@@ -20,7 +26,6 @@
 
     def __init__(self) -> None:
         self.notices: BoundedDict[str, ServerNotice] = BoundedDict(MAX_INSTANCES)
-        self.listeners: list[Callable[[str, ServerNotice], None]] = []
 
     def record(self, name: str, notice: ServerNotice) -> bool:
         """Record the latest notice of a server.
@@ -46,8 +51,6 @@
             )
         self.notices.pop(name, None)
         self.notices.get_or_create(name, lambda: notice)
-        for listener in self.listeners:
-            listener(name, notice)
         return True
 
     def get(self, name: str, incarnation: str) -> ServerNotice | None:
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -1,5 +1,6 @@
 """Tests of admission control: limit, queue, load shedding and reserve."""
 
+import dataclasses
 import unittest
 
 import trio
@@ -123,6 +124,113 @@
             nursery.cancel_scope.cancel()
 
 
+class TestRateLimit(unittest.TestCase):
+    """Backend server that names the requests per second that it takes."""
+
+    async def enter(self, admission, item, results):
+        result = await admission.acquire_slot(item)
+        results.append((item.rank, type(result), trio.current_time()))
+
+    @on_mock_clock
+    async def test_waiters_start_at_the_rate_the_most_important_first(self):
+        admission = make_admission(slots=50, queue=50, queue_wait=9)
+        admission.set_rate_limit(2.0)
+        start = trio.current_time()
+        results = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(admission.run)
+            for rank in (SHEDDABLE, NORMAL, CRITICAL):
+                nursery.start_soon(self.enter, admission, make_item(rank), results)
+                await wait_all_tasks_blocked()
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(
+            [(rank, round(time - start, 3)) for rank, _, time in results],
+            [(CRITICAL, 0.5), (NORMAL, 1.0), (SHEDDABLE, 1.5)],
+        )
+
+    @params((None, 3), (1.0, 3), (8.0, 1))
+    def test_change_of_the_limit_reaches_waiters_at_once(self, rate_limit, waiting):
+        self.check_change(rate_limit, waiting)
+
+    @on_mock_clock
+    async def check_change(self, rate_limit, waiting):
+        admission = make_admission(slots=50, queue=50, queue_wait=9)
+        admission.set_rate_limit(0.0)
+        results = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(admission.run)
+            for _ in range(3):
+                nursery.start_soon(self.enter, admission, make_item(), results)
+            await trio.sleep(0.1)
+            self.assertEqual(admission.queued, 3)
+            admission.set_rate_limit(rate_limit)
+            await trio.sleep(0.3)
+            started = 3 if rate_limit is None else 3 - waiting
+            self.assertEqual(len(results), started)
+            nursery.cancel_scope.cancel()
+
+    @params(
+        # (longest wait of the request, waiters before it, reason of the refusal)
+        (0.1, 0, None),
+        (0.1, 3, Reason.LIMIT_REACHED),
+        (None, 3, None),
+        (None, 30, Reason.QUEUE_FULL),
+    )
+    def test_request_that_may_go_elsewhere_does_not_wait_long(
+        self, max_wait_s, ahead, reason
+    ):
+        self.check_wait(max_wait_s, ahead, reason)
+
+    @on_mock_clock
+    async def check_wait(self, max_wait_s, ahead, reason):
+        admission = make_admission(
+            slots=50, queue=50, queue_wait=9, early_refusal=Mode.ON
+        )
+        admission.set_rate_limit(10.0)
+        results = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(ahead):
+                item = make_item(CRITICAL, timeout=60.0)
+                nursery.start_soon(admission.acquire_slot, item)
+                await wait_all_tasks_blocked()
+            item = make_waiting_item(1.5)
+            if max_wait_s is not None:
+                item = dataclasses.replace(item, max_rate_wait_s=max_wait_s)
+            nursery.start_soon(self.enter_and_keep, admission, item, results)
+            await wait_all_tasks_blocked()
+            refused = [failure.reason for failure in results]
+            self.assertEqual(refused, [] if reason is None else [reason])
+            for failure in results:
+                # The tokens of all that wait before it are due by then.
+                self.assertTrue(
+                    0.7 * (ahead + 1) / 10 <= failure.retry_after <= 1.3 * ahead / 5
+                )
+            nursery.cancel_scope.cancel()
+
+    async def enter_and_keep(self, admission, item, results):
+        results.append(await admission.acquire_slot(item))
+
+    @params((Mode.ON, 1), (Mode.OBSERVE, 8), (Mode.OFF, 8))
+    def test_mode(self, mode, started):
+        self.check_mode(mode, started)
+
+    @on_mock_clock
+    async def check_mode(self, mode, started):
+        admission = make_admission(slots=50, queue=50, rate_limiting=mode)
+        admission.set_rate_limit(1.0)
+        await trio.sleep(10)
+        results = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(self.enter, admission, make_item(), results)
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(results), started)
+            nursery.cancel_scope.cancel()
+        actions = [item.action for item in admission.decisions.decisions]
+        self.assertEqual("hold back" in actions, mode is Mode.OBSERVE)
+
+
 class TestAdmission(unittest.TestCase):
     @on_mock_clock
     async def test_request_waits_for_a_slot(self):
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -93,16 +93,20 @@
             broadcast=lambda message: None,
             decisions=self.decisions,
         )
+        admission = Admission(self.store.policy.services["orders"], self.decisions)
         self.executor = Executor(
             service="orders",
             client=self.client,
-            admission=Admission(self.store.policy.services["orders"], self.decisions),
+            admission=admission,
             store=self.store,
             running_calls=RunningCalls(),
             fixed_limits=FixedLimits(self.decisions),
             crash_guard=self.crash_guard,
             monitor=ServerMonitor(
-                instance="orders-1", notices=self.notices, dialect=self.dialect
+                instance="orders-1",
+                notices=self.notices,
+                admission=admission,
+                dialect=self.dialect,
             ),
             throttle=self.throttle,
             decisions=self.decisions,
--- a/tests/coordination/admission/test_server_monitor.py
+++ b/tests/coordination/admission/test_server_monitor.py
@@ -11,6 +11,7 @@
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.server_notice import ServerNotices
 from tests.clock import on_mock_clock
+from tests.coordination.admission.test_admission import make_admission
 from tests.coordination.at_most_once.test_once import make_call
 
 LIMIT, LEAVING = b"server-limit", b"server-leaving"
@@ -46,6 +47,7 @@
         monitor = ServerMonitor(
             instance="orders-1",
             notices=ServerNotices(),
+            admission=make_admission(),
             dialect=PlatformDialect(lambda: "stock"),
             on_leaving=lambda: left.append(True),
         )
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -166,10 +166,12 @@
 
     def build_target(self):
         section = self.store.policy.services[self.service]
+        admission = Admission(section, self.decisions)
+        self.spawn(admission.run)
         self.executor = Executor(
             service=self.service,
             client=self.backend,
-            admission=Admission(section, self.decisions),
+            admission=admission,
             store=self.store,
             running_calls=self.running,
             fixed_limits=FixedLimits(self.decisions),
@@ -179,7 +181,10 @@
                 decisions=self.decisions,
             ),
             monitor=ServerMonitor(
-                instance=self.name, notices=self.notices, dialect=self.dialect
+                instance=self.name,
+                notices=self.notices,
+                admission=admission,
+                dialect=self.dialect,
             ),
             throttle=self.throttle,
             decisions=self.decisions,
@@ -213,6 +218,7 @@
             router=self.router,
             links=self.links,
             executor=self.executor,
+            notices=self.notices,
             throttle=self.throttle,
             hedging=Hedging(),
             metrics=Metrics(),
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -26,6 +26,7 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.retry_budget import RetryBound, RetryBudget
 from catkinpost.state.running import RunningCalls
+from catkinpost.state.server_notice import ServerNotices
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_instance
 from tests.log import CapturedLog
@@ -161,6 +162,7 @@
             ),
             links=self.links,
             executor=None,
+            notices=ServerNotices(),
             throttle=self.throttle,
             hedging=Hedging(),
             metrics=metrics,
--- a/tests/coordination/test_server_limit.py
+++ b/tests/coordination/test_server_limit.py
@@ -32,6 +32,7 @@
 repeatable = yes
 timeout = 2
 retries = 2
+moves = 2
 """
 # Time for a limit to be learned, and bound on the requests of any window after it.
 LEARNING_S = 3.0
@@ -57,31 +58,48 @@
     """Steady requests from several entries to one service."""
 
     def __init__(self, nursery):
-        self.nursery = nursery
         self.cluster = Cluster(nursery, NAMES, POLICY, {}, 60.0)
         self.statuses = []
 
-    def name_limit(self, name, value):
-        headers = [] if value is None else [(RATE_LIMIT_HEADER, value)]
-        self.cluster.notice_headers[name] = headers
-
     async def call(self, entry, number):
         request = HttpRequest(b"GET", b"/certs/%d" % number, [(b"host", b"certs")])
         response = await self.cluster.nodes[entry].dispatcher.handle(request)
         self.statuses.append(response.status)
 
-    async def run(self, seconds=DEMAND_S):
-        for number in range(int(seconds * DEMAND_PER_S)):
-            self.nursery.start_soon(self.call, ENTRIES[number % len(ENTRIES)], number)
-            await trio.sleep(1 / DEMAND_PER_S)
+    async def run(self, restarting=None):
+        """Send requests, and restart a node halfway.
+
+        :param restarting: name of the node, ``None`` for no restart.
+        """
+        async with trio.open_nursery() as nursery:
+            if restarting is not None:
+                nursery.start_soon(self.restart, restarting)
+            for number in range(int(DEMAND_S * DEMAND_PER_S)):
+                entry = ENTRIES[number % len(ENTRIES)]
+                nursery.start_soon(self.call, entry, number)
+                await trio.sleep(1 / DEMAND_PER_S)
 
     async def restart(self, name):
+        await trio.sleep(DEMAND_S / 2)
         self.cluster.crash(name)
         await trio.sleep(RESTART_S)
         self.cluster.start(name)
         self.cluster.read_lists()
 
 
+async def send_demand(headers, restarting):
+    """Send requests to a service one of whose servers adds headers to its responses.
+
+    :return: times of the requests at that server, and statuses of all responses.
+    """
+    async with trio.open_nursery() as nursery:
+        demand = Demand(nursery)
+        demand.cluster.notice_headers["certs-1"] = headers
+        await demand.run(restarting)
+        nursery.cancel_scope.cancel()
+    return demand.cluster.arrivals["certs-1"], demand.statuses
+
+
 class TestExcessOverNamedRate(unittest.TestCase):
     """Regression: servers got more than twice the rate that they had named."""
 
@@ -97,20 +115,15 @@
 
     @on_mock_clock
     async def check_rate(self, value, restarts):
-        async with trio.open_nursery() as nursery:
-            demand = Demand(nursery)
-            start = trio.current_time()
-            demand.name_limit("certs-1", value)
-            nursery.start_soon(demand.run)
-            if restarts:
-                await trio.sleep(DEMAND_S / 2)
-                await demand.restart("certs-1")
-        arrivals = demand.cluster.arrivals["certs-1"]
+        start = trio.current_time()
+        arrivals, statuses = await send_demand(
+            [(RATE_LIMIT_HEADER, value)], "certs-1" if restarts else None
+        )
         bound = EXCESS_FACTOR * WINDOW_S * float(value) + EXCESS_REQUESTS
         self.assertLessEqual(find_busiest_window(arrivals, start + LEARNING_S), bound)
         if not restarts:
             # The other server has room for all.
-            self.assertEqual(set(demand.statuses), {200})
+            self.assertEqual(set(statuses), {200})
 
 
 class TestRequestsToLeavingServer(unittest.TestCase):
@@ -122,14 +135,9 @@
 
     @on_mock_clock
     async def check_leaving(self, restarts):
-        async with trio.open_nursery() as nursery:
-            demand = Demand(nursery)
-            demand.cluster.notice_headers["certs-1"] = [(LEAVING_HEADER, b"1")]
-            start = trio.current_time()
-            nursery.start_soon(demand.run)
-            if restarts:
-                await trio.sleep(DEMAND_S / 2)
-                await demand.restart("certs-1")
-        arrivals = demand.cluster.arrivals["certs-1"]
+        start = trio.current_time()
+        arrivals, _ = await send_demand(
+            [(LEAVING_HEADER, b"1")], "certs-1" if restarts else None
+        )
         self.assertTrue(arrivals)
         self.assertEqual([time for time in arrivals if time > start + DRAIN_S], [])
