Send a backend server nothing more once it has announced that it leaves

What callers saw: requests were sent to a server that had announced its end, until the list took it out; after a restart of its node from all entries again. Cause: the announcement in responses was not read; leaving was known from the list alone, and what peers told of it was forgotten with their connection. Change: ServerNotices.is_leaving joins list and announcement, by incarnation. The node beside the server refuses new work at the announcement; each entry that gets it keeps it, whatever the list or a restarted node says. Why it holds: an entry that has passed an announcement on has recorded it before the response leaves, and only another incarnation ends it.

--- a/src/catkinpost/coordination/routing/router.py
+++ b/src/catkinpost/coordination/routing/router.py
@@ -13,9 +13,10 @@
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import Mode, ServiceSection
-from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
+from catkinpost.state.instance_view import Instance, InstanceView
 from catkinpost.state.peer_stat import PeerStat, PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["NodeLocation", "Router", "Target"]
 
@@ -81,6 +82,7 @@
     :param location: location of this node.
     :param view: list of instances.
     :param stats: observations by instance.
+    :param notices: latest notices of backend servers.
     :param store: policy in force.
     :param ejector: records the results of trials.
     :param budget: budget for cross-region calls.
@@ -94,6 +96,7 @@
         location: NodeLocation,
         view: InstanceView,
         stats: PeerStats,
+        notices: ServerNotices,
         store: PolicyStore,
         ejector: Ejector,
         budget: RegionBudget,
@@ -102,6 +105,7 @@
         self.location = location
         self.view = view
         self.stats = stats
+        self.notices = notices
         self.store = store
         self.ejector = ejector
         self.budget = budget
@@ -156,7 +160,7 @@
         for item in self.view.get_service_instances(service):
             if (
                 item.name not in exclude
-                and item.state is InstanceState.LIVE
+                and not self.notices.is_leaving(item)
                 and not self.stats.get_or_create(item.name).load.leaving
             ):
                 yield item
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -1,6 +1,7 @@
 """Assembly of a node from its parts, and its life from start to planned stop."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -33,7 +34,7 @@
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address, NodeSettings, parse_address
 from catkinpost.state.decision_log import DecisionLog
-from catkinpost.state.instance_view import InstanceState, InstanceView, ListChange
+from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
@@ -148,6 +149,9 @@
                 notices=self.notices,
                 admission=admission,
                 dialect=self.environment.dialect,
+                on_leaving=partial(
+                    self.start_leaving, "the backend server says that it leaves"
+                ),
             ),
             throttle=self.throttle,
             decisions=self.decisions,
@@ -179,6 +183,7 @@
             ),
             view=self.view,
             stats=self.stats,
+            notices=self.notices,
             store=self.store,
             ejector=self.ejector,
             budget=RegionBudget(
@@ -357,17 +362,14 @@
         self.links.refresh()
         self.replicas.update_watch()
         self.on_policy_changed()
-        own_instance = self.view.instances.get(self.identity.instance)
-        if own_instance is not None and own_instance.state is InstanceState.LEAVING:
-            self.start_leaving("the list of instances marks this instance as leaving")
-        elif (
-            own_instance is not None
-            and own_instance.name in change.restarted
-            and not self.planned_stop.is_requested
-        ):
+        own_name = self.identity.instance
+        if own_name in change.restarted and not self.planned_stop.is_requested:
             self.is_leaving = False
-        elif any(item.name == self.identity.instance for item in change.removed):
+        if any(item.name == own_name for item in change.removed):
             self.start_leaving("the list of instances no longer has this instance")
+        own_instance = self.view.instances.get(own_name)
+        if own_instance is not None and self.notices.is_leaving(own_instance):
+            self.start_leaving("the list or the backend server says that it leaves")
 
     def get_partner_names(self) -> set[str]:
         return {item.name for item in find_partners(self.view, self.identity.instance)}
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -185,6 +185,7 @@
                 notices=self.notices,
                 admission=admission,
                 dialect=self.dialect,
+                on_leaving=self.start_leaving,
             ),
             throttle=self.throttle,
             decisions=self.decisions,
@@ -209,6 +210,7 @@
             location=NodeLocation(instance=self.name, data_centre="c", region="r"),
             view=self.view,
             stats=self.stats,
+            notices=self.notices,
             store=self.store,
             ejector=self.ejector,
             budget=budget,
@@ -245,6 +247,9 @@
 
         self.sender.start_attempt = start
 
+    def start_leaving(self):
+        self.leaving = True
+
     def spawn(self, function, *args):
         self.cluster.nursery.start_soon(self.run_until_crash, function, *args)
 
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -134,6 +134,7 @@
         self.running = RunningCalls()
         self.links = FakeLinks(faults)
         self.throttle = Throttle()
+        self.notices = ServerNotices()
         ejector = Ejector(
             view=self.view,
             stats=self.stats,
@@ -156,13 +157,14 @@
                 ),
                 view=self.view,
                 stats=self.stats,
+                notices=self.notices,
                 store=self.store,
                 ejector=ejector,
                 budget=budget,
             ),
             links=self.links,
             executor=None,
-            notices=ServerNotices(),
+            notices=self.notices,
             throttle=self.throttle,
             hedging=Hedging(),
             metrics=metrics,
--- a/tests/coordination/routing/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -14,6 +14,7 @@
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.server_notice import ServerNotices
 from tests.clock import on_mock_clock
 
 POLICY = """\
@@ -46,6 +47,7 @@
         self.names = names
         self.publish({})
         self.stats = PeerStats()
+        self.notices = ServerNotices()
         self.ejector = Ejector(
             view=self.view,
             stats=self.stats,
@@ -64,6 +66,7 @@
             ),
             view=self.view,
             stats=self.stats,
+            notices=self.notices,
             store=self.store,
             ejector=self.ejector,
             budget=self.budget,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,11 +1,14 @@
 """Tests of the assembly of a node from its parts."""
 
+import dataclasses
 import unittest
 
 import trio
+from nose2.tools import params
 
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
+from catkinpost.protocol.message import ServerNotice
 from catkinpost.protocol.policy import Mode
 from catkinpost.protocol.settings import parse_settings
 from catkinpost.state.instance_view import InstanceState
@@ -52,6 +55,38 @@
             self.assertTrue(node.is_leaving)
             self.assertTrue(node.executor.get_load().leaving)
 
+    @params(
+        # (incarnations listed before and after the server "a" announces its leaving,
+        # whether new work is refused)
+        ([], [], True),
+        (["a"], [], True),
+        (["a"], ["b"], False),
+        # The list was behind the server.
+        (["0"], [], True),
+        (["0"], ["a"], True),
+        (["0"], ["a", "b"], False),
+    )
+    def test_backend_server_that_announces_its_leaving(self, before, after, refused):
+        self.check_announced(before, after, refused)
+
+    @on_mock_clock
+    async def check_announced(self, before, after, refused):
+        async with trio.open_nursery() as nursery:
+            node = Node(parse_settings(GOOD), NativeEnvironment())
+            node.nursery = nursery
+            for incarnation in before:
+                self.list_own_instance(node, incarnation)
+            node.executor.monitor.record_notice(ServerNotice("a", None, True))
+            for incarnation in after:
+                self.list_own_instance(node, incarnation)
+            self.assertEqual(node.is_leaving, refused)
+            nursery.cancel_scope.cancel()
+
+    def list_own_instance(self, node, incarnation):
+        own = dataclasses.replace(make_instance("orders-1"), incarnation=incarnation)
+        version = node.view.version + 1
+        node.on_list_changed(node.view.apply_list(version, [own], 0.0))
+
     @on_mock_clock
     async def test_observations_of_a_removed_instance_are_dropped(self):
         async with trio.open_nursery() as nursery:
