Take new work again once the own instance is listed again

What callers saw: a server whose entry had lapsed (a silent server, a node cut off) and came back got no requests until its node was restarted; its peers' calls ended as "leaving" and went elsewhere. Cause: the node stops taking work when its instance leaves the list, and took it again only for an instance that changed its incarnation while listed; one that is added again after a gap is no such change. Change: an instance that is added again takes work, and tells its peers at once, which otherwise would wait for the next ping (10 s).

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -362,14 +362,19 @@
         self.links.refresh()
         self.replicas.update_watch()
         self.on_policy_changed()
-        own_name = self.identity.instance
-        if own_name in change.restarted and not self.planned_stop.is_requested:
-            self.is_leaving = False
-        if any(item.name == own_name for item in change.removed):
-            self.start_leaving("the list of instances no longer has this instance")
-        own_instance = self.view.instances.get(own_name)
-        if own_instance is not None and self.notices.is_leaving(own_instance):
+        self.apply_own_entry(change)
+
+    def apply_own_entry(self, change: ListChange) -> None:
+        """Stop or resume taking new work, as the list says of this instance."""
+        name = self.identity.instance
+        own_instance = self.view.instances.get(name)
+        if own_instance is None:
+            if any(item.name == name for item in change.removed):
+                self.start_leaving("the list of instances no longer has this instance")
+        elif self.notices.is_leaving(own_instance):
             self.start_leaving("the list or the backend server says that it leaves")
+        elif name in change.restarted or name in change.added:
+            self.stop_leaving("the list of instances has this instance again")
 
     def get_partner_names(self) -> set[str]:
         return {item.name for item in find_partners(self.view, self.identity.instance)}
@@ -380,6 +385,17 @@
             return
         self.is_leaving = True
         self.decisions.add("leaving", "refuse new work", "this node", reason=reason)
+        self.broadcast_load()
+
+    def stop_leaving(self, reason: str) -> None:
+        """Take new work again, unless the node stops, and notify the peers."""
+        if not self.is_leaving or self.planned_stop.is_requested:
+            return
+        self.is_leaving = False
+        self.decisions.add("leaving", "take new work", "this node", reason=reason)
+        self.broadcast_load()
+
+    def broadcast_load(self) -> None:
         self.broadcast(
             Pong(0, self.executor.get_load(), self.store.version, self.store.digest)
         )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -87,6 +87,26 @@
         version = node.view.version + 1
         node.on_list_changed(node.view.apply_list(version, [own], 0.0))
 
+    @params("a", "b")
+    def test_instance_that_is_listed_again_takes_work(self, incarnation):
+        """Regression: a server whose entry had lapsed got no work for good."""
+        self.check_listed_again(incarnation)
+
+    @on_mock_clock
+    async def check_listed_again(self, incarnation):
+        async with trio.open_nursery() as nursery:
+            node = Node(parse_settings(GOOD), NativeEnvironment())
+            node.nursery = nursery
+            self.list_own_instance(node, "a")
+            node.on_list_changed(node.view.apply_list(node.view.version + 1, [], 0.0))
+            self.assertTrue(node.is_leaving)
+            messages = []
+            node.broadcast = messages.append
+            self.list_own_instance(node, incarnation)
+            self.assertFalse(node.is_leaving)
+            self.assertEqual([message.load.leaving for message in messages], [False])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_observations_of_a_removed_instance_are_dropped(self):
         async with trio.open_nursery() as nursery:
