Test that a restarted node keeps a limit, and that entries route by it

Cause: with each mechanism of the fix for LIMIT switched off in turn, three passed unnoticed: the limit that a call brings to a node that has just started, the notice that an entry keeps from a response, and the wait for the rate in routing. A restarted node's server answered at once in the test, and the peers of a restarted node kept the observations of the process before. Change: the server stays silent for 2 s after the restart, a case with a limit of zero, the emulated welcome of a new process ends old observations, and a router test.

--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -301,6 +301,9 @@
 
     def start(self, name):
         self.nodes[name] = ClusterNode(self, name, self.policy)
+        for other in self.nodes.values():
+            # The welcome of another process ends the observations of the one before.
+            other.stats.remove(name)
         self.states[name] = InstanceState.LIVE
         self.list_version += 1
 
--- a/tests/coordination/routing/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -7,7 +7,7 @@
 from catkinpost.coordination.routing.ejection import Ejector
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import NodeLocation, Router
-from catkinpost.protocol.message import Answer, Load, Refusal
+from catkinpost.protocol.message import Answer, Load, Refusal, ServerNotice
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.settings import Address
 from catkinpost.state.decision_log import DecisionLog
@@ -154,6 +154,20 @@
         )
         self.assertEqual(await setup.run({}, 30), {"near-2": 30})
 
+    @on_mock_clock
+    async def test_instance_is_chosen_again_when_its_rate_limit_has_room(self):
+        setup = Setup(SAME_CENTRE)
+        await setup.run({}, 50)
+        setup.stats.get_or_create("near-1").record_load(
+            Load(limit=8, notice=ServerNotice("", 2.0), rate_wait_us=800_000),
+            trio.current_time(),
+        )
+        self.assertEqual(await setup.run({}, 30), {"near-2": 30})
+        await trio.sleep(0.6)
+        first = [setup.choose().instance.name for _ in range(30)]
+        # Two a second: a second call would wait for half a second.
+        self.assertEqual(first.count("near-1"), 1)
+
     @on_mock_clock
     async def test_late_answer_says_nothing_about_the_next_instance_of_the_name(self):
         """Guards against a new instance that gets no calls as its predecessor left."""
--- a/tests/coordination/test_server_limit.py
+++ b/tests/coordination/test_server_limit.py
@@ -42,6 +42,8 @@
 DEMAND_PER_S = 60
 DEMAND_S = 12.0
 RESTART_S = 0.5
+# A restarted node learns a limit from its server's response only after this time.
+SILENCE_S = 2.0
 DRAIN_S = 2.5
 
 
@@ -85,6 +87,10 @@
         await trio.sleep(RESTART_S)
         self.cluster.start(name)
         self.cluster.read_lists()
+        backend = self.cluster.nodes[name].backend
+        backend.stalled = True
+        await trio.sleep(SILENCE_S)
+        backend.stalled = False
 
 
 async def send_demand(headers, restarting):
@@ -109,6 +115,7 @@
         (b"10", True),
         (b"2.5", False),
         (b"0", False),
+        (b"0", True),
     )
     def test_server_is_sent_no_more_than_the_rate_that_it_names(self, value, restarts):
         self.check_rate(value, restarts)
