--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -14,9 +14,12 @@
     EXPECTED_INSTANCE,
     NOT_EXECUTED,
     RESPONSE_SIGNATURE,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
     SERVER_LOAD,
 )
 from catkinpost.protocol.http import (
+    Headers,
     HttpLimits,
     HttpRequest,
     HttpResponse,
@@ -57,6 +60,8 @@
     :param slots: requests that it runs at once.
     :param seconds: service time besides child calls.
     :param outbound: returns the connection pool to its own machine's node.
+    :ivar rate_limit: requests per second that it names, ``None`` for no limit.
+    :ivar leaving: whether it announces that it leaves.
     """
 
     def __init__(
@@ -75,6 +80,8 @@
         self.outbound = outbound
         self.children: list[ChildCall] = []
         self.fault = ServerFault.NONE
+        self.rate_limit: float | None = None
+        self.leaving = False
         self.running = 0
         self.runs: Counter[bytes] = Counter()
         self.cancelled = 0
@@ -140,15 +147,21 @@
         if self.fault is ServerFault.UNPROMISED_503:
             return HttpResponse(503, [(ATTEMPT_ID, attempt)], b"")
         named = b"another" if self.fault is ServerFault.OTHER_ID else attempt
-        headers = [(ATTEMPT_ID, named), (SERVER_LOAD, self.load())]
+        headers = [(ATTEMPT_ID, named), *self.build_notices()]
         if self.fault is not ServerFault.UNSIGNED:
             headers.append((RESPONSE_SIGNATURE, b"sig." + attempt))
         if self.fault is ServerFault.ENCODED:
             headers.append((b"content-encoding", b"gzip"))
         return HttpResponse(status, headers, body)
 
-    def load(self) -> bytes:
-        return b"%d,0,%d,100" % (self.running, self.slots)
+    def build_notices(self) -> Headers:
+        """Build the headers in which the server tells about itself."""
+        headers = [(SERVER_LOAD, b"%d,0,%d,100" % (self.running, self.slots))]
+        if self.rate_limit is not None:
+            headers.append((SERVER_LIMIT, b"%g" % self.rate_limit))
+        if self.leaving:
+            headers.append((SERVER_LEAVING, b"1"))
+        return headers
 
     def refuse(self, status: int) -> HttpResponse:
-        return HttpResponse(status, [(NOT_EXECUTED, b"1"), (SERVER_LOAD, self.load())])
+        return HttpResponse(status, [(NOT_EXECUTED, b"1"), *self.build_notices()])
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -20,6 +20,8 @@
 from catkinpost_standins.users_platform.server import ChildCall, ServerFault
 
 LIMIT_S = 90
+# Bound of the platform on the requests of any window under a rate limit.
+WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS = 4.0, 1.5, 5
 SERVICES = ["orders", "sets", "sets", "offcut-stock"]
 ORDER, SHOW = (b"POST", b"/orders/7?a=b"), (b"GET", b"/sets/9")
 
@@ -194,6 +196,62 @@
         self.assertIn(b"orders", staying.server.callers)
         self.assertIsNotNone(find_header(answer.headers, ATTEMPT_ID))
 
+    @on_fleet
+    async def test_rate_that_a_server_names_is_kept_over_a_restart(self, fleet):
+        limited, other = fleet.of_service("sets")
+        limited.server.rate_limit = 2.0
+        caller = self.find_caller_beside(fleet, limited)
+        await self.call_until_run(fleet, caller, limited.server)
+        started_at = trio.current_time()
+        await self.call_many(fleet, caller, "before")
+        await self.restart(fleet, limited)
+        await self.call_many(fleet, caller, "after")
+        span_s = max(WINDOW_S, trio.current_time() - started_at)
+        allowed = EXCESS_FACTOR * span_s * limited.server.rate_limit + EXCESS_REQUESTS
+        self.assertLessEqual(limited.server.runs.total(), allowed)
+        self.assertGreater(other.server.runs.total(), 100)
+
+    @on_fleet
+    async def test_server_that_announces_its_leaving_gets_nothing_more(self, fleet):
+        """The list goes on to call it ready, and its node restarts."""
+        leaving, _ = fleet.of_service("sets")
+        leaving.server.leaving = True
+        caller = self.find_caller_beside(fleet, leaving)
+        await self.call_until_run(fleet, caller, leaving.server)
+        await self.call_many(fleet, caller, "before")
+        await self.restart(fleet, leaving)
+        await self.call_many(fleet, caller, "after")
+        self.assertEqual(leaving.server.runs.total(), 0)
+
+    def find_caller_beside(self, fleet, machine):
+        """Return a machine of another service in the same data centre."""
+        return next(
+            item
+            for item in fleet.machines
+            if item.zone == machine.zone
+            and item.server.service != machine.server.service
+        )
+
+    async def call_until_run(self, fleet, caller, server):
+        """Call until a server has answered, and forget its runs."""
+        number = 0
+        while not server.runs.total():
+            number += 1
+            await fleet.call(caller, make_request(SHOW, f"first-{number}"))
+        server.runs.clear()
+
+    async def call_many(self, fleet, caller, name):
+        for number in range(100):
+            answer = await fleet.call(caller, make_request(SHOW, f"{name}-{number}"))
+            self.assertEqual(answer.status, 200)
+
+    async def restart(self, fleet, machine):
+        """Kill a node without notice, and wait until it is ready again."""
+        machine.process.send_signal(signal.SIGKILL)
+        machine.process.wait()
+        fleet.start_node(machine)
+        await fleet.wait_ready(machine)
+
     @on_fleet
     async def test_deadline_is_handed_on_without_being_raised(self, fleet):
         seen = []
