Split the wait queue and the mode of the rate limit from admission

Change: WaitQueue holds the waiters by rank and the order of service; RateLimiter knows its mode and logs its decisions, as the other limiters do. Nothing else changes; log fields stay. Tests reach the queue by its new name and build the limiter with a section, with the same assertions.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -2,13 +2,13 @@
 
 import math
 import random
-from collections import deque
 
 import trio
 
 from catkinpost.coordination.admission.class_limiter import ClassLimiter
 from catkinpost.coordination.admission.limiter import ConcurrencyLimiter
 from catkinpost.coordination.admission.rate_limiter import RateLimiter
+from catkinpost.coordination.admission.wait_queue import WaitQueue
 from catkinpost.coordination.admission.work import AdmissionPermit, Waiter, WorkItem
 from catkinpost.coordination.event import AutoResetEvent
 from catkinpost.protocol.outcome import Failure, Reason
@@ -17,15 +17,13 @@
     Importance,
     Mode,
     ServiceSection,
-    get_weakest_mode,
 )
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.duration import DurationModel
 
 __all__ = ["Admission", "AdmissionPermit", "WorkItem"]
 
-RANKS = sorted(IMPORTANCE_RANK.values())
-MOST_IMPORTANT_RANK = RANKS[0]
+MOST_IMPORTANT_RANK = min(IMPORTANCE_RANK.values())
 SHEDDABLE_RANK = IMPORTANCE_RANK[Importance.SHEDDABLE]
 NEWEST_FIRST_WAIT_SHARE = 0.5
 MIN_SERVICE_TIME_SHARE = 0.5
@@ -53,22 +51,25 @@
         self.decisions = decisions
         self.limiter = ConcurrencyLimiter(section, decisions)
         self.class_limiter = ClassLimiter(section, decisions)
-        self.rate_limiter = RateLimiter()
+        self.rate_limiter = RateLimiter(section, decisions)
         self.pacing_changed = AutoResetEvent()
         self.durations = DurationModel()
         self.in_flight = 0
         self.long_in_flight = 0
-        self.queued = 0
+        self.waiters = WaitQueue()
         self.last_sweep_at = -math.inf
-        self.queues = {
-            (rank, is_long): deque() for rank in RANKS for is_long in (False, True)
-        }
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait."""
+        return len(self.waiters)
 
     def update_section(self, section: ServiceSection) -> None:
         """Apply a new section of the policy."""
         self.section = section
         self.limiter.update_section(section)
         self.class_limiter.section = section
+        self.rate_limiter.section = section
         self.admit_waiters()
         self.pacing_changed.set()
 
@@ -77,25 +78,12 @@
 
         :param rate_limit: requests per second, ``None`` for no limit.
         """
-        previous = self.rate_limiter.rate_limit
-        if rate_limit == previous:
-            return
-        self.rate_limiter.set_limit(rate_limit)
-        self.decisions.add(
-            "rate-limit",
-            "stop pacing" if rate_limit is None else "pace",
-            f"{previous} to {rate_limit} a second",
-            reason="the backend server names what it takes from all nodes",
-            mode=self.get_rate_mode(),
-            in_flight=self.in_flight,
-            queued=self.queued,
+        is_changed = self.rate_limiter.set_limit(
+            rate_limit, in_flight=self.in_flight, queued=self.queued
         )
-        self.admit_waiters()
-        self.pacing_changed.set()
-
-    def get_rate_mode(self) -> Mode:
-        """Return the mode of keeping the rate limit of the backend server."""
-        return get_weakest_mode(self.section.admission, self.section.rate_limiting)
+        if is_changed:
+            self.admit_waiters()
+            self.pacing_changed.set()
 
     async def run(self) -> None:
         """Admit waiters at the pace of the rate limit until cancelled."""
@@ -109,14 +97,10 @@
 
         :return: the seconds, ``None`` while no waiter waits for the rate limit.
         """
-        if not self.queued or self.is_within_rate():
+        if not self.waiters or self.rate_limiter.can_start():
             return None
         return self.rate_limiter.get_wait(0)
 
-    def is_within_rate(self) -> bool:
-        """Return whether the rate limit allows a request to start now."""
-        return self.rate_limiter.can_start() or self.get_rate_mode() is not Mode.ON
-
     async def acquire_slot(self, item: WorkItem) -> AdmissionPermit | Failure:
         """Wait for a slot in which a request may run.
 
@@ -132,7 +116,7 @@
         refusal = self.check_deadline(item, now) or self.check_class_limit(item)
         if refusal is not None:
             return refusal
-        if self.queued == 0 and self.has_free_slot(is_long):
+        if not self.waiters and self.has_free_slot(is_long):
             return self.grant_slot(item, is_long, now)
         if self.section.admission is Mode.OBSERVE:
             self.log_refusal(item, Reason.QUEUE_FULL, "the limit is reached")
@@ -146,8 +130,7 @@
             if refusal is not None:
                 return refusal
         waiter = Waiter(item, is_long, now)
-        self.queues[item.rank, is_long].append(waiter)
-        self.queued += 1
+        self.waiters.append(waiter)
         self.admit_waiters()
         self.pacing_changed.set()
         return await self.wait_for_slot(waiter)
@@ -163,7 +146,8 @@
                 self.release_slot(waiter.result, seconds=None)
             raise
         finally:
-            self.remove_waiter(waiter)
+            if waiter.result is None:
+                self.waiters.remove(waiter)
         if waiter.result is not None:
             return waiter.result
         return self.refuse(
@@ -186,11 +170,6 @@
             return latest_start_at
         return min(latest_start_at, arrived_at + self.section.queue_wait)
 
-    def remove_waiter(self, waiter: Waiter) -> None:
-        if waiter.result is None:
-            self.queues[waiter.item.rank, waiter.is_long].remove(waiter)
-            self.queued -= 1
-
     def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
         expected_s = (
             self.durations.get_expected_duration(item.call_class, item.path) or 0.0
@@ -219,7 +198,7 @@
 
     def check_rate(self, item: WorkItem) -> Failure | None:
         """Refuse a request for whose rate another backend server may have room."""
-        wait_s = self.estimate_rate_wait(self.count_waiters_ahead(item.rank))
+        wait_s = self.rate_limiter.get_wait(self.waiters.count_ahead(item.rank))
         if wait_s <= item.max_rate_wait_s:
             return None
         return self.refuse(
@@ -229,16 +208,11 @@
             retry_after=self.jitter_retry_after(wait_s),
         )
 
-    def estimate_rate_wait(self, waiters_ahead: int) -> float:
-        """Estimate the seconds until the rate limit allows a waiter to start."""
-        wait_s = self.rate_limiter.get_wait(waiters_ahead)
-        return wait_s if wait_s and self.get_rate_mode() is Mode.ON else 0.0
-
     def check_expected_wait(self, item: WorkItem, now: float) -> Failure | None:
         """Refuse a request that would be queued past its wait deadline."""
         if self.section.early_refusal is Mode.OFF:
             return None
-        wait_s = self.estimate_wait(self.count_waiters_ahead(item.rank))
+        wait_s = self.estimate_wait(self.waiters.count_ahead(item.rank))
         if wait_s is None or now + wait_s <= self.get_wait_deadline(item, now):
             return None
         detail = "the wait would outlast the use of the answer"
@@ -249,19 +223,13 @@
             item, Reason.QUEUE_FULL, detail, retry_after=self.jitter_retry_after(wait_s)
         )
 
-    def count_waiters_ahead(self, rank: int) -> int:
-        """Count the waiters that are served before a new request of a rank."""
-        return sum(
-            len(queue) for (other, _), queue in self.queues.items() if other <= rank
-        )
-
     def estimate_wait(self, waiters_ahead: int) -> float | None:
         """Estimate the seconds until a waiter may start.
 
         :param waiters_ahead: waiters that are served before this one.
         :return: the seconds, ``None`` while they are unknown.
         """
-        rate_wait_s = self.estimate_rate_wait(waiters_ahead)
+        rate_wait_s = self.rate_limiter.get_wait(waiters_ahead)
         slot_wait_s = self.estimate_slot_wait(waiters_ahead)
         if rate_wait_s == 0:
             return slot_wait_s
@@ -282,31 +250,27 @@
     def refuse_late_waiters(self) -> None:
         """Refuse the waiters that can no longer be served in time."""
         now = trio.current_time()
-        if now < self.last_sweep_at + SWEEP_INTERVAL_S or not self.queued:
+        if now < self.last_sweep_at + SWEEP_INTERVAL_S or not self.waiters:
             return
         if self.section.early_refusal is not Mode.ON:
             return
         self.last_sweep_at = now
         waiters_ahead = 0
-        for rank in RANKS:
-            for is_long in (False, True):
-                queue = self.queues[rank, is_long]
-                for waiter in list(queue):
-                    wait_s = self.estimate_wait(waiters_ahead)
-                    if wait_s is None:
-                        return
-                    if now + wait_s <= self.get_wait_deadline(
-                        waiter.item, waiter.arrived_at
-                    ):
-                        waiters_ahead += 1
-                        continue
-                    queue.remove(waiter)
-                    self.refuse_waiter(
-                        waiter,
-                        Reason.QUEUE_TIMEOUT,
-                        "more important requests have taken its turn",
-                        retry_after=self.jitter_retry_after(wait_s),
-                    )
+        for waiter in self.waiters:
+            wait_s = self.estimate_wait(waiters_ahead)
+            if wait_s is None:
+                return
+            wait_deadline = self.get_wait_deadline(waiter.item, waiter.arrived_at)
+            if now + wait_s <= wait_deadline:
+                waiters_ahead += 1
+                continue
+            self.waiters.remove(waiter)
+            self.refuse_waiter(
+                waiter,
+                Reason.QUEUE_TIMEOUT,
+                "more important requests have taken its turn",
+                retry_after=self.jitter_retry_after(wait_s),
+            )
 
     def refuse_waiter(
         self,
@@ -317,7 +281,6 @@
         retry_after: float | None = None,
     ) -> None:
         """Refuse a waiter that was removed from its queue."""
-        self.queued -= 1
         waiter.result = self.refuse(
             waiter.item, reason, detail, retry_after=retry_after
         )
@@ -335,19 +298,12 @@
 
     def preempt_or_refuse(self, item: WorkItem) -> Failure | None:
         """Preempt a less important waiter, or refuse the new request."""
-        for rank in reversed(RANKS):
-            if rank <= item.rank:
-                break
-            for is_long in (True, False):
-                queue = self.queues[rank, is_long]
-                if queue:
-                    waiter = queue.popleft()
-                    self.refuse_waiter(
-                        waiter,
-                        Reason.PREEMPTED,
-                        "more important requests need the queue",
-                    )
-                    return None
+        waiter = self.waiters.pop_less_important(item.rank)
+        if waiter is not None:
+            self.refuse_waiter(
+                waiter, Reason.PREEMPTED, "more important requests need the queue"
+            )
+            return None
         return self.refuse(item, Reason.QUEUE_FULL, "the queue is full")
 
     def refuse(
@@ -375,19 +331,6 @@
             queued=self.queued,
         )
 
-    def log_excess_of_rate(self) -> None:
-        """Log a request above a rate limit that is only observed."""
-        if self.get_rate_mode() is not Mode.OBSERVE:
-            return
-        self.decisions.add(
-            "rate-limit",
-            "hold back",
-            f"{self.rate_limiter.rate_limit} a second",
-            reason="the rate that the backend server names is used up",
-            mode=Mode.OBSERVE,
-            in_flight=self.in_flight,
-        )
-
     def log_reserve(self, item: WorkItem) -> None:
         if self.section.reserve is not Mode.OFF:
             self.decisions.add(
@@ -405,7 +348,7 @@
         mean_s = self.durations.geometric_mean_s or MIN_RETRY_AFTER_S
         limit = max(1, self.limiter.get_limit())
         estimate_s = mean_s * (self.queued + 1) / limit
-        estimate_s = max(estimate_s, self.estimate_rate_wait(self.queued))
+        estimate_s = max(estimate_s, self.rate_limiter.get_wait(self.queued))
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, estimate_s))
 
     def get_long_work_limit(self) -> int:
@@ -423,14 +366,14 @@
         return max(1, limit - reserved_slots)
 
     def has_free_slot(self, is_long: bool) -> bool:
-        if self.in_flight >= self.limiter.get_limit() or not self.is_within_rate():
+        if self.in_flight >= self.limiter.get_limit():
+            return False
+        if not self.rate_limiter.can_start():
             return False
         return not is_long or self.long_in_flight < self.get_long_work_limit()
 
     def grant_slot(self, item: WorkItem, is_long: bool, now: float) -> AdmissionPermit:
-        if not self.rate_limiter.can_start():
-            self.log_excess_of_rate()
-        self.rate_limiter.record_start()
+        self.rate_limiter.record_start(in_flight=self.in_flight)
         self.in_flight += 1
         self.long_in_flight += is_long
         if item.rank == SHEDDABLE_RANK:
@@ -460,7 +403,7 @@
         self.long_in_flight -= permit.is_long
         self.admit_waiters()
         self.refuse_late_waiters()
-        if self.queued:
+        if self.waiters:
             self.pacing_changed.set()
 
     def record_class_end(
@@ -486,30 +429,20 @@
 
     def admit_waiters(self) -> None:
         """Admit waiting requests while slots are free."""
-        while self.queued and self.in_flight < self.limiter.get_limit():
+        while self.waiters and self.in_flight < self.limiter.get_limit():
             waiter = self.pop_next_waiter()
             if waiter is None:
                 return
-            self.queued -= 1
             waiter.result = self.grant_slot(
                 waiter.item, waiter.is_long, trio.current_time()
             )
             waiter.event.set()
 
     def pop_next_waiter(self) -> Waiter | None:
-        for rank in RANKS:
+        """Remove the waiter that starts next; the newest, if the queue is too slow."""
+        return self.waiters.pop_next(
+            self.has_free_slot,
             # One slot goes to long work first, so that short work cannot starve it.
-            order = (True, False) if self.long_in_flight == 0 else (False, True)
-            for is_long in order:
-                queue = self.queues[rank, is_long]
-                if queue and self.has_free_slot(is_long):
-                    return self.pop_oldest_or_newest(queue)
-        return None
-
-    def pop_oldest_or_newest(self, queue: deque) -> Waiter:
-        """Remove the oldest waiter, or the newest while the queue does not drain."""
-        oldest = queue[0]
-        waited_s = trio.current_time() - oldest.arrived_at
-        if waited_s > self.section.queue_wait * NEWEST_FIRST_WAIT_SHARE:
-            return queue.pop()
-        return queue.popleft()
+            is_long_first=self.long_in_flight == 0,
+            newest_first_after_s=self.section.queue_wait * NEWEST_FIRST_WAIT_SHARE,
+        )
--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -86,7 +86,7 @@
             int(mean_s * 1e6),
             self.is_leaving(),
             self.monitor.get_notice(),
-            int(admission.estimate_rate_wait(admission.queued) * 1e6),
+            int(admission.rate_limiter.get_wait(admission.queued) * 1e6),
         )
 
     async def run(self, call: Call) -> Answer | Refusal:
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -469,7 +469,7 @@
     def get_waiting_ranks(self):
         return [
             waiter.item.rank
-            for queue in self.admission.queues.values()
+            for queue in self.admission.waiters.queues.values()
             for waiter in queue
         ]
 
@@ -516,13 +516,13 @@
         admission = self.admission
         assert admission.in_flight == len(self.running)
         assert admission.long_in_flight == sum(item.is_long for item in self.running)
-        waiting = sum(len(queue) for queue in admission.queues.values())
+        waiting = sum(len(queue) for queue in admission.waiters.queues.values())
         assert admission.queued == waiting
 
     @invariant()
     def no_slot_is_idle_while_admissible_work_waits(self):
         admission = self.admission
-        for (_, is_long), queue in admission.queues.items():
+        for (_, is_long), queue in admission.waiters.queues.items():
             assert not (queue and admission.has_free_slot(is_long))
 
     @invariant()
--- a/tests/coordination/admission/test_rate_limiter.py
+++ b/tests/coordination/admission/test_rate_limiter.py
@@ -6,12 +6,18 @@
 from nose2.tools import params
 
 from catkinpost.coordination.admission.rate_limiter import RateLimiter
+from catkinpost.protocol.policy import ServiceSection
+from catkinpost.state.decision_log import DecisionLog
 from tests.clock import on_mock_clock
 
 # Bound of the platform on the requests of any four seconds.
 WINDOW_S, FACTOR, EXCESS = 4.0, 1.5, 5
 
 
+def make_limiter():
+    return RateLimiter(ServiceSection(owner="test"), DecisionLog())
+
+
 class TestRateLimiter(unittest.TestCase):
     @params(0.0, 0.2, 1.0, 7.3, 38.4, 500.0)
     def test_requests_of_a_window(self, rate_limit):
@@ -19,7 +25,7 @@
 
     @on_mock_clock
     async def check_window(self, rate_limit):
-        limiter = RateLimiter()
+        limiter = make_limiter()
         limiter.set_limit(rate_limit)
         # An idle time fills the bucket.
         await trio.sleep(60)
@@ -36,7 +42,7 @@
     async def test_window_with_a_restart_of_the_node(self):
         started = 0
         for _ in range(2):
-            limiter = RateLimiter()
+            limiter = make_limiter()
             limiter.set_limit(10.0)
             for _ in range(200):
                 while limiter.can_start():
@@ -47,7 +53,7 @@
 
     @on_mock_clock
     async def test_limit_that_falls_rises_and_ends(self):
-        limiter = RateLimiter()
+        limiter = make_limiter()
         self.assertTrue(limiter.can_start())
         limiter.set_limit(40.0)
         await trio.sleep(10)
