Check no connection that is being closed

What callers saw: a node's process ended with an exception; its requests in flight were cut and its machine was out until the restart. Cause: a connection stayed in the set of connections while its stream was being closed, which takes one step of the scheduler. A check that fell into this step found a request unanswered, asked the closed socket whether it is readable, and got ValueError (file descriptor -1); an exception in the check of all connections ends the process. It needs a connection that breaks before its response is sent. The test closes a connection by a reset and checks in the step of the close: ValueError before, passes now. Change: a connection leaves the set before its stream is closed, so that no check can meet a closed one.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -199,16 +199,21 @@
         """
         connection = Connection(stream, RequestParser(self.limits))
         connection.enter_phase(Phase.IDLE)
-        self.connections.add(connection)
         try:
             async with stream:
-                with connection.scope:
-                    await self.run_connection(connection)
-                if connection.phase is Phase.READING and connection.overdue:
-                    await self.refuse_slow_sender(connection)
+                await self.run_until_closed(connection)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: no response can be sent.
             pass
+
+    async def run_until_closed(self, connection: Connection) -> None:
+        """Serve a connection, which is not checked any more once it is to be closed."""
+        self.connections.add(connection)
+        try:
+            with connection.scope:
+                await self.run_connection(connection)
+            if connection.phase is Phase.READING and connection.overdue:
+                await self.refuse_slow_sender(connection)
         finally:
             self.connections.discard(connection)
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server, on real connections."""
 
+import socket
+import struct
 import unittest
 
 import trio
@@ -13,6 +15,7 @@
     max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
 )
 HOST = "127.0.0.1"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ServerSetup:
@@ -179,6 +182,27 @@
             self.assertFalse(setup.server.connections)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_check_while_a_broken_connection_is_being_closed(self):
+        """Guards against a process that ends because a check meets a closed socket."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.release = trio.Event()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"GET / HTTP/1.1\r\n\r\n")
+            while not setup.server.is_busy:
+                await trio.sleep(0)
+            (connection,) = setup.server.connections
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            await trio.aclose_forcefully(stream)
+            setup.release.set()
+            while connection.stream.socket.fileno() >= 0:
+                await trio.sleep(0)
+            setup.server.check_connections(trio.current_time())
+            self.assertEqual(setup.server.connections, set())
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_leaving_server_answers_and_then_closes(self):
         async with trio.open_nursery() as nursery:
