Start a task of the node again after an exception

What callers saw: one exception in the check of connections ended the process and cut every request in flight. Cause: tasks of single connections and background tasks are guarded, as an exception in one must not end the others; the eight tasks of the whole node (pause watch, checks of connections, ejection, pacing, the feed, expiring entries, settings) were not. Change: Node.supervise logs the exception, counts it as internal-error and starts the task again after 0.1 s. The watches of signals and the operators' interface stay as they were. Evidence: the test failed before (no such method) and passes.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -70,6 +70,9 @@
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose exceptions do not end the process."""
 
+    async def supervise(self, function: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of the whole node, and start it again after an exception."""
+
     def report_internal_error(self) -> None:
         """Count and log the exception that is being handled."""
 
--- a/src/catkinpost/native/environment.py
+++ b/src/catkinpost/native/environment.py
@@ -28,6 +28,7 @@
 
         :param node: node whose other parts exist already.
         """
+        self.node = node
         settings = node.settings
         self.operators = parse_address(settings.listen.operators)
         self.gate = PolicyGate(
@@ -74,6 +75,5 @@
         """Run the watches and the operators' interface until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.api.serve, self.operators)
-            nursery.start_soon(self.policy_watch.run)
-            nursery.start_soon(self.instance_watch.run)
-            nursery.start_soon(self.backend_watch.run)
+            for watch in (self.policy_watch, self.instance_watch, self.backend_watch):
+                nursery.start_soon(self.node.supervise, watch.run)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -49,6 +49,8 @@
 
 # While the accept queue is full, each caller waits seconds before it connects again.
 LISTEN_BACKLOG = 1024
+# Bounds the log lines of a task that fails at once each time.
+TASK_RESTART_DELAY_S = 0.1
 UNKNOWN_SERVICE_SECTION = ServiceSection(owner="default")
 
 
@@ -254,15 +256,15 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self.planned_stop.watch_signals)
-            nursery.start_soon(self.pause_watch.run)
-            nursery.start_soon(self.http_server.watch_connections)
+            nursery.start_soon(self.supervise, self.pause_watch.run)
+            nursery.start_soon(self.supervise, self.http_server.watch_connections)
             await self.listen(listen.peers, self.peer_server.serve_connection)
             await self.listen(
                 listen.calls, self.http_server.serve_connection, self.accept_calls_scope
             )
             nursery.start_soon(self.environment.run)
-            nursery.start_soon(self.ejector.run)
-            nursery.start_soon(self.executor.admission.run)
+            nursery.start_soon(self.supervise, self.ejector.run)
+            nursery.start_soon(self.supervise, self.executor.admission.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
             # A send to a peer that does not read would outlast the cancellation.
@@ -319,6 +321,21 @@
 
         self.nursery.start_soon(run_guarded)
 
+    async def supervise(self, function: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of the whole node, and start it again after an exception.
+
+        The end of the process would cut all its requests, whatever the task is for.
+
+        :param function: runs until it is cancelled.
+        """
+        while True:
+            try:
+                await function()
+                return
+            except Exception:
+                self.report_internal_error()
+            await trio.sleep(TASK_RESTART_DELAY_S)
+
     def report_internal_error(self) -> None:
         self.metrics.counters["internal-error"] += 1
         write_traceback()
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -92,10 +92,13 @@
             self.settings.readiness_address, self.probe_server.serve_connection
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.probe_server.watch_connections)
-            nursery.start_soon(self.relay.run)
-            nursery.start_soon(self.watch_expiring_entries)
-            nursery.start_soon(self.watch_settings)
+            for function in (
+                self.probe_server.watch_connections,
+                self.relay.run,
+                self.watch_expiring_entries,
+                self.watch_settings,
+            ):
+                nursery.start_soon(self.node.supervise, function)
 
     async def handle_probe(self, request: HttpRequest) -> HttpResponse:
         if not request.target.startswith(READINESS_PATH):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,6 +35,21 @@
         node.pause_watch.check_for_pause()
         self.assertEqual(node.replicas.get_watched_s(), 0)
 
+    @on_mock_clock
+    async def test_exception_in_a_task_of_the_node_does_not_end_it(self):
+        """Guards against a process that ends, and cuts all its requests."""
+        node = Node(parse_settings(GOOD), NativeEnvironment())
+        starts = []
+
+        async def check():
+            starts.append(trio.current_time())
+            if len(starts) < 3:
+                raise ValueError
+
+        await node.supervise(check)
+        self.assertEqual(len(starts), 3)
+        self.assertEqual(node.metrics.counters["internal-error"], 2)
+
     @on_mock_clock
     async def test_policy_reaches_the_parts_that_hold_its_sections(self):
         async with trio.open_nursery() as nursery:
