Start no reader for a connection whose reading task has ended

Cause: between the end of the task that reads a connection and the end of its nursery, a check could still find a request unanswered and start a reader in a nursery that accepts no further task (RuntimeError).

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -65,6 +65,7 @@
     :param capacity_available: set when a response was sent, so that another pipelined
         request may start.
     :param has_reader_task: whether the connection is read while requests are handled.
+    :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
     """
 
@@ -79,6 +80,7 @@
     overdue: bool = False
     capacity_available: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
+    reading_ended: bool = False
     nursery: trio.Nursery | None = None
 
     @property
@@ -88,6 +90,12 @@
         no_other_request = not self.has_reader_task and not self.exchanges
         return no_other_request and len(parser.messages) == 1 and not parser.in_message
 
+    @property
+    def needs_reader_task(self) -> bool:
+        """Whether nothing reads the connection while requests are handled."""
+        is_read = self.has_reader_task or self.reading_ended
+        return bool(self.exchanges) and not is_read
+
     def enter_phase(self, phase: Phase) -> None:
         """Start a phase."""
         self.phase = phase
@@ -171,7 +179,7 @@
                 connection.overdue = True
                 connection.closing = True
                 connection.scope.cancel()
-            elif connection.exchanges and not connection.has_reader_task:
+            elif connection.needs_reader_task:
                 self.start_reader_if_readable(connection)
 
     def start_reader_if_readable(self, connection: Connection) -> None:
@@ -232,7 +240,11 @@
     async def run_connection(self, connection: Connection) -> None:
         async with trio.open_nursery() as nursery:
             connection.nursery = nursery
-            await self.read_requests(connection)
+            try:
+                await self.read_requests(connection)
+            finally:
+                # The nursery may accept no further task while it waits to be left.
+                connection.reading_ended = True
 
     async def read_requests(self, connection: Connection) -> None:
         """Read and start requests until the connection accepts no more."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server, on real connections."""
 
+import functools
+import random
 import socket
 import struct
 import unittest
@@ -15,6 +17,14 @@
     max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
 )
 HOST = "127.0.0.1"
+SENT_BEFORE_END = [
+    b"GET /1 HTTP/1.1\r\n\r\n",
+    b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n",
+    b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n",
+    b"GET /1 HTTP/1.1\r\n\r\nGET /2 HT",
+    b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nslow",
+    b"",
+]
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -66,6 +76,33 @@
         return b""
 
 
+async def wait_steps(rng, most):
+    for _ in range(rng.randrange(most)):
+        await trio.sleep(0)
+
+
+async def respond_after_steps(rng, request):
+    await wait_steps(rng, 20)
+    return HttpResponse(200, [], request.target)
+
+
+async def check_at_every_step(server):
+    while True:
+        server.check_connections(trio.current_time())
+        await trio.sleep(0)
+
+
+async def call_and_end(setup, rng):
+    """Open connections, send on them, and end each one at a random step."""
+    for _ in range(40):
+        stream = await setup.connect()
+        await stream.send_all(rng.choice(SENT_BEFORE_END))
+        await wait_steps(rng, 25)
+        if rng.random() < 0.7:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        await trio.aclose_forcefully(stream)
+
+
 class TestHttpServer(unittest.TestCase):
     @on_mock_clock(io=True)
     async def test_each_request_gets_its_own_answer_in_order(self):
@@ -203,6 +240,25 @@
             self.assertEqual(setup.server.connections, set())
             nursery.cancel_scope.cancel()
 
+    @params(*range(6))
+    def test_connections_that_end_at_random_meet_a_check_at_every_step(self, seed):
+        self.check_random_ends(random.Random(seed))
+
+    @on_mock_clock(io=True)
+    async def check_random_ends(self, rng):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = functools.partial(respond_after_steps, rng)
+            await setup.start(nursery)
+            nursery.start_soon(check_at_every_step, setup.server)
+            async with trio.open_nursery() as callers:
+                for _ in range(8):
+                    callers.start_soon(call_and_end, setup, rng)
+            while setup.server.connections:
+                await trio.sleep(0)
+            self.assertEqual(setup.reported_failures, [])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_leaving_server_answers_and_then_closes(self):
         async with trio.open_nursery() as nursery:
