Reproduce nodes that know no list after a restart in an outage, as known red

What callers see: 500 for requests that ran, at nodes that were killed while the platform's store answers nobody. They had the policy from their peers within 0.2 s, and no list: a node's first list comes from the store alone. So they ran their peers' calls and refused the child calls of their own server.

--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -23,6 +23,7 @@
         return functools.partial(with_fleet, seed=seed)
 
     @on_mock_clock(seed=seed)
+    @functools.wraps(test)
     async def run(self, *args):
         async with trio.open_nursery() as nursery:
             fleet = EmulatedFleet(nursery, FLEET)
@@ -157,6 +158,19 @@
         await trio.sleep(5.0)
         self.assertTrue(all(node.relay.is_confirmed for node in nodes))
 
+    @with_fleet
+    async def test_node_restarted_during_an_outage_learns_from_its_peers(self, fleet):
+        """Guards against nodes that run calls whose child calls they must refuse."""
+        fleet.platform.stop_answering()
+        await trio.sleep(3.0)
+        name = next(name for name in fleet.nodes if name not in fleet.get_readers())
+        fleet.kill(name)
+        await fleet.start(name)
+        await trio.sleep(5.0)
+        relay = fleet.nodes[name].relay
+        self.assertEqual(len(relay.view.instances), FLEET)
+        self.assertTrue(relay.is_confirmed)
+
     @with_fleet
     async def test_confirmations_from_before_a_pause_do_not_count(self, fleet):
         reader = fleet.nodes[fleet.get_readers()[0]]
