Look at two instances of each distance when an instance is chosen

Cause: each choice filtered all instances of the service, five calls for each of them. Change: InstanceSampler keeps the listed instances by distance until the list changes, and draws at random until two usable ones are found. The choice among all (trials, observe, off, nothing usable) is as before. Ejector.names_on_trial tells whether a trial is due.

--- a/src/catkinpost/coordination/routing/ejection.py
+++ b/src/catkinpost/coordination/routing/ejection.py
@@ -30,6 +30,7 @@
     :param stats: observations by instance.
     :param store: policy in force.
     :param decisions: log of automatic decisions.
+    :ivar names_on_trial: instances that get trial calls.
     """
 
     def __init__(
@@ -44,14 +45,25 @@
         self.stats = stats
         self.store = store
         self.decisions = decisions
+        self.names_on_trial: set[str] = set()
 
     async def run(self) -> None:
         """Check the services that this node calls, until cancelled."""
         while True:
             await sleep_until_next_tick(CHECK_INTERVAL_S)
+            self.forget_removed_instances()
             for service in self.get_called_services():
                 self.check_service(service)
 
+    def forget_removed_instances(self) -> None:
+        """End the trials of instances whose observations were removed."""
+        stats = self.stats.stats
+        self.names_on_trial = {
+            name
+            for name in self.names_on_trial
+            if name in stats and stats[name].on_trial
+        }
+
     def get_called_services(self) -> set[str]:
         """Return the services with observations of calls from this node."""
         instances = self.view.instances
@@ -69,8 +81,8 @@
         now = trio.current_time()
         names = [item.name for item in self.view.get_service_instances(service)]
         stats = {name: self.stats.get_or_create(name) for name in names}
-        for stat in stats.values():
-            self.start_due_trial(stat, now)
+        for name, stat in stats.items():
+            self.start_due_trial(name, stat, now)
         slowness = {
             name: stat.get_apparent_slowness(now) for name, stat in stats.items()
         }
@@ -132,10 +144,11 @@
         stat.failures = 0
         stat.slow_checks = 0
 
-    def start_due_trial(self, stat: PeerStat, now: float) -> None:
+    def start_due_trial(self, name: str, stat: PeerStat, now: float) -> None:
         """Put an instance on trial once its ejection time has passed."""
         if stat.ejections and now > stat.ejected_until:
             stat.on_trial = True
+            self.names_on_trial.add(name)
 
     def record_trial(self, name: str, stat: PeerStat, *, succeeded: bool) -> None:
         """Record the result of one trial call.
@@ -148,8 +161,7 @@
         now = trio.current_time()
         if not succeeded:
             seconds = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**stat.ejections)
-            stat.on_trial = False
-            stat.successful_trials = 0
+            self.end_trial(name, stat)
             stat.ejections += 1
             stat.ejected_until = now + seconds
             self.decisions.add(
@@ -158,9 +170,13 @@
             return
         stat.successful_trials += 1
         if stat.successful_trials >= SUCCESSFUL_TRIALS_TO_RETURN:
-            stat.on_trial = False
-            stat.successful_trials = 0
+            self.end_trial(name, stat)
             stat.ejections = 0
             stat.slowness = 1.0
             stat.updated_at = now
             self.decisions.add("ejection", "return", name, reason="trials succeeded")
+
+    def end_trial(self, name: str, stat: PeerStat) -> None:
+        stat.on_trial = False
+        stat.successful_trials = 0
+        self.names_on_trial.discard(name)
--- a/src/catkinpost/coordination/routing/router.py
+++ b/src/catkinpost/coordination/routing/router.py
@@ -1,6 +1,5 @@
 """Choice of the instance for each attempt."""
 
-import enum
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -9,6 +8,12 @@
 
 from catkinpost.coordination.routing.ejection import Ejector
 from catkinpost.coordination.routing.region_budget import RegionBudget
+from catkinpost.coordination.routing.sampler import (
+    COMPARED_INSTANCES,
+    Distance,
+    InstanceSampler,
+    NodeLocation,
+)
 from catkinpost.protocol.http import MIN_SERVER_ERROR_STATUS
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import Failure, Reason
@@ -41,23 +46,6 @@
 )
 
 
-class Distance(enum.Enum):
-    """Distance of an instance, as the smallest area that it shares with this node."""
-
-    CENTRE = "data centre"
-    REGION = "region"
-    WORLD = "world"
-
-
-@dataclass(frozen=True, kw_only=True)
-class NodeLocation:
-    """Instance, data centre and region of this node."""
-
-    instance: str
-    data_centre: str
-    region: str
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Target:
     """Instance chosen for one attempt.
@@ -104,6 +92,7 @@
     ) -> None:
         self.location = location
         self.view = view
+        self.sampler = InstanceSampler(location, view)
         self.stats = stats
         self.notices = notices
         self.store = store
@@ -127,13 +116,38 @@
         :param exclude: instances that have refused or failed already.
         :param repeatable: whether the call may try an ejected instance.
         """
+        section = self.store.policy.services.get(service, DEFAULT_SERVICE_SECTION)
+        has_trials = repeatable and bool(self.ejector.names_on_trial)
+        if section.routing is Mode.ON and not has_trials:
+            now = trio.current_time()
+            sampled = self.sampler.sample(
+                service, lambda item: self.is_usable(item, exclude, now)
+            )
+            if sampled:
+                best = self.choose_by_expected_wait(sampled, call_class, section, now)
+                if isinstance(best, Failure):
+                    return best
+                return self.record_attempt(best, call_class)
+        return self.choose_among_all(
+            service, call_class, section, exclude=exclude, repeatable=repeatable
+        )
+
+    def choose_among_all(
+        self,
+        service: str,
+        call_class: str,
+        section: ServiceSection,
+        *,
+        exclude: set[str] | frozenset[str],
+        repeatable: bool,
+    ) -> Target | Failure:
+        """Choose with regard to trials, modes, and instances that are not usable."""
         candidates = list(self.find_candidates(service, exclude))
         if not candidates:
             return build_no_instance_failure(service)
         candidates = [
             item for item in candidates if self.is_reachable(item.name)
         ] or candidates
-        section = self.store.policy.services.get(service, DEFAULT_SERVICE_SECTION)
         mode = section.routing
         if mode is Mode.OFF:
             return self.record_attempt(self.choose_in_turn(candidates), call_class)
@@ -144,7 +158,11 @@
         usable = [
             item for item in candidates if self.is_in_routing(item, now)
         ] or candidates
-        best = self.choose_by_expected_wait(usable, call_class, section, now)
+        sampled = {
+            distance: random.sample(items, min(COMPARED_INSTANCES, len(items)))
+            for distance, items in self.sampler.group_by_distance(usable).items()
+        }
+        best = self.choose_by_expected_wait(sampled, call_class, section, now)
         if mode is Mode.OBSERVE:
             return self.record_attempt(
                 self.choose_in_observe_mode(candidates, best, service), call_class
@@ -158,13 +176,27 @@
     ) -> Iterator[Instance]:
         """Yield the instances of a service that take new work."""
         for item in self.view.get_service_instances(service):
-            if (
-                item.name not in exclude
-                and not self.notices.is_leaving(item)
-                and not self.stats.get_or_create(item.name).load.leaving
-            ):
+            if self.is_candidate(item, exclude):
                 yield item
 
+    def is_candidate(self, item: Instance, exclude: set[str] | frozenset[str]) -> bool:
+        """Return whether an instance takes new work."""
+        return (
+            item.name not in exclude
+            and not self.notices.is_leaving(item)
+            and not self.stats.get_or_create(item.name).load.leaving
+        )
+
+    def is_usable(
+        self, item: Instance, exclude: set[str] | frozenset[str], now: float
+    ) -> bool:
+        """Return whether an instance takes new work, can be reached and is not out."""
+        return (
+            self.is_candidate(item, exclude)
+            and self.is_reachable(item.name)
+            and self.is_in_routing(item, now)
+        )
+
     def has_instance(self, service: str, *, exclude: set[str]) -> bool:
         """Return whether another instance of a service takes new work."""
         return next(self.find_candidates(service, exclude), None) is not None
@@ -182,18 +214,15 @@
 
     def choose_by_expected_wait(
         self,
-        usable: list[Instance],
+        sampled: dict[Distance, list[Instance]],
         call_class: str,
         section: ServiceSection,
         now: float,
     ) -> Instance | Failure:
         """Choose the instance with the shortest expected wait.
 
-        Of each distance two random instances are compared.
+        :param sampled: instances to compare, by distance.
         """
-        tiers: dict[Distance, list[Instance]] = {}
-        for item in usable:
-            tiers.setdefault(self.get_distance(item), []).append(item)
         extra_waits = {
             Distance.CENTRE: 0.0,
             Distance.REGION: section.centre_wait,
@@ -201,10 +230,10 @@
         }
         typical = self.stats.class_times.get_typical_time(call_class)
         best: tuple[float, Instance] | None = None
-        for distance, items in tiers.items():
+        for distance, items in sampled.items():
             if distance is Distance.WORLD and not self.budget.can_leave_region():
                 continue
-            for item in random.sample(items, min(2, len(items))):
+            for item in items:
                 stat = self.stats.get_or_create(item.name)
                 wait = self.estimate_wait(stat, typical, now)
                 if item.cold_until > now:
@@ -247,13 +276,6 @@
         faults = stat.get_fault_share(now) * FAULT_WAIT_S
         return typical * stat.get_apparent_slowness(now) * busy + faults
 
-    def get_distance(self, item: Instance) -> "Distance":
-        if item.data_centre == self.location.data_centre:
-            return Distance.CENTRE
-        if item.region == self.location.region:
-            return Distance.REGION
-        return Distance.WORLD
-
     def choose_in_turn(self, candidates: list[Instance]) -> Instance:
         self.next_index += 1
         return candidates[self.next_index % len(candidates)]
--- a/tests/coordination/routing/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -3,10 +3,12 @@
 import unittest
 
 import trio
+from nose2.tools import params
 
 from catkinpost.coordination.routing.ejection import Ejector
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import NodeLocation, Router
+from catkinpost.coordination.routing.sampler import COMPARED_INSTANCES
 from catkinpost.protocol.message import Answer, Load, Refusal, ServerNotice
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.settings import Address
@@ -34,6 +36,10 @@
 }
 
 
+def get_place(name):
+    return PLACES.get(name, PLACES["near-1"])
+
+
 class Setup:
     """Router and ejector over a list of instances."""
 
@@ -78,8 +84,8 @@
             Instance(
                 name=name,
                 service="sets",
-                data_centre=PLACES[name][0],
-                region=PLACES[name][1],
+                data_centre=get_place(name)[0],
+                region=get_place(name)[1],
                 calls=address,
                 peers=address,
                 operators=address,
@@ -168,6 +174,33 @@
         # Two a second: a second call would wait for half a second.
         self.assertEqual(first.count("near-1"), 1)
 
+    @on_mock_clock
+    async def test_every_usable_instance_of_a_large_service_is_chosen(self):
+        names = tuple(f"many-{number}" for number in range(40))
+        setup = Setup(names)
+        now = trio.current_time()
+        for name in names[:30]:
+            setup.stats.get_or_create(name).ejected_until = now + 60
+        setup.router.is_reachable = lambda name: name != names[30]
+        setup.notices.record(names[31], ServerNotice("", None, True))
+        setup.stats.get_or_create(names[32]).record_load(Load(leaving=True), now)
+        exclude = frozenset(names[33:35])
+        chosen = {setup.choose(exclude=exclude).instance.name for _ in range(300)}
+        self.assertEqual(chosen, set(names[35:]))
+
+    @params(4, 40, 400)
+    def test_choice_looks_at_as_many_instances_in_a_larger_service(self, count):
+        self.check_cost(count)
+
+    @on_mock_clock
+    async def check_cost(self, count):
+        setup = Setup(tuple(f"many-{number}" for number in range(count)))
+        seen = []
+        setup.router.is_reachable = lambda name: seen.append(name) is None
+        for _ in range(10):
+            setup.choose()
+        self.assertEqual(len(seen), 10 * COMPARED_INSTANCES)
+
     @on_mock_clock
     async def test_late_answer_says_nothing_about_the_next_instance_of_the_name(self):
         """Guards against a new instance that gets no calls as its predecessor left."""
