Learn the first list from peers while the platform does not answer

What callers saw: 500 for requests that ran, at nodes that were killed during an outage of the store. Cause: a node's first list came from the store alone, while its policy came from its peers. It ran their calls and refused the child calls of its own server. Change: after a failed first read a node asks two of the peers that have connected for one page (FeedFetch); they answer only if their state was confirmed since their start, and read nothing for it. A page tells whether the sender's state is confirmed; while the source is away, that confirms the receiver's. Earlier releases are not asked: their hello does not know feeds. Why it holds: the node serves by what a serving peer has. While the store can be read only a reading confirms, as before; nodes that all start in an outage confirm nobody. Two more tests keep the limits.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -12,6 +12,7 @@
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.peer_handler import PeerHandler
+from catkinpost.coordination.peers.peer_server import PeerServer
 from catkinpost.coordination.routing.dialect import Dialect
 from catkinpost.coordination.routing.dispatcher import Dispatcher
 from catkinpost.protocol.outcome import Failure
@@ -50,6 +51,7 @@
     links: LinkTable
     exchange: PolicyExchange
     peer_handler: PeerHandler
+    peer_server: PeerServer
     backend_client: BackendClient
     executor: Executor
     dispatcher: Dispatcher
--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -19,7 +19,14 @@
 from catkinpost.coordination.peers.link import PeerLink
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.tick import sleep_until_next_tick
-from catkinpost.protocol.message import FeedCancel, FeedPage, FeedSubscribe, Message
+from catkinpost.protocol.message import (
+    FeedCancel,
+    FeedFetch,
+    FeedPage,
+    FeedSubscribe,
+    Hello,
+    Message,
+)
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.feed_state import (
     NO_REVISION,
@@ -77,6 +84,12 @@
         """Send a message that gets no response."""
 
 
+class AcceptedSession(Session, Protocol):
+    """Connection that a peer has opened to this node."""
+
+    hello: Hello
+
+
 @dataclass(eq=False, slots=True)
 class Subscriber:
     """Peer that follows this node.
@@ -104,6 +117,7 @@
         was read.
     :param spawn: starts a background task.
     :param settings: bounds.
+    :param get_sessions: returns the connections that peers have opened to this node.
     """
 
     def __init__(
@@ -117,6 +131,7 @@
         on_changes: Callable[[list[KeyChange]], None],
         spawn: Callable[..., None],
         settings: FeedSettings,
+        get_sessions: Callable[[], Iterable[AcceptedSession]],
     ) -> None:
         self.instance = instance
         self.region = region
@@ -126,6 +141,7 @@
         self.on_changes = on_changes
         self.spawn = spawn
         self.settings = settings
+        self.get_sessions = get_sessions
         self.state = FeedState()
         self.selector = FeedSelector(instance, settings.max_age_s)
         self.selected: list[str] = []
@@ -133,6 +149,8 @@
         self.ranked_version: int | None = None
         self.subscribers: dict[int, Subscriber] = {}
         self.read_requested = trio.Event()
+        self.list_learned = trio.Event()
+        self.is_confirmed_by_peer = False
         self.failed_at: float | None = None
         self.recovered_at: float | None = None
         self.needs_snapshot = False
@@ -140,8 +158,12 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether the platform has confirmed the state since the start."""
-        return self.selector.confirmed_at > -math.inf
+        """Whether the platform has confirmed the state since the start.
+
+        While the platform cannot be read, the state of a peer for which this holds is
+        as good: the peer itself serves by it.
+        """
+        return self.selector.confirmed_at > -math.inf or self.is_confirmed_by_peer
 
     @property
     def must_read(self) -> bool:
@@ -168,18 +190,27 @@
         The state may be stale: it only tells which peers to ask.
         """
         delay_s = MIN_RETRY_DELAY_S
-        while True:
+        while not self.view.instances:
             page = await self.source.read_snapshot(may_be_stale=True)
             if isinstance(page, Failure):
                 self.record_failure(page)
+                self.fetch_from_peers()
             else:
                 self.record_success()
                 self.apply(self.state.merge(page))
                 if self.view.instances:
                     return
-            await trio.sleep(random.uniform(0.5, 1.0) * delay_s)
+            with trio.move_on_after(random.uniform(0.5, 1.0) * delay_s):
+                await self.list_learned.wait()
             delay_s = min(MAX_BOOTSTRAP_DELAY_S, 2 * delay_s)
 
+    def fetch_from_peers(self) -> None:
+        """Ask some peers for their state, as the platform does not answer."""
+        sessions = [item for item in self.get_sessions() if item.hello.feeds]
+        for session in random.sample(sessions, min(READERS, len(sessions))):
+            message = FeedFetch(self.state.revision)
+            self.spawn(session.send_notification, message)
+
     async def read_while_needed(self) -> None:
         """Read the platform while this node or its subscribers need it."""
         retry_delay_s = MIN_RETRY_DELAY_S
@@ -316,10 +347,13 @@
 
     def on_page(self, link: PeerLink, page: FeedPage) -> None:
         """Apply the changes that a peer has sent."""
+        if not self.view.instances:
+            self.adopt_first_page(link, page)
+            return
         if link.instance not in self.selected:
             return
         now = trio.current_time()
-        changes = self.state.merge_feed_page(page, now)
+        changes = self.merge_page(page, now)
         status = self.selector.get_or_create(link.instance)
         status.heard_at = now
         if changes is None:
@@ -329,15 +363,45 @@
         status.failing = page.failing
         if page.age_us >= 0:
             self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
-        if page.recovered_us >= 0:
-            recovered_at = now - page.recovered_us / 1e6
-            self.recovered_at = max(self.recovered_at or recovered_at, recovered_at)
         self.apply(changes)
         if changes:
             self.push_to_subscribers()
         if page.failing:
             self.update_selection()
 
+    def merge_page(self, page: FeedPage, now: float) -> list[KeyChange] | None:
+        """Merge what a peer has sent, and what it tells of the platform.
+
+        :return: the changes that were new, ``None`` when changes are missing.
+        """
+        changes = self.state.merge_feed_page(page, now)
+        if changes is None:
+            return None
+        if page.recovered_us >= 0:
+            recovered_at = now - page.recovered_us / 1e6
+            self.recovered_at = max(self.recovered_at or recovered_at, recovered_at)
+        is_source_away = page.failing or self.failed_at is not None
+        if page.is_confirmed and is_source_away:
+            self.is_confirmed_by_peer = True
+        return changes
+
+    def adopt_first_page(self, session: Session, page: FeedPage) -> None:
+        """Learn the first list from a peer."""
+        changes = self.merge_page(page, trio.current_time())
+        if changes is None:
+            log_message("feed: gap", peer=session.instance, since=page.since)
+            return
+        log_message("feed: first state from a peer", peer=session.instance)
+        self.apply(changes)
+        if self.view.instances:
+            self.list_learned.set()
+
+    def on_fetch(self, session: Session, message: FeedFetch) -> None:
+        """Send the current state once, if it is worth relying on."""
+        if self.is_confirmed:
+            page = self.build_page(message.after)
+            self.spawn(session.send_notification, page)
+
     def on_subscribe(self, session: Session, message: FeedSubscribe) -> None:
         """Add a subscriber and send it the current state."""
         subscriber = Subscriber(session, message.after)
@@ -390,4 +454,5 @@
             age_s=age_s,
             recovered_s=recovered_s,
             failing=self.own_status.failing,
+            is_confirmed=self.is_confirmed,
         )
--- a/src/catkinpost/coordination/peers/identity.py
+++ b/src/catkinpost/coordination/peers/identity.py
@@ -88,6 +88,7 @@
             nonce=nonce,
             proof=self.compute_proof(challenge.nonce, b"hello"),
             peers_address=self.peers_address,
+            feeds=True,
         )
 
     def build_welcome(self, hello: Hello, version: int, digest: bytes, load) -> Welcome:
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -14,6 +14,7 @@
 from catkinpost.coordination.peers.peer_server import PeerSession
 from catkinpost.protocol.message import (
     FeedCancel,
+    FeedFetch,
     FeedPage,
     FeedSubscribe,
     KeyFence,
@@ -173,6 +174,11 @@
         if self.feed is not None:
             self.feed.on_cancel(sender)
 
+    @handle.register
+    async def handle_feed_fetch(self, message: FeedFetch, sender: Sender) -> None:
+        if self.feed is not None:
+            self.feed.on_fetch(sender, message)
+
     @handle.register
     async def handle_feed_page(self, message: FeedPage, sender: Sender) -> None:
         if self.feed is not None:
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -61,6 +61,7 @@
             on_changes=self.apply_changes,
             spawn=node.spawn,
             settings=self.settings.feed,
+            get_sessions=lambda: node.peer_server.sessions.values(),
         )
         node.peer_handler.feed = self.relay
         node.pause_watch.listeners.append(self.relay.on_pause)
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -16,6 +16,7 @@
     "Cancel",
     "Challenge",
     "FeedCancel",
+    "FeedFetch",
     "FeedItem",
     "FeedPage",
     "FeedSubscribe",
@@ -89,7 +90,10 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """Handshake message of the connecting side, with its proof of membership."""
+    """Handshake message of the connecting side, with its proof of membership.
+
+    :param feeds: whether the sender understands :class:`FeedFetch`.
+    """
 
     version: int
     instance: str
@@ -100,6 +104,7 @@
     nonce: bytes
     proof: bytes
     peers_address: AddressText | None = None
+    feeds: bool = False
 
 
 class Welcome(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -345,6 +350,8 @@
         negative for none.
     :param failing: whether the sender fails to read the platform.
     :param keys: all keys, when deletions after ``since`` may be missing in ``items``.
+    :param is_confirmed: whether the sender's state was confirmed since its start, by
+        its own reading or that of others.
     """
 
     since: int
@@ -354,6 +361,13 @@
     failing: bool
     items: list[FeedItem]
     keys: list[str] | None = None
+    is_confirmed: bool = False
+
+
+class FeedFetch(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """Request for one :class:`FeedPage`, by a node that cannot read the platform."""
+
+    after: int
 
 
 Message = (
@@ -376,6 +390,7 @@
     | FeedSubscribe
     | FeedCancel
     | FeedPage
+    | FeedFetch
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -108,7 +108,14 @@
             self.base_revision = max(self.base_revision, forgotten_revision)
 
     def build_page(
-        self, since: int, now: float, *, age_s: float, recovered_s: float, failing: bool
+        self,
+        since: int,
+        now: float,
+        *,
+        age_s: float,
+        recovered_s: float,
+        failing: bool,
+        is_confirmed: bool,
     ) -> FeedPage:
         """Build the message with all changes after a revision.
 
@@ -119,6 +126,7 @@
         :param recovered_s: seconds since the platform's last recovery from an outage,
             negative for none.
         :param failing: whether the sender fails to read the platform.
+        :param is_confirmed: whether the state was confirmed since the sender's start.
         """
         items = [
             FeedItem(
@@ -142,6 +150,7 @@
             failing=failing,
             items=items,
             keys=list(self.items) if is_complete else None,
+            is_confirmed=is_confirmed,
         )
 
     def merge_feed_page(self, page: FeedPage, now: float) -> list[KeyChange] | None:
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -19,7 +19,10 @@
 from catkinpost.coordination.feed import FeedRelay, FeedSettings
 from catkinpost.protocol.message import (
     FeedCancel,
+    FeedFetch,
+    FeedPage,
     FeedSubscribe,
+    Hello,
     Welcome,
     encode_message,
 )
@@ -37,6 +40,9 @@
 ADDRESS = Address("127.0.0.1", 1)
 MAX_AGE_MS = 600_000
 DEFAULT_COUNTS = (30, 100, 300, 1000)
+# Peers that keep a link to a node whether or not they follow it.
+LINKED_PEERS = 6
+HELLO = Hello(1, "", "", "", 0, b"", b"", b"", feeds=True)
 WELCOME = Welcome(1, "", "", "", 0, b"", b"", feeds=True)
 UNREACHABLE = Failure(reason=Reason.PLATFORM_UNREACHABLE, detail="cut off")
 
@@ -161,6 +167,8 @@
             relay.on_subscribe(self.session, message)
         elif isinstance(message, FeedCancel):
             relay.on_cancel(self.session)
+        elif isinstance(message, FeedPage):
+            relay.on_page(self.session, message)
         return True
 
 
@@ -169,6 +177,7 @@
     """The accepting side of a link."""
 
     link: EmulatedLink
+    hello: Hello = HELLO
 
     @property
     def instance(self) -> str:
@@ -181,7 +190,11 @@
         if not self.link.is_up:
             return False
         self.link.fleet.count_message(message)
-        self.link.fleet.nodes[self.link.source].relay.on_page(self.link, message)
+        relay = self.link.fleet.nodes[self.link.source].relay
+        if isinstance(message, FeedFetch):
+            relay.on_fetch(self.link, message)
+        else:
+            relay.on_page(self.link, message)
         return True
 
 
@@ -220,6 +233,7 @@
             on_changes=self.apply_changes,
             spawn=fleet.nursery.start_soon,
             settings=fleet.settings,
+            get_sessions=lambda: fleet.get_sessions(name),
         )
 
     async def run(self) -> None:
@@ -270,12 +284,20 @@
         await trio.sleep(random.uniform(0, 0.3))
         region = self.platform.items[name].value.decode()
         node = self.nodes[name] = EmulatedNode(self, name, region)
-        for other in self.nodes.values():
+        others = [node for other, node in self.nodes.items() if other != name]
+        for other in others[:LINKED_PEERS]:
+            other.relay.links.get_or_open_link(build_instance(name, region))
+        for other in others:
             link = other.relay.links.links.get(name)
             if link is not None:
                 other.relay.on_link_up(link)
         self.nursery.start_soon(node.run)
 
+    def get_sessions(self, name: str) -> list[EmulatedSession]:
+        """Return the connections that peers have opened to a node."""
+        links = (node.relay.links.links.get(name) for node in self.nodes.values())
+        return [link.session for link in links if link is not None and link.is_up]
+
     def start_all(self) -> None:
         """Start all nodes within a fraction of a second."""
         for name in self.names:
--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -1,13 +1,16 @@
 """Tests of the relay of the platform's keys, with many nodes on a mocked clock."""
 
 import functools
+import math
 import random
 import unittest
 
+import msgspec
 import trio
 from nose2.tools import params
 
-from catkinpost_standins.feed_emulator import UNREACHABLE, EmulatedFleet
+from catkinpost.state.feed_state import NO_REVISION
+from catkinpost_standins.feed_emulator import UNREACHABLE, EmulatedFleet, EmulatedLink
 from tests.clock import on_mock_clock
 
 # A change must be in force within this time, and the wait of a node for its answer.
@@ -170,6 +173,36 @@
         relay = fleet.nodes[name].relay
         self.assertEqual(len(relay.view.instances), FLEET)
         self.assertTrue(relay.is_confirmed)
+        fleet.platform.is_down = False
+        fleet.platform.put("config", b"next")
+        seconds = await fleet.wait_until_known(fleet.platform.revision)
+        self.assertLess(seconds, PROPAGATION_S)
+
+    @with_fleet
+    async def test_nodes_that_all_restart_during_an_outage_know_nothing(self, fleet):
+        """Guards against nodes that confirm each other what none has read."""
+        fleet.platform.stop_answering()
+        for name in list(fleet.nodes):
+            fleet.kill(name)
+        fleet.start_all()
+        await trio.sleep(5.0)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.view.instances, {})
+            self.assertFalse(node.relay.is_confirmed)
+
+    @with_fleet
+    async def test_state_of_a_peer_confirms_nothing_while_the_platform_answers(
+        self, fleet
+    ):
+        """A restarted node waits for a reading, as its peers may lag."""
+        name = next(name for name in fleet.nodes if name not in fleet.get_readers())
+        relay = fleet.nodes[name].relay
+        relay.selector.confirmed_at = -math.inf
+        page = fleet.nodes["node-0"].relay.build_page(since=NO_REVISION)
+        page = msgspec.structs.replace(page, age_us=-1)
+        self.assertTrue(page.is_confirmed)
+        relay.on_page(EmulatedLink(fleet, name, relay.selected[0]), page)
+        self.assertFalse(relay.is_confirmed)
 
     @with_fleet
     async def test_confirmations_from_before_a_pause_do_not_count(self, fleet):
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -24,7 +24,9 @@
 
 
 def build_page(state, since, now=0.0):
-    return state.build_page(since, now, age_s=0.0, recovered_s=-1.0, failing=False)
+    return state.build_page(
+        since, now, age_s=0.0, recovered_s=-1.0, failing=False, is_confirmed=True
+    )
 
 
 class TestFeedState(unittest.TestCase):
