Test links whose connections break at random

Change: 80 requests over one link, some given up, while either end of its connection is reset 20 times; each must end with its own answer or a failure, and none stays pending.

--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1,5 +1,10 @@
 """Tests of links between nodes, over real connections."""
 
+import contextlib
+import functools
+import random
+import socket
+import struct
 import unittest
 
 import trio
@@ -20,6 +25,8 @@
 from tests.coordination.at_most_once.test_once import make_call
 
 HOST = "127.0.0.1"
+BREAKS = 20
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSED_PORT = 1
 SECRET = b"shared-secret-of-the-fleet"
 
@@ -113,7 +120,62 @@
         return pending.result
 
 
+async def break_at_random(setup, rng):
+    """Reset the connection again and again, from either end."""
+    for _ in range(BREAKS):
+        await trio.sleep(rng.uniform(0.0, 0.06))
+        ends = [setup.link.frames]
+        ends += [session.frames for session in setup.server.sessions.values()]
+        frames = rng.choice(ends)
+        if frames is None:
+            continue
+        with contextlib.suppress(OSError):
+            frames.stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+            )
+        await trio.aclose_forcefully(frames.stream)
+
+
+async def respond_after_steps(rng, call):
+    for _ in range(rng.randrange(30)):
+        await trio.sleep(0)
+    return Answer(call.id, 200, [], call.body, call.allowance, Load())
+
+
 class TestLink(unittest.TestCase):
+    @params(0, 1, 2)
+    def test_requests_on_connections_that_break_at_random_end(self, seed):
+        """Each gets its own answer or a failure, and none stays pending."""
+        self.check_random_breaks(random.Random(seed))
+
+    @on_mock_clock(io=True)
+    async def check_random_breaks(self, rng):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.server.run_call = functools.partial(respond_after_steps, rng)
+            await setup.start()
+            results = {}
+
+            async def call(number):
+                await trio.sleep(0.03 * rng.randrange(BREAKS))
+                body = b"%d" % number
+                with trio.move_on_after(rng.choice([0.001, 5.0])):
+                    results[body] = await setup.call(body)
+
+            async with trio.open_nursery() as callers:
+                callers.start_soon(break_at_random, setup, rng)
+                for number in range(80):
+                    callers.start_soon(call, number)
+            answers = {
+                body: result.body
+                for body, result in results.items()
+                if isinstance(result, Answer)
+            }
+            self.assertGreater(len(answers), 20)
+            self.assertEqual(answers, {body: body for body in answers})
+            self.assertEqual(setup.link.pending.requests, {})
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_answers_reach_their_own_callers_out_of_order(self):
         async with trio.open_nursery() as nursery:
