--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -9,6 +9,7 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.feed.publisher import FeedPublisher, Session
 from catkinpost.coordination.feed.selection import (
     READERS,
     STAGE_S,
@@ -25,7 +26,6 @@
     FeedPage,
     FeedSubscribe,
     Hello,
-    Message,
 )
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.feed_state import (
@@ -75,36 +75,12 @@
         """Wait for changes after a revision."""
 
 
-class Session(Protocol):
-    """Connection of a subscriber."""
-
-    instance: str
-
-    async def send_notification(self, message: Message) -> bool:
-        """Send a message that gets no response."""
-
-
 class AcceptedSession(Session, Protocol):
     """Connection that a peer has opened to this node."""
 
     hello: Hello
 
 
-@dataclass(eq=False, slots=True)
-class Subscriber:
-    """Peer that follows this node.
-
-    :param revision: revision up to which changes were sent.
-    :param is_sending: whether a page is being sent.
-    :param is_due: whether there is news since the page that is being sent.
-    """
-
-    session: Session
-    revision: int
-    is_sending: bool = False
-    is_due: bool = False
-
-
 class FeedRelay:
     """Relay that keeps a copy of the platform's keys and passes changes on.
 
@@ -147,7 +123,9 @@
         self.selected: list[str] = []
         self.ranked: list[str] = []
         self.ranked_version: int | None = None
-        self.subscribers: dict[int, Subscriber] = {}
+        self.publisher = FeedPublisher(
+            build_page=self.build_page, has_news=self.has_news, spawn=spawn
+        )
         self.read_requested = trio.Event()
         self.list_learned = trio.Event()
         self.is_confirmed_by_peer = False
@@ -168,7 +146,7 @@
     @property
     def must_read(self) -> bool:
         """Whether this node reads the platform itself."""
-        return self.instance in self.selected or bool(self.subscribers)
+        return self.instance in self.selected or bool(self.publisher.subscribers)
 
     @property
     def own_status(self) -> FeedStatus:
@@ -221,7 +199,7 @@
             page = await self.read_page()
             if isinstance(page, Failure):
                 self.record_failure(page)
-                self.push_to_subscribers()
+                self.publisher.publish()
                 if page.reason is Reason.PLATFORM_HISTORY_GONE:
                     self.needs_snapshot = True
                 retry_delay_s = max(retry_delay_s, self.get_min_retry_delay())
@@ -234,7 +212,7 @@
             self.selector.record_confirmation(self.instance, trio.current_time())
             changes = self.state.merge(page)
             self.apply(changes)
-            self.push_to_subscribers()
+            self.publisher.publish()
             if changes:
                 await trio.sleep(MIN_WATCH_INTERVAL_S)
 
@@ -365,7 +343,7 @@
             self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
         self.apply(changes)
         if changes:
-            self.push_to_subscribers()
+            self.publisher.publish()
         if page.failing:
             self.update_selection()
 
@@ -404,42 +382,18 @@
 
     def on_subscribe(self, session: Session, message: FeedSubscribe) -> None:
         """Add a subscriber and send it the current state."""
-        subscriber = Subscriber(session, message.after)
-        self.subscribers[id(session)] = subscriber
-        self.push(subscriber)
+        self.publisher.add(session, message.after)
         if self.must_read:
             self.read_requested.set()
 
     def on_cancel(self, session: Session) -> None:
         """Remove a subscriber."""
-        self.subscribers.pop(id(session), None)
+        self.publisher.remove(session)
 
-    def push_to_subscribers(self) -> None:
-        """Send the current state to each subscriber."""
-        for subscriber in list(self.subscribers.values()):
-            self.push(subscriber)
-
-    def push(self, subscriber: Subscriber) -> None:
-        """Send what a subscriber does not know yet; at most one page at a time."""
-        if self.own_status.confirmed_at == -math.inf and not self.own_status.failing:
-            # The first reading is about to end.
-            return
-        subscriber.is_due = True
-        if not subscriber.is_sending:
-            subscriber.is_sending = True
-            self.spawn(self.send_pages, subscriber)
-
-    async def send_pages(self, subscriber: Subscriber) -> None:
-        try:
-            while subscriber.is_due:
-                subscriber.is_due = False
-                page = self.build_page(subscriber.revision)
-                subscriber.revision = page.revision
-                if not await subscriber.session.send_notification(page):
-                    self.on_cancel(subscriber.session)
-                    return
-        finally:
-            subscriber.is_sending = False
+    def has_news(self) -> bool:
+        """Return whether the own reading has succeeded or failed by now."""
+        status = self.own_status
+        return status.confirmed_at > -math.inf or status.failing
 
     def build_page(self, since: int) -> FeedPage:
         now = trio.current_time()
