Tell a late second copy of a response by the call that it names

What callers could see, in the product's own form: the answer to another request, when a backend server sent a second copy of an answer after the next request had been sent on the connection. Cause: responses of the own form name nothing, and are matched by their order. Change: a response may copy Catkinpost-Parent, which each request has and which names its run; one that names another call is discarded, and the name does not reach the caller. Servers that copy nothing are served as before. The stand-in server copies it. Evidence: the tests failed before (a response that names another call was accepted, its name was forwarded); 84 tests of routing and of real processes pass. Nothing of the users' platform changes: its responses name their attempt.

--- a/src/catkinpost/coordination/routing/dialect.py
+++ b/src/catkinpost/coordination/routing/dialect.py
@@ -116,8 +116,12 @@
         return HttpRequest(call.method, call.target, headers, call.body)
 
     def is_response_to(self, request: HttpRequest, response: HttpResponse) -> bool:
-        """Accept every response, since backend servers respond in order."""
-        return True
+        """Return whether a response names the running call of the request, or none.
+
+        A response that names none is matched by its order alone.
+        """
+        parent = find_header(response.headers, PARENT_HEADER)
+        return parent in (None, find_header(request.headers, PARENT_HEADER))
 
     def find_refusal(
         self, call: Call, response: HttpResponse, section: ServiceSection
@@ -140,7 +144,7 @@
 
 
 def is_forwarded_header(name: bytes) -> bool:
-    return name not in (OUTCOME_HEADER, REASON_HEADER)
+    return name not in (OUTCOME_HEADER, REASON_HEADER, PARENT_HEADER)
 
 
 def is_shed_response(response: HttpResponse) -> bool:
--- a/src/catkinpost_standins/backend.py
+++ b/src/catkinpost_standins/backend.py
@@ -171,6 +171,9 @@
             return failed
         body = (path.encode("latin-1") + b" ") * (route.answer_bytes // (len(path) + 1))
         headers = [(JOURNAL_HEADER, str(self.runs).encode())]
+        parent = find_header(request.headers, PARENT_HEADER)
+        if parent is not None:
+            headers.append((PARENT_HEADER, parent))
         return HttpResponse(200, headers, body or path.encode("latin-1"))
 
     def note_run(self, request: HttpRequest, path: str) -> None:
