Apply a rate limit although an older notice was recorded since

What a server could get: requests above the limit that it names, for as long as the limit stayed the same. Cause: admission followed a notice only if it differed from the one recorded. The end of a local call records the notice of its load, which may be older by one response. Change: admission follows every notice; setting the limit in force again does nothing.

--- a/src/catkinpost/coordination/admission/server_monitor.py
+++ b/src/catkinpost/coordination/admission/server_monitor.py
@@ -98,11 +98,12 @@
     def record_notice(self, notice: ServerNotice) -> None:
         """Apply a notice of the server, and log one that differs."""
         is_first = self.get_notice() is None
+        # The ends of local calls record notices as well, and may record older ones.
+        self.admission.set_rate_limit(notice.rate_limit)
         if not self.notices.record(self.instance, notice):
             return
         if is_first and notice.rate_limit is None and not notice.leaving:
             return
-        self.admission.set_rate_limit(notice.rate_limit)
         log_message(
             "server: notice",
             incarnation=notice.incarnation,
--- a/tests/coordination/admission/test_server_monitor.py
+++ b/tests/coordination/admission/test_server_monitor.py
@@ -57,3 +57,22 @@
         notice = ServerNotice(call.incarnation, rate_limit, leaving)
         self.assertEqual(monitor.get_notice(), notice)
         self.assertEqual(bool(left), leaving)
+
+    @on_mock_clock
+    async def test_limit_is_applied_though_an_older_notice_was_recorded_since(self):
+        """The end of a local call records the notice that its load had."""
+        notices, admission = ServerNotices(), make_admission()
+        monitor = ServerMonitor(
+            instance="orders-1",
+            notices=notices,
+            admission=admission,
+            dialect=PlatformDialect(lambda: "stock"),
+        )
+        call = make_call("", 0)
+        limited = HttpResponse(200, [(LIMIT, b"7")])
+        monitor.record_response(call, limited, None)
+        reported = monitor.get_notice()
+        monitor.record_response(call, HttpResponse(200), None)
+        notices.record("orders-1", reported)
+        monitor.record_response(call, limited, None)
+        self.assertEqual(admission.rate_limiter.rate_limit, 7.0)
