--- a/tests/state/test_server_notice.py
+++ b/tests/state/test_server_notice.py
@@ -1,29 +1,14 @@
 """Tests of the notices of backend servers about themselves."""
 
+import dataclasses
 import unittest
 
 from nose2.tools import params
 
 from catkinpost.protocol.message import ServerNotice
-from catkinpost.protocol.settings import Address
-from catkinpost.state.instance_view import Instance, InstanceState
+from catkinpost.state.instance_view import InstanceState
 from catkinpost.state.server_notice import ServerNotices
-
-ADDRESS = Address("127.0.0.1", 1)
-
-
-def make_instance(incarnation, state=InstanceState.LIVE):
-    return Instance(
-        name="sets-1",
-        service="sets",
-        data_centre="kurzeme-1",
-        region="kurzeme",
-        calls=ADDRESS,
-        peers=ADDRESS,
-        operators=ADDRESS,
-        state=state,
-        incarnation=incarnation,
-    )
+from tests.coordination.at_most_once.test_once import make_instance
 
 
 class TestServerNotices(unittest.TestCase):
@@ -58,4 +43,7 @@
         notices = ServerNotices()
         for notice in said:
             notices.record("sets-1", notice)
-        self.assertIs(notices.is_leaving(make_instance(listed, state)), wanted)
+        instance = dataclasses.replace(
+            make_instance("sets-1", state), incarnation=listed
+        )
+        self.assertIs(notices.is_leaving(instance), wanted)
