Show orders that a stopped node leaves without an answer

The case: a node gets SIGTERM and takes orders for its own server, which wait in its queue. 5.4 s after the signal the process ends; the connections of the orders that still wait are closed without an answer, though no server got them and nearly two seconds of their time are left (rule LOST).

--- a/review/harness.py
+++ b/review/harness.py
@@ -139,7 +139,7 @@
 
     async def start(self, host: str) -> None:
         server = await asyncio.start_server(self.serve, host, 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()
+        self.address = ":".join(map(str, server.sockets[0].getsockname()))
 
     def put(self, key: str, value: dict | None) -> float:
         """Write or delete a key.
@@ -235,6 +235,7 @@
     queue: int
     seconds: float
     clock: "Clock"
+    answer_bytes: int = 0
     port: int = 0
     born: int = 0
     running: int = 0
@@ -349,6 +350,7 @@
         return headers
 
     def answer(self, status: str, attempt: str, body: bytes) -> bytes:
+        body = body.ljust(self.answer_bytes, b".")
         headers = self.build_headers(attempt)
         headers["Response-Signature"] = f"{len(body):x}.{attempt}"
         return encode(f"HTTP/1.1 {status}", headers, body)
