--- a/review/2/case.py
+++ b/review/2/case.py
@@ -54,7 +54,13 @@
     try:
         async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
             answer = await read_message(reader)
-        status = answer.first_line.split()[1] if answer else "closed without an answer"
+        if answer is not None:
+            status = answer.first_line.split()[1]
+        elif reader.exception() is None:
+            # An orderly close: the node has read all that was sent to it.
+            status = "closed without an answer"
+        else:
+            status = "reset"
     except TimeoutError:
         status = "no answer in time"
     writer.close()
