Log what a stop cuts off and closes with unread input

The decision 'cut off requests' counted the calls that run, not those that wait or the connections that end, and a close that resets its connection left no line. With both, the log tells a stop that is too short from a reset. No behaviour changes: 34 tests of the stop and of the HTTP server pass.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -68,6 +68,9 @@
                 "this node",
                 reason="the requests were still running after stop_timeout",
                 running=node.executor.active_calls,
+                queued=node.executor.admission.queued,
+                requests=node.dispatcher.active_requests,
+                connections=len(node.http_server.connections),
             )
         await self.send_key_records()
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from eliot import log_message
 
 from catkinpost.protocol.header import build_failure_response
 from catkinpost.protocol.http import (
@@ -210,6 +211,7 @@
         try:
             async with stream:
                 await self.run_until_closed(connection)
+                log_unread_input(connection)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: no response can be sent.
             pass
@@ -356,3 +358,9 @@
                 return
         connection.sending = False
         connection.update_phase()
+
+
+def log_unread_input(connection: Connection) -> None:
+    """Log that closing a connection now resets it, as input is unread."""
+    if connection.closing and connection.stream.socket.is_readable():
+        log_message("http: closed with unread input", phase=connection.phase)
