Answer every request that a planned stop can't run in time

Cause: a waiter was bound by its own deadline alone. The end of the process reached neither the waiters nor the calls that waited at peers, and the stop ended with the cancellation of their connections.

The stop now bounds the time of all runs. Admission refuses what can't end by then, at once when the queue shows it and in every mode, as not run. Calls to peers carry the bound as useful_us; those that were sent before are withdrawn with a Cancel that leaves running calls alone, and the peer answers with a refusal if the server does not have the call yet. The decision is made in one step of the peer's event loop, in admission, so a withdrawn call never runs. A peer tells in its Welcome that it understands this; an older one is sent no such Cancel and its calls end as unknown. What is still at work near the end is answered as unknown, no earlier than the last sixth of the platform's grace period. Connections of peers stay open until the responses to their calls are written. The end of the notice periods counts from the signal, also when the probe of the server takes long.

A Cancel that was read together with its Call was lost; the call is now registered when it is read.

With the fix stashed, 4 of the new tests in tests.test_stop fail by their assertions, as does test_cancel_that_arrives_with_its_call_is_not_lost; the other new tests need names that the fix adds.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -9,7 +9,12 @@
 from catkinpost.coordination.admission.limiter import ConcurrencyLimiter
 from catkinpost.coordination.admission.rate_limiter import RateLimiter
 from catkinpost.coordination.admission.wait_queue import WaitQueue
-from catkinpost.coordination.admission.work import AdmissionPermit, Waiter, WorkItem
+from catkinpost.coordination.admission.work import (
+    AdmissionPermit,
+    RunWindow,
+    Waiter,
+    WorkItem,
+)
 from catkinpost.coordination.event import AutoResetEvent
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import (
@@ -21,7 +26,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.duration import DurationModel
 
-__all__ = ["Admission", "AdmissionPermit", "WorkItem"]
+__all__ = ["Admission", "AdmissionPermit", "RunWindow", "WorkItem"]
 
 MOST_IMPORTANT_RANK = min(IMPORTANCE_RANK.values())
 SHEDDABLE_RANK = IMPORTANCE_RANK[Importance.SHEDDABLE]
@@ -57,6 +62,7 @@
         self.in_flight = 0
         self.long_in_flight = 0
         self.waiters = WaitQueue()
+        self.windows: dict[str, RunWindow] = {}
         self.last_sweep_at = -math.inf
 
     @property
@@ -85,6 +91,37 @@
             self.admit_waiters()
             self.pacing_changed.set()
 
+    def set_window(self, cause: str, window: RunWindow | None) -> None:
+        """Bound the time of all runs, also of requests that wait already.
+
+        Requests that can't be served within the window are refused at once.
+
+        :param cause: why the time is bounded; each cause has its own window.
+        :param window: the window, ``None`` when the cause has gone.
+        """
+        if window is None:
+            self.windows.pop(cause, None)
+        else:
+            self.windows[cause] = window
+        for waiter in self.waiters:
+            waiter.scope.deadline = self.get_wait_deadline(
+                waiter.item, waiter.arrived_at
+            )
+        self.last_sweep_at = -math.inf
+        self.refuse_late_waiters()
+
+    def get_latest_start(self, item: WorkItem) -> float:
+        """Return the time after which a request can't be run within all windows."""
+        expected_s = self.get_expected_duration(item)
+        return min(
+            (window.get_latest_start(expected_s) for window in self.windows.values()),
+            default=math.inf,
+        )
+
+    def get_expected_duration(self, item: WorkItem) -> float:
+        """Return the expected duration of a run in seconds, 0 while unknown."""
+        return self.durations.get_expected_duration(item.call_class, item.path) or 0.0
+
     async def run(self) -> None:
         """Admit waiters at the pace of the rate limit until cancelled."""
         while True:
@@ -111,6 +148,9 @@
         is_long = self.durations.is_long(item.call_class, item.path)
         if is_long and self.long_in_flight >= self.compute_reserve_limit():
             self.log_reserve(item)
+        refusal = self.check_windows(item, now)
+        if refusal is not None:
+            return refusal
         if self.section.admission is Mode.OFF:
             return self.grant_slot(item, is_long, now)
         refusal = self.check_deadline(item, now) or self.check_class_limit(item)
@@ -122,7 +162,11 @@
             self.log_refusal(item, Reason.QUEUE_FULL, "the limit is reached")
             return self.grant_slot(item, is_long, now)
         if not self.has_free_slot(is_long):
-            refusal = self.check_rate(item) or self.check_expected_wait(item, now)
+            refusal = (
+                self.check_windows(item, now + self.estimate_new_wait(item))
+                or self.check_rate(item)
+                or self.check_expected_wait(item, now)
+            )
             if refusal is not None:
                 return refusal
         if self.queued >= self.section.queue:
@@ -136,9 +180,10 @@
         return await self.wait_for_slot(waiter)
 
     async def wait_for_slot(self, waiter: Waiter) -> AdmissionPermit | Failure:
-        wait_deadline = self.get_wait_deadline(waiter.item, waiter.arrived_at)
+        item = waiter.item
+        waiter.scope.deadline = self.get_wait_deadline(item, waiter.arrived_at)
         try:
-            with trio.CancelScope(deadline=wait_deadline):
+            with waiter.scope:
                 await waiter.event.wait()
         except trio.Cancelled:
             # The caller disconnected while its request waited or was just admitted.
@@ -150,8 +195,9 @@
                 self.waiters.remove(waiter)
         if waiter.result is not None:
             return waiter.result
-        return self.refuse(
-            waiter.item, Reason.QUEUE_TIMEOUT, "no slot came free in time"
+        refusal = self.check_windows(item, trio.current_time())
+        return refusal or self.refuse(
+            item, Reason.QUEUE_TIMEOUT, "no slot came free in time"
         )
 
     def get_wait_deadline(self, item: WorkItem, arrived_at: float) -> float:
@@ -161,19 +207,37 @@
         for as long as a response is useful, because a refusal would waste the work
         that parent calls have already done for them.
         """
-        expected_s = (
-            self.durations.get_expected_duration(item.call_class, item.path) or 0.0
-        )
+        expected_s = self.get_expected_duration(item)
         reserved_s = max(expected_s * MIN_SERVICE_TIME_SHARE, MIN_REMAINING_S)
-        latest_start_at = min(item.deadline - reserved_s, item.useful_until)
+        latest_start_at = min(
+            item.deadline - reserved_s,
+            item.useful_until,
+            self.get_latest_start(item),
+        )
         if item.rank == MOST_IMPORTANT_RANK:
             return latest_start_at
         return min(latest_start_at, arrived_at + self.section.queue_wait)
 
-    def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
-        expected_s = (
-            self.durations.get_expected_duration(item.call_class, item.path) or 0.0
+    def check_windows(self, item: WorkItem, start_at: float) -> Failure | None:
+        """Refuse a request whose run would not fit into the windows.
+
+        :param start_at: earliest time at which the run could start.
+        """
+        if start_at < self.get_latest_start(item):
+            return None
+        return self.refuse(
+            item,
+            Reason.LEAVING,
+            "the instance is leaving and a run would not end in time",
+            retry_after=MIN_RETRY_AFTER_S,
         )
+
+    def estimate_new_wait(self, item: WorkItem) -> float:
+        """Estimate the seconds for which a new request waits, 0 while unknown."""
+        return self.estimate_wait(self.waiters.count_ahead(item.rank)) or 0.0
+
+    def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
+        expected_s = self.get_expected_duration(item)
         if item.deadline - now > expected_s * MIN_SERVICE_TIME_SHARE:
             return None
         return self.refuse(
@@ -252,7 +316,8 @@
         now = trio.current_time()
         if now < self.last_sweep_at + SWEEP_INTERVAL_S or not self.waiters:
             return
-        if self.section.early_refusal is not Mode.ON:
+        is_early = self.section.early_refusal is Mode.ON
+        if not is_early and not self.windows:
             return
         self.last_sweep_at = now
         waiters_ahead = 0
@@ -260,30 +325,49 @@
             wait_s = self.estimate_wait(waiters_ahead)
             if wait_s is None:
                 return
-            wait_deadline = self.get_wait_deadline(waiter.item, waiter.arrived_at)
-            if now + wait_s <= wait_deadline:
+            failure = self.check_windows(waiter.item, now + wait_s)
+            if failure is None and is_early:
+                failure = self.check_wait(waiter, now, wait_s)
+            if failure is None:
                 waiters_ahead += 1
-                continue
-            self.waiters.remove(waiter)
-            self.refuse_waiter(
-                waiter,
-                Reason.QUEUE_TIMEOUT,
-                "more important requests have taken its turn",
-                retry_after=self.jitter_retry_after(wait_s),
-            )
+            else:
+                self.refuse_waiter(waiter, failure)
 
-    def refuse_waiter(
-        self,
-        waiter: Waiter,
-        reason: Reason,
-        detail: str,
-        *,
-        retry_after: float | None = None,
-    ) -> None:
-        """Refuse a waiter that was removed from its queue."""
-        waiter.result = self.refuse(
-            waiter.item, reason, detail, retry_after=retry_after
+    def check_wait(self, waiter: Waiter, now: float, wait_s: float) -> Failure | None:
+        """Refuse a waiter whose remaining wait outlasts its wait deadline."""
+        item = waiter.item
+        if now + wait_s <= self.get_wait_deadline(item, waiter.arrived_at):
+            return None
+        return self.refuse(
+            item,
+            Reason.QUEUE_TIMEOUT,
+            "more important requests have taken its turn",
+            retry_after=self.jitter_retry_after(wait_s),
+        )
+
+    def withdraw(self, item: WorkItem) -> None:
+        """Refuse a request that still waits, at the wish of its caller's node.
+
+        :param item: request that was passed to :meth:`acquire_slot`.
+        """
+        for waiter in self.waiters:
+            if waiter.item is item:
+                self.refuse_waiter(waiter, self.refuse_withdrawn(item))
+                return
+
+    def refuse_withdrawn(self, item: WorkItem) -> Failure:
+        """Refuse a request that was withdrawn before it had a slot."""
+        return self.refuse(
+            item, Reason.CALLER_GONE, "the call was withdrawn before it ran"
         )
+
+    def refuse_waiter(self, waiter: Waiter, failure: Failure) -> None:
+        """Remove a waiter from its queue, and deliver its refusal."""
+        self.waiters.remove(waiter)
+        self.deliver_refusal(waiter, failure)
+
+    def deliver_refusal(self, waiter: Waiter, failure: Failure) -> None:
+        waiter.result = failure
         waiter.event.set()
 
     def jitter_retry_after(self, wait_s: float) -> float:
@@ -300,9 +384,10 @@
         """Preempt a less important waiter, or refuse the new request."""
         waiter = self.waiters.pop_less_important(item.rank)
         if waiter is not None:
-            self.refuse_waiter(
-                waiter, Reason.PREEMPTED, "more important requests need the queue"
+            failure = self.refuse(
+                waiter.item, Reason.PREEMPTED, "more important requests need the queue"
             )
+            self.deliver_refusal(waiter, failure)
             return None
         return self.refuse(item, Reason.QUEUE_FULL, "the queue is full")
 
--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -72,6 +72,8 @@
     dialect: Dialect = field(default_factory=NativeDialect)
     request_log: RequestLog = field(default_factory=RequestLog)
     active_calls: int = 0
+    waiting_items: dict[int, WorkItem] = field(default_factory=dict)
+    withdrawn_calls: set[int] = field(default_factory=set)
     crash_check: trio.Event | None = None
     lost_runs: int = 0
 
@@ -108,6 +110,20 @@
             return self.build_refusal(call, INTERNAL_FAILURE, allowance=0)
         finally:
             self.active_calls -= 1
+            self.withdrawn_calls.discard(id(call))
+
+    def withdraw(self, call: Call) -> None:
+        """Refuse a call that was not yet handed to the backend server.
+
+        A call that was handed over runs on; so does one that shares the run of an
+        earlier sending of its key.
+
+        :param call: call in progress, as passed to :meth:`run`.
+        """
+        self.withdrawn_calls.add(id(call))
+        item = self.waiting_items.get(id(call))
+        if item is not None:
+            self.admission.withdraw(item)
 
     def log_failed_call(
         self, call: Call, result: Answer | Refusal, seconds: float
@@ -220,7 +236,7 @@
             path=path,
             max_rate_wait_s=call.rate_wait_us / 1e6 if call.rate_wait_us else math.inf,
         )
-        permit = await self.admission.acquire_slot(item)
+        permit = await self.acquire_slot(call, item)
         if isinstance(permit, Failure):
             return self.build_refusal(call, permit)
         failure = self.crash_guard.check_request(fingerprint)
@@ -229,6 +245,17 @@
             return self.build_refusal(call, failure)
         return await self.run_admitted(call, permit, fingerprint)
 
+    async def acquire_slot(
+        self, call: Call, item: WorkItem
+    ) -> AdmissionPermit | Failure:
+        if id(call) in self.withdrawn_calls:
+            return self.admission.refuse_withdrawn(item)
+        self.waiting_items[id(call)] = item
+        try:
+            return await self.admission.acquire_slot(item)
+        finally:
+            del self.waiting_items[id(call)]
+
     async def run_admitted(
         self, call: Call, permit: AdmissionPermit, fingerprint: bytes
     ) -> Answer | Refusal:
--- a/src/catkinpost/coordination/admission/work.py
+++ b/src/catkinpost/coordination/admission/work.py
@@ -7,7 +7,24 @@
 
 from catkinpost.protocol.outcome import Failure
 
-__all__ = ["AdmissionPermit", "Waiter", "WorkItem"]
+__all__ = ["AdmissionPermit", "RunWindow", "Waiter", "WorkItem"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunWindow:
+    """Time that is left for runs at a backend server.
+
+    :param ends_at: time by which every run must have ended.
+    """
+
+    ends_at: float = math.inf
+
+    def get_latest_start(self, expected_s: float) -> float:
+        """Return the time after which a run can't end within the window.
+
+        :param expected_s: expected duration of the run in seconds.
+        """
+        return self.ends_at - expected_s
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,4 +70,5 @@
     is_long: bool
     arrived_at: float
     event: trio.Event = field(default_factory=trio.Event)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     result: AdmissionPermit | Failure | None = None
--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -13,6 +13,7 @@
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.peer_handler import PeerHandler
 from catkinpost.coordination.peers.peer_server import PeerServer
+from catkinpost.coordination.routing.attempt import AttemptSender
 from catkinpost.coordination.routing.dialect import Dialect
 from catkinpost.coordination.routing.dispatcher import Dispatcher
 from catkinpost.protocol.outcome import Failure
@@ -54,6 +55,7 @@
     peer_server: PeerServer
     backend_client: BackendClient
     executor: Executor
+    sender: AttemptSender
     dispatcher: Dispatcher
     replicas: ServiceReplicas
     http_server: HttpServer
--- a/src/catkinpost/coordination/peers/identity.py
+++ b/src/catkinpost/coordination/peers/identity.py
@@ -103,4 +103,5 @@
             proof=self.compute_proof(hello.nonce, b"welcome"),
             load=load,
             feeds=True,
+            withdrawals=True,
         )
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -345,6 +345,7 @@
             return
         request_id = self.pending.add(pending)
         pending.cancel = lambda: self.cancel_request(request_id)
+        pending.withdraw = lambda: self.withdraw_request(request_id)
         pending.sent = True
         request = assign_request_id(request, request_id)
         try:
@@ -360,6 +361,17 @@
             self.pending.remove(request_id)
             self.spawn(self.send_cancel, request_id)
 
+    def withdraw_request(self, request_id: int) -> None:
+        """Ask the peer to refuse a request that it does not run yet.
+
+        A peer of an older release would break off a request that it runs.
+        """
+        if request_id not in self.pending.requests or self.welcome is None:
+            return
+        if self.welcome.withdrawals:
+            cancel = Cancel(request_id, only_waiting=True)
+            self.spawn(self.send_notification, cancel)
+
     async def send_cancel(self, request_id: int) -> None:
         """Notify the peer that the response is no longer awaited."""
         await self.send_notification(Cancel(request_id))
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -1,6 +1,7 @@
 """Connections that peers open to this node."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import trio
 from eliot import log_message
@@ -37,6 +38,18 @@
 CallHandler = Callable[[Call], Awaitable[Answer | Refusal]]
 
 
+@dataclass(eq=False, slots=True)
+class PeerCall:
+    """Call of a peer in progress, until its response is sent."""
+
+    call: Call
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+def ignore_withdrawal(call: Call) -> None:
+    """Let a call run to its end."""
+
+
 class PeerSession:
     """One accepted connection after its handshake."""
 
@@ -44,7 +57,7 @@
         self.frames = frames
         self.hello = hello
         self.last_received_at = trio.current_time()
-        self.call_scopes: dict[int, trio.CancelScope] = {}
+        self.calls: dict[int, PeerCall] = {}
 
     @property
     def instance(self) -> str:
@@ -69,6 +82,7 @@
     :param identity: identity of this node.
     :param store: policy in force.
     :param run_call: runs one call for a peer.
+    :param withdraw_call: makes ``run_call`` refuse a call that does not run yet.
     :param events: receiver of new sessions and of messages that are no calls.
     :param get_load: returns the current load.
     :param pause: detection of pauses of this process.
@@ -85,16 +99,23 @@
         get_load: Callable[[], Load],
         pause: PauseWatch,
         settings: LinkSettings,
+        withdraw_call: Callable[[Call], None] = ignore_withdrawal,
     ) -> None:
         self.identity = identity
         self.store = store
         self.run_call = run_call
+        self.withdraw_call = withdraw_call
         self.events = events
         self.get_load = get_load
         self.pause = pause
         self.settings = settings
         self.sessions: dict[int, PeerSession] = {}
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether any peer's call is in progress, or its response being sent."""
+        return any(session.calls for session in self.sessions.values())
+
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one peer until either side closes the connection.
 
@@ -162,11 +183,11 @@
                 )
                 return
             if isinstance(message, Call):
-                nursery.start_soon(self.handle_call, session, message)
+                # A Cancel may follow before the task of the call has begun.
+                peer_call = session.calls[message.id] = PeerCall(message)
+                nursery.start_soon(self.handle_call, session, peer_call)
             elif isinstance(message, Cancel):
-                scope = session.call_scopes.get(message.id)
-                if scope is not None:
-                    scope.cancel()
+                self.cancel_call(session, message)
             elif isinstance(message, Ping):
                 nursery.start_soon(session.send_notification, self.build_pong(message))
             else:
@@ -185,14 +206,25 @@
             ping.sequence, self.get_load(), self.store.version, self.store.digest
         )
 
-    async def handle_call(self, session: PeerSession, call: Call) -> None:
-        with trio.CancelScope() as scope:
-            session.call_scopes[call.id] = scope
-            try:
-                result = await self.run_call(call)
-            finally:
-                del session.call_scopes[call.id]
-            await session.send_notification(result)
+    def cancel_call(self, session: PeerSession, cancel: Cancel) -> None:
+        """End a call, or withdraw it if it does not run yet."""
+        peer_call = session.calls.get(cancel.id)
+        if peer_call is None:
+            return
+        if cancel.only_waiting:
+            self.withdraw_call(peer_call.call)
+        else:
+            peer_call.scope.cancel()
+
+    async def handle_call(self, session: PeerSession, peer_call: PeerCall) -> None:
+        try:
+            with peer_call.scope:
+                if peer_call.scope.cancel_called:
+                    return
+                result = await self.run_call(peer_call.call)
+                await session.send_notification(result)
+        finally:
+            session.calls.pop(peer_call.call.id, None)
 
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -15,14 +15,16 @@
 
     :param on_result: called once, when the result is available.
 
-    ``sent`` is true when the request may have reached its target.
+    ``sent`` is true when the request may have reached its target. ``withdraw`` asks the
+    target to refuse the request if it does not run yet; the response is still awaited.
     """
 
-    __slots__ = ("cancel", "on_result", "result", "sent")
+    __slots__ = ("cancel", "on_result", "result", "sent", "withdraw")
 
     def __init__(self, on_result: Callable[[], None]) -> None:
         self.on_result = on_result
         self.cancel: Callable[[], None] = do_nothing
+        self.withdraw: Callable[[], None] = do_nothing
         self.result: Result | None = None
         self.sent = False
 
@@ -34,7 +36,7 @@
 
 
 def do_nothing() -> None:
-    """Cancel a request that was not sent."""
+    """Cancel or withdraw a request that was not sent."""
 
 
 class PendingRequests:
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -1,7 +1,8 @@
 """Attempts of one call, and hedged requests beside slow attempts."""
 
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -38,6 +39,8 @@
 # attempt there costs up to two crossings between regions.
 MAX_RATE_WAIT_US = 100_000
 
+STOP_RETRY_AFTER_S = 0.1
+
 AttemptResult = Answer | Refusal | Failure
 
 
@@ -47,13 +50,16 @@
 
     :param reserved_retries: retries of the call's allowance sent with the attempt.
     :param is_recorded: whether the end of the attempt has been recorded.
+    :param is_withdrawn: whether the target was asked to refuse the call if it waits.
     """
 
+    call_class: str
     target: Target
     pending: PendingRequest
     reserved_retries: int
     started_at: float
     is_recorded: bool = False
+    is_withdrawn: bool = False
 
 
 @dataclass(kw_only=True, eq=False)
@@ -71,6 +77,8 @@
     :param metrics: counters.
     :param decisions: log of automatic decisions.
     :param spawn: starts a background task.
+    :param ends_at: time by which all calls must have ended.
+    :param active_attempts: attempts whose end has not been recorded.
     """
 
     instance: str
@@ -84,8 +92,16 @@
     metrics: Metrics
     decisions: DecisionLog
     spawn: Callable[..., None]
+    ends_at: float = math.inf
+    active_attempts: set[Attempt] = field(default_factory=set)
 
     def choose_instance(self, call: EntryCall, exclude: set[str]) -> Target | Failure:
+        if trio.current_time() >= self.get_latest_start(call.call_class):
+            return Failure(
+                reason=Reason.LEAVING,
+                detail="this node stops and a run would not end in time",
+                retry_after=STOP_RETRY_AFTER_S,
+            )
         return self.router.choose_instance(
             call.service,
             call.call_class,
@@ -93,6 +109,21 @@
             repeatable=call.is_repeatable,
         )
 
+    def get_latest_start(self, call_class: str) -> float:
+        """Return the time after which a run would not end before the node."""
+        if self.ends_at == math.inf:
+            return math.inf
+        return self.ends_at - self.router.stats.class_times.get_typical_time(call_class)
+
+    def withdraw_late_attempts(self) -> None:
+        """Withdraw the attempts that wait at peers and would not end in time."""
+        now = trio.current_time()
+        for attempt in self.active_attempts:
+            if attempt.is_withdrawn or now < self.get_latest_start(attempt.call_class):
+                continue
+            attempt.is_withdrawn = True
+            attempt.pending.withdraw()
+
     async def send(
         self, call: EntryCall, target: Target, exclude: set[str]
     ) -> AttemptResult:
@@ -150,7 +181,9 @@
         pending = PendingRequest(attempt_ended.set)
         reserved_retries = call.allowance.reserve_for_attempt()
         now = trio.current_time()
-        attempts.append(Attempt(target, pending, reserved_retries, now))
+        attempt = Attempt(call.call_class, target, pending, reserved_retries, now)
+        attempts.append(attempt)
+        self.active_attempts.add(attempt)
         message = Call(
             id=0,
             service=call.service,
@@ -166,7 +199,7 @@
             headers=call.request.headers,
             body=call.request.body,
             incarnation=target.instance.incarnation,
-            useful_us=compute_useful_us(call, now),
+            useful_us=self.compute_useful_us(call, now),
             notice=self.get_known_limit(target.instance),
             rate_wait_us=self.compute_rate_wait_us(call, exclude),
         )
@@ -197,6 +230,15 @@
         )
         return MAX_RATE_WAIT_US if can_move else 0
 
+    def compute_useful_us(self, call: EntryCall, now: float) -> int:
+        """Return the microseconds for which a call may wait, 0 for no own bound."""
+        useful_until = self.get_latest_start(call.call_class)
+        if call.useful_until is not None:
+            useful_until = min(useful_until, call.useful_until)
+        if useful_until == math.inf:
+            return 0
+        return max(1, int((useful_until - now) * 1e6))
+
     def start_local_call(self, message: Call, pending: PendingRequest) -> None:
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
@@ -214,6 +256,7 @@
     ) -> None:
         """Record the end of an attempt and release its unused retries."""
         attempt.is_recorded = True
+        self.active_attempts.discard(attempt)
         duration_s = trio.current_time() - attempt.started_at
         call.attempt_ends.append(
             AttemptEnd(
@@ -295,10 +338,3 @@
     if result is None:
         return "withdrawn"
     return str(result.status) if isinstance(result, Answer) else result.reason.value
-
-
-def compute_useful_us(call: EntryCall, now: float) -> int:
-    """Return the microseconds for which a call may wait, 0 for no own bound."""
-    if call.useful_until is None:
-        return 0
-    return max(1, int((call.useful_until - now) * 1e6))
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -88,6 +88,8 @@
     :param retry_budget: bound on repeated arrivals at a service.
     :param request_log: log of requests that were refused, failed or answered late.
     :param active_requests: number of requests in progress.
+    :param scopes: cancel scopes of the calls in progress.
+    :param is_ended: whether the calls in progress were broken off.
     """
 
     store: PolicyStore
@@ -101,6 +103,8 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     request_log: RequestLog = field(default_factory=RequestLog)
     active_requests: int = 0
+    scopes: set[trio.CancelScope] = field(default_factory=set)
+    is_ended: bool = False
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request of a caller or of a backend server.
@@ -177,17 +181,21 @@
         parent = call.parent
         result: Answer | Failure | None = None
         with trio.CancelScope(deadline=call.deadline) as scope:
+            self.scopes.add(scope)
             if parent is not None:
                 parent.child_scopes.add(scope)
                 parent.called_services.add(call.service)
             try:
                 result = await self.send_with_retries(call)
             finally:
+                self.scopes.discard(scope)
                 if parent is not None:
                     parent.child_scopes.discard(scope)
                     parent.allowance.release_unused(
                         call.allowance.remaining, reserved=call.allowance.remaining
                     )
+        if result is None and self.is_ended and trio.current_time() < call.deadline:
+            return build_ended_failure(call)
         if result is None:
             return Failure(
                 reason=Reason.DEADLINE_EXCEEDED,
@@ -197,6 +205,12 @@
             )
         return result
 
+    def end_calls(self) -> None:
+        """Break off all calls in progress, and answer with what is known of them."""
+        self.is_ended = True
+        for scope in self.scopes:
+            scope.cancel()
+
     async def send_with_retries(self, call: EntryCall) -> Answer | Failure:
         """Send a call until it gets a response or cannot be sent again."""
         if self.is_throttled(call):
@@ -322,6 +336,19 @@
     return "late", f"answered after its objective of {objective} s"
 
 
+def build_ended_failure(call: EntryCall) -> Failure:
+    """Build the failure of a call that was broken off by the end of the node."""
+    reason = Reason.DEADLINE_EXCEEDED
+    if call.outcome is Outcome.NOT_RUN:
+        reason = Reason.LEAVING
+    return Failure(
+        reason=reason,
+        outcome=call.outcome,
+        detail="the node stopped before an answer came",
+        retry_after=DEADLINE_RETRY_AFTER_S,
+    )
+
+
 def build_not_ready_failure() -> Failure:
     return Failure(
         reason=Reason.NO_POLICY,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -236,6 +236,7 @@
             identity=self.identity,
             store=self.store,
             run_call=self.executor.run,
+            withdraw_call=self.executor.withdraw,
             events=self.peer_handler,
             get_load=self.executor.get_load,
             pause=self.pause_watch,
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -111,6 +111,8 @@
     """Handshake message of the accepting side, sent in response to :class:`Hello`.
 
     :param feeds: whether the sender understands :class:`FeedSubscribe`.
+    :param withdrawals: whether the sender understands ``only_waiting`` in
+        :class:`Cancel`.
     """
 
     version: int
@@ -122,6 +124,7 @@
     proof: bytes
     load: Load = Load()
     feeds: bool = False
+    withdrawals: bool = False
 
 
 class Call(msgspec.Struct, array_like=True, tag=4):
@@ -198,9 +201,15 @@
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=7, frozen=True):
-    """Cancellation of a call whose response is no longer awaited."""
+    """Cancellation of a call.
+
+    :param only_waiting: whether a call that was handed to the backend server runs on,
+        and one that still waits gets a :class:`Refusal`; otherwise the call ends
+        without a response.
+    """
 
     id: int
+    only_waiting: bool = False
 
 
 class Ping(msgspec.Struct, array_like=True, tag=8, frozen=True):
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -5,6 +5,7 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.admission.admission import RunWindow
 from catkinpost.coordination.environment import NodeParts
 from catkinpost.protocol.message import KeyRecords
 from catkinpost.protocol.outcome import Failure
@@ -12,6 +13,10 @@
 __all__ = ["PlannedStop"]
 
 IDLE_CHECK_INTERVAL_S = 0.05
+# Runs must have ended this long before the process, so that their results and the
+# refusals of other requests reach callers over two cross-region hops.
+MAX_ANSWER_TIME_S = 0.3
+ANSWER_TIME_SHARE = 0.05
 
 
 class PlannedStop:
@@ -21,7 +26,8 @@
     as they are notified, so they are notified later and their calls are accepted
     until then: a backend server that keeps running is unreachable for no longer than
     a restart takes. After the notice periods the node reads no more requests, and
-    answers those that it has read.
+    answers those that it has read. Requests that can't be run in time are refused as
+    soon as this is known, so that their callers can send them elsewhere.
 
     :param node: node to stop.
     """
@@ -29,12 +35,24 @@
     def __init__(self, node: NodeParts) -> None:
         self.node = node
         self.requested = trio.Event()
+        self.requested_at = 0.0
 
     @property
     def is_requested(self) -> bool:
         """Whether a stop of the node has been requested."""
         return self.requested.is_set()
 
+    @property
+    def ends_at(self) -> float:
+        """Time by which the process ends."""
+        return self.requested_at + self.node.settings.bounds.stop_timeout
+
+    @property
+    def answer_time_s(self) -> float:
+        """Seconds before the end that are kept for answers."""
+        stop_timeout = self.node.settings.bounds.stop_timeout
+        return min(MAX_ANSWER_TIME_S, ANSWER_TIME_SHARE * stop_timeout)
+
     async def watch_signals(self) -> None:
         """Request the stop at SIGTERM or SIGINT."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -43,8 +61,15 @@
 
     def request(self) -> None:
         """Start the stop: close caller connections after their next response."""
-        log_message("node: stop asked for", instance=self.node.identity.instance)
-        self.node.http_server.leaving = True
+        if self.is_requested:
+            return
+        node = self.node
+        log_message("node: stop asked for", instance=node.identity.instance)
+        self.requested_at = trio.current_time()
+        runs_end_at = self.ends_at - self.answer_time_s
+        node.http_server.leaving = True
+        node.executor.admission.set_window("stop", RunWindow(ends_at=runs_end_at))
+        node.sender.ends_at = runs_end_at
         self.requested.set()
 
     async def run(self) -> None:
@@ -52,28 +77,56 @@
 
         The waits end at most ``stop_timeout`` seconds after the request.
         """
-        node = self.node
         await self.requested.wait()
-        with trio.move_on_after(node.settings.bounds.stop_timeout) as scope:
-            await self.wait_notice_periods()
-            # A request that is read from now on could not be answered in time.
-            node.accept_calls_scope.cancel()
-            node.http_server.stop_reading()
-            while self.is_busy():
-                await trio.sleep(IDLE_CHECK_INTERVAL_S)
-        if scope.cancelled_caught:
-            node.decisions.add(
-                "leaving",
-                "cut off requests",
-                "this node",
-                reason="the requests were still running after stop_timeout",
-                running=node.executor.active_calls,
-                queued=node.executor.admission.queued,
-                requests=node.dispatcher.active_requests,
-                connections=len(node.http_server.connections),
-            )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.withdraw_late_attempts)
+            await self.finish_requests()
+            nursery.cancel_scope.cancel()
         await self.send_key_records()
 
+    async def withdraw_late_attempts(self) -> None:
+        """Withdraw calls that wait at peers for too long, until cancelled."""
+        while True:
+            self.node.sender.withdraw_late_attempts()
+            await trio.sleep(IDLE_CHECK_INTERVAL_S)
+
+    async def finish_requests(self) -> None:
+        """Wait for the running requests, and answer those that do not end in time."""
+        answers_at = self.ends_at - self.answer_time_s / 2
+        with trio.CancelScope(deadline=answers_at) as scope:
+            await self.wait_notice_periods()
+            self.stop_reading()
+            await self.wait_until_idle()
+        if not scope.cancelled_caught:
+            return
+        self.stop_reading()
+        self.log_cut_off()
+        self.node.dispatcher.end_calls()
+        with trio.CancelScope(deadline=self.ends_at):
+            await self.wait_until_idle()
+
+    def stop_reading(self) -> None:
+        """Read no further request, as it could not be answered in time."""
+        self.node.accept_calls_scope.cancel()
+        self.node.http_server.stop_reading()
+
+    async def wait_until_idle(self) -> None:
+        while self.is_busy():
+            await trio.sleep(IDLE_CHECK_INTERVAL_S)
+
+    def log_cut_off(self) -> None:
+        node = self.node
+        node.decisions.add(
+            "leaving",
+            "cut off requests",
+            "this node",
+            reason="the requests were still running after stop_timeout",
+            running=node.executor.active_calls,
+            queued=node.executor.admission.queued,
+            requests=node.dispatcher.active_requests,
+            connections=len(node.http_server.connections),
+        )
+
     async def wait_notice_periods(self) -> None:
         """Keep serving until callers and peers have reacted to the stop."""
         bounds = self.node.settings.bounds
@@ -81,9 +134,9 @@
         # If the backend server ended before its node, no call can be run any more.
         if await self.is_backend_reachable():
             peer_notice = min(bounds.peer_notice, bounds.leave_notice)
-        await trio.sleep(peer_notice)
+        await trio.sleep_until(self.requested_at + peer_notice)
         self.node.start_leaving("a planned stop was asked for")
-        await trio.sleep(bounds.leave_notice - peer_notice)
+        await trio.sleep_until(self.requested_at + bounds.leave_notice)
 
     async def is_backend_reachable(self) -> bool:
         probe = await self.node.backend_client.connect()
@@ -98,6 +151,7 @@
         return bool(
             node.executor.active_calls
             or node.dispatcher.active_requests
+            or node.peer_server.is_busy
             or node.http_server.is_busy
         )
 
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -11,6 +11,7 @@
 from catkinpost.coordination.admission.admission import (
     Admission,
     AdmissionPermit,
+    RunWindow,
     WorkItem,
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
@@ -124,6 +125,97 @@
             nursery.cancel_scope.cancel()
 
 
+class TestRunWindow(unittest.TestCase):
+    """Runs that must have ended by a time, as their node or server leaves."""
+
+    async def enter(self, admission, results):
+        result = await admission.acquire_slot(make_item(CRITICAL))
+        results.append((type(result), trio.current_time()))
+        if isinstance(result, Failure):
+            self.assertIs(result.reason, Reason.LEAVING)
+            self.assertIs(result.outcome, Outcome.NOT_RUN)
+            self.assertTrue(result.retry_after)
+
+    async def fill(self, nursery, admission, waiters, results):
+        """Start one run and let others wait for its slot."""
+        permit = await admission.acquire_slot(make_item(CRITICAL))
+        for _ in range(waiters):
+            nursery.start_soon(self.enter, admission, results)
+            await wait_all_tasks_blocked()
+        return permit
+
+    @params(Mode.ON, Mode.OBSERVE, Mode.OFF)
+    def test_waiters_that_cannot_end_in_time_are_refused_at_once(self, mode):
+        self.check_waiters(mode)
+
+    @on_mock_clock
+    async def check_waiters(self, mode):
+        admission = make_admission(
+            slots=1, min_slots=1, queue=50, queue_wait=9, early_refusal=mode
+        )
+        await record_durations(admission, "lookup", 1.0)
+        results = []
+        async with trio.open_nursery() as nursery:
+            permit = await self.fill(nursery, admission, 4, results)
+            start = trio.current_time()
+            admission.set_window("test", RunWindow(ends_at=start + 3.5))
+            await wait_all_tasks_blocked()
+            # The first two waiters end 2 and 3 s from now.
+            self.assertEqual(results, [(Failure, start)] * 2)
+            await trio.sleep(1.0)
+            admission.release_slot(permit, seconds=1.0)
+            await wait_all_tasks_blocked()
+            self.assertEqual(results[2:], [(AdmissionPermit, start + 1.0)])
+            nursery.cancel_scope.cancel()
+
+    @params((1.0, 2.0), (None, 3.0))
+    def test_waiter_is_refused_at_its_latest_start(self, expected_s, refused_at):
+        self.check_latest_start(expected_s, refused_at)
+
+    @on_mock_clock
+    async def check_latest_start(self, expected_s, refused_at):
+        admission = make_admission(slots=1, min_slots=1)
+        if expected_s is not None:
+            await record_durations(admission, "lookup", expected_s)
+        results = []
+        async with trio.open_nursery() as nursery:
+            await self.fill(nursery, admission, 1, results)
+            start = trio.current_time()
+            admission.set_window("test", RunWindow(ends_at=start + 3.0))
+            await trio.sleep(9.0)
+            self.assertEqual(results, [(Failure, start + refused_at)])
+
+    @params(Mode.ON, Mode.OBSERVE, Mode.OFF)
+    def test_new_request_that_cannot_end_in_time_is_refused(self, mode):
+        self.check_new(mode)
+
+    @on_mock_clock
+    async def check_new(self, mode):
+        admission = make_admission(admission=mode)
+        await record_durations(admission, "lookup", 1.0)
+        results = []
+        ends_at = trio.current_time() + 1.5
+        admission.set_window("test", RunWindow(ends_at=ends_at))
+        await self.enter(admission, results)
+        await trio.sleep(0.6)
+        await self.enter(admission, results)
+        self.assertEqual([kind for kind, _ in results], [AdmissionPermit, Failure])
+
+    @on_mock_clock
+    async def test_waiter_goes_on_when_the_window_is_lifted(self):
+        admission = make_admission(slots=1, min_slots=1)
+        results = []
+        async with trio.open_nursery() as nursery:
+            permit = await self.fill(nursery, admission, 1, results)
+            ends_at = trio.current_time() + 1.0
+            admission.set_window("test", RunWindow(ends_at=ends_at))
+            admission.set_window("test", None)
+            await trio.sleep(2.0)
+            admission.release_slot(permit, seconds=None)
+            await wait_all_tasks_blocked()
+            self.assertEqual([kind for kind, _ in results], [AdmissionPermit])
+
+
 class TestRateLimit(unittest.TestCase):
     """Backend server that names the requests per second that it takes."""
 
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -142,6 +142,49 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
         self.assertEqual(setup.client.requests, [])
 
+    @params(("orders/shop/k-1", 0), ("", 0))
+    def test_withdrawn_call_is_refused_unless_it_was_handed_over(self, key, attempt):
+        """The caller's node may send it elsewhere after a refusal."""
+        self.check_withdrawal(key, attempt)
+
+    @on_mock_clock
+    async def check_withdrawal(self, key, attempt):
+        setup = Setup("min_slots = 1", limits=False)
+        setup.client.hold = trio.Event()
+        calls = [make_call(key and f"{key}{n}", attempt, b"%d" % n) for n in range(4)]
+        results = {}
+
+        async def run(number):
+            results[number] = await setup.executor.run(calls[number])
+
+        async with trio.open_nursery() as nursery:
+            setup.executor.once_guard = OnceGuard(
+                holder="orders-1#1",
+                lifetime_s=60.0,
+                replicas=None,
+                run_call=setup.executor.run_unguarded,
+                spawn=nursery.start_soon,
+                decisions=setup.decisions,
+            )
+            # Two calls run, one waits for a slot and the task of one has not begun.
+            for number in range(3):
+                nursery.start_soon(run, number)
+                await wait_all_tasks_blocked()
+            setup.executor.withdraw(calls[3])
+            nursery.start_soon(run, 3)
+            setup.executor.withdraw(calls[0])
+            setup.executor.withdraw(calls[2])
+            await wait_all_tasks_blocked()
+            self.assertEqual(sorted(results), [2, 3])
+            for refusal in results.values():
+                self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+            setup.client.hold.set()
+            await wait_all_tasks_blocked()
+            self.assertIsInstance(results[0], Answer)
+            self.assertIsInstance(results[1], Answer)
+            self.assertEqual(len(setup.client.requests), 2)
+            self.assertEqual(setup.executor.withdrawn_calls, set())
+
     @on_mock_clock
     async def test_fault_of_the_node_is_an_unknown_outcome(self):
         setup = Setup()
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -1,9 +1,12 @@
 """Several nodes in one process, with fake links and backend servers."""
 
+import functools
+import math
+
 import trio
 import trio.testing
 
-from catkinpost.coordination.admission.admission import Admission
+from catkinpost.coordination.admission.admission import Admission, RunWindow
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
@@ -103,6 +106,8 @@
             return
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
+        if not isinstance(request, KeyFence):
+            pending.withdraw = functools.partial(node.executor.withdraw, request)
         pending.sent = True
         self.flying[pending] = scope
         node.spawn(self.deliver, node, request, pending, scope)
@@ -250,6 +255,23 @@
     def start_leaving(self):
         self.leaving = True
 
+    def start_stop(self, seconds):
+        """Bound the calls of the node and of its callers as a planned stop does."""
+        ends_at = trio.current_time() + seconds
+        self.executor.admission.set_window("stop", RunWindow(ends_at=ends_at))
+        self.sender.ends_at = ends_at
+        self.sender.withdraw_late_attempts()
+
+    def end_stop(self):
+        self.dispatcher.end_calls()
+
+    def take_work(self):
+        """Take new work again after a stop or leaving."""
+        self.leaving = False
+        self.executor.admission.set_window("stop", None)
+        self.sender.ends_at = math.inf
+        self.dispatcher.is_ended = False
+
     def spawn(self, function, *args):
         self.cluster.nursery.start_soon(self.run_until_crash, function, *args)
 
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -7,6 +7,7 @@
 import struct
 import unittest
 
+import msgspec
 import trio
 from nose2.tools import params
 
@@ -15,7 +16,15 @@
 from catkinpost.coordination.peers.link import LinkSettings, PeerLink
 from catkinpost.coordination.peers.peer_server import PeerServer
 from catkinpost.coordination.peers.pending import PendingRequest
-from catkinpost.protocol.message import Answer, Challenge, Load, Ping, encode_message
+from catkinpost.protocol.message import (
+    Answer,
+    Cancel,
+    Challenge,
+    Load,
+    Ping,
+    Refusal,
+    encode_message,
+)
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.protocol.settings import Address
 from catkinpost.state.decision_log import DecisionLog
@@ -214,6 +223,67 @@
             self.assertEqual(setup.cancelled, 1)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_cancel_that_arrives_with_its_call_is_not_lost(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await setup.events.up.wait()
+            data = b""
+            for message in (make_call("", 0), Cancel(1)):
+                encoded = encode_message(message)
+                data += LENGTH_PREFIX.pack(len(encoded)) + encoded
+            await setup.link.frames.stream.send_all(data)
+            await trio.sleep(0.5)
+            self.assertEqual(setup.started, [])
+            nursery.cancel_scope.cancel()
+
+    @params((True, True), (True, False), (False, False))
+    def test_withdrawn_call_ends_with_the_word_of_the_peer(self, waits, understood):
+        """A peer of an older release would break off a call that it runs."""
+        self.check_withdrawal(waits, understood)
+
+    @on_mock_clock(io=True)
+    async def check_withdrawal(self, waits, understood):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            refused = trio.Event()
+            withdrawn = []
+
+            def withdraw_call(call):
+                withdrawn.append(call.id)
+                if waits:
+                    refused.set()
+
+            async def run_call(call):
+                if not waits:
+                    return await setup.run_call(call)
+                await refused.wait()
+                failure = (Reason.CALLER_GONE, Outcome.NOT_RUN, "", None, 0, Load())
+                return Refusal(call.id, *failure)
+
+            setup.server.run_call = run_call
+            setup.server.withdraw_call = withdraw_call
+            await setup.start()
+            await setup.events.up.wait()
+            setup.link.welcome = msgspec.structs.replace(
+                setup.link.welcome, withdrawals=understood
+            )
+            pending = PendingRequest(lambda: None)
+            await setup.link.send_request(make_call("", 0), pending)
+            await trio.sleep(0.2)
+            pending.withdraw()
+            await trio.sleep(0.2)
+            self.assertEqual(withdrawn, [1] if understood else [])
+            self.assertEqual(pending.result is not None, waits and understood)
+            setup.hold.set()
+            refused.set()
+            await trio.sleep(0.2)
+            self.assertIsInstance(pending.result, Refusal if waits else Answer)
+            self.assertEqual(setup.cancelled, 0)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_retired_link_delivers_pending_answers_and_then_closes(self):
         """Guards against a run that is given up when its instance leaves the list."""
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Tests of the dispatch of requests to instances."""
 
+import functools
 import unittest
 
 import trio
@@ -95,6 +96,8 @@
         self.attempts = 0
         self.withdrawn = 0
         self.granted = []
+        self.useful_us = []
+        self.asked_to_refuse = 0
 
     def get_or_open_link(self, instance):
         return self
@@ -102,11 +105,13 @@
     async def send_request(self, call, pending):
         self.attempts += 1
         self.granted.append(call.allowance)
+        self.useful_us.append(call.useful_us)
         fault = self.faults.pop(0) if self.faults else "answered"
         ran, result = FAULTS[fault]
         self.runs += ran
         if fault != "no link":
             pending.cancel = self.withdraw
+            pending.withdraw = functools.partial(self.refuse_waiting, pending)
             pending.sent = True
         result = result()
         if result is None:
@@ -120,6 +125,10 @@
     def withdraw(self):
         self.withdrawn += 1
 
+    def refuse_waiting(self, pending):
+        self.asked_to_refuse += 1
+        pending.resolve(refusal(Reason.CALLER_GONE, NOT_RUN))
+
 
 class Setup:
     """Dispatcher with real parts and fake links."""
@@ -223,6 +232,80 @@
                 self.assertEqual(line["policy_version"], 1)
 
 
+class TestEndOfTheNode(unittest.TestCase):
+    """Calls of a node that has to end before their deadline."""
+
+    @on_mock_clock
+    async def test_call_waits_at_a_peer_no_longer_than_the_node_lives(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            await setup.send()
+            for _ in range(100):
+                setup.stats.class_times.record_time("place-order", 1.0)
+            typical_s = setup.stats.class_times.get_typical_time("place-order")
+            self.assertGreater(typical_s, 0.5)
+            setup.sender.ends_at = trio.current_time() + 3.0
+            await setup.send()
+            useful_us = int((3.0 - typical_s) * 1e6)
+            self.assertEqual(setup.links.useful_us[0], 0)
+            self.assertAlmostEqual(setup.links.useful_us[1], useful_us, delta=1)
+
+    @on_mock_clock
+    async def test_call_that_would_outlast_the_node_is_not_begun(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            setup.stats.class_times.record_time("place-order", 1.0)
+            setup.sender.ends_at = trio.current_time() + 0.5
+            response = await setup.send()
+            self.assertEqual((reason_of(response), response.status), ("leaving", 503))
+            self.assertIs(outcome_of(response), NOT_RUN)
+            self.assertEqual(setup.links.attempts, 0)
+
+    @on_mock_clock
+    async def test_call_that_waits_at_a_peer_is_withdrawn_before_the_end(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent before"])
+            setup.stats.class_times.record_time("place-order", 1.0)
+            responses = []
+
+            async def send():
+                responses.append(await setup.send())
+
+            nursery.start_soon(send)
+            await trio.sleep(0.1)
+            setup.sender.ends_at = trio.current_time() + 2.0
+            await trio.sleep(0.5)
+            setup.sender.withdraw_late_attempts()
+            self.assertEqual(setup.links.asked_to_refuse, 0)
+            await trio.sleep(0.6)
+            setup.sender.withdraw_late_attempts()
+            setup.sender.withdraw_late_attempts()
+            await trio.sleep(0.1)
+            self.assertEqual(setup.links.asked_to_refuse, 1)
+            self.assertIs(outcome_of(responses[0]), NOT_RUN)
+            self.assertEqual(setup.sender.active_attempts, set())
+
+    @params((["silent before"], UNKNOWN, 504), (["no link"] * 9, NOT_RUN, 503))
+    def test_broken_off_call_gets_the_outcome_that_is_known(self, faults, known, code):
+        self.check_broken_off(faults, known, code)
+
+    @on_mock_clock
+    async def check_broken_off(self, faults, known, code):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            responses = []
+
+            async def send():
+                responses.append(await setup.send())
+
+            nursery.start_soon(send)
+            await trio.sleep(0.01)
+            setup.dispatcher.end_calls()
+            await trio.sleep(0.1)
+            self.assertEqual([item.status for item in responses], [code])
+            self.assertIs(outcome_of(responses[0]), known)
+
+
 class TestMoves(unittest.TestCase):
     """Moves after refusals, and the budget of repeated arrivals."""
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,14 +9,23 @@
 import trio.testing
 from nose2.tools import params
 
+from catkinpost.coordination.admission.admission import WorkItem
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
-from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.http import HttpRequest
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import parse_settings
 from tests.clock import on_mock_clock
 from tests.protocol.test_settings import GOOD
 
 NOTICE_S = 2.5
+STOP_S = 5.0
+POLICY = """\
+[service orders]
+owner = sales
+"""
+ORDER = HttpRequest(b"POST", b"/orders", [(b"host", b"orders")], b"one")
 UNREACHABLE = Failure(reason=Reason.BACKEND_UNREACHABLE)
 
 
@@ -25,7 +34,7 @@
 
     def __init__(self, *, reachable=True, **bounds):
         settings = parse_settings(GOOD)
-        bounds = {"leave_notice": NOTICE_S, "stop_timeout": 5.0} | bounds
+        bounds = {"leave_notice": NOTICE_S, "stop_timeout": STOP_S} | bounds
         bounds = msgspec.structs.replace(settings.bounds, **bounds)
         settings = dataclasses.replace(settings, bounds=bounds)
         self.node = Node(settings, NativeEnvironment())
@@ -87,3 +96,79 @@
             nursery.start_soon(end)
             self.assertAlmostEqual(await setup.run(), stopped_at, delta=0.1)
             nursery.cancel_scope.cancel()
+
+    @on_mock_clock
+    async def test_waiting_request_is_refused_before_the_process_ends(self):
+        setup = Setup()
+        admission = setup.node.executor.admission
+        admission.update_section(
+            ServiceSection(owner="sales", slots=1, min_slots=1, slow_start=0)
+        )
+        results = []
+
+        async def enter():
+            item = WorkItem(
+                rank=0,
+                deadline=trio.current_time() + 60.0,
+                call_class="place-order",
+                path="/orders",
+            )
+            results.append(await admission.acquire_slot(item))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter)
+            await trio.sleep(0.1)
+            nursery.start_soon(enter)
+            await trio.sleep(0.1)
+            setup.node.executor.active_calls = 1
+            await setup.run()
+            self.assertEqual(len(results), 2)
+            self.assertIs(results[1].reason, Reason.LEAVING)
+            self.assertIs(results[1].outcome, Outcome.NOT_RUN)
+            self.assertTrue(results[1].retry_after)
+            nursery.cancel_scope.cancel()
+
+    @params((Outcome.UNKNOWN, 504), (Outcome.NOT_RUN, 503))
+    def test_request_at_work_is_answered_before_the_process_ends(self, outcome, status):
+        """A closed connection could be taken for a request that was not read."""
+        self.check_answer(outcome, status)
+
+    @on_mock_clock
+    async def check_answer(self, outcome, status):
+        setup = Setup()
+        dispatcher = setup.node.dispatcher
+        dispatcher.is_ready = lambda: True
+        setup.node.store.accept_document(1, POLICY, now=0.0, source="test")
+        responses = []
+
+        async def send_for_ever(call):
+            call.outcome = outcome
+            await trio.sleep_forever()
+
+        async def handle():
+            responses.append(await dispatcher.handle(ORDER))
+
+        async with trio.open_nursery() as nursery:
+            dispatcher.send_with_retries = send_for_ever
+            nursery.start_soon(handle)
+            await trio.sleep(0.1)
+            duration_s = await setup.run()
+            self.assertEqual([item.status for item in responses], [status])
+            # Servers may be broken off in the last sixth of a grace period alone.
+            self.assertGreater(duration_s, STOP_S * 0.95)
+            self.assertLess(duration_s, STOP_S)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock
+    async def test_peer_gets_its_response_before_the_process_ends(self):
+        setup = Setup()
+        session = mock.Mock(calls={1: None})
+        setup.node.peer_server.sessions[1] = session
+
+        async def respond():
+            await trio.sleep(4.0)
+            session.calls.clear()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(respond)
+            self.assertAlmostEqual(await setup.run(), 4.0, delta=0.1)
