Bound the bodies of all requests that a node holds together

Callers saw: uploads within the operator's limits took a node over its memory; it was killed with all its connections, among them those of orders that sound servers ran.

Cause: each request was bounded alone. Every body was held several times besides: parts, joined body, encoded call, frame with its prefix, receive buffer, its copies in FrameStream.extract_frame, encoded request towards the server.

Now one budget (request_memory_bytes, a third of memory-mb on the platform) covers the bodies being read, the requests waiting for their answer and the calls of peers. The whole length is reserved at the head, before the body is read; the wait is bounded and not counted as the caller's; then 503 with Retry-After, not run. Bodies of up to 8 KiB are not counted, and large ones leave an eighth to the others. At the target the link never waits: a call without room is skipped and refused as not run, with a reason that older releases know. Bodies are written without copies, and decoded from the buffer.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -23,6 +23,7 @@
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
 
@@ -49,6 +50,7 @@
     view: InstanceView
     stats: PeerStats
     pause_watch: PauseWatch
+    request_memory: RequestMemory
     links: LinkTable
     exchange: PolicyExchange
     peer_handler: PeerHandler
--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -213,6 +213,7 @@
             ("in_flight", self.status.in_flight),
             ("limit", self.status.limit),
             ("queued", self.status.queued),
+            ("request_bytes", self.status.request_bytes),
             ("policy_version", self.status.policy.version),
         ):
             family = GaugeMetricFamily(f"catkinpost_{name}", f"Current {name}.")
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -14,6 +14,7 @@
     LinkSettings,
 )
 from catkinpost.coordination.tick import sleep_until_next_tick
+from catkinpost.protocol.header import MAX_RETRY_ALLOWANCE
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
     Answer,
@@ -27,13 +28,15 @@
     Pong,
     Refusal,
 )
-from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.state.policy_store import PolicyStore
-from catkinpost.transport.frame import FrameStream
+from catkinpost.state.request_memory import RequestMemory, Reservation
+from catkinpost.transport.frame import FrameStream, SkippedCall
 
 __all__ = ["PeerServer", "PeerSession"]
 
 LIVENESS_CHECK_INTERVAL_S = 0.5
+MEMORY_RETRY_AFTER_S = 0.5
 
 CallHandler = Callable[[Call], Awaitable[Answer | Refusal]]
 
@@ -43,6 +46,7 @@
     """Call of a peer in progress, until its response is sent."""
 
     call: Call
+    reservation: Reservation | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
@@ -87,6 +91,7 @@
     :param get_load: returns the current load.
     :param pause: detection of pauses of this process.
     :param settings: bounds of a connection.
+    :param memory: memory for the calls of all peers, ``None`` for no common bound.
     """
 
     def __init__(
@@ -100,6 +105,7 @@
         pause: PauseWatch,
         settings: LinkSettings,
         withdraw_call: Callable[[Call], None] = ignore_withdrawal,
+        memory: RequestMemory | None = None,
     ) -> None:
         self.identity = identity
         self.store = store
@@ -109,6 +115,7 @@
         self.get_load = get_load
         self.pause = pause
         self.settings = settings
+        self.memory = memory
         self.sessions: dict[int, PeerSession] = {}
 
     @property
@@ -121,7 +128,11 @@
 
         :param stream: accepted connection; closed on return.
         """
-        frames = FrameStream(stream, max_frame_bytes=self.settings.max_frame_bytes)
+        frames = FrameStream(
+            stream,
+            max_frame_bytes=self.settings.max_frame_bytes,
+            memory=self.memory,
+        )
         key = id(frames)
         try:
             session = await self.perform_handshake(frames)
@@ -184,14 +195,21 @@
                 return
             if isinstance(message, Call):
                 # A Cancel may follow before the task of the call has begun.
-                peer_call = session.calls[message.id] = PeerCall(message)
+                peer_call = PeerCall(message, session.frames.take_reservation())
+                session.calls[message.id] = peer_call
                 nursery.start_soon(self.handle_call, session, peer_call)
+                # The body of a call must not be kept until the next message.
+                del peer_call
+            elif isinstance(message, SkippedCall):
+                refusal = self.build_memory_refusal(message)
+                nursery.start_soon(session.send_notification, refusal)
             elif isinstance(message, Cancel):
                 self.cancel_call(session, message)
             elif isinstance(message, Ping):
                 nursery.start_soon(session.send_notification, self.build_pong(message))
             else:
                 await self.events.on_peer_message(session, message)
+            del message
 
     async def monitor_liveness(self, session: PeerSession) -> None:
         """Close the connection once nothing has arrived for too long."""
@@ -206,6 +224,21 @@
             ping.sequence, self.get_load(), self.store.version, self.store.digest
         )
 
+    def build_memory_refusal(self, call: SkippedCall) -> Refusal:
+        """Refuse a call that was not kept.
+
+        Older releases know no reason for the lack of memory.
+        """
+        return Refusal(
+            call.id,
+            Reason.QUEUE_FULL,
+            Outcome.NOT_RUN,
+            "other requests use up the memory of the instance's node",
+            MEMORY_RETRY_AFTER_S,
+            MAX_RETRY_ALLOWANCE,
+            self.get_load(),
+        )
+
     def cancel_call(self, session: PeerSession, cancel: Cancel) -> None:
         """End a call, or withdraw it if it does not run yet."""
         peer_call = session.calls.get(cancel.id)
@@ -225,6 +258,8 @@
                 await session.send_notification(result)
         finally:
             session.calls.pop(peer_call.call.id, None)
+            if peer_call.reservation is not None:
+                peer_call.reservation.release()
 
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -60,6 +60,7 @@
             long_in_flight=admission.long_in_flight,
             queued=admission.queued,
             entry_calls=node.dispatcher.active_requests,
+            request_bytes=node.request_memory.used_bytes,
             backend_reachable=backend.reachable,
             backend_reported_in_flight=backend.in_flight,
             pauses=node.pause_watch.pauses,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -38,6 +38,7 @@
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_memory import RequestMemory
 from catkinpost.state.retry_budget import RetryBudget, build_retry_bound
 from catkinpost.state.running import RunningCalls
 from catkinpost.state.server_notice import ServerNotices
@@ -92,6 +93,9 @@
         self.notices = ServerNotices()
         self.running = RunningCalls()
         self.pause_watch = PauseWatch(self.decisions)
+        self.request_memory = RequestMemory(
+            self.settings.bounds.request_memory_bytes, self.decisions
+        )
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
 
     def build_peers(self) -> None:
@@ -241,6 +245,7 @@
             get_load=self.executor.get_load,
             pause=self.pause_watch,
             settings=self.link_settings,
+            memory=self.request_memory,
         )
         self.replicas.server = self.peer_server
         self.pause_watch.listeners.append(self.replicas.on_pause)
@@ -249,6 +254,7 @@
             limits=settings.http_limits,
             report_failure=self.report_bad_request,
             build_refusal=self.environment.dialect.build_failure_response,
+            memory=self.request_memory,
         )
 
     async def run(self) -> None:
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -49,6 +50,18 @@
 # Share of the grace period: responses must be sent before the platform kills the
 # process.
 STOP_TIMEOUT_SHARE = 0.9
+# Share of the process's memory for bodies of requests. A body is copied once more while
+# it is assembled or decoded, one at a time; the rest is for answers and the process.
+REQUEST_MEMORY_SHARE = 1 / 3
+MEGABYTE = 1_000_000
+# Room for one body of the largest size.
+DEFAULT_REQUEST_MEMORY_BYTES = 80 * 1024 * 1024
+
+
+class LimitsTable(PlatformModel):
+    """``[self.limits]``: limits of the machine; ``_mb`` means megabytes."""
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
 
 class SelfTable(PlatformModel):
@@ -60,6 +73,7 @@
     region: str
     application_address: AddressText
     service: str
+    limits: LimitsTable = LimitsTable()
 
 
 class ListenTable(PlatformModel):
@@ -168,6 +182,13 @@
     )
 
 
+def compute_request_memory(limits: LimitsTable) -> int:
+    """Return the bytes for bodies of requests."""
+    if limits.memory_mb is None:
+        return DEFAULT_REQUEST_MEMORY_BYTES
+    return int(limits.memory_mb * MEGABYTE * REQUEST_MEMORY_SHARE)
+
+
 def build_node_settings(file: SettingsFile) -> NodeSettings:
     process = file.process
     first_port = file.network.internal_port_range[0]
@@ -189,6 +210,7 @@
         peers=PeersSection(secret=PEER_SECRET, silence=PEER_SILENCE_S),
         bounds=BoundsSection(
             max_body_bytes=64 * 1024 * 1024,
+            request_memory_bytes=compute_request_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             leave_notice=LEAVE_NOTICE_S,
             peer_notice=PEER_NOTICE_S,
--- a/src/catkinpost/protocol/header.py
+++ b/src/catkinpost/protocol/header.py
@@ -10,6 +10,7 @@
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 
 __all__ = [
+    "MAX_RETRY_ALLOWANCE",
     "CallHeaders",
     "build_failure_response",
     "build_outcome_headers",
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -11,6 +11,7 @@
     "HttpRequest",
     "HttpResponse",
     "encode_request",
+    "encode_request_head",
     "encode_response",
     "find_header",
 ]
@@ -103,12 +104,20 @@
     :param request: request to send; hop-by-hop headers are omitted.
     :return: encoded message.
     """
+    return encode_request_head(request) + request.body
+
+
+def encode_request_head(request: HttpRequest) -> bytes:
+    """Serialize a request without its body.
+
+    :param request: request to send; hop-by-hop headers are omitted.
+    :return: encoded head.
+    """
     parts = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     append_encoded_headers(parts, request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         parts.append(b"content-length: %d\r\n" % len(request.body))
     parts.append(b"\r\n")
-    parts.append(request.body)
     return b"".join(parts)
 
 
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -4,12 +4,15 @@
 default: an older receiver ignores the additional fields of a newer sender.
 """
 
+import struct
+
 import msgspec
 
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.settings import AddressText
 
 __all__ = [
+    "CALL_HEAD_BYTES",
     "PROTOCOL_VERSION",
     "Answer",
     "Call",
@@ -37,13 +40,27 @@
     "ServerNotice",
     "SuspectNotice",
     "Welcome",
+    "decode_call_id",
     "decode_message",
     "encode_message",
+    "encode_message_parts",
 ]
 
 PROTOCOL_VERSION = 1
 Headers = list[tuple[bytes, bytes]]
 
+# Markers of MessagePack.
+LONG_ARRAY_MARKER = 0xDC
+LONG_ARRAY_PREFIX_BYTES = 3
+INTEGER_BYTES_BY_MARKER = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
+EMPTY_BODY = b"\xc4\x00"
+BODY_MARKER = 0xC6
+BODY_PREFIX = struct.Struct(">BI")
+
+CALL_TAG = 4
+# Array prefix, tag and longest id.
+CALL_HEAD_BYTES = LONG_ARRAY_PREFIX_BYTES + 1 + 9
+
 
 class ServerNotice(msgspec.Struct, array_like=True, frozen=True):
     """What a backend server says about itself in its responses.
@@ -127,7 +144,7 @@
     withdrawals: bool = False
 
 
-class Call(msgspec.Struct, array_like=True, tag=4):
+class Call(msgspec.Struct, array_like=True, tag=CALL_TAG):
     """One attempt of a request, for the receiver's backend server.
 
     :param incarnation: the only process of the backend server that may run the
@@ -404,6 +421,7 @@
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Message)
+integer_decoder = msgspec.msgpack.Decoder(int)
 
 
 def encode_message(message: Message) -> bytes:
@@ -414,7 +432,7 @@
     return encoder.encode(message)
 
 
-def decode_message(data: bytes) -> Message | Failure:
+def decode_message(data: bytes | memoryview) -> Message | Failure:
     """Decode one message.
 
     :param data: payload of one frame.
@@ -424,3 +442,33 @@
         return decoder.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Failure(reason=Reason.PEER_BAD_MESSAGE, detail=str(error))
+
+
+def encode_message_parts(message: Call | Answer) -> list[bytes]:
+    """Encode one message without a copy of its body.
+
+    :param message: message to encode.
+    :return: parts that make up the encoded message.
+    """
+    fields = message.__struct_fields__
+    later_fields = fields[fields.index("body") + 1 :]
+    tail = b"".join(encoder.encode(getattr(message, name)) for name in later_fields)
+    bodyless = encoder.encode(msgspec.structs.replace(message, body=b""))
+    head = bodyless[: len(bodyless) - len(tail) - len(EMPTY_BODY)]
+    return [head + BODY_PREFIX.pack(BODY_MARKER, len(message.body)), message.body, tail]
+
+
+def decode_call_id(head: bytes) -> int | None:
+    """Return the id of a call from the start of its encoded message.
+
+    :param head: the first :data:`CALL_HEAD_BYTES` bytes or more.
+    :return: the id, or ``None`` when the message is no call.
+    """
+    tag_at = LONG_ARRAY_PREFIX_BYTES if head[0] == LONG_ARRAY_MARKER else 1
+    if head[tag_at] != CALL_TAG:
+        return None
+    size = 1 + INTEGER_BYTES_BY_MARKER.get(head[tag_at + 1], 0)
+    try:
+        return integer_decoder.decode(head[tag_at + 1 : tag_at + 1 + size])
+    except msgspec.MsgspecError:
+        return None
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -27,6 +27,7 @@
     MALFORMED_REQUEST = "malformed-request"
     HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
+    REQUEST_MEMORY_FULL = "request-memory-full"
     SLOW_SENDER = "slow-sender"
     INVALID_HEADER = "invalid-header"
     UNKNOWN_SERVICE = "unknown-service"
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -63,7 +63,10 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True, kw_only=True):
-    """State of one node."""
+    """State of one node.
+
+    :param request_bytes: bytes reserved for the bodies of requests.
+    """
 
     instance: str
     incarnation: str
@@ -79,6 +82,7 @@
     long_in_flight: int
     queued: int
     entry_calls: int
+    request_bytes: int
     backend_reachable: bool
     backend_reported_in_flight: int
     pauses: int
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -17,6 +17,7 @@
 ]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 SizeBytes = Annotated[int, msgspec.Meta(ge=256, le=64 * 1024 * 1024)]
+MemoryBytes = Annotated[int, msgspec.Meta(ge=1024 * 1024)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 ADDRESS_PATTERN = re.compile(r"^\[?(?P<host>[^\]]+?)\]?:(?P<port>\d+)$")
 
@@ -139,6 +140,9 @@
 
     :param max_head_bytes: maximum size of the head of an HTTP message.
     :param max_body_bytes: maximum size of the body of an HTTP message.
+    :param request_memory_bytes: maximum size of the bodies of all requests that the
+        node holds together; bodies of up to 8 KiB are not counted. A body above seven
+        eighths of it is refused.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
@@ -161,6 +165,7 @@
 
     max_head_bytes: SizeBytes = 32 * 1024
     max_body_bytes: SizeBytes = 1024 * 1024
+    request_memory_bytes: MemoryBytes = 64 * 1024 * 1024
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -1,18 +1,43 @@
 """Length-prefixed framing of peer messages on a stream."""
 
 import struct
+from dataclasses import dataclass
 
 import trio
 
-from catkinpost.protocol.message import Message, decode_message, encode_message
+from catkinpost.protocol.message import (
+    CALL_HEAD_BYTES,
+    Message,
+    decode_call_id,
+    decode_message,
+    encode_message,
+    encode_message_parts,
+)
 from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.request_memory import (
+    SMALL_BODY_BYTES,
+    RequestMemory,
+    Reservation,
+)
 from catkinpost.transport.socket_io import receive_some, write_some
 
-__all__ = ["FrameStream"]
+__all__ = ["FrameStream", "SkippedCall"]
 
 LENGTH_PREFIX = struct.Struct(">I")
 READ_BYTES = 65536
 SEND_TIMEOUT_S = 3.0
+# Larger bodies are written without a copy.
+MAX_COPIED_BODY_BYTES = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class SkippedCall:
+    """Call that was not kept, because the memory for requests is used up.
+
+    :param id: id of the call.
+    """
+
+    id: int
 
 
 class FrameStream:
@@ -20,15 +45,29 @@
 
     :param stream: connection to the peer.
     :param max_frame_bytes: maximum size of a received frame.
+    :param memory: memory for received calls, ``None`` for no common bound.
+
+    ``reservation`` belongs to the frame that is being received and, after that, to the
+    call that was received last.
     """
 
-    def __init__(self, stream: trio.abc.Stream, *, max_frame_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        *,
+        max_frame_bytes: int,
+        memory: RequestMemory | None = None,
+    ) -> None:
         self.stream = stream
         self.max_frame_bytes = max_frame_bytes
+        self.memory = memory
         self.buffer = bytearray()
         self.send_lock = trio.Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.reservation: Reservation | None = None
+        self.skipped_call: SkippedCall | None = None
+        self.skip_bytes = 0
 
     async def send(self, message: Message) -> None:
         """Send one message; concurrent calls are serialized.
@@ -36,13 +75,12 @@
         :param message: message to send.
         :raises trio.BrokenResourceError: when the connection is lost.
         """
-        data = encode_message(message)
-        frame = LENGTH_PREFIX.pack(len(data)) + data
-        self.sent_bytes += len(frame)
+        parts = encode_frame(message)
+        self.sent_bytes += sum(map(len, parts))
         is_lock_free = not self.send_lock.locked()
         if is_lock_free:
-            frame = frame[write_some(self.stream, frame) :]
-            if not frame:
+            parts = write_parts(self.stream, parts)
+            if not parts:
                 return
             self.send_lock.acquire_nowait()
         # A cancelled send would leave an incomplete frame on the stream, so the rest
@@ -52,33 +90,34 @@
             if not is_lock_free:
                 await self.send_lock.acquire()
             try:
-                await self.stream.send_all(frame)
+                for part in parts:
+                    await self.stream.send_all(part)
             finally:
                 self.send_lock.release()
         if scope.cancelled_caught:
             await self.close()
             raise trio.BrokenResourceError("the peer takes no data")
 
-    async def receive(self) -> Message | Failure | None:
+    async def receive(self) -> Message | SkippedCall | Failure | None:
         """Wait for the next message.
 
-        :return: the message, a failure when the peer sends invalid data, or ``None`` at
-            the end of the connection.
+        :return: the message, the id of a call that was not kept, a failure when the
+            peer sends invalid data, or ``None`` at the end of the connection.
         :raises trio.BrokenResourceError: when the connection is lost.
         """
         while True:
-            frame = self.extract_frame()
-            if isinstance(frame, Failure):
-                return frame
-            if frame is not None:
-                return decode_message(frame)
+            message = self.extract_message()
+            if message is not None:
+                return message
             data = await receive_some(self.stream, READ_BYTES)
             if not data:
                 return None
             self.received_bytes += len(data)
             self.buffer += data
 
-    def extract_frame(self) -> bytes | Failure | None:
+    def extract_message(self) -> Message | SkippedCall | Failure | None:
+        if self.skipped_call is not None:
+            return self.skip_received()
         if len(self.buffer) < LENGTH_PREFIX.size:
             return None
         (length,) = LENGTH_PREFIX.unpack_from(self.buffer)
@@ -87,13 +126,75 @@
                 reason=Reason.PEER_BAD_MESSAGE,
                 detail=f"a frame of {length} bytes exceeds {self.max_frame_bytes}",
             )
+        if length > SMALL_BODY_BYTES and self.memory is not None:
+            if len(self.buffer) < LENGTH_PREFIX.size + CALL_HEAD_BYTES:
+                return None
+            if not self.reserve_memory(length):
+                return self.skip_received()
         end = LENGTH_PREFIX.size + length
         if len(self.buffer) < end:
             return None
-        frame = bytes(self.buffer[LENGTH_PREFIX.size : end])
+        with memoryview(self.buffer) as view, view[LENGTH_PREFIX.size : end] as frame:
+            message = decode_message(frame)
         del self.buffer[:end]
-        return frame
+        return message
+
+    def reserve_memory(self, length: int) -> bool:
+        """Reserve memory for a frame if it is a call.
+
+        The connection carries many calls, so it must not wait for memory.
+
+        :return: whether the frame is to be kept.
+        """
+        if self.reservation is not None:
+            return True
+        start = LENGTH_PREFIX.size
+        call_id = decode_call_id(bytes(self.buffer[start : start + CALL_HEAD_BYTES]))
+        if call_id is None:
+            return True
+        self.reservation = self.memory.reserve_now(length)
+        if self.reservation is None:
+            self.memory.refuse()
+            self.skipped_call = SkippedCall(call_id)
+            self.skip_bytes = start + length
+        return self.reservation is not None
+
+    def skip_received(self) -> SkippedCall | None:
+        """Drop received bytes of a call; return the call at its end."""
+        dropped_bytes = min(self.skip_bytes, len(self.buffer))
+        del self.buffer[:dropped_bytes]
+        self.skip_bytes -= dropped_bytes
+        if self.skip_bytes:
+            return None
+        call, self.skipped_call = self.skipped_call, None
+        return call
+
+    def take_reservation(self) -> Reservation | None:
+        """Hand over the reservation of the call that was received last."""
+        reservation, self.reservation = self.reservation, None
+        return reservation
 
     async def close(self) -> None:
         """Close the connection without waiting for the peer."""
+        if self.reservation is not None:
+            self.reservation.release()
         await trio.aclose_forcefully(self.stream)
+
+
+def encode_frame(message: Message) -> list[bytes]:
+    """Return the parts of the frame of a message."""
+    if len(getattr(message, "body", b"")) <= MAX_COPIED_BODY_BYTES:
+        data = encode_message(message)
+        return [LENGTH_PREFIX.pack(len(data)) + data]
+    head, *others = encode_message_parts(message)
+    length = len(head) + sum(map(len, others))
+    return [LENGTH_PREFIX.pack(length) + head, *others]
+
+
+def write_parts(stream: trio.abc.Stream, parts: list[bytes]) -> list[bytes]:
+    """Write what fits into the send buffer, and return what is left."""
+    for index, part in enumerate(parts):
+        written = write_some(stream, part)
+        if written < len(part):
+            return [memoryview(part)[written:], *parts[index + 1 :]]
+    return []
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -11,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     encode_request,
+    encode_request_head,
     find_header,
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
@@ -20,6 +21,8 @@
 __all__ = ["BackendClient"]
 
 READ_BYTES = 65536
+# Larger bodies are written without a copy.
+MAX_COPIED_BODY_BYTES = 65536
 # Backend servers run on the machine of their node. A server that does not accept a
 # connection within this time has ended or hangs, and its calls must reach another
 # instance well before their deadline.
@@ -189,7 +192,7 @@
         self, stream: trio.SocketStream, request: HttpRequest, parser: ResponseParser
     ) -> HttpResponse | Failure:
         stray_count = 0
-        await send_all(stream, encode_request(request))
+        await send_encoded(stream, request)
         while True:
             failure = await self.receive_message(stream, parser)
             if failure is not None:
@@ -232,6 +235,15 @@
             self.idle_connections.pop().stream.socket.close()
 
 
+async def send_encoded(stream: trio.SocketStream, request: HttpRequest) -> None:
+    """Send one request."""
+    if len(request.body) <= MAX_COPIED_BODY_BYTES:
+        await send_all(stream, encode_request(request))
+        return
+    await send_all(stream, encode_request_head(request))
+    await send_all(stream, request.body)
+
+
 def get_max_idle_s(response: HttpResponse) -> float:
     """Return the seconds for which a connection may stay idle after a response."""
     value = find_header(response.headers, b"keep-alive") or b""
--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -31,7 +31,7 @@
     def reset_message(self) -> None:
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body_parts: list[bytes] = []
+        self.body_parts: list[bytes | bytearray] = []
         self.body_bytes = 0
         self.head_bytes = 0
         self.head_complete = False
@@ -64,7 +64,22 @@
                 detail=f"the body exceeds {self.limits.max_body_bytes} bytes",
             )
             return
-        self.body_parts.append(data)
+        self.append_to_body(data)
+
+    def append_to_body(self, data: bytes) -> None:
+        """Add a part to the body; all parts are merged, as each has an overhead."""
+        parts = self.body_parts
+        if not parts:
+            parts.append(data)
+            return
+        if isinstance(parts[-1], bytes):
+            parts[-1] = bytearray(parts[-1])
+        parts[-1] += data
+
+    def take_body(self) -> bytes:
+        """Return the complete body, and drop its parts."""
+        parts, self.body_parts = self.body_parts, []
+        return b"".join(parts)
 
     def on_message_complete(self) -> None:
         self.in_message = False
@@ -125,7 +140,7 @@
             method=self.parser.get_method(),
             target=self.target,
             headers=self.headers,
-            body=b"".join(self.body_parts),
+            body=self.take_body(),
             keep_alive=self.parser.should_keep_alive(),
         )
 
@@ -189,7 +204,7 @@
         return HttpResponse(
             status=self.parser.get_status_code(),
             headers=self.headers,
-            body=b"".join(self.body_parts),
+            body=self.take_body(),
             keep_alive=self.parser.should_keep_alive(),
         )
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import enum
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,12 @@
     encode_response,
 )
 from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.request_memory import (
+    SMALL_BODY_BYTES,
+    RequestMemory,
+    Reservation,
+)
+from catkinpost.transport.body_reservation import reserve_body
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.socket_io import receive_some, send_all
 
@@ -43,10 +50,14 @@
 
 @dataclass(eq=False, slots=True)
 class Exchange:
-    """One request of a connection and its response, ``None`` until it is ready."""
+    """One request of a connection and its response, ``None`` until it is ready.
+
+    :param reservation: memory that was reserved while the body was read.
+    """
 
     keep_alive: bool
     head_only: bool
+    reservation: Reservation | None = None
     response: HttpResponse | None = None
 
 
@@ -68,6 +79,7 @@
     :param has_reader_task: whether the connection is read while requests are handled.
     :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
+    :param reservation: memory for the request that is being read.
     """
 
     stream: trio.SocketStream
@@ -83,6 +95,7 @@
     has_reader_task: bool = False
     reading_ended: bool = False
     nursery: trio.Nursery | None = None
+    reservation: Reservation | None = None
 
     @property
     def has_single_request(self) -> bool:
@@ -97,6 +110,13 @@
         is_read = self.has_reader_task or self.reading_ended
         return bool(self.exchanges) and not is_read
 
+    def drop_unfinished_body(self) -> None:
+        """Drop the body that is being read, which is not needed any more."""
+        self.parser.body_parts.clear()
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
     def enter_phase(self, phase: Phase) -> None:
         """Start a phase."""
         self.phase = phase
@@ -124,6 +144,7 @@
     :param limits: limits on each message; changes apply to new connections.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
+    :param memory: memory for the bodies of requests, ``None`` for no common bound.
     """
 
     def __init__(
@@ -133,11 +154,13 @@
         limits: HttpLimits,
         report_failure: FailureReporter,
         build_refusal: Callable[[Failure], HttpResponse] = build_failure_response,
+        memory: RequestMemory | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.report_failure = report_failure
         self.build_refusal = build_refusal
+        self.memory = memory
         self.leaving = False
         self.connections: set[Connection] = set()
 
@@ -226,6 +249,7 @@
                 await self.refuse_slow_sender(connection)
         finally:
             self.connections.discard(connection)
+            connection.drop_unfinished_body()
 
     async def refuse_slow_sender(self, connection: Connection) -> None:
         failure = Failure(
@@ -233,6 +257,7 @@
             detail=f"the request made no progress for {self.limits.head_timeout} s",
         )
         self.report_failure(failure)
+        connection.drop_unfinished_body()
         data = encode_response(
             self.build_refusal(failure), keep_alive=False, head_only=False
         )
@@ -272,9 +297,12 @@
                 connection.has_reader_task = True
             while parser.messages and not connection.closing:
                 await self.start_handling(connection, parser.messages.popleft())
+            if failure is None and parser.in_message and parser.head_complete:
+                failure = await self.reserve_memory(connection)
             if failure is not None and not connection.closing:
                 self.report_failure(failure)
                 connection.closing = True
+                connection.drop_unfinished_body()
                 exchange = Exchange(keep_alive=False, head_only=False)
                 connection.exchanges.append(exchange)
                 await self.send_ready_responses(
@@ -284,6 +312,27 @@
             if parser.in_message and parser.head_complete:
                 await self.send_continue(connection)
 
+    async def reserve_memory(self, connection: Connection) -> Failure | None:
+        """Reserve memory for the incomplete request of a connection.
+
+        The connection is not read meanwhile, so the time does not count as the
+        caller's.
+        """
+        if self.memory is None or connection.closing:
+            return None
+        started_at, waits_since = connection.phase_started_at, trio.current_time()
+        connection.phase_started_at = math.inf
+        result = await reserve_body(
+            self.memory, connection.parser, connection.reservation
+        )
+        if connection.phase_started_at == math.inf:
+            waited_s = trio.current_time() - waits_since
+            connection.phase_started_at = started_at + waited_s
+        if isinstance(result, Failure):
+            return result
+        connection.reservation = result
+        return None
+
     async def handle_single_request(
         self, connection: Connection, request: HttpRequest
     ) -> None:
@@ -307,6 +356,7 @@
 
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
+        exchange.reservation, connection.reservation = connection.reservation, None
         connection.exchanges.append(exchange)
         connection.closing = connection.closing or not request.keep_alive
         connection.update_phase()
@@ -326,9 +376,28 @@
     async def handle_request(
         self, connection: Connection, exchange: Exchange, request: HttpRequest
     ) -> None:
-        response = await self.handler(request)
+        is_small = len(request.body) <= SMALL_BODY_BYTES
+        if self.memory is None or is_small and exchange.reservation is None:
+            response = await self.handler(request)
+        else:
+            response = await self.hold_and_handle(self.memory, exchange, request)
         await self.send_ready_responses(connection, exchange, response)
 
+    async def hold_and_handle(
+        self, memory: RequestMemory, exchange: Exchange, request: HttpRequest
+    ) -> HttpResponse:
+        """Handle a request whose body counts, and drop the body afterwards."""
+        reservation = exchange.reservation or await memory.reserve(len(request.body))
+        if isinstance(reservation, Failure):
+            request.body = b""
+            self.report_failure(reservation)
+            return self.build_refusal(reservation)
+        try:
+            return await self.handler(request)
+        finally:
+            request.body = b""
+            reservation.release()
+
     async def send_ready_responses(
         self, connection: Connection, exchange: Exchange, response: HttpResponse
     ) -> None:
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -29,6 +29,7 @@
 from catkinpost.protocol.settings import Address
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport.frame import LENGTH_PREFIX, FrameStream
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_call
@@ -37,6 +38,7 @@
 BREAKS = 20
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSED_PORT = 1
+MEMORY_BYTES = 4_000_000
 SECRET = b"shared-secret-of-the-fleet"
 
 
@@ -69,14 +71,19 @@
 class Setup:
     """One link and the peer server at its other end."""
 
-    def __init__(self, nursery, *, server_secret=SECRET, server_name="orders-2"):
+    def __init__(
+        self, nursery, *, server_secret=SECRET, server_name="orders-2", memory=None
+    ):
         self.nursery = nursery
         self.started = []
         self.cancelled = 0
         self.hold = trio.Event()
         self.hold.set()
         self.pause = PauseWatch(DecisionLog())
-        self.settings = LinkSettings(ping_timeout_s=3.0, max_frame_bytes=10_000)
+        max_frame_bytes = 10_000 if memory is None else memory.max_bytes
+        self.settings = LinkSettings(
+            ping_timeout_s=3.0, max_frame_bytes=max_frame_bytes
+        )
         self.events = Events()
         self.server_events = Events()
         self.server = PeerServer(
@@ -89,6 +96,7 @@
             get_load=Load,
             pause=PauseWatch(DecisionLog()),
             settings=self.settings,
+            memory=memory,
         )
 
     async def run_call(self, call):
@@ -475,6 +483,56 @@
             nursery.cancel_scope.cancel()
 
 
+class TestMemory(unittest.TestCase):
+    @on_mock_clock(io=True)
+    async def test_call_without_room_is_refused_as_not_run_and_the_link_stays(self):
+        memory = RequestMemory(MEMORY_BYTES, DecisionLog())
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, memory=memory)
+            setup.hold = trio.Event()
+            await setup.start()
+            bodies = [bytes(MEMORY_BYTES // 2), bytes(MEMORY_BYTES // 2), b"birch"]
+            calls = []
+            for body in bodies:
+                call = make_call(key="", attempt=0)
+                call.body = body
+                calls.append(PendingRequest(lambda: None))
+                await setup.link.send_request(call, calls[-1])
+                await trio.sleep(0.2)
+            self.assertEqual(calls[1].result.outcome, Outcome.NOT_RUN)
+            self.assertEqual(calls[1].result.reason, Reason.QUEUE_FULL)
+            self.assertGreater(calls[1].result.retry_after, 0)
+            self.assertEqual([len(body) for body in setup.started], [len(bodies[0]), 5])
+            setup.hold.set()
+            await trio.sleep(0.2)
+            self.assertEqual([calls[i].result.status for i in (0, 2)], [200, 200])
+            self.assertEqual(memory.used_bytes, 0)
+            self.assertEqual(len(setup.events.ups), 1)
+            nursery.cancel_scope.cancel()
+
+    @params("cancel", "disconnect")
+    @on_mock_clock(io=True)
+    async def test_memory_returns_after_the_end_of_a_call(self, end):
+        memory = RequestMemory(MEMORY_BYTES, DecisionLog())
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, memory=memory)
+            setup.hold = trio.Event()
+            await setup.start()
+            call = make_call(key="", attempt=0)
+            call.body = bytes(MEMORY_BYTES // 2)
+            pending = PendingRequest(lambda: None)
+            await setup.link.send_request(call, pending)
+            await trio.sleep(0.2)
+            self.assertGreater(memory.used_bytes, len(call.body))
+            if end == "cancel":
+                pending.cancel()
+            else:
+                await setup.link.frames.close()
+            await trio.sleep(0.2)
+            self.assertEqual(memory.used_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+
 def fields_after_version(message):
     return [getattr(message, name) for name in message.__struct_fields__[1:]]
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -66,6 +66,14 @@
         self.assertLess(bounds.stop_timeout, 6)
         self.assertLess(bounds.repeat_extra, 49)
 
+    @params((300, 100_000_000), (None, 83_886_080))
+    def test_bodies_of_requests_get_a_share_of_the_memory(self, memory_mb, expected):
+        limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
+        bounds = parse_platform_settings(SETTINGS + limits).node.bounds
+        self.assertEqual(bounds.request_memory_bytes, expected)
+        largest_bytes = bounds.request_memory_bytes * 7 / 8
+        self.assertLessEqual(bounds.max_body_bytes, largest_bytes)
+
     def test_repeats_at_the_end_of_a_chain_stay_within_the_ratio(self):
         ratio = parse_platform_settings(SETTINGS).node.bounds.repeat_ratio
         arrivals = 1.0
