Refuse waiters at once only if no turn can come in time

What callers saw: of the orders that could still run before their node or server leaves, some were refused although slots came free for them in time.

Cause: the early refusals used the mean wait, which takes runs to end evenly spread. Runs that started together end together; after the first of them the others' slots counted as free only a share of a run later.

A waiter is now refused before its latest start only if the runs that must come before it take longer. Its cancel scope ends the wait at its latest start, as before.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -162,8 +162,9 @@
             self.log_refusal(item, Reason.QUEUE_FULL, "the limit is reached")
             return self.grant_slot(item, is_long, now)
         if not self.has_free_slot(is_long):
+            ahead = self.waiters.count_ahead(item.rank)
             refusal = (
-                self.check_windows(item, now + self.estimate_new_wait(item))
+                self.check_windows(item, now + self.estimate_shortest_wait(ahead))
                 or self.check_rate(item)
                 or self.check_expected_wait(item, now)
             )
@@ -201,7 +202,12 @@
         )
 
     def get_wait_deadline(self, item: WorkItem, arrived_at: float) -> float:
-        """Return the time at which a waiter is refused.
+        """Return the time at which a waiter is refused."""
+        queue_deadline = self.get_queue_deadline(item, arrived_at)
+        return min(queue_deadline, self.get_latest_start(item))
+
+    def get_queue_deadline(self, item: WorkItem, arrived_at: float) -> float:
+        """Return the time until which the use of its response lets a waiter wait.
 
         The most important requests are not subject to the queue timeout. They wait
         for as long as a response is useful, because a refusal would waste the work
@@ -209,11 +215,7 @@
         """
         expected_s = self.get_expected_duration(item)
         reserved_s = max(expected_s * MIN_SERVICE_TIME_SHARE, MIN_REMAINING_S)
-        latest_start_at = min(
-            item.deadline - reserved_s,
-            item.useful_until,
-            self.get_latest_start(item),
-        )
+        latest_start_at = min(item.deadline - reserved_s, item.useful_until)
         if item.rank == MOST_IMPORTANT_RANK:
             return latest_start_at
         return min(latest_start_at, arrived_at + self.section.queue_wait)
@@ -232,9 +234,16 @@
             retry_after=MIN_RETRY_AFTER_S,
         )
 
-    def estimate_new_wait(self, item: WorkItem) -> float:
-        """Estimate the seconds for which a new request waits, 0 while unknown."""
-        return self.estimate_wait(self.waiters.count_ahead(item.rank)) or 0.0
+    def estimate_shortest_wait(self, waiters_ahead: int) -> float:
+        """Estimate the least seconds until a waiter may start, 0 while unknown.
+
+        All running requests may end at any moment, those after them take their time.
+
+        :param waiters_ahead: waiters that are served before this one.
+        """
+        rounds = waiters_ahead // max(1, self.limiter.get_limit())
+        slot_wait_s = rounds * (self.durations.mean_s or 0.0)
+        return max(slot_wait_s, self.rate_limiter.get_wait(waiters_ahead))
 
     def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
         expected_s = self.get_expected_duration(item)
@@ -277,7 +286,7 @@
         if self.section.early_refusal is Mode.OFF:
             return None
         wait_s = self.estimate_wait(self.waiters.count_ahead(item.rank))
-        if wait_s is None or now + wait_s <= self.get_wait_deadline(item, now):
+        if wait_s is None or now + wait_s <= self.get_queue_deadline(item, now):
             return None
         detail = "the wait would outlast the use of the answer"
         if self.section.early_refusal is Mode.OBSERVE:
@@ -316,27 +325,29 @@
         now = trio.current_time()
         if now < self.last_sweep_at + SWEEP_INTERVAL_S or not self.waiters:
             return
-        is_early = self.section.early_refusal is Mode.ON
-        if not is_early and not self.windows:
+        if self.section.early_refusal is not Mode.ON and not self.windows:
             return
         self.last_sweep_at = now
         waiters_ahead = 0
         for waiter in self.waiters:
-            wait_s = self.estimate_wait(waiters_ahead)
-            if wait_s is None:
-                return
-            failure = self.check_windows(waiter.item, now + wait_s)
-            if failure is None and is_early:
-                failure = self.check_wait(waiter, now, wait_s)
+            start_at = now + self.estimate_shortest_wait(waiters_ahead)
+            failure = self.check_windows(waiter.item, start_at)
+            failure = failure or self.check_wait(waiter, waiters_ahead)
             if failure is None:
                 waiters_ahead += 1
             else:
                 self.refuse_waiter(waiter, failure)
 
-    def check_wait(self, waiter: Waiter, now: float, wait_s: float) -> Failure | None:
+    def check_wait(self, waiter: Waiter, waiters_ahead: int) -> Failure | None:
         """Refuse a waiter whose remaining wait outlasts its wait deadline."""
+        if self.section.early_refusal is not Mode.ON:
+            return None
         item = waiter.item
-        if now + wait_s <= self.get_wait_deadline(item, waiter.arrived_at):
+        wait_s = self.estimate_wait(waiters_ahead)
+        if wait_s is None:
+            return None
+        wait_deadline = self.get_queue_deadline(item, waiter.arrived_at)
+        if trio.current_time() + wait_s <= wait_deadline:
             return None
         return self.refuse(
             item,
