Send large calls to a peer over a link of their own

Cause: a frame of 20 MB holds up the ping behind it for longer than the silence allowed for a peer, and all of a message had to be sent within SEND_TIMEOUT_S, including the wait for the messages before it.

Calls with bodies over 256 KiB now go over a second link to the peer, an ordinary connection to releases of any age. A call that is withdrawn before its turn is not sent any more. Large bodies are read in larger pieces, so that they hold the memory for a shorter time.

--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from catkinpost.coordination.pause import PauseWatch
+from catkinpost.coordination.peers.bulk import BulkEvents
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link import LinkEvents, LinkSettings, PeerLink
 from catkinpost.protocol.message import Message
@@ -49,17 +50,33 @@
         self.spawn = spawn
         self.events: LinkEvents | None = None
         self.links: dict[str, PeerLink] = {}
+        self.bulk_links: dict[str, PeerLink] = {}
 
     def get_or_open_link(self, instance: Instance) -> PeerLink:
         """Return the link to an instance, opened if there is none."""
         return self.open_link(instance.name, instance.peers)
 
+    def get_or_open_bulk_link(self, instance: Instance) -> PeerLink:
+        """Return the link for large calls to an instance, opened if there is none."""
+        return self.open_link_in(
+            self.bulk_links, instance.name, instance.peers, BulkEvents(self.events)
+        )
+
     def open_link(self, name: str, address: Address) -> PeerLink:
         """Return the link to a named instance at an address, opened if needed.
 
         A link to another address of the same name is retired.
         """
-        link = self.links.get(name)
+        return self.open_link_in(self.links, name, address, self.events)
+
+    def open_link_in(
+        self,
+        links: dict[str, PeerLink],
+        name: str,
+        address: Address,
+        events: LinkEvents,
+    ) -> PeerLink:
+        link = links.get(name)
         if link is not None and link.address == address:
             return link
         if link is not None:
@@ -69,18 +86,18 @@
             address,
             identity=self.identity,
             store=self.store,
-            events=self.events,
+            events=events,
             pause=self.pause,
             settings=self.settings,
             spawn=self.spawn,
         )
-        self.links[name] = link
+        links[name] = link
         self.spawn(link.run)
         return link
 
     def refresh(self) -> None:
         """Retire links to removed instances; open links to replicas and partners."""
-        for name in list(self.links):
+        for name in {*self.links, *self.bulk_links}:
             if name not in self.view.instances:
                 self.retire_link(name)
         own_name = self.identity.instance
@@ -105,14 +122,16 @@
 
     def retire_link(self, name: str) -> None:
         """Open no new requests to an instance; its pending requests continue."""
-        link = self.links.pop(name, None)
-        if link is not None:
+        for links in (self.links, self.bulk_links):
+            link = links.pop(name, None)
+            if link is None:
+                continue
             log_message("links: retired", peer=name, pending=len(link.pending.requests))
             link.retire()
 
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
-        for link in list(self.links.values()):
+        for link in [*self.links.values(), *self.bulk_links.values()]:
             if link.frames is not None:
                 await link.frames.close()
 
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -9,6 +9,7 @@
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.event import AutoResetEvent
+from catkinpost.coordination.peers.link import PeerLink
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.pending import PendingRequest
 from catkinpost.coordination.routing.entry import AttemptEnd, EntryCall
@@ -21,6 +22,7 @@
 from catkinpost.state.instance_view import Instance
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.state.request_memory import LARGE_BODY_BYTES
 from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["OVERLOAD_REASONS", "AttemptSender", "AttemptResult"]
@@ -211,9 +213,15 @@
         elif target.instance.name == self.instance:
             self.start_local_call(message, pending)
         else:
-            link = self.links.get_or_open_link(target.instance)
+            link = self.get_link(message, target.instance)
             await link.send_request(message, pending)
 
+    def get_link(self, message: Call, instance: Instance) -> PeerLink:
+        """Return the link for a call, by the size of its body."""
+        if len(message.body) > LARGE_BODY_BYTES:
+            return self.links.get_or_open_bulk_link(instance)
+        return self.links.get_or_open_link(instance)
+
     def get_known_limit(self, instance: Instance) -> ServerNotice | None:
         """Return the notice of a backend server that names a rate limit."""
         notice = self.notices.get(instance.name, instance.incarnation)
--- a/src/catkinpost/state/request_memory.py
+++ b/src/catkinpost/state/request_memory.py
@@ -8,7 +8,7 @@
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.decision_log import DecisionLog
 
-__all__ = ["SMALL_BODY_BYTES", "RequestMemory", "Reservation"]
+__all__ = ["LARGE_BODY_BYTES", "SMALL_BODY_BYTES", "RequestMemory", "Reservation"]
 
 # Bodies up to this size are not counted: large ones never hold them up.
 SMALL_BODY_BYTES = 8 * 1024
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -1,6 +1,8 @@
 """Length-prefixed framing of peer messages on a stream."""
 
+import math
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import trio
@@ -25,6 +27,8 @@
 
 LENGTH_PREFIX = struct.Struct(">I")
 READ_BYTES = 65536
+LARGE_READ_BYTES = 256 * 1024
+SENT_PIECE_BYTES = 256 * 1024
 SEND_TIMEOUT_S = 3.0
 # Larger bodies are written without a copy.
 MAX_COPIED_BODY_BYTES = 65536
@@ -48,7 +52,8 @@
     :param memory: memory for received calls, ``None`` for no common bound.
 
     ``reservation`` belongs to the frame that is being received and, after that, to the
-    call that was received last.
+    call that was received last. ``progressed_at`` is the last time at which the peer
+    took a part of a message that it could not take at once.
     """
 
     def __init__(
@@ -65,6 +70,7 @@
         self.send_lock = trio.Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.progressed_at = -math.inf
         self.reservation: Reservation | None = None
         self.skipped_call: SkippedCall | None = None
         self.skip_bytes = 0
@@ -77,21 +83,22 @@
         """
         parts = encode_frame(message)
         self.sent_bytes += sum(map(len, parts))
-        is_lock_free = not self.send_lock.locked()
-        if is_lock_free:
+        if not self.send_lock.locked():
             parts = write_parts(self.stream, parts)
             if not parts:
                 return
             self.send_lock.acquire_nowait()
+        else:
+            await self.send_lock.acquire()
         # A cancelled send would leave an incomplete frame on the stream, so the rest
-        # is sent despite cancellation. The connection is closed when the peer does
-        # not receive it within SEND_TIMEOUT_S.
-        with trio.move_on_after(SEND_TIMEOUT_S, shield=True) as scope:
-            if not is_lock_free:
-                await self.send_lock.acquire()
+        # is sent despite cancellation. The connection is closed when the peer receives
+        # nothing for SEND_TIMEOUT_S.
+        with trio.CancelScope(shield=True) as scope:
             try:
-                for part in parts:
-                    await self.stream.send_all(part)
+                for piece in split_parts(parts):
+                    scope.deadline = trio.current_time() + SEND_TIMEOUT_S
+                    await self.stream.send_all(piece)
+                    self.progressed_at = trio.current_time()
             finally:
                 self.send_lock.release()
         if scope.cancelled_caught:
@@ -109,7 +116,9 @@
             message = self.extract_message()
             if message is not None:
                 return message
-            data = await receive_some(self.stream, READ_BYTES)
+            in_large_call = self.reservation is not None or self.skip_bytes
+            max_bytes = LARGE_READ_BYTES if in_large_call else READ_BYTES
+            data = await receive_some(self.stream, max_bytes)
             if not data:
                 return None
             self.received_bytes += len(data)
@@ -191,6 +200,14 @@
     return [LENGTH_PREFIX.pack(length) + head, *others]
 
 
+def split_parts(parts: list[bytes]) -> Iterator[memoryview]:
+    """Split parts into pieces, so that progress is seen while they are sent."""
+    for part in parts:
+        view = memoryview(part)
+        for start in range(0, len(view), SENT_PIECE_BYTES):
+            yield view[start : start + SENT_PIECE_BYTES]
+
+
 def write_parts(stream: trio.abc.Stream, parts: list[bytes]) -> list[bytes]:
     """Write what fits into the send buffer, and return what is left."""
     for index, part in enumerate(parts):
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -29,6 +29,7 @@
 __all__ = ["HttpServer"]
 
 READ_BYTES = 65536
+LARGE_READ_BYTES = 256 * 1024
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 MAX_PIPELINED_REQUESTS = 32
@@ -278,7 +279,9 @@
         parser = connection.parser
         while True:
             connection.update_phase()
-            data = await receive_some(connection.stream, READ_BYTES)
+            in_large_body = connection.reservation is not None
+            max_bytes = LARGE_READ_BYTES if in_large_body else READ_BYTES
+            data = await receive_some(connection.stream, max_bytes)
             if not data:
                 # The caller has disconnected: its responses are no longer needed.
                 connection.nursery.cancel_scope.cancel()
