Close connections without destroying answers on their way

Cause: a close with unread input makes the kernel reset the connection, which discards what is still in the send buffer. This applied to every close by this side: after the last response, refusals while the body is still arriving, idle connections at the end of a planned stop or after idle_timeout. Also, a stop ended the process while sent bytes were still on their way.

All closes by this side now go through transport/linger.py: it closes the sending side, then discards input unparsed until the caller closes, for LINGER_TIMEOUT_S (5 s), or until idle_timeout while sent bytes are not acknowledged. A connection that a caller has closed needs none, nor does one that expires with nothing unread and everything acknowledged. A stop waits, up to stop_timeout, while a connection in this state has unread input or unacknowledged bytes, but not for a caller that only keeps it open.

The tests with a slow reader run in real time, as the kernel paces them.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 
 import trio
-from eliot import log_message
 
 from catkinpost.protocol.header import build_failure_response
 from catkinpost.protocol.http import (
@@ -24,6 +23,7 @@
 )
 from catkinpost.transport.body_reservation import reserve_body
 from catkinpost.transport.http_parser import RequestParser
+from catkinpost.transport.linger import Linger, has_data_in_flight
 from catkinpost.transport.socket_io import receive_some, send_all
 
 __all__ = ["HttpServer"]
@@ -75,6 +75,7 @@
     :param sending: whether a response is being sent.
     :param closing: whether no further request is accepted.
     :param overdue: whether the connection is closed because it made no progress.
+    :param caller_has_closed: whether the caller has closed its sending side.
     :param capacity_available: set when a response was sent, so that another pipelined
         request may start.
     :param has_reader_task: whether the connection is read while requests are handled.
@@ -92,6 +93,7 @@
     sending: bool = False
     closing: bool = False
     overdue: bool = False
+    caller_has_closed: bool = False
     capacity_available: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
     reading_ended: bool = False
@@ -105,6 +107,17 @@
         no_other_request = not self.has_reader_task and not self.exchanges
         return no_other_request and len(parser.messages) == 1 and not parser.in_message
 
+    @property
+    def needs_linger(self) -> bool:
+        """Whether a close by this side could destroy sent bytes.
+
+        An idle timeout is the most common close and mostly has nothing to protect.
+        """
+        if self.caller_has_closed:
+            return False
+        is_expired = self.overdue and self.phase is Phase.IDLE
+        return not is_expired or has_data_in_flight(self.stream.socket)
+
     @property
     def needs_reader_task(self) -> bool:
         """Whether nothing reads the connection while requests are handled."""
@@ -164,18 +177,26 @@
         self.memory = memory
         self.leaving = False
         self.connections: set[Connection] = set()
+        self.lingers: set[Linger] = set()
 
     @property
     def is_busy(self) -> bool:
-        """Whether any request is being read or handled, or its response sent."""
-        return any(item.phase is not Phase.IDLE for item in self.connections)
+        """Whether any request is being read or handled, or its response sent.
+
+        A response is sent when it was received: a process that ends before may destroy
+        it. Callers that keep a closed connection open do not count.
+        """
+        is_serving = any(
+            item.phase is not Phase.IDLE or item.closing for item in self.connections
+        )
+        return is_serving or any(item.is_pending for item in self.lingers)
 
     def stop_reading(self) -> None:
         """Accept no further requests and close each connection.
 
         Connections without a complete request are closed at once, the others after
         their last response. An incomplete request has not run, so its caller may send
-        it again.
+        it again. Input after that is discarded as unread.
         """
         self.leaving = True
         for connection in list(self.connections):
@@ -235,7 +256,8 @@
         try:
             async with stream:
                 await self.run_until_closed(connection)
-                log_unread_input(connection)
+                if connection.needs_linger:
+                    await self.linger(stream)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: no response can be sent.
             pass
@@ -252,6 +274,15 @@
             self.connections.discard(connection)
             connection.drop_unfinished_body()
 
+    async def linger(self, stream: trio.SocketStream) -> None:
+        """Let the caller receive what was sent before the connection is closed."""
+        linger = Linger(stream)
+        self.lingers.add(linger)
+        try:
+            await linger.run(self.limits.idle_timeout)
+        finally:
+            self.lingers.discard(linger)
+
     async def refuse_slow_sender(self, connection: Connection) -> None:
         failure = Failure(
             reason=Reason.SLOW_SENDER,
@@ -284,6 +315,7 @@
             data = await receive_some(connection.stream, max_bytes)
             if not data:
                 # The caller has disconnected: its responses are no longer needed.
+                connection.caller_has_closed = True
                 connection.nursery.cancel_scope.cancel()
                 return
             if connection.closing:
@@ -430,9 +462,3 @@
                 return
         connection.sending = False
         connection.update_phase()
-
-
-def log_unread_input(connection: Connection) -> None:
-    """Log that closing a connection now resets it, as input is unread."""
-    if connection.closing and connection.stream.socket.is_readable():
-        log_message("http: closed with unread input", phase=connection.phase)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -11,6 +11,7 @@
 
 from catkinpost.protocol.http import HttpLimits, HttpResponse
 from catkinpost.transport.http_server import HttpServer
+from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock
 
 LIMITS = HttpLimits(
@@ -26,6 +27,13 @@
     b"",
 ]
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+# Fits into the send buffer of the server, but not into the receive buffer of a caller.
+SLOWLY_READ_BODY = b"x" * 16_000
+SMALL_RECEIVE_BUFFER_BYTES = 4096
+REAL_TIME_LIMIT_S = 30.0
+CLOSING_REQUEST = b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n"
+KEPT_REQUEST = b"GET /1 HTTP/1.1\r\n\r\n"
+LATER_REQUESTS = b"GET /2 HTTP/1.1\r\n\r\n" * 2
 
 
 class ServerSetup:
@@ -59,6 +67,20 @@
         return await trio.open_tcp_stream(HOST, self.port)
 
 
+def on_real_clock(test):
+    """Run a test in real time, as the kernel paces the delivery to a slow reader."""
+
+    @functools.wraps(test)
+    def run(*args):
+        async def main():
+            with trio.fail_after(REAL_TIME_LIMIT_S):
+                await test(*args)
+
+        trio.run(main)
+
+    return run
+
+
 async def read_all(stream):
     data = b""
     while True:
@@ -76,6 +98,41 @@
         return b""
 
 
+async def connect_slow_reader(setup):
+    connection = trio.socket.socket()
+    size = SMALL_RECEIVE_BUFFER_BYTES
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    await connection.connect((HOST, setup.port))
+    return trio.SocketStream(connection)
+
+
+async def read_slowly(stream):
+    data = b""
+    while piece := await stream.receive_some(SMALL_RECEIVE_BUFFER_BYTES):
+        data += piece
+        await trio.sleep(0.001)
+    return data
+
+
+def send_now(stream, data):
+    """Send in the current step of the event loop."""
+    stream.socket._sock.send(data)
+
+
+def expire_connections(server):
+    for connection in server.connections:
+        connection.phase_started_at -= LIMITS.idle_timeout + 1.0
+    server.check_connections(trio.current_time())
+
+
+def stop_reading(server):
+    server.stop_reading()
+
+
+def close_by_itself(server):
+    """Leave the close to the last response."""
+
+
 async def wait_steps(rng, most):
     for _ in range(rng.randrange(most)):
         await trio.sleep(0)
@@ -204,6 +261,111 @@
             self.assertEqual(sorted(answered), sorted(started))
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (first request, close of the connection)
+        (CLOSING_REQUEST, close_by_itself),
+        (KEPT_REQUEST, stop_reading),
+        (KEPT_REQUEST, expire_connections),
+    )
+    def test_answer_on_its_way_survives_unread_input(self, request, close):
+        self.check_answer_on_its_way(request, close)
+
+    @on_real_clock
+    async def check_answer_on_its_way(self, request, close):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            started = []
+
+            async def handle(request):
+                started.append(request.target)
+                if request_is_last:
+                    send_now(stream, LATER_REQUESTS)
+                return HttpResponse(200, [], SLOWLY_READ_BODY)
+
+            request_is_last = request is CLOSING_REQUEST
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(request)
+            await trio.sleep(0.1)
+            if not request_is_last:
+                self.assertFalse(setup.server.is_busy)
+                # Nothing reads these before the connection is closed.
+                send_now(stream, LATER_REQUESTS)
+            close(setup.server)
+            data = await read_slowly(stream)
+            self.assertEqual(data.partition(b"\r\n\r\n")[2], SLOWLY_READ_BODY)
+            self.assertEqual(started, [b"/1"])
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_refusal_survives_a_body_that_is_still_arriving(self):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n")
+            for _ in range(20):
+                await stream.send_all(b"x" * 1000)
+                await trio.sleep(0.05)
+            answer = await read_all(stream)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+            self.assertEqual(len(setup.reported_failures), 1)
+            nursery.cancel_scope.cancel()
+
+    @params(b"", b"GET /2 HTTP/1.1\r\n\r\n")
+    def test_caller_that_never_closes_is_closed(self, sent):
+        self.check_caller_that_never_closes(sent)
+
+    @on_mock_clock(io=True)
+    async def check_caller_that_never_closes(self, sent):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(CLOSING_REQUEST)
+            data = await read_all(stream)
+            await stream.send_all(sent)
+            await trio.sleep(0.2)
+            self.assertEqual(data.count(b"HTTP/1.1 200"), 1)
+            self.assertEqual(len(setup.server.lingers), 1)
+            self.assertFalse(setup.server.is_busy)
+            await trio.sleep(LINGER_TIMEOUT_S)
+            self.assertFalse(setup.server.lingers)
+            nursery.cancel_scope.cancel()
+
+    @params(stop_reading, close_by_itself)
+    def test_server_is_busy_until_its_caller_has_the_answer(self, close):
+        self.check_busy_until_delivered(close)
+
+    @on_real_clock
+    async def check_busy_until_delivered(self, close):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            started = trio.Event()
+
+            async def handle(request):
+                started.set()
+                return HttpResponse(200, [], SLOWLY_READ_BODY)
+
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            is_kept = close is stop_reading
+            await stream.send_all(KEPT_REQUEST if is_kept else CLOSING_REQUEST)
+            await started.wait()
+            await trio.sleep(0.1)
+            close(setup.server)
+            self.assertTrue(setup.server.is_busy)
+            await trio.sleep(1.0)
+            self.assertTrue(setup.server.is_busy)
+            data = await read_slowly(stream)
+            self.assertTrue(data.endswith(SLOWLY_READ_BODY))
+            with trio.fail_after(LINGER_TIMEOUT_S / 2):
+                while setup.server.is_busy:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_request_is_cancelled_when_its_caller_leaves(self):
         async with trio.open_nursery() as nursery:
