Close a connection that was accepted as reading stops without reading it

Callers saw: an order on a new connection, sent about 2.5 s after SIGTERM of their node, was passed on and answered 502 within 4 ms, or its connection was closed without an answer, while the server ran it to its end.

Cause: the connection was accepted, but its task had not run when the stop ended reading, so that it was missing from HttpServer.connections: stop_reading passed over it and is_busy did not count it. The stop ended, the task read the request and passed it on, and the end of the process cut it.

A connection whose task begins after the end of reading is now closed without being read.

The test fails without the change (the request is handled), and passes with it.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -159,6 +159,8 @@
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
+    :ivar leaving: whether each connection is closed after its last response.
+    :ivar has_stopped_reading: whether no further request is accepted.
     """
 
     def __init__(
@@ -176,6 +178,7 @@
         self.build_refusal = build_refusal
         self.memory = memory
         self.leaving = False
+        self.has_stopped_reading = False
         self.connections: set[Connection] = set()
         self.lingers: set[Linger] = set()
 
@@ -199,6 +202,7 @@
         it again. Input after that is discarded as unread.
         """
         self.leaving = True
+        self.has_stopped_reading = True
         for connection in list(self.connections):
             connection.closing = True
             if connection.phase in (Phase.IDLE, Phase.READING):
@@ -255,7 +259,9 @@
         connection.enter_phase(Phase.IDLE)
         try:
             async with stream:
-                await self.run_until_closed(connection)
+                # It may have been accepted just before its task runs.
+                if not self.has_stopped_reading:
+                    await self.run_until_closed(connection)
                 if connection.needs_linger:
                     await self.linger(stream)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -444,6 +444,17 @@
     def test_request_after_stop_reading_does_not_run(self, sent, expected_bodies):
         self.check_stop_reading(sent, expected_bodies)
 
+    @on_mock_clock(io=True)
+    async def test_connection_accepted_as_reading_stops_is_not_read(self):
+        setup = ServerSetup()
+        ours, theirs = (trio.SocketStream(end) for end in trio.socket.socketpair())
+        await theirs.send_all(b"GET /crossing HTTP/1.1\r\n\r\n")
+        async with trio.open_nursery() as nursery:
+            # Accepted, but its task has not run yet.
+            nursery.start_soon(setup.server.serve_connection, ours)
+            setup.server.stop_reading()
+        self.assertNotIn(b"/crossing", await receive_or_nothing(theirs))
+
     @on_mock_clock(io=True)
     async def check_stop_reading(self, sent, expected_bodies):
         async with trio.open_nursery() as nursery:
