Apply changed limits to kept connections from their next request

Cause: RequestParser kept the limits with which its connection was opened. Only the timeouts followed HttpServer.limits.

The server hands the limits in force to the parser with each read, and the parser takes them at the first byte of a request. A request that has begun ends under the limits under which it began, also when its end is read together with the next request, which gets the new ones.

--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -129,12 +129,21 @@
 
 
 class RequestParser(MessageCollector):
-    """Parser of the requests on a server connection."""
+    """Parser of the requests on a server connection.
+
+    :param limits: limits on the first request.
+    """
 
     def __init__(self, limits: HttpLimits) -> None:
         super().__init__(limits)
+        # Limits on requests that begin from now on.
+        self.next_limits = limits
         self.parser = httptools.HttpRequestParser(self)
 
+    def on_message_begin(self) -> None:
+        self.limits = self.next_limits
+        super().on_message_begin()
+
     def build_message(self) -> HttpRequest:
         return HttpRequest(
             method=self.parser.get_method(),
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -155,7 +155,7 @@
     sent in the order of the requests.
 
     :param handler: handles one request; it is cancelled when the caller disconnects.
-    :param limits: limits on each message; changes apply to new connections.
+    :param limits: limits on each message; changes apply to requests that begin later.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
@@ -327,6 +327,7 @@
             if connection.closing:
                 # Input after an announced close is discarded as unread.
                 continue
+            parser.next_limits = self.limits
             failure = parser.feed(data)
             if failure is None and connection.has_single_request:
                 await self.handle_single_request(connection, parser.messages.popleft())
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server, on real connections."""
 
+import dataclasses
 import functools
 import random
 import socket
@@ -202,6 +203,38 @@
             self.assertEqual(len(setup.reported_failures), 1)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (request, max_body_bytes, max_head_bytes, status)
+        (b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + b"x" * 65, 65, 512, 200),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789", 8, 512, 413),
+        (b"GET /" + b"x" * 600 + b" HTTP/1.1\r\n\r\n", 64, 700, 200),
+        (b"GET /" + b"x" * 200 + b" HTTP/1.1\r\n\r\n", 64, 100, 431),
+    )
+    def test_kept_connection_keeps_no_earlier_limits(
+        self, data, max_body_bytes, max_head_bytes, status
+    ):
+        self.check_changed_limits(data, max_body_bytes, max_head_bytes, status)
+
+    @on_mock_clock(io=True)
+    async def check_changed_limits(self, data, max_body_bytes, max_head_bytes, status):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            # The last byte of this request arrives together with the next request.
+            await stream.send_all(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab")
+            await trio.sleep(0.2)
+            setup.server.limits = dataclasses.replace(
+                LIMITS, max_body_bytes=max_body_bytes, max_head_bytes=max_head_bytes
+            )
+            await stream.send_all(b"c" + data)
+            answers = b""
+            while answers.count(b"HTTP/1.1 ") < 2:
+                answers += await stream.receive_some(65536)
+            statuses = [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]]
+            self.assertEqual(statuses, [b"200", b"%d" % status])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_slow_drip_does_not_extend_the_time_for_a_message(self):
         async with trio.open_nursery() as nursery:
