Bound waiters by durations that are learned while they wait

Cause: a waiter's bound was computed while the duration of its class was unknown and stayed so; a slot that came free was granted without a look at the bound.

Both cases of the new test fail with the change stashed.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -103,12 +103,15 @@
             self.windows.pop(cause, None)
         else:
             self.windows[cause] = window
+        self.update_wait_deadlines()
+        self.last_sweep_at = -math.inf
+        self.refuse_late_waiters()
+
+    def update_wait_deadlines(self) -> None:
         for waiter in self.waiters:
             waiter.scope.deadline = self.get_wait_deadline(
                 waiter.item, waiter.arrived_at
             )
-        self.last_sweep_at = -math.inf
-        self.refuse_late_waiters()
 
     def get_latest_start(self, item: WorkItem) -> float:
         """Return the time after which a request can't be run within all windows."""
@@ -328,6 +331,9 @@
         if self.section.early_refusal is not Mode.ON and not self.windows:
             return
         self.last_sweep_at = now
+        if self.windows:
+            # The durations that the windows depend on are learned meanwhile.
+            self.update_wait_deadlines()
         waiters_ahead = 0
         for waiter in self.waiters:
             start_at = now + self.estimate_shortest_wait(waiters_ahead)
@@ -529,9 +535,12 @@
             waiter = self.pop_next_waiter()
             if waiter is None:
                 return
-            waiter.result = self.grant_slot(
-                waiter.item, waiter.is_long, trio.current_time()
-            )
+            now = trio.current_time()
+            refusal = self.check_windows(waiter.item, now)
+            if refusal is not None:
+                self.deliver_refusal(waiter, refusal)
+                continue
+            waiter.result = self.grant_slot(waiter.item, waiter.is_long, now)
             waiter.event.set()
 
     def pop_next_waiter(self) -> Waiter | None:
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -17,6 +17,7 @@
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import Mode, ServiceSection
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.duration import MIN_SAMPLES
 from tests.clock import TrioDriver, on_mock_clock, wait_all_tasks_blocked
 
 CRITICAL, NORMAL, SHEDDABLE = 0, 1, 2
@@ -213,6 +214,32 @@
             await trio.sleep(9.0)
             self.assertEqual(results, [(Failure, start + refused_at)])
 
+    @params((0.1, 1.5), (0.0, 1.7))
+    def test_duration_that_is_learned_late_bounds_waiters(self, gap, refused_at):
+        """Regression: waiters kept the bound of an unknown duration."""
+        self.check_learned(gap, refused_at)
+
+    @on_mock_clock
+    async def check_learned(self, gap_s, refused_at):
+        admission = make_admission(slots=2, min_slots=2, queue=50, queue_wait=9)
+        await record_durations(admission, "lookup", 1.0, count=MIN_SAMPLES - 1)
+        results = []
+        async with trio.open_nursery() as nursery:
+            permits = [await admission.acquire_slot(make_item()) for _ in range(2)]
+            for _ in range(2):
+                nursery.start_soon(self.enter, admission, results)
+            await wait_all_tasks_blocked()
+            start = trio.current_time()
+            admission.set_window("test", RunWindow(ends_at=start + 2.5))
+            await trio.sleep(gap_s)
+            admission.release_slot(permits[0], seconds=1.0)
+            await trio.sleep_until(start + 1.7)
+            admission.release_slot(permits[1], seconds=1.0)
+            await wait_all_tasks_blocked()
+            kinds = [kind for kind, _ in results]
+            self.assertEqual(kinds, [AdmissionPermit, Failure])
+            self.assertAlmostEqual(results[1][1], start + refused_at)
+
     @params(Mode.ON, Mode.OBSERVE, Mode.OFF)
     def test_new_request_that_cannot_end_in_time_is_refused(self, mode):
         self.check_new(mode)
