Count only its own bytes towards an unfinished head

Proper requests that callers sent ahead were refused with 431 once their bytes together exceeded max_head_bytes: when a read ended within a head, all bytes of the read counted as that head.

RequestParser.feed now parses a read in up to three parts: until the last end of a head or of a chunked body, until the end of a body with a length, and the rest. An unfinished head can only begin with a part, so its bytes are counted exactly. The limit itself is unchanged: a large head, also one in a single line, is still rejected before it is complete.

--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -4,7 +4,12 @@
 
 import httptools
 
-from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
+from catkinpost.protocol.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 
 __all__ = ["RequestParser", "ResponseParser"]
@@ -13,6 +18,8 @@
 # has 5 bytes of framing for 1 byte of body, the shortest header line 3 bytes for 1.
 FRAMING_PER_BODY_BYTE = 8
 FRAMING_PER_HEAD_BYTE = 4
+HEAD_END = b"\r\n\r\n"
+HEAD_END_OVERLAP_BYTES = len(HEAD_END) - 1
 
 
 class MessageCollector:
@@ -138,6 +145,8 @@
         super().__init__(limits)
         # Limits on requests that begin from now on.
         self.next_limits = limits
+        # Last bytes before those that are parsed next.
+        self.previous_end = b""
         self.parser = httptools.HttpRequestParser(self)
 
     def on_message_begin(self) -> None:
@@ -159,6 +168,40 @@
         :param data: bytes from the connection.
         :return: the failure for which the connection must be closed, if any.
         """
+        end = self.find_last_head_end(data)
+        self.feed_part(data[:end])
+        # A body with a length may end without the mark that was searched for.
+        body_end = end + self.count_missing_body_bytes()
+        self.feed_part(data[end:body_end])
+        self.feed_part(data[body_end:])
+        return self.failure
+
+    def find_last_head_end(self, data: bytes) -> int:
+        """Return the last position at which a head or chunked body may end, or 0.
+
+        The bytes are parsed in parts, so that no bytes of earlier requests count
+        towards the size of an unfinished head.
+        """
+        end = data.rfind(HEAD_END) + len(HEAD_END)
+        if end < len(HEAD_END):
+            # It may have begun in the bytes before.
+            window = self.previous_end + data[:HEAD_END_OVERLAP_BYTES]
+            _, mark, rest = window.partition(HEAD_END)
+            end = min(len(data), HEAD_END_OVERLAP_BYTES) - len(rest) if mark else 0
+        last_bytes = self.previous_end + data[-HEAD_END_OVERLAP_BYTES:]
+        self.previous_end = last_bytes[-HEAD_END_OVERLAP_BYTES:]
+        return end
+
+    def count_missing_body_bytes(self) -> int:
+        """Return the size of the rest of the body, 0 if its length is not known."""
+        if not self.in_message or not self.head_complete:
+            return 0
+        length = find_header(self.headers, b"content-length")
+        return int(length) - self.body_bytes if length is not None else 0
+
+    def feed_part(self, data: bytes) -> None:
+        if not data or self.failure is not None:
+            return
         body_bytes = self.body_bytes
         try:
             self.parser.feed_data(data)
@@ -173,7 +216,6 @@
                 detail=f"not a valid HTTP/1.1 request: {error}",
             )
         self.limit_fed_bytes(len(data), body_bytes)
-        return self.failure
 
 
 class ResponseParser(MessageCollector):
--- a/tests/transport/test_http_parser.py
+++ b/tests/transport/test_http_parser.py
@@ -9,6 +9,7 @@
 from catkinpost.transport.http_parser import RequestParser, ResponseParser
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+HEAD_END = b"\r\n\r\n"
 MAX_FED_BYTES = 64 * 1024
 LIMITS = HttpLimits(max_head_bytes=256, max_body_bytes=64)
 
@@ -75,6 +76,33 @@
             self.assertEqual(failure.reason, reason)
             self.assertEqual(failure.outcome, Outcome.NOT_RUN)
 
+    @params(
+        (b"GET /1 HTTP/1.1\r\nA: b\r\n\r\n", 30),
+        (b"POST / HTTP/1.1\r\nContent-Length: 20\r\n\r\n" + HEAD_END * 5, 30),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"8\r\n" + HEAD_END * 2 + b"\r\n0\r\n\r\n",
+            30,
+        ),
+    )
+    def test_head_behind_other_requests_is_counted_alone(self, request, count):
+        # An unfinished head of 205 bytes, of the 256 that are allowed.
+        head = b"GET /last HTTP/1.1\r\nB: " + b"c" * 180 + b"\r\n"
+        data = request * count + head
+        for size in (1, 7, 33, 100, 257, 65536):
+            parser = RequestParser(LIMITS)
+            self.assertIsNone(feed_in_chunks(parser, data, size))
+            self.assertIsNone(parser.feed(b"\r\n"))
+            self.assertEqual(len(parser.messages), count + 1)
+            self.assertEqual(parser.messages[-1].target, b"/last")
+
+    @params(b"GET /" + b"c" * 300, b"GET / HTTP/1.1\r\nB: " + b"c" * 300)
+    def test_large_head_behind_other_requests_is_rejected(self, head):
+        data = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx" * 30 + head
+        for size in (1, 7, 33, 100, 257, 65536):
+            failure = feed_in_chunks(RequestParser(LIMITS), data, size)
+            self.assertEqual(failure.reason, Reason.HEAD_TOO_LARGE)
+
 
 class TestResponseParser(unittest.TestCase):
     def test_sized_answer_is_read(self):
