--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -210,6 +210,12 @@
             self.record_success()
             self.needs_snapshot = False
             self.selector.record_confirmation(self.instance, trio.current_time())
+            if page.revision < self.state.revision:
+                log_message(
+                    "feed: revision went back",
+                    read=page.revision,
+                    known=self.state.revision,
+                )
             changes = self.state.merge(page)
             self.apply(changes)
             self.publisher.publish()
--- a/src/catkinpost/platform/names.py
+++ b/src/catkinpost/platform/names.py
@@ -14,6 +14,7 @@
     "SERVER_LIMIT",
     "SERVER_LOAD",
     "SETTINGS_VARIABLE",
+    "STORE_ERA",
 ]
 
 ATTEMPT_ID = b"attempt-id"
@@ -25,6 +26,7 @@
 SERVER_LEAVING = b"server-leaving"
 NOT_EXECUTED = b"not-executed"
 CALLING_SERVICE = b"calling-service"
+STORE_ERA = b"store-era"
 
 READINESS_PATH = b"/v1/readiness"
 CONFIG_KEY = "op/config"
--- a/src/catkinpost/platform/store.py
+++ b/src/catkinpost/platform/store.py
@@ -6,9 +6,16 @@
 
 import msgspec
 import trio
+from eliot import log_message
 
 from catkinpost.platform.model import PlatformModel
-from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
+from catkinpost.platform.names import STORE_ERA
+from catkinpost.protocol.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import Address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
@@ -65,6 +72,7 @@
         self.timeout_s = READ_TIMEOUT_S
         self.reads = 0
         self.read_bytes = 0
+        self.era: bytes | None = None
 
     async def fetch_page(self, target: str, *, wait_s: float = 0.0) -> bytes | Failure:
         """Read one page.
@@ -85,6 +93,7 @@
         if isinstance(response, Failure):
             return build_unreachable_failure(response.detail)
         self.read_bytes += len(response.body)
+        self.log_new_era(response)
         if response.status == HTTP_GONE:
             return Failure(
                 reason=Reason.PLATFORM_HISTORY_GONE, detail="the history is dropped"
@@ -93,6 +102,12 @@
             return build_unreachable_failure(f"the store answered {response.status}")
         return response.body
 
+    def log_new_era(self, response: HttpResponse) -> None:
+        era = find_header(response.headers, STORE_ERA)
+        if era != self.era:
+            log_message("store: era", era=repr(era), was=repr(self.era))
+        self.era = era
+
     async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
         """Read every key.
 
