Compare revisions within one era of the store only

After the store had come back from an older copy, callers were served by an old configuration for good: a version that the operator wrote later was acknowledged and never came into force.

Cause: changes were ordered by their revision alone, and the store gives the revisions of the lost writes out again. In the play with added log lines the store's revision was 20 after its return, nodes knew 21 and got 410 for each watch; the operator's write got 21, the watch after 21 was valid again, and version 11 was never sent. A lower revision is ignored as older, a remembered deletion blocks a key, and peers pass the state on.

The state now has the era that the store names in its responses. A value that the restore left as it was keeps its age. A new era counts as a recovery, so that entries which only the lost writes had announced stay until their servers list themselves again. Peers without eras are followed until the node has seen a restore.

--- a/src/catkinpost/coordination/feed/publisher.py
+++ b/src/catkinpost/coordination/feed/publisher.py
@@ -23,12 +23,14 @@
     """Peer that follows this node.
 
     :param revision: revision up to which changes were sent.
+    :param era: era of the revision, ``None`` for a peer that knows no eras.
     :param is_sending: whether a page is being sent.
     :param is_due: whether there is news since the page that is being sent.
     """
 
     session: Session
     revision: int
+    era: int | None
     is_sending: bool = False
     is_due: bool = False
 
@@ -36,7 +38,7 @@
 class FeedPublisher:
     """Sender of pages, at most one at a time to each subscriber.
 
-    :param build_page: builds the page with all changes after a revision.
+    :param build_page: builds the page with all changes after a revision of an era.
     :param has_news: returns whether a page can tell anything yet.
     :param spawn: starts a background task.
     """
@@ -44,7 +46,7 @@
     def __init__(
         self,
         *,
-        build_page: Callable[[int], FeedPage],
+        build_page: Callable[[int, int | None], FeedPage],
         has_news: Callable[[], bool],
         spawn: Callable[..., None],
     ) -> None:
@@ -53,12 +55,13 @@
         self.spawn = spawn
         self.subscribers: dict[int, Subscriber] = {}
 
-    def add(self, session: Session, revision: int) -> None:
+    def add(self, session: Session, revision: int, era: int | None) -> None:
         """Add a subscriber and send it the current state.
 
         :param revision: revision up to which it knows all changes.
+        :param era: era of the revision, ``None`` for a peer that knows no eras.
         """
-        subscriber = Subscriber(session, revision)
+        subscriber = Subscriber(session, revision, era)
         self.subscribers[id(session)] = subscriber
         self.send_news(subscriber)
 
@@ -85,8 +88,10 @@
         try:
             while subscriber.is_due:
                 subscriber.is_due = False
-                page = self.build_page(subscriber.revision)
+                page = self.build_page(subscriber.revision, subscriber.era)
                 subscriber.revision = page.revision
+                if subscriber.era is not None:
+                    subscriber.era = page.era
                 if not await subscriber.session.send_notification(page):
                     self.remove(subscriber.session)
                     return
--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -29,6 +29,7 @@
 )
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.feed_state import (
+    NO_ERA,
     NO_REVISION,
     ChangePage,
     FeedState,
@@ -175,7 +176,7 @@
                 self.fetch_from_peers()
             else:
                 self.record_success()
-                self.apply(self.state.merge(page))
+                self.apply(self.merge(page))
                 if self.view.instances:
                     return
             with trio.move_on_after(random.uniform(0.5, 1.0) * delay_s):
@@ -186,7 +187,7 @@
         """Ask some peers for their state, as the platform does not answer."""
         sessions = [item for item in self.get_sessions() if item.hello.feeds]
         for session in random.sample(sessions, min(READERS, len(sessions))):
-            message = FeedFetch(self.state.revision)
+            message = FeedFetch(self.state.revision, self.state.era)
             self.spawn(session.send_notification, message)
 
     async def read_while_needed(self) -> None:
@@ -210,13 +211,7 @@
             self.record_success()
             self.needs_snapshot = False
             self.selector.record_confirmation(self.instance, trio.current_time())
-            if page.revision < self.state.revision:
-                log_message(
-                    "feed: revision went back",
-                    read=page.revision,
-                    known=self.state.revision,
-                )
-            changes = self.state.merge(page)
+            changes = self.merge(page)
             self.apply(changes)
             self.publisher.publish()
             if changes:
@@ -233,6 +228,24 @@
         return MIN_RETRY_DELAY_S if is_first_reader else STAGE_S
 
     async def read_page(self) -> ChangePage | Failure:
+        """Read what follows the state, unless the platform was restored meanwhile."""
+        era = self.state.era
+        page = await self.read_next_page()
+        if isinstance(page, Failure):
+            return page
+        if page.era < self.state.era:
+            return Failure(
+                reason=Reason.PLATFORM_UNREACHABLE,
+                detail="the platform answered from before it was restored",
+            )
+        if page.era != era and not isinstance(page, Snapshot):
+            # The changes follow a revision that this era gave to another change.
+            return Failure(
+                reason=Reason.PLATFORM_HISTORY_GONE, detail="the platform was restored"
+            )
+        return page
+
+    async def read_next_page(self) -> ChangePage | Failure:
         if self.needs_snapshot or self.state.revision == NO_REVISION:
             return await self.source.read_snapshot()
         age_s = trio.current_time() - self.own_status.confirmed_at
@@ -240,6 +253,29 @@
         wait_s = self.settings.wait_s if age_s < self.settings.max_age_s else 0.0
         return await self.source.watch(self.state.revision, wait_s=wait_s)
 
+    def merge(self, page: ChangePage) -> list[KeyChange]:
+        """Merge what was read, and return the changes that were new."""
+        era = self.state.era
+        changes = self.state.merge(page)
+        self.record_era(era, trio.current_time())
+        return changes
+
+    def record_era(self, previous: int, recovered_at: float) -> None:
+        """Record that the platform was restored if the era has changed.
+
+        :param previous: era before the last page.
+        :param recovered_at: time of the platform's return.
+        """
+        if previous in (NO_ERA, self.state.era):
+            return
+        self.recovered_at = recovered_at
+        log_message(
+            "feed: platform restored",
+            era=self.state.era,
+            was=previous,
+            revision=self.state.revision,
+        )
+
     def record_failure(self, failure: Failure) -> None:
         """Log a failure of the source, and count its duration."""
         if self.failed_at is None:
@@ -315,7 +351,7 @@
     def send_subscription(self, link: PeerLink) -> None:
         # Earlier releases close a connection on which they get an unknown message.
         if link.welcome.feeds:
-            message = FeedSubscribe(self.state.revision)
+            message = FeedSubscribe(self.state.revision, self.state.era)
             self.spawn(link.send_notification, message)
 
     def on_link_up(self, link: PeerLink) -> None:
@@ -337,9 +373,12 @@
         if link.instance not in self.selected:
             return
         now = trio.current_time()
-        changes = self.merge_page(page, now)
         status = self.selector.get_or_create(link.instance)
         status.heard_at = now
+        if self.state.is_outdated(page):
+            self.reject_outdated_page(link, page)
+            return
+        changes = self.merge_page(page, now)
         if changes is None:
             log_message("feed: gap", peer=link.instance, since=page.since)
             self.send_subscription(link)
@@ -353,16 +392,26 @@
         if page.failing:
             self.update_selection()
 
+    def reject_outdated_page(self, link: PeerLink, page: FeedPage) -> None:
+        """Count the feed of a peer that is still in an earlier era as stale."""
+        status = self.selector.get_or_create(link.instance)
+        if not status.failing:
+            log_message("feed: earlier era", peer=link.instance, era=page.era)
+        status.failing = True
+        self.update_selection()
+
     def merge_page(self, page: FeedPage, now: float) -> list[KeyChange] | None:
         """Merge what a peer has sent, and what it tells of the platform.
 
         :return: the changes that were new, ``None`` when changes are missing.
         """
+        era = self.state.era
         changes = self.state.merge_feed_page(page, now)
         if changes is None:
             return None
+        recovered_at = now - max(0, page.recovered_us) / 1e6
+        self.record_era(era, recovered_at)
         if page.recovered_us >= 0:
-            recovered_at = now - page.recovered_us / 1e6
             self.recovered_at = max(self.recovered_at or recovered_at, recovered_at)
         is_source_away = page.failing or self.failed_at is not None
         if page.is_confirmed and is_source_away:
@@ -371,6 +420,8 @@
 
     def adopt_first_page(self, session: Session, page: FeedPage) -> None:
         """Learn the first list from a peer."""
+        if self.state.is_outdated(page):
+            return
         changes = self.merge_page(page, trio.current_time())
         if changes is None:
             log_message("feed: gap", peer=session.instance, since=page.since)
@@ -383,12 +434,12 @@
     def on_fetch(self, session: Session, message: FeedFetch) -> None:
         """Send the current state once, if it is worth relying on."""
         if self.is_confirmed:
-            page = self.build_page(message.after)
+            page = self.build_page(message.after, message.era)
             self.spawn(session.send_notification, page)
 
     def on_subscribe(self, session: Session, message: FeedSubscribe) -> None:
         """Add a subscriber and send it the current state."""
-        self.publisher.add(session, message.after)
+        self.publisher.add(session, message.after, message.era)
         if self.must_read:
             self.read_requested.set()
 
@@ -401,7 +452,7 @@
         status = self.own_status
         return status.confirmed_at > -math.inf or status.failing
 
-    def build_page(self, since: int) -> FeedPage:
+    def build_page(self, since: int, era: int | None = None) -> FeedPage:
         now = trio.current_time()
         recovered_s = -1.0 if self.recovered_at is None else now - self.recovered_at
         # Only the own reading confirms the state: nodes that follow each other would
@@ -415,4 +466,5 @@
             recovered_s=recovered_s,
             failing=self.own_status.failing,
             is_confirmed=self.is_confirmed,
+            era=era,
         )
--- a/src/catkinpost/platform/store.py
+++ b/src/catkinpost/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -18,7 +19,7 @@
 )
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import Address
-from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
+from catkinpost.state.feed_state import FIRST_ERA, ChangePage, KeyChange, Snapshot
 from catkinpost.transport.http_client import BackendClient
 
 __all__ = ["StoreClient"]
@@ -59,6 +60,17 @@
     at: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreAnswer:
+    """Body of a successful response.
+
+    :param era: number that the store raises when it comes back from an older copy.
+    """
+
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Reader of the store.
 
@@ -72,9 +84,11 @@
         self.timeout_s = READ_TIMEOUT_S
         self.reads = 0
         self.read_bytes = 0
-        self.era: bytes | None = None
+        self.era: int | None = None
 
-    async def fetch_page(self, target: str, *, wait_s: float = 0.0) -> bytes | Failure:
+    async def fetch_page(
+        self, target: str, *, wait_s: float = 0.0
+    ) -> StoreAnswer | Failure:
         """Read one page.
 
         A cancelled or failed read leaves no open connection.
@@ -93,20 +107,19 @@
         if isinstance(response, Failure):
             return build_unreachable_failure(response.detail)
         self.read_bytes += len(response.body)
-        self.log_new_era(response)
         if response.status == HTTP_GONE:
             return Failure(
                 reason=Reason.PLATFORM_HISTORY_GONE, detail="the history is dropped"
             )
         if response.status != HTTP_OK:
             return build_unreachable_failure(f"the store answered {response.status}")
-        return response.body
-
-    def log_new_era(self, response: HttpResponse) -> None:
-        era = find_header(response.headers, STORE_ERA)
+        era = parse_era(find_header(response.headers, STORE_ERA))
+        if isinstance(era, Failure):
+            return era
         if era != self.era:
-            log_message("store: era", era=repr(era), was=repr(self.era))
+            log_message("store: era", era=era, was=self.era)
         self.era = era
+        return StoreAnswer(body=response.body, era=era)
 
     async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
         """Read every key.
@@ -119,6 +132,7 @@
         """
         changes: list[KeyChange] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
             target = "/v1/kv-range?prefix="
@@ -126,14 +140,22 @@
                 target += "&serializable=1"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            body = await self.fetch_page(target)
-            page = body if isinstance(body, Failure) else decode_body(body, RangeBody)
+            answer = await self.fetch_page(target)
+            if isinstance(answer, Failure):
+                return answer
+            page = decode_body(answer.body, RangeBody)
             if isinstance(page, Failure):
                 return page
+            if era is not None and answer.era != era:
+                return Failure(
+                    reason=Reason.PLATFORM_HISTORY_GONE,
+                    detail="the store was restored between two pages",
+                )
+            era = answer.era
             changes += [build_change(item) for item in page.items]
             revision = page.at if revision is None else revision
             if not page.more_pages or not page.items:
-                return Snapshot(changes=changes, revision=revision)
+                return Snapshot(changes=changes, revision=revision, era=era)
             after = page.items[-1].key
         return build_bad_document_failure(f"the store has over {MAX_PAGES} pages")
 
@@ -144,12 +166,16 @@
         :param wait_s: seconds after which the store responds without changes.
         """
         target = f"/v1/kv-watch?prefix=&after={after}&wait-ms={int(wait_s * 1000)}"
-        body = await self.fetch_page(target, wait_s=wait_s)
-        page = body if isinstance(body, Failure) else decode_body(body, WatchBody)
+        answer = await self.fetch_page(target, wait_s=wait_s)
+        if isinstance(answer, Failure):
+            return answer
+        page = decode_body(answer.body, WatchBody)
         if isinstance(page, Failure):
             return page
         return ChangePage(
-            changes=[build_change(item) for item in page.events], revision=page.at
+            changes=[build_change(item) for item in page.events],
+            revision=page.at,
+            era=answer.era,
         )
 
 
@@ -170,6 +196,15 @@
         return b""
 
 
+def parse_era(value: bytes | None) -> int | Failure:
+    """Return the era that a header names, the first one without a header."""
+    if value is None:
+        return FIRST_ERA
+    if not value.isdigit():
+        return build_bad_document_failure(f"the era is no number: {value!r}")
+    return int(value)
+
+
 def decode_body(body: bytes, model: type[msgspec.Struct]) -> msgspec.Struct | Failure:
     try:
         return msgspec.json.decode(body, type=model)
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -343,9 +343,13 @@
 
 
 class FeedSubscribe(msgspec.Struct, array_like=True, tag=17, frozen=True):
-    """Request for all changes of the platform's keys after a revision, from now on."""
+    """Request for all changes of the platform's keys after a revision, from now on.
+
+    :param era: era of ``after``, ``None`` from releases that know no eras.
+    """
 
     after: int
+    era: int | None = None
 
 
 class FeedCancel(msgspec.Struct, array_like=True, tag=18, frozen=True):
@@ -378,6 +382,7 @@
     :param keys: all keys, when deletions after ``since`` may be missing in ``items``.
     :param is_confirmed: whether the sender's state was confirmed since its start, by
         its own reading or that of others.
+    :param era: era of all revisions, ``None`` from releases that know no eras.
     """
 
     since: int
@@ -388,12 +393,17 @@
     items: list[FeedItem]
     keys: list[str] | None = None
     is_confirmed: bool = False
+    era: int | None = None
 
 
 class FeedFetch(msgspec.Struct, array_like=True, tag=20, frozen=True):
-    """Request for one :class:`FeedPage`, by a node that cannot read the platform."""
+    """Request for one :class:`FeedPage`, by a node that cannot read the platform.
+
+    :param era: era of ``after``, ``None`` from releases that know no eras.
+    """
 
     after: int
+    era: int | None = None
 
 
 Message = (
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -1,13 +1,23 @@
 """Copy of the platform's keys that a node shares with its peers."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from catkinpost.protocol.message import FeedItem, FeedPage
 
-__all__ = ["NO_REVISION", "ChangePage", "FeedState", "KeyChange", "Snapshot"]
+__all__ = [
+    "FIRST_ERA",
+    "NO_ERA",
+    "NO_REVISION",
+    "ChangePage",
+    "FeedState",
+    "KeyChange",
+    "Snapshot",
+]
 
 NO_REVISION = -1
+NO_ERA = -1
+FIRST_ERA = 0
 MAX_DELETED_KEYS = 4096
 
 
@@ -29,16 +39,31 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ChangePage:
-    """All changes up to a revision."""
+    """All changes up to a revision.
+
+    :param era: number of times the platform was restored from an older copy; it gives
+        out the revisions of an earlier era again.
+    """
 
     changes: list[KeyChange]
     revision: int
+    era: int = FIRST_ERA
 
 
 class Snapshot(ChangePage):
     """All keys of the platform; an absent key was deleted."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Deletion:
+    """Deleted key.
+
+    :param revision: revision of the deletion.
+    """
+
+    revision: int
+
+
 class FeedState:
     """Keys with their revisions, merged from the platform and from peers.
 
@@ -46,13 +71,20 @@
     in which they arrive. Deleted keys are remembered, so that an older value from a
     peer does not bring them back.
 
+    Revisions are comparable within one era only. An era begins with a page of all keys,
+    which replaces what was known; pages of an earlier era are ignored.
+
+    :ivar era: era of all revisions.
+    :ivar was_restored: whether a second era was seen.
     :ivar revision: revision up to which all changes are known.
     :ivar base_revision: revision after which all deletions are known.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, KeyChange] = {}
-        self.deleted: OrderedDict[str, int] = OrderedDict()
+        self.deleted: OrderedDict[str, Deletion] = OrderedDict()
+        self.era = NO_ERA
+        self.was_restored = False
         self.revision = NO_REVISION
         self.base_revision = NO_REVISION
 
@@ -60,8 +92,12 @@
         """Merge changes and return those that were new.
 
         :param page: changes that follow the known revision without a gap, or a
-            snapshot.
+            snapshot; a snapshot if the era is new.
         """
+        if page.era < self.era:
+            return []
+        if page.era > self.era:
+            self.begin_era(page.era)
         changes = [change for change in page.changes if self.merge_change(change)]
         if isinstance(page, Snapshot):
             listed_keys = {change.key for change in page.changes}
@@ -69,17 +105,34 @@
         self.revision = max(self.revision, page.revision)
         return changes
 
+    def begin_era(self, era: int) -> None:
+        """Make everything that is known older than all revisions of a new era."""
+        self.was_restored = self.era != NO_ERA
+        self.era = era
+        self.revision = NO_REVISION
+        self.base_revision = NO_REVISION
+        for key, item in self.items.items():
+            self.items[key] = replace(item, revision=NO_REVISION)
+        for key, deletion in self.deleted.items():
+            self.deleted[key] = replace(deletion, revision=NO_REVISION)
+
     def merge_change(self, change: KeyChange) -> bool:
         """Merge one change and return whether it was new."""
         known = self.items.get(change.key)
-        known_revision = self.deleted.get(change.key, NO_REVISION)
+        deletion = self.deleted.get(change.key)
+        known_revision = NO_REVISION if deletion is None else deletion.revision
         if known is not None:
             known_revision = known.revision
         if change.revision <= known_revision:
             return False
         if change.value is not None:
-            self.items[change.key] = change
             self.deleted.pop(change.key, None)
+            is_of_earlier_era = known is not None and known.revision == NO_REVISION
+            if is_of_earlier_era and change.value == known.value:
+                # The value tells how old it was when it was read first.
+                self.items[change.key] = replace(known, revision=change.revision)
+                return False
+            self.items[change.key] = change
             return True
         self.record_deletion(change.key, change.revision)
         return known is not None
@@ -101,11 +154,11 @@
 
     def record_deletion(self, key: str, revision: int) -> None:
         self.items.pop(key, None)
-        self.deleted[key] = revision
+        self.deleted[key] = Deletion(revision=revision)
         self.deleted.move_to_end(key)
         if len(self.deleted) > MAX_DELETED_KEYS:
-            _, forgotten_revision = self.deleted.popitem(last=False)
-            self.base_revision = max(self.base_revision, forgotten_revision)
+            _, forgotten = self.deleted.popitem(last=False)
+            self.base_revision = max(self.base_revision, forgotten.revision)
 
     def build_page(
         self,
@@ -116,6 +169,7 @@
         recovered_s: float,
         failing: bool,
         is_confirmed: bool,
+        era: int | None = None,
     ) -> FeedPage:
         """Build the message with all changes after a revision.
 
@@ -127,7 +181,11 @@
             negative for none.
         :param failing: whether the sender fails to read the platform.
         :param is_confirmed: whether the state was confirmed since the sender's start.
+        :param era: era of ``since``, ``None`` for a receiver that knows no eras.
         """
+        is_other_era = era is not None and era != self.era
+        if is_other_era:
+            since = NO_REVISION
         items = [
             FeedItem(
                 item.key, item.revision, int((now - item.read_at) * 1e6), item.value
@@ -135,12 +193,12 @@
             for item in self.items.values()
             if item.revision > since
         ]
-        is_complete = since < self.base_revision
+        is_complete = is_other_era or since < self.base_revision
         if not is_complete:
             items += [
-                FeedItem(key, revision, 0, None)
-                for key, revision in self.deleted.items()
-                if revision > since
+                FeedItem(key, deletion.revision, 0, None)
+                for key, deletion in self.deleted.items()
+                if deletion.revision > since
             ]
         return FeedPage(
             since=since,
@@ -151,8 +209,23 @@
             items=items,
             keys=list(self.items) if is_complete else None,
             is_confirmed=is_confirmed,
+            era=self.era,
         )
 
+    def get_page_era(self, page: FeedPage) -> int:
+        """Return the era of a peer's page.
+
+        A sender that knows no eras may be in any. It is followed until the platform is
+        restored: afterwards its revisions may be those of an earlier era.
+        """
+        if page.era is not None:
+            return page.era
+        return NO_ERA if self.was_restored else max(FIRST_ERA, self.era)
+
+    def is_outdated(self, page: FeedPage) -> bool:
+        """Return whether a peer's page is of an earlier era."""
+        return self.get_page_era(page) < self.era
+
     def merge_feed_page(self, page: FeedPage, now: float) -> list[KeyChange] | None:
         """Merge the changes that a peer has sent.
 
@@ -161,7 +234,11 @@
         :return: the changes that were new, or ``None`` when changes between the known
             revision and those of the page are missing.
         """
-        if page.keys is None and page.since > self.revision:
+        era = self.get_page_era(page)
+        if era < self.era:
+            return []
+        known_revision = NO_REVISION if era > self.era else self.revision
+        if page.keys is None and page.since > known_revision:
             return None
         changes = [
             KeyChange(
@@ -172,7 +249,7 @@
             )
             for item in page.items
         ]
-        new = self.merge(ChangePage(changes=changes, revision=page.revision))
+        new = self.merge(ChangePage(changes=changes, revision=page.revision, era=era))
         if page.keys is not None:
             new += self.delete_absent_keys(set(page.keys), page.revision)
         return new
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -44,12 +44,14 @@
 LINKED_PEERS = 6
 HELLO = Hello(1, "", "", "", 0, b"", b"", b"", feeds=True)
 WELCOME = Welcome(1, "", "", "", 0, b"", b"", feeds=True)
+HISTORY_GONE = Failure(reason=Reason.PLATFORM_HISTORY_GONE, detail="unknown revision")
 UNREACHABLE = Failure(reason=Reason.PLATFORM_UNREACHABLE, detail="cut off")
 
 
 class EmulatedPlatform:
     """Keys with revisions, and the times at which they were read.
 
+    :ivar era: number of times that the platform was restored from a copy.
     :ivar is_down: whether every call fails.
     :ivar call_times: times of all calls but those that accept an older state.
     """
@@ -58,6 +60,7 @@
         self.items: dict[str, KeyChange] = {}
         self.history: list[KeyChange] = []
         self.revision = 0
+        self.era = 1
         self.changed = trio.Event()
         self.is_down = False
         self.call_times: list[float] = []
@@ -74,6 +77,18 @@
             self.items[key] = change
         self.wake_watches()
 
+    def copy(self) -> "PlatformCopy":
+        """Copy the current state, for :meth:`restore`."""
+        return PlatformCopy(dict(self.items), list(self.history), self.revision)
+
+    def restore(self, copy: "PlatformCopy") -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.era += 1
+        self.wake_watches()
+
     def count_busiest_second(self) -> int:
         """Return the most calls in any span of one second."""
         window: deque[float] = deque()
@@ -96,6 +111,15 @@
         self.changed = trio.Event()
 
 
+@dataclass(frozen=True)
+class PlatformCopy:
+    """State of the platform at one time."""
+
+    items: dict[str, KeyChange]
+    history: list[KeyChange]
+    revision: int
+
+
 @dataclass(eq=False)
 class EmulatedSource:
     """The platform as one node reaches it.
@@ -119,7 +143,9 @@
         if not await self.call():
             return UNREACHABLE
         changes = list(self.platform.items.values())
-        return Snapshot(changes=changes, revision=self.platform.revision)
+        return Snapshot(
+            changes=changes, revision=self.platform.revision, era=self.platform.era
+        )
 
     async def watch(self, after: int, *, wait_s: float) -> ChangePage | Failure:
         """Wait for changes after a revision."""
@@ -127,6 +153,8 @@
         if not await self.call():
             return UNREACHABLE
         platform = self.platform
+        if after > platform.revision:
+            return HISTORY_GONE
         with trio.move_on_after(wait_s):
             while platform.revision <= after and not platform.is_down:
                 await platform.changed.wait()
@@ -135,7 +163,7 @@
         if self.is_cut or platform.is_down:
             return UNREACHABLE
         changes = [item for item in platform.history if item.revision > after]
-        return ChangePage(changes=changes, revision=platform.revision)
+        return ChangePage(changes=changes, revision=platform.revision, era=platform.era)
 
 
 class EmulatedLink:
@@ -322,9 +350,13 @@
         )
 
     async def wait_until_known(self, revision: int) -> float:
-        """Return the seconds until every node knows a revision."""
+        """Return the seconds until every node knows a revision of the current era."""
         started_at = trio.current_time()
-        while any(node.relay.state.revision < revision for node in self.nodes.values()):
+        position = (self.platform.era, revision)
+        while any(
+            (node.relay.state.era, node.relay.state.revision) < position
+            for node in self.nodes.values()
+        ):
             await trio.sleep(0.01)
         return trio.current_time() - started_at
 
--- a/src/catkinpost_standins/users_platform/store.py
+++ b/src/catkinpost_standins/users_platform/store.py
@@ -3,10 +3,12 @@
 import base64
 import json
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
 import trio
 
+from catkinpost.platform.names import STORE_ERA
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.transport.http_server import HttpServer
 
@@ -16,10 +18,22 @@
 PAGE_ITEMS = 50
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of the store at one time."""
+
+    items: dict[str, dict]
+    history: list[dict]
+    revision: int
+
+
 class StandInStore:
     """Keys with revisions, ranges in pages, watches, and scripted faults.
 
     ``fault`` answers every call in place of the store while it is set.
+
+    :ivar era: number of times that the store was restored from a copy, ``None`` for a
+        store that names no era.
     """
 
     def __init__(self) -> None:
@@ -27,6 +41,7 @@
         self.history: list[dict] = []
         self.revision = 1
         self.first_revision = 0
+        self.era: int | None = 1
         self.changed = trio.Event()
         self.fault: Callable[[], Awaitable[HttpResponse]] | None = None
         self.reads: list[str] = []
@@ -61,6 +76,19 @@
         self.history = []
         self.first_revision = self.revision
 
+    def copy(self) -> "StoreCopy":
+        """Copy the current state, for :meth:`restore`."""
+        return StoreCopy(dict(self.items), list(self.history), self.revision)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        if self.era is not None:
+            self.era += 1
+        self.wake()
+
     def wake(self) -> None:
         """Let waiting watches look again."""
         self.changed.set()
@@ -76,9 +104,15 @@
         self.reads.append(parts.path)
         if self.fault is not None:
             return await self.fault()
-        if parts.path == "/v1/kv-range":
+        response = await self.respond(parts.path, query)
+        if self.era is not None:
+            response.headers.append((STORE_ERA, b"%d" % self.era))
+        return response
+
+    async def respond(self, path: str, query: dict[str, str]) -> HttpResponse:
+        if path == "/v1/kv-range":
             return self.range(query)
-        if parts.path == "/v1/kv-watch":
+        if path == "/v1/kv-watch":
             return await self.watch(query)
         return HttpResponse(404)
 
@@ -93,7 +127,7 @@
 
     async def watch(self, query: dict[str, str]) -> HttpResponse:
         after = int(query["after"])
-        if after < self.first_revision:
+        if after < self.first_revision or after > self.revision:
             return HttpResponse(410)
         with trio.move_on_after(int(query["wait-ms"]) / 1000):
             while self.revision <= after:
--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -233,6 +233,90 @@
         await trio.sleep(10.0)
         self.assertLess((fleet.messages - messages) / 10.0 / FLEET, 20)
 
+    async def lose_writes(self, fleet, writes=3):
+        """Restore the platform to before some writes that every node knows."""
+        copy = fleet.platform.copy()
+        for number in range(writes):
+            fleet.platform.put("config", b"lost %d" % number)
+        await fleet.wait_until_known(fleet.platform.revision)
+        fleet.platform.restore(copy)
+
+    @params(0, 1, 2, 3, 4)
+    def test_change_after_a_restore_is_known_in_time(self, other_writes):
+        self.check_restore(other_writes)
+
+    @with_fleet
+    async def check_restore(self, fleet, other_writes):
+        await self.lose_writes(fleet)
+        for number in range(other_writes):
+            fleet.platform.put("other", b"%d" % number)
+        fleet.platform.put("config", b"next")
+        seconds = await fleet.wait_until_known(fleet.platform.revision)
+        self.assertLess(seconds, PROPAGATION_S)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.relay.state.items["config"].value, b"next")
+        await trio.sleep(5.0)
+        self.assertEqual(len(fleet.get_readers()), REGIONS * READERS_PER_REGION)
+
+    @params("cut off", "started", "cut off and started")
+    def test_nodes_in_both_eras_end_in_the_new_one(self, how):
+        """Guards against peers that pass on what was known before a restore."""
+        self.check_eras(how)
+
+    @with_fleet
+    async def check_eras(self, fleet, how):
+        late = [*fleet.get_readers()[:2], *fleet.names[-3:]]
+        if "cut off" in how:
+            for name in late:
+                fleet.nodes[name].source.is_cut = True
+        await self.lose_writes(fleet)
+        fleet.platform.put("config", b"next")
+        if "started" in how:
+            for name in fleet.names[10:20]:
+                fleet.kill(name)
+                await fleet.start(name)
+        await trio.sleep(PROPAGATION_S)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.relay.state.items["config"].value, b"next")
+            self.assertEqual(node.relay.state.era, fleet.platform.era)
+            self.assertEqual(len(node.view.instances), FLEET)
+
+    @with_fleet
+    async def test_restored_platform_is_not_read_again_and_again(self, fleet):
+        await self.lose_writes(fleet)
+        await trio.sleep(2.0)
+        calls = count_calls(fleet)
+        await trio.sleep(10.0)
+        self.assertLessEqual(count_calls(fleet) - calls, 10 * 4 * 1.2)
+
+    @with_fleet
+    async def test_peers_without_eras_are_followed_until_a_restore(self, fleet):
+        """One reader of each region is of a release that names no era."""
+        readers = fleet.get_readers()
+        regions = {fleet.nodes[name].relay.region: name for name in readers}
+        old = list(regions.values())
+        for name in old:
+            relay = fleet.nodes[name].relay
+            relay.publisher.build_page = functools.partial(
+                lambda build, since, era: msgspec.structs.replace(
+                    build(since, era), era=None
+                ),
+                relay.publisher.build_page,
+            )
+        fleet.platform.put("config", b"before")
+        seconds = await fleet.wait_until_known(fleet.platform.revision)
+        self.assertLess(seconds, 0.5)
+        self.assertEqual(fleet.get_readers(), readers)
+        copy = fleet.platform.copy()
+        fleet.platform.put("config", b"lost")
+        await fleet.wait_until_known(fleet.platform.revision)
+        fleet.platform.restore(copy)
+        await trio.sleep(5.0)
+        fleet.platform.put("config", b"next")
+        await trio.sleep(PROPAGATION_S)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.relay.state.items["config"].value, b"next")
+
     @with_fleet
     async def test_random_cuts_and_restarts_keep_every_change_in_time(self, fleet):
         rng = random.Random(3)
@@ -249,3 +333,31 @@
             revision = fleet.platform.revision
             self.assertLess(await fleet.wait_until_known(revision), PROPAGATION_S)
             await trio.sleep(rng.uniform(0.0, 3.0))
+
+    @params(0, 1)
+    def test_random_cuts_restarts_and_restores_keep_every_change(self, seed):
+        with_fleet(TestRelay.check_random_restores, seed=seed)(self)
+
+    async def check_random_restores(self, fleet):
+        rng = random.Random(5)
+        copy = fleet.platform.copy()
+        for version in range(30):
+            name = rng.choice(fleet.names)
+            if name not in fleet.nodes:
+                await fleet.start(name)
+            elif rng.random() < 0.5:
+                fleet.kill(name)
+            else:
+                source = fleet.nodes[name].source
+                source.is_cut = not source.is_cut
+            if rng.random() < 0.4:
+                fleet.platform.restore(copy)
+            elif rng.random() < 0.5:
+                copy = fleet.platform.copy()
+            for _ in range(rng.randrange(4)):
+                fleet.platform.put("other", b"")
+            fleet.platform.put("config", b"%d" % version)
+            await trio.sleep(PROPAGATION_S)
+            for node in fleet.nodes.values():
+                value = node.relay.state.items["config"].value
+                self.assertEqual(value, b"%d" % version)
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -183,6 +183,100 @@
         await trio.sleep(2.5)
         self.assertEqual(setup.get_live_instances(), ["127.0.0.1"])
 
+    @params(0, 1, 2, 3)
+    def test_configuration_after_a_restore_is_in_force_in_time(self, other_writes):
+        """Its revision lies below, at or above the last one that was lost."""
+        self.check_restored_configuration(other_writes)
+
+    @with_followed_store
+    async def check_restored_configuration(self, setup, other_writes):
+        await setup.publish()
+        copy = setup.store.copy()
+        setup.store.put("servers/i-3", make_entry(address="127.0.0.3:8301"))
+        setup.store.put("op/config", encode_config(9))
+        await trio.sleep(0.5)
+        setup.store.fault = respond_503
+        await trio.sleep(2.0)
+        setup.store.restore(copy)
+        for number in range(other_writes):
+            setup.store.put(f"other/{number}", b"")
+        setup.store.put("op/config", encode_config(11))
+        setup.store.fault = None
+        await trio.sleep(PROPAGATION_S)
+        self.assertEqual(setup.node.store.version, 11)
+        setup.store.put("op/config", encode_config(12))
+        await trio.sleep(1.0)
+        self.assertEqual(setup.node.store.version, 12)
+
+    @with_followed_store
+    async def test_restored_configuration_does_not_go_back(self, setup):
+        await setup.publish()
+        copy = setup.store.copy()
+        setup.store.put("op/config", encode_config(9))
+        await trio.sleep(0.5)
+        setup.store.restore(copy)
+        await trio.sleep(1.5)
+        self.assertEqual(setup.node.store.version, 9)
+
+    @with_followed_store
+    async def test_restores_while_a_watch_waits_lose_no_change(self, setup):
+        await setup.publish()
+        for version in range(20, 26):
+            copy = setup.store.copy()
+            setup.store.put("op/config", encode_config(version))
+            setup.store.put("servers/i-2", make_entry(sequence=version))
+            await trio.sleep(0.3)
+            setup.store.restore(copy)
+            setup.store.put("other/1", b"")
+            setup.store.put("other/2", b"")
+            await trio.sleep(0.3)
+            setup.store.put("op/config", encode_config(version))
+            address = f"127.0.0.{version}:8301"
+            setup.store.put("servers/i-2", make_entry(address=address))
+            await trio.sleep(1.5)
+            self.assertEqual(setup.node.store.version, version)
+            self.assertIn(f"127.0.0.{version}", setup.get_live_instances())
+
+    @with_followed_store
+    async def test_server_listed_again_after_a_restore_is_used(self, setup):
+        """Guards against deletions that outlast the revisions of their era."""
+        setup.store.put("servers/i-3", make_entry(address="127.0.0.3:8301"))
+        await setup.publish()
+        copy = setup.store.copy()
+        for _ in range(5):
+            setup.store.put("other", b"")
+        setup.store.put("servers/i-3", None)
+        await trio.sleep(0.5)
+        setup.store.restore(copy)
+        entry = make_entry(address="127.0.0.3:8301", sequence=1, born=2000)
+        setup.store.put("servers/i-3", entry)
+        await trio.sleep(1.5)
+        self.assertIn("127.0.0.3", setup.get_live_instances())
+
+    @with_followed_store
+    async def test_server_of_the_lost_writes_may_list_itself_again(self, setup):
+        await setup.publish()
+        copy = setup.store.copy()
+        setup.store.put("servers/i-3", make_entry(address="127.0.0.3:8301"))
+        setup.store.put("servers/i-4", make_entry(address="127.0.0.4:8301"))
+        await trio.sleep(0.5)
+        setup.store.restore(copy)
+        await trio.sleep(1.8)
+        self.assertIn("127.0.0.3", setup.get_live_instances())
+        entry = make_entry(address="127.0.0.3:8301", sequence=9)
+        setup.store.put("servers/i-3", entry)
+        await trio.sleep(2.0)
+        self.assertIn("127.0.0.3", setup.get_live_instances())
+        self.assertNotIn("127.0.0.4", setup.get_live_instances())
+
+    @with_followed_store
+    async def test_store_without_an_era_is_followed(self, setup):
+        setup.store.era = None
+        await setup.publish()
+        setup.store.put("op/config", encode_config(9))
+        await trio.sleep(0.5)
+        self.assertEqual(setup.node.store.version, 9)
+
     @with_followed_store
     async def test_all_pages_are_read(self, setup):
         for number in range(120):
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from nose2.tools import params
@@ -15,17 +16,23 @@
     return KeyChange(key=key, value=value, revision=revision, read_at=0.0)
 
 
-def page_of(*changes, revision):
-    return ChangePage(changes=list(changes), revision=revision)
+def page_of(*changes, revision, era=0):
+    return ChangePage(changes=list(changes), revision=revision, era=era)
 
 
-def snapshot_of(*changes, revision):
-    return Snapshot(changes=list(changes), revision=revision)
+def snapshot_of(*changes, revision, era=0):
+    return Snapshot(changes=list(changes), revision=revision, era=era)
 
 
-def build_page(state, since, now=0.0):
+def build_page(state, since, now=0.0, era=None):
     return state.build_page(
-        since, now, age_s=0.0, recovered_s=-1.0, failing=False, is_confirmed=True
+        since,
+        now,
+        age_s=0.0,
+        recovered_s=-1.0,
+        failing=False,
+        is_confirmed=True,
+        era=era,
     )
 
 
@@ -59,6 +66,24 @@
             {"b": 2},
         ),
         ([page_of(change("a", 9), revision=9), snapshot_of(revision=5)], {"a": 9}),
+        # A lower revision of a later era is newer, and a higher one of an earlier not.
+        (
+            [
+                page_of(change("a", 9), change("b", 8), revision=9),
+                snapshot_of(change("a", 2, b"w"), revision=3, era=1),
+                page_of(change("a", 4, b"x"), revision=4, era=1),
+                page_of(change("a", 10), change("b", 10), revision=10),
+            ],
+            {"a": 4},
+        ),
+        (
+            [
+                page_of(change("a", 9, None), revision=9),
+                snapshot_of(revision=3, era=1),
+                page_of(change("a", 4), revision=4, era=1),
+            ],
+            {"a": 4},
+        ),
     )
     def test_newest_change_of_each_key_holds(self, pages, expected):
         state = FeedState()
@@ -93,6 +118,42 @@
         state.merge_feed_page(build_page(reader, since=-1, now=5.0), 100.0)
         self.assertEqual(state.items["a"].read_at, 95.0)
 
+    def test_value_that_a_restore_left_keeps_its_age(self):
+        state = FeedState()
+        state.merge(page_of(change("a", 5), revision=5))
+        restored = KeyChange(key="a", value=b"v", revision=2, read_at=30.0)
+        self.assertEqual(state.merge(snapshot_of(restored, revision=2, era=1)), [])
+        self.assertEqual((state.items["a"].revision, state.items["a"].read_at), (2, 0))
+
+    def test_peer_of_another_era_gets_all_keys(self):
+        reader = FeedState()
+        reader.merge(snapshot_of(change("a", 2), revision=3, era=1))
+        state = FeedState()
+        state.merge(snapshot_of(change("a", 2), change("b", 7), revision=8))
+        delta = build_page(reader, since=3, era=1)
+        self.assertIsNone(state.merge_feed_page(delta, 0.0))
+        page = build_page(reader, since=8, era=0)
+        new = state.merge_feed_page(page, 0.0)
+        self.assertEqual([(item.key, item.value) for item in new], [("b", None)])
+        self.assertEqual((state.era, state.revision, list(state.items)), (1, 3, ["a"]))
+
+    def test_page_without_an_era_is_taken_until_a_restore(self):
+        old = msgspec.structs.replace(
+            build_page(self.build_state(change("a", 8)), since=-1), era=None
+        )
+        state = self.build_state(change("b", 1), era=4)
+        self.assertFalse(state.is_outdated(old))
+        state.merge_feed_page(old, 0.0)
+        self.assertEqual(list(state.items), ["a"])
+        state.merge(snapshot_of(revision=2, era=5))
+        self.assertTrue(state.is_outdated(old))
+        self.assertEqual(state.merge_feed_page(old, 0.0), [])
+
+    def build_state(self, item, era=0):
+        state = FeedState()
+        state.merge(snapshot_of(item, revision=item.revision, era=era))
+        return state
+
 
 class FeedMachine(RuleBasedStateMachine):
     """A platform, two readers that skip and restart, and a node that follows both."""
@@ -102,6 +163,9 @@
         self.platform = {}
         self.history = []
         self.revision = 0
+        self.era = 0
+        self.last_histories = {}
+        self.copies = [([], 0)]
         self.readers = [FeedState(), FeedState()]
         self.node = FeedState()
         self.last_revisions = {}
@@ -121,32 +185,76 @@
         else:
             self.platform[key] = self.history[-1]
 
+    @rule()
+    def copy(self):
+        self.copies.append((list(self.history), self.revision))
+
+    @rule(index=st.integers(0, 100))
+    def restore(self, index):
+        self.last_histories[self.era] = list(self.history)
+        history, self.revision = self.copies[index % len(self.copies)]
+        self.history = list(history)
+        self.era += 1
+        self.platform = {}
+        for item in self.history:
+            self.platform.pop(item.key, None)
+            if item.value is not None:
+                self.platform[item.key] = item
+
     @rule(index=st.integers(0, 1))
     def read_changes(self, index):
         reader = self.readers[index]
+        if reader.era != self.era:
+            return
         changes = [item for item in self.history if item.revision > reader.revision]
-        reader.merge(page_of(*changes, revision=self.revision))
+        reader.merge(page_of(*changes, revision=self.revision, era=self.era))
+
+    @rule(index=st.integers(0, 1))
+    def read_late_answer(self, index):
+        """Receive an answer that the platform gave before it was restored."""
+        if not self.last_histories:
+            return
+        era = max(self.last_histories)
+        history = self.last_histories[era]
+        reader = self.readers[index]
+        if reader.era != era:
+            reader.merge(page_of(*history, revision=99, era=era))
 
     @rule(index=st.integers(0, 1), restarts=st.booleans())
     def read_snapshot(self, index, restarts):
         if restarts:
             self.readers[index] = FeedState()
-        page = snapshot_of(*self.platform.values(), revision=self.revision)
+        page = snapshot_of(
+            *self.platform.values(), revision=self.revision, era=self.era
+        )
         self.readers[index].merge(page)
 
     @rule(index=st.integers(0, 1), since=st.integers(-1, 30))
     def follow(self, index, since):
         """Receive a page, perhaps of an older subscription."""
         reader = self.readers[index]
-        page = build_page(reader, min(since, self.node.revision))
+        page = build_page(reader, min(since, self.node.revision), era=self.node.era)
         self.node.merge_feed_page(page, 0.0)
-        if page.since == self.node.revision:
+        assert self.node.era >= reader.era
+        if page.since == self.node.revision and self.node.era == reader.era:
             assert self.node.revision >= reader.revision
 
+    @rule(index=st.integers(0, 1))
+    def follow_earlier_subscription(self, index):
+        """Receive a page that was built for the node's state in another era."""
+        reader = self.readers[index]
+        page = build_page(reader, self.node.revision, era=reader.era)
+        era, revision = self.node.era, self.node.revision
+        if self.node.merge_feed_page(page, 0.0) is None:
+            assert (self.node.era, self.node.revision) == (era, revision)
+
     @invariant()
     def node_equals_the_platform_as_of_its_revision(self):
+        history = self.history
+        if self.node.era != self.era:
+            history = self.last_histories[self.node.era]
         expected = {}
-        for item in self.history:
+        for item in history:
             if item.revision > self.node.revision:
                 break
             expected[item.key] = item.value
@@ -157,8 +265,9 @@
     @invariant()
     def no_key_goes_back(self):
         for key, item in self.node.items.items():
-            assert item.revision >= self.last_revisions.get(key, 0)
-            self.last_revisions[key] = item.revision
+            position = (self.node.era, item.revision)
+            assert position >= self.last_revisions.get(key, (0, 0))
+            self.last_revisions[key] = position
 
 
 TestFeedMachine = FeedMachine.TestCase
