Keep what is known where a restored store lists older values

A store that comes back from a copy some seconds old lists servers as ready that have reported since that they drain, servers that have left, and an older configuration. Callers' requests went to servers that the node knew to leave (DRAIN binds it by what it has acknowledged), and peers that started later were given the older configuration.

The known value stands at the revision of the older one, so that whatever is written afterwards replaces it, and peers get it; at equal revisions peers agree on the newer value. An entry that is no newer than the one that was removed is held back until its server writes again or its lease is over, so that a live server is not left out for good.

Not covered: a node that starts after the restore has only the store's word for the entry of a server that left in the lost seconds.

test_restores_while_a_watch_waits now lists its server with a continued sequence, as live servers do; it had listed it with an earlier one.

--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -90,6 +90,7 @@
     :param view: list of instances.
     :param links: links to peers.
     :param source: the platform.
+    :param is_older: returns whether a value of a key is older than another one.
     :param on_changes: called with new changes, and once with none when the first state
         was read.
     :param spawn: starts a background task.
@@ -105,6 +106,7 @@
         view: InstanceView,
         links: LinkTable,
         source: Source,
+        is_older: Callable[[str, bytes, bytes], bool],
         on_changes: Callable[[list[KeyChange]], None],
         spawn: Callable[..., None],
         settings: FeedSettings,
@@ -119,7 +121,7 @@
         self.spawn = spawn
         self.settings = settings
         self.get_sessions = get_sessions
-        self.state = FeedState()
+        self.state = FeedState(is_older)
         self.selector = FeedSelector(instance, settings.max_age_s)
         self.selected: list[str] = []
         self.ranked: list[str] = []
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -13,6 +13,7 @@
 from catkinpost.platform.document import parse_configuration, render_policy
 from catkinpost.platform.listing import ServerList, parse_server_entry
 from catkinpost.platform.names import CONFIG_KEY, READINESS_PATH, SERVERS_PREFIX
+from catkinpost.platform.recency import is_older_value
 from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
 from catkinpost.platform.store import StoreClient
 from catkinpost.protocol.http import HttpRequest, HttpResponse
@@ -41,7 +42,9 @@
         address = parse_address(settings.node.platform.address)
         self.store_client = StoreClient(address)
         self.servers = ServerList(
-            peer_port=settings.peer_port, regions=settings.regions
+            peer_port=settings.peer_port,
+            regions=settings.regions,
+            lease_s=settings.lease_s,
         )
         self.list_version = 0
         self.settings_text = ""
@@ -58,6 +61,7 @@
             view=node.view,
             links=node.links,
             source=self,
+            is_older=is_older_value,
             on_changes=self.apply_changes,
             spawn=node.spawn,
             settings=self.settings.feed,
@@ -148,7 +152,9 @@
         if isinstance(server, Failure):
             log_message("store: entry ignored", entry=identity, why=server.detail)
             return
-        self.servers.accept_entry(identity, server, change.read_at)
+        self.servers.accept_entry(
+            identity, server, change.read_at, recovered_at=self.relay.recovered_at
+        )
 
     def apply_list(self) -> None:
         """Apply the list of servers to the node."""
@@ -168,10 +174,13 @@
         self.node.on_list_changed(change)
 
     async def watch_expiring_entries(self) -> None:
-        """Drop entries that were not listed again after an outage of the store."""
+        """Drop and use entries whose time is over after an outage of the store."""
         while True:
             await sleep_until_next_tick(EXPIRY_CHECK_INTERVAL_S)
-            if self.servers.drop_expired_entries(trio.current_time()):
+            now = trio.current_time()
+            was_dropped = self.servers.drop_expired_entries(now)
+            was_used = self.servers.use_held_entries(now)
+            if was_dropped or was_used:
                 self.apply_list()
 
     async def watch_settings(self) -> None:
--- a/src/catkinpost/platform/listing.py
+++ b/src/catkinpost/platform/listing.py
@@ -1,6 +1,7 @@
 """Servers on the platform's list, and the instances built from them."""
 
 import enum
+from collections import OrderedDict
 from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Annotated
@@ -16,6 +17,9 @@
 
 # Live servers list themselves again within two seconds after the store's recovery.
 REAPPEARANCE_TIMEOUT_S = 2.2
+# An entry that is listed for longer than its lease is written by a live server.
+LEASE_MARGIN_S = 1.0
+MAX_REMOVED_SERVERS = 4096
 # Stands for addresses at which no part of the product listens on the platform.
 UNUSED_ADDRESS = Address("0.0.0.0", 0)
 
@@ -35,9 +39,18 @@
     zone: str
     state: ServerState
     slots: Annotated[int, msgspec.Meta(ge=1)]
+    sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
     cold_remaining_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
+    @property
+    def recency(self) -> tuple[int, int]:
+        """Place of the entry in the order in which its server wrote them.
+
+        A server that starts again counts from the beginning.
+        """
+        return self.born, self.sequence
+
 
 def parse_server_entry(value: bytes) -> ServerEntry | Failure:
     """Parse and check one entry of the store.
@@ -67,22 +80,63 @@
     """Entries of servers by identity.
 
     An entry that expired during an outage of the store may belong to a live server:
-    it stays until servers have had time to list themselves again.
+    it stays until servers have had time to list themselves again. A store that was
+    restored from an older copy may list a server that has left: an entry that is no
+    newer than the one that was removed is not used while it may lapse.
 
     :param peer_port: port at which every node accepts connections of peers.
     :param regions: region by data centre.
+    :param lease_s: seconds of silence of a server after which its entry lapses.
     """
 
     peer_port: int
     regions: dict[str, str]
+    lease_s: float = 4.5
     entries: dict[str, ListedServer] = field(default_factory=dict)
     expiry_times: dict[str, float] = field(default_factory=dict)
+    removed: OrderedDict[str, ServerEntry] = field(default_factory=OrderedDict)
+    held: dict[str, tuple[float, ListedServer]] = field(default_factory=dict)
+
+    def accept_entry(
+        self,
+        identity: str,
+        server: ServerEntry,
+        now: float,
+        *,
+        recovered_at: float | None = None,
+    ) -> None:
+        """Add or replace an entry.
 
-    def accept_entry(self, identity: str, server: ServerEntry, now: float) -> None:
-        """Add or replace an entry."""
-        self.entries[identity] = ListedServer(server=server, read_at=now)
+        :param identity: identity of the server.
+        :param server: the entry.
+        :param now: time of the read on the node's clock.
+        :param recovered_at: time of the store's last recovery from an outage, ``None``
+            without an outage so far.
+        """
+        listed = ListedServer(server=server, read_at=now)
+        removed = self.removed.get(identity)
+        is_older = removed is not None and server.recency <= removed.recency
+        if is_older and recovered_at is not None:
+            lapses_at = recovered_at + self.lease_s + LEASE_MARGIN_S
+            if now < lapses_at:
+                self.held[identity] = (lapses_at, listed)
+                return
+        self.removed.pop(identity, None)
+        self.held.pop(identity, None)
+        self.entries[identity] = listed
         self.expiry_times.pop(identity, None)
 
+    def use_held_entries(self, now: float) -> bool:
+        """Use entries that have outlasted the lease of a server that has left.
+
+        :return: whether there was any.
+        """
+        due = [name for name, (until, _) in self.held.items() if until <= now]
+        for name in due:
+            _, self.entries[name] = self.held.pop(name)
+            self.removed.pop(name, None)
+        return bool(due)
+
     def remove_entry(
         self, identity: str, now: float, *, recovered_at: float | None
     ) -> None:
@@ -93,6 +147,7 @@
         :param recovered_at: time of the store's last recovery from an outage, ``None``
             without an outage so far.
         """
+        self.held.pop(identity, None)
         if identity not in self.entries:
             return
         if recovered_at is not None and now - recovered_at < REAPPEARANCE_TIMEOUT_S:
@@ -100,9 +155,15 @@
                 identity, recovered_at + REAPPEARANCE_TIMEOUT_S
             )
         else:
-            self.entries.pop(identity)
+            self.record_removal(identity, self.entries.pop(identity).server)
             self.expiry_times.pop(identity, None)
 
+    def record_removal(self, identity: str, server: ServerEntry) -> None:
+        self.removed[identity] = server
+        self.removed.move_to_end(identity)
+        if len(self.removed) > MAX_REMOVED_SERVERS:
+            self.removed.popitem(last=False)
+
     def drop_expired_entries(self, now: float) -> bool:
         """Drop removed entries whose servers have not listed themselves again in time.
 
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -47,6 +47,8 @@
 # is noticed, and a node whose feeds are stale still has time to find another one.
 WATCH_WAIT_SHARE = 0.4
 MAX_AGE_SHARE = 0.7
+# Heartbeats that a server misses before its entry lapses.
+LEASE_HEARTBEATS = 3
 # Share of the grace period: responses must be sent before the platform kills the
 # process.
 STOP_TIMEOUT_SHARE = 0.9
@@ -141,6 +143,7 @@
     :param peer_port: port at which every node accepts connections of peers.
     :param regions: region by data centre.
     :param feed: bounds on the age of what the node knows of the store.
+    :param lease_s: seconds of silence of a server after which its entry lapses.
     """
 
     node: NodeSettings
@@ -148,6 +151,7 @@
     peer_port: int
     regions: dict[str, str]
     feed: FeedSettings = FeedSettings()
+    lease_s: float = 4.5
 
 
 def parse_platform_settings(text: str) -> PlatformSettings | Failure:
@@ -172,6 +176,7 @@
         peer_port=first_port,
         regions=file.network.zones,
         feed=build_feed_settings(file.terms.bounds),
+        lease_s=LEASE_HEARTBEATS * file.platform.heartbeat_interval_s,
     )
 
 
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -1,6 +1,7 @@
 """Copy of the platform's keys that a node shares with its peers."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from catkinpost.protocol.message import FeedItem, FeedPage
@@ -54,16 +55,6 @@
     """All keys of the platform; an absent key was deleted."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Deletion:
-    """Deleted key.
-
-    :param revision: revision of the deletion.
-    """
-
-    revision: int
-
-
 class FeedState:
     """Keys with their revisions, merged from the platform and from peers.
 
@@ -72,17 +63,21 @@
     peer does not bring them back.
 
     Revisions are comparable within one era only. An era begins with a page of all keys,
-    which replaces what was known; pages of an earlier era are ignored.
+    which replaces what was known; pages of an earlier era are ignored. An older value
+    that this page brings back does not replace a newer one that is known, which then
+    stands at the revision of the older one and is passed on to peers.
 
+    :param is_older: returns whether a value of a key is older than another one.
     :ivar era: era of all revisions.
     :ivar was_restored: whether a second era was seen.
     :ivar revision: revision up to which all changes are known.
     :ivar base_revision: revision after which all deletions are known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_older: Callable[[str, bytes, bytes], bool]) -> None:
+        self.is_older = is_older
         self.items: dict[str, KeyChange] = {}
-        self.deleted: OrderedDict[str, Deletion] = OrderedDict()
+        self.deleted: OrderedDict[str, int] = OrderedDict()
         self.era = NO_ERA
         self.was_restored = False
         self.revision = NO_REVISION
@@ -113,29 +108,48 @@
         self.base_revision = NO_REVISION
         for key, item in self.items.items():
             self.items[key] = replace(item, revision=NO_REVISION)
-        for key, deletion in self.deleted.items():
-            self.deleted[key] = replace(deletion, revision=NO_REVISION)
+        self.deleted.clear()
 
     def merge_change(self, change: KeyChange) -> bool:
         """Merge one change and return whether it was new."""
         known = self.items.get(change.key)
-        deletion = self.deleted.get(change.key)
-        known_revision = NO_REVISION if deletion is None else deletion.revision
-        if known is not None:
-            known_revision = known.revision
-        if change.revision <= known_revision:
+        if not self.is_newer(change):
             return False
-        if change.value is not None:
-            self.deleted.pop(change.key, None)
-            is_of_earlier_era = known is not None and known.revision == NO_REVISION
-            if is_of_earlier_era and change.value == known.value:
-                # The value tells how old it was when it was read first.
-                self.items[change.key] = replace(known, revision=change.revision)
-                return False
-            self.items[change.key] = change
-            return True
-        self.record_deletion(change.key, change.revision)
-        return known is not None
+        if change.value is None:
+            self.record_deletion(change.key, change.revision)
+            return known is not None
+        if self.keep_known_value(change):
+            return False
+        self.items[change.key] = change
+        self.deleted.pop(change.key, None)
+        return True
+
+    def is_newer(self, change: KeyChange) -> bool:
+        """Return whether a change is newer than what is known of its key."""
+        known = self.items.get(change.key)
+        if known is None:
+            return change.revision > self.deleted.get(change.key, NO_REVISION)
+        if change.revision != known.revision or change.value is None:
+            return change.revision > known.revision
+        # Of two peers only one may know a change that a restored platform has lost.
+        return self.is_older(change.key, known.value, change.value)
+
+    def keep_known_value(self, change: KeyChange) -> bool:
+        """Keep the value of an earlier era unless the platform has a newer one.
+
+        :param change: first change of the key in this era.
+        :return: whether it was kept, at the revision of the change.
+        """
+        known = self.items.get(change.key)
+        if known is None or known.revision != NO_REVISION:
+            return False
+        # An equal value tells how old it was when it was read first.
+        is_kept = change.value == known.value or self.is_older(
+            change.key, change.value, known.value
+        )
+        if is_kept:
+            self.items[change.key] = replace(known, revision=change.revision)
+        return is_kept
 
     def delete_absent_keys(
         self, listed_keys: set[str], revision: int
@@ -154,11 +168,11 @@
 
     def record_deletion(self, key: str, revision: int) -> None:
         self.items.pop(key, None)
-        self.deleted[key] = Deletion(revision=revision)
+        self.deleted[key] = revision
         self.deleted.move_to_end(key)
         if len(self.deleted) > MAX_DELETED_KEYS:
-            _, forgotten = self.deleted.popitem(last=False)
-            self.base_revision = max(self.base_revision, forgotten.revision)
+            _, forgotten_revision = self.deleted.popitem(last=False)
+            self.base_revision = max(self.base_revision, forgotten_revision)
 
     def build_page(
         self,
@@ -196,9 +210,9 @@
         is_complete = is_other_era or since < self.base_revision
         if not is_complete:
             items += [
-                FeedItem(key, deletion.revision, 0, None)
-                for key, deletion in self.deleted.items()
-                if deletion.revision > since
+                FeedItem(key, revision, 0, None)
+                for key, revision in self.deleted.items()
+                if revision > since
             ]
         return FeedPage(
             since=since,
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -258,6 +258,7 @@
             view=self.view,
             links=EmulatedLinks(fleet, name),
             source=self.source,
+            is_older=is_older_number,
             on_changes=self.apply_changes,
             spawn=fleet.nursery.start_soon,
             settings=fleet.settings,
@@ -361,6 +362,11 @@
         return trio.current_time() - started_at
 
 
+def is_older_number(key: str, value: bytes, other: bytes) -> bool:
+    """Return whether a value is a lower number than another one."""
+    return value.isdigit() and other.isdigit() and int(value) < int(other)
+
+
 def build_instance(name: str, region: str) -> Instance:
     return Instance(
         name=name,
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -13,6 +13,7 @@
 from catkinpost.platform.environment import PlatformEnvironment
 from catkinpost.platform.settings import parse_platform_settings
 from catkinpost.protocol.http import HttpRequest, HttpResponse
+from catkinpost.state.feed_state import NO_REVISION
 from catkinpost.state.instance_view import InstanceState
 from catkinpost_standins.users_platform.store import StandInStore
 from tests.clock import on_mock_clock
@@ -232,7 +233,8 @@
             await trio.sleep(0.3)
             setup.store.put("op/config", encode_config(version))
             address = f"127.0.0.{version}:8301"
-            setup.store.put("servers/i-2", make_entry(address=address))
+            entry = make_entry(address=address, sequence=version + 1)
+            setup.store.put("servers/i-2", entry)
             await trio.sleep(1.5)
             self.assertEqual(setup.node.store.version, version)
             self.assertIn(f"127.0.0.{version}", setup.get_live_instances())
@@ -253,6 +255,55 @@
         await trio.sleep(1.5)
         self.assertIn("127.0.0.3", setup.get_live_instances())
 
+    @params({"state": "draining", "sequence": 6}, None)
+    def test_server_that_left_before_a_restore_is_not_used_again(self, fields):
+        """Guards against requests to a server that the node knew to leave."""
+        self.check_restored_server(fields)
+
+    @with_followed_store
+    async def check_restored_server(self, setup, fields):
+        await setup.publish()
+        copy = setup.store.copy()
+        entry = None
+        if fields is not None:
+            entry = make_entry(address="127.0.0.2:8301", **fields)
+        setup.store.put("servers/i-2", entry)
+        await trio.sleep(0.5)
+        self.assertEqual(setup.get_live_instances(), ["127.0.0.1"])
+        setup.store.restore(copy)
+        for _ in range(30):
+            await trio.sleep(0.1)
+            self.assertEqual(setup.get_live_instances(), ["127.0.0.1"])
+        entry = make_entry(address="127.0.0.2:8301", sequence=1, born=2000)
+        setup.store.put("servers/i-2", entry)
+        await trio.sleep(0.5)
+        self.assertEqual(setup.get_live_instances(), ["127.0.0.1", "127.0.0.2"])
+
+    @with_followed_store
+    async def test_live_server_that_only_a_restored_copy_lists_is_used(self, setup):
+        await setup.publish()
+        copy = setup.store.copy()
+        setup.store.put("servers/i-2", None)
+        await trio.sleep(0.5)
+        setup.store.restore(copy)
+        await trio.sleep(8.0)
+        self.assertEqual(setup.get_live_instances(), ["127.0.0.1", "127.0.0.2"])
+
+    @with_followed_store
+    async def test_older_configuration_is_not_passed_on_to_peers(self, setup):
+        await setup.publish()
+        copy = setup.store.copy()
+        setup.store.put("op/config", encode_config(9))
+        await trio.sleep(0.5)
+        setup.store.restore(copy)
+        await trio.sleep(1.5)
+        page = setup.environment.relay.build_page(NO_REVISION)
+        values = {item.key: item.value for item in page.items}
+        self.assertEqual(values["op/config"], encode_config(9))
+        setup.store.put("op/config", encode_config(11))
+        await trio.sleep(1.0)
+        self.assertEqual(setup.node.store.version, 11)
+
     @with_followed_store
     async def test_server_of_the_lost_writes_may_list_itself_again(self, setup):
         await setup.publish()
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -6,6 +6,7 @@
 from nose2.tools import params
 
 from catkinpost.platform.listing import (
+    LEASE_MARGIN_S,
     REAPPEARANCE_TIMEOUT_S,
     ServerList,
     parse_server_entry,
@@ -38,10 +39,9 @@
     def setUp(self):
         self.servers = ServerList(peer_port=7620, regions={"kurzeme-a": "kurzeme"})
 
-    def put_entry(self, identity, now=0.0, **fields):
-        self.servers.accept_entry(
-            identity, parse_server_entry(make_entry(**fields)), now
-        )
+    def put_entry(self, identity, now=0.0, recovered_at=None, **fields):
+        server = parse_server_entry(make_entry(**fields))
+        self.servers.accept_entry(identity, server, now, recovered_at=recovered_at)
 
     def list_incarnations(self):
         return [item.incarnation for item in self.servers.build_instances()]
@@ -102,6 +102,44 @@
         self.assertFalse(self.servers.drop_expired_entries(9.0))
         self.assertEqual(len(self.list_incarnations()), 1)
 
+    @params(
+        # (entry listed after a restore, expected)
+        ({"sequence": 4}, []),
+        ({"sequence": 3}, []),
+        ({"sequence": 5}, ["i-1#1000"]),
+        ({"sequence": 0, "born": 2000}, ["i-1#2000"]),
+        ({"sequence": 9, "born": 500}, []),
+    )
+    def test_restored_entry_of_a_server_that_left_is_not_used(self, fields, expected):
+        self.put_entry("i-1")
+        self.servers.remove_entry("i-1", 5.0, recovered_at=None)
+        self.put_entry("i-1", now=8.0, recovered_at=8.0, **fields)
+        self.assertEqual(self.list_incarnations(), expected)
+
+    def test_restored_entry_that_lapses_is_forgotten(self):
+        self.put_entry("i-1")
+        self.servers.remove_entry("i-1", 5.0, recovered_at=None)
+        self.put_entry("i-1", now=8.0, recovered_at=8.0)
+        self.servers.remove_entry("i-1", 12.0, recovered_at=8.0)
+        self.assertFalse(self.servers.use_held_entries(20.0))
+        self.assertEqual(self.list_incarnations(), [])
+
+    def test_restored_entry_that_outlasts_its_lease_is_used(self):
+        self.put_entry("i-1")
+        self.servers.remove_entry("i-1", 5.0, recovered_at=None)
+        self.put_entry("i-1", now=8.0, recovered_at=8.0)
+        self.assertFalse(self.servers.use_held_entries(8.0 + self.servers.lease_s))
+        self.assertTrue(
+            self.servers.use_held_entries(8.0 + self.servers.lease_s + LEASE_MARGIN_S)
+        )
+        self.assertEqual(self.list_incarnations(), ["i-1#1000"])
+
+    def test_entry_listed_again_long_after_an_outage_is_used(self):
+        self.put_entry("i-1")
+        self.servers.remove_entry("i-1", 15.0, recovered_at=5.0)
+        self.put_entry("i-1", now=16.0, recovered_at=5.0)
+        self.assertEqual(len(self.list_incarnations()), 1)
+
     def test_removal_long_after_an_outage_is_no_lapse(self):
         self.put_entry("i-1")
         self.servers.remove_entry("i-1", 9.0, recovered_at=5.0)
@@ -119,6 +157,7 @@
         (make_entry(slots="many"),),
         (make_entry(slots=0),),
         (make_entry(born=1.5),),
+        (make_entry(sequence="first"),),
     )
     def test_entry_by_another_writer_is_a_typed_failure(self, value):
         result = parse_server_entry(value)
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -16,6 +16,11 @@
     return KeyChange(key=key, value=value, revision=revision, read_at=0.0)
 
 
+def is_older(key, value, other):
+    """Return whether a value is a lower number than another one."""
+    return value.isdigit() and other.isdigit() and int(value) < int(other)
+
+
 def page_of(*changes, revision, era=0):
     return ChangePage(changes=list(changes), revision=revision, era=era)
 
@@ -86,7 +91,7 @@
         ),
     )
     def test_newest_change_of_each_key_holds(self, pages, expected):
-        state = FeedState()
+        state = FeedState(is_older)
         for page in pages:
             state.merge(page)
         self.assertEqual(
@@ -94,7 +99,7 @@
         )
 
     def test_only_new_changes_are_returned(self):
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge(page_of(change("a", 1), revision=1))
         new = state.merge(page_of(change("a", 1), change("b", 2), revision=2))
         self.assertEqual([item.key for item in new], ["b"])
@@ -102,33 +107,57 @@
         self.assertEqual([(item.key, item.value) for item in new], [("a", None)])
 
     def test_page_behind_a_gap_is_not_applied(self):
-        reader = FeedState()
+        reader = FeedState(is_older)
         reader.merge(snapshot_of(revision=0))
         reader.merge(page_of(change("a", 4), revision=4))
         reader.merge(page_of(change("b", 6), revision=6))
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge(snapshot_of(revision=0))
         self.assertIsNone(state.merge_feed_page(build_page(reader, since=4), 0.0))
         self.assertEqual(state.items, {})
 
     def test_age_of_a_value_travels_with_it(self):
-        reader = FeedState()
+        reader = FeedState(is_older)
         reader.merge(page_of(change("a", 1), revision=1))
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge_feed_page(build_page(reader, since=-1, now=5.0), 100.0)
         self.assertEqual(state.items["a"].read_at, 95.0)
 
     def test_value_that_a_restore_left_keeps_its_age(self):
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge(page_of(change("a", 5), revision=5))
         restored = KeyChange(key="a", value=b"v", revision=2, read_at=30.0)
         self.assertEqual(state.merge(snapshot_of(restored, revision=2, era=1)), [])
         self.assertEqual((state.items["a"].revision, state.items["a"].read_at), (2, 0))
 
+    @params(
+        # (known value, value that the restored platform has, expected)
+        (b"7", b"5", b"7"),
+        (b"7", b"7", b"7"),
+        (b"7", b"9", b"9"),
+        (b"7", b"other", b"other"),
+    )
+    def test_older_value_after_a_restore_does_not_undo_a_newer_one(
+        self, known, restored, expected
+    ):
+        state = FeedState(is_older)
+        state.merge(page_of(change("a", 9, known), revision=9))
+        new = state.merge(snapshot_of(change("a", 3, restored), revision=4, era=1))
+        self.assertEqual(len(new), known != expected)
+        self.assertEqual(state.items["a"].value, expected)
+        peer = FeedState(is_older)
+        peer.merge(snapshot_of(change("a", 3, restored), revision=4, era=1))
+        peer.merge_feed_page(build_page(state, since=-1), 0.0)
+        self.assertEqual(peer.items["a"].value, expected)
+        state.merge_feed_page(build_page(peer, since=-1), 0.0)
+        # What is written in the new era holds, whatever its value.
+        state.merge(page_of(change("a", 5, b"1"), revision=5, era=1))
+        self.assertEqual(state.items["a"].value, b"1")
+
     def test_peer_of_another_era_gets_all_keys(self):
-        reader = FeedState()
+        reader = FeedState(is_older)
         reader.merge(snapshot_of(change("a", 2), revision=3, era=1))
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge(snapshot_of(change("a", 2), change("b", 7), revision=8))
         delta = build_page(reader, since=3, era=1)
         self.assertIsNone(state.merge_feed_page(delta, 0.0))
@@ -150,11 +179,16 @@
         self.assertEqual(state.merge_feed_page(old, 0.0), [])
 
     def build_state(self, item, era=0):
-        state = FeedState()
+        state = FeedState(is_older)
         state.merge(snapshot_of(item, revision=item.revision, era=era))
         return state
 
 
+def build_state():
+    """Build a state that takes every value that a restored platform has."""
+    return FeedState(lambda key, value, other: False)
+
+
 class FeedMachine(RuleBasedStateMachine):
     """A platform, two readers that skip and restart, and a node that follows both."""
 
@@ -166,8 +200,8 @@
         self.era = 0
         self.last_histories = {}
         self.copies = [([], 0)]
-        self.readers = [FeedState(), FeedState()]
-        self.node = FeedState()
+        self.readers = [build_state(), build_state()]
+        self.node = build_state()
         self.last_revisions = {}
         for reader in self.readers:
             reader.merge(snapshot_of(revision=0))
@@ -223,7 +257,7 @@
     @rule(index=st.integers(0, 1), restarts=st.booleans())
     def read_snapshot(self, index, restarts):
         if restarts:
-            self.readers[index] = FeedState()
+            self.readers[index] = build_state()
         page = snapshot_of(
             *self.platform.values(), revision=self.revision, era=self.era
         )
