--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -204,8 +204,11 @@
                 self.record_failure(page)
                 self.publisher.publish()
                 if page.reason is Reason.PLATFORM_HISTORY_GONE:
+                    # The platform answers again: a snapshot ends the outage.
                     self.needs_snapshot = True
-                retry_delay_s = max(retry_delay_s, self.get_min_retry_delay())
+                    retry_delay_s = MIN_RETRY_DELAY_S
+                else:
+                    retry_delay_s = max(retry_delay_s, self.get_min_retry_delay())
                 await trio.sleep(random.uniform(0.5, 1.0) * retry_delay_s)
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
                 continue
--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -281,6 +281,24 @@
             self.assertEqual(node.relay.state.era, fleet.platform.era)
             self.assertEqual(len(node.view.instances), FLEET)
 
+    @params(6.0, 7.1, 7.8)
+    def test_restore_after_an_outage_is_read_at_the_first_answer(self, outage_s):
+        """Guards against a wait between the first answer, 410, and the snapshot."""
+        self.check_restore_after_outage(outage_s)
+
+    @with_fleet
+    async def check_restore_after_outage(self, fleet, outage_s):
+        copy = fleet.platform.copy()
+        fleet.platform.put("config", b"lost")
+        await fleet.wait_until_known(fleet.platform.revision)
+        fleet.platform.stop_answering()
+        await trio.sleep(outage_s)
+        fleet.platform.restore(copy)
+        fleet.platform.put("config", b"next")
+        fleet.platform.is_down = False
+        seconds = await fleet.wait_until_known(fleet.platform.revision)
+        self.assertLess(seconds, 1.25)
+
     @with_fleet
     async def test_restored_platform_is_not_read_again_and_again(self, fleet):
         await self.lose_writes(fleet)
