Compare values of a key only where their revisions tell no order

Each change reaches a node from two peers. The second copy has the revision of the first, and both values were parsed to find the newer one, for a large configuration at each node. Equal values need no comparison. The new test counts one comparison without this change, and none with it.

--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -132,7 +132,9 @@
         if change.revision != known.revision or change.value is None:
             return change.revision > known.revision
         # Of two peers only one may know a change that a restored platform has lost.
-        return self.is_older(change.key, known.value, change.value)
+        return change.value != known.value and self.is_older(
+            change.key, known.value, change.value
+        )
 
     def keep_known_value(self, change: KeyChange) -> bool:
         """Keep the value of an earlier era unless the platform has a newer one.
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -154,6 +154,14 @@
         state.merge(page_of(change("a", 5, b"1"), revision=5, era=1))
         self.assertEqual(state.items["a"].value, b"1")
 
+    def test_change_that_two_peers_send_is_compared_by_its_revision(self):
+        """Guards against parsing each configuration once more for each peer."""
+        compared = []
+        state = FeedState(lambda *values: compared.append(values))
+        for _ in range(2):
+            state.merge(page_of(change("a", 1), revision=1))
+        self.assertEqual(compared, [])
+
     def test_peer_of_another_era_gets_all_keys(self):
         reader = FeedState(is_older)
         reader.merge(snapshot_of(change("a", 2), revision=3, era=1))
