Ignore offers to upgrade the protocol

A request with "Connection: Upgrade" and "Upgrade: h2c" was run and answered, and then answered again with 400, which a caller takes for the answer to its next request. If it had a body, it was run with an empty one.

Cause: the parser takes all bytes behind such a head for another protocol and reports this after the request, which was complete for it.

A server may ignore the offer (RFC 9110, 7.8). The head is now parsed once more without its Upgrade header, by a new parser and before the request is passed on, so that the body and the following requests keep their framing under the same checks. CONNECT is refused once, without being run.

--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -153,6 +153,11 @@
         self.limits = self.next_limits
         super().on_message_begin()
 
+    def on_message_complete(self) -> None:
+        # A request that offers an upgrade is parsed again.
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def build_message(self) -> HttpRequest:
         return HttpRequest(
             method=self.parser.get_method(),
@@ -203,13 +208,10 @@
         if not data or self.failure is not None:
             return
         body_bytes = self.body_bytes
+        rest = memoryview(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.failure = Failure(
-                reason=Reason.MALFORMED_REQUEST,
-                detail="protocol upgrades are not supported",
-            )
+            while rest:
+                rest = self.parse_until_upgrade(rest)
         except httptools.HttpParserError as error:
             self.failure = Failure(
                 reason=Reason.MALFORMED_REQUEST,
@@ -217,6 +219,39 @@
             )
         self.limit_fed_bytes(len(data), body_bytes)
 
+    def parse_until_upgrade(self, data: memoryview) -> memoryview:
+        """Parse bytes until a request that offers an upgrade of the protocol.
+
+        The offer is ignored, as a server may do. The parser takes what is behind the
+        head for another protocol, even the body, so the head is parsed once more
+        without the offer.
+
+        :return: bytes that are still to be parsed.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            if self.failure is not None:
+                return data[:0]
+            if self.parser.get_method() == b"CONNECT":
+                self.failure = Failure(
+                    reason=Reason.MALFORMED_REQUEST, detail="tunnels are not supported"
+                )
+                return data[:0]
+            head = self.encode_head_without_upgrade()
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.feed_data(head)
+            return data[offer.args[0] :]
+        return data[:0]
+
+    def encode_head_without_upgrade(self) -> bytes:
+        version = self.parser.get_http_version().encode()
+        line = b"%b %b HTTP/%b" % (self.parser.get_method(), self.target, version)
+        headers = [
+            b"%b: %b" % header for header in self.headers if header[0] != b"upgrade"
+        ]
+        return b"\r\n".join([line, *headers, b"", b""])
+
 
 class ResponseParser(MessageCollector):
     """Parser of one response on a client connection."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -250,6 +250,23 @@
             self.assertLess(trio.current_time() - started, 10)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_request_that_offers_an_upgrade_is_answered_once(self):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(
+                b"GET /1 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+            )
+            self.assertIn(b"/1", await stream.receive_some(65536))
+            await stream.send_all(CLOSING_REQUEST.replace(b"/1 ", b"/2 "))
+            data = await read_all(stream)
+            self.assertEqual(data.count(b"HTTP/1.1 200"), 1)
+            self.assertIn(b"/2", data)
+            self.assertEqual(setup.reported_failures, [])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_idle_connection_is_closed(self):
         async with trio.open_nursery() as nursery:
