Soak a small fleet of real nodes under planned work

catkinpost-soak drives nodes of the users' platform as processes of their own through stops, SIGHUPs, configurations, leaving servers and bursts that overlap, with clients that keep connections, send ahead, read slowly, upload and leave, and judges each request by LOST, TWICE, REFUSED and MIXED.

--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -45,6 +45,9 @@
 application-address = "{host}:{server_port}"
 service = "{service}"
 
+[self.limits]
+memory-mb = {memory_mb}
+
 [network]
 internal-port-range = [{peer_port}, {peer_port_end}]
 
@@ -75,6 +78,7 @@
     :param zone: data centre.
     :param server: its server.
     :param callers: connections to its node, as clients and its server use them.
+    :param memory_mb: memory of its node, in MB.
     """
 
     host: str
@@ -82,6 +86,7 @@
     server: StandInServer
     callers: BackendClient
     process: subprocess.Popen | None = None
+    memory_mb: int = 300
 
 
 class PlatformFleet:
@@ -151,6 +156,18 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
+        path = self.write_settings(machine)
+        with self.log_path(machine).open("ab") as log:
+            machine.process = subprocess.Popen(
+                [sys.executable, "-O", "-m", "catkinpost.platform"],
+                env=os.environ | {SETTINGS_VARIABLE: str(path)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def write_settings(self, machine: Machine) -> Path:
+        """Write the settings file of a machine's node."""
         path = self.folder / f"{machine.host}.toml"
         zones = "\n".join(f'{zone} = "{name}"' for zone, name in self.zones.items())
         path.write_text(
@@ -159,6 +176,7 @@
                 zone=machine.zone,
                 region=self.zones[machine.zone],
                 service=machine.server.service,
+                memory_mb=machine.memory_mb,
                 server_port=self.server_port,
                 outbound_port=self.outbound_port,
                 inbound_port=self.outbound_port + 1,
@@ -169,14 +187,7 @@
                 zones=zones,
             )
         )
-        with self.log_path(machine).open("ab") as log:
-            machine.process = subprocess.Popen(
-                [sys.executable, "-m", "catkinpost.platform"],
-                env=os.environ | {SETTINGS_VARIABLE: str(path)},
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        return path
 
     def log_path(self, machine: Machine) -> Path:
         """Return the file that holds the log of a machine's node."""
--- /dev/null
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -0,0 +1,195 @@
+"""Verdict on the requests of a soak, by the platform's rules."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from catkinpost_standins.users_platform.server import Run
+from catkinpost_standins.users_platform.traffic import Fate
+
+__all__ = ["Disruption", "Finding", "Verdict"]
+
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+PROPAGATION_S = 2.5
+TOUCH_S = 3.0
+# A request sent later than this after SIGTERM has no claim to its end.
+LATE_SENDER_S = 3.0
+CLOCK_TOLERANCE_S = 0.05
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+OWN_FAILURE_STATUSES = (500, 502, 504)
+KEPT_LOSSES_ALLOWED = 3
+BROKEN_ENDS = ("closed", "reset")
+
+
+@dataclass(kw_only=True)
+class Disruption:
+    """Planned work, with times of the runtime's clock.
+
+    :param kind: ``"stop"``, ``"hup"``, ``"config"``, ``"drain"`` or ``"burst"``.
+    :param host: machine concerned, empty for all.
+    :param until: end of its effect.
+    """
+
+    kind: str
+    host: str
+    at: float
+    until: float
+    detail: str = ""
+
+
+@dataclass(kw_only=True)
+class Finding:
+    """One request that broke a rule, or ended in a way that the rule excuses."""
+
+    rule: str
+    fate: Fate
+    runs: list[Run]
+    disruption: Disruption | None
+    excuse: str = ""
+
+    def describe(self, start: float) -> str:
+        """Return the request's course in one line, relative to the disruption."""
+        fate = self.fate
+        near = self.disruption
+        zero = near.at if near else start
+        name = f"{near.kind} of {near.host or 'all'}" if near else "start"
+        runs = "; ".join(
+            f"{run.end} {format_time(run.arrived_at, zero)}"
+            f"/{format_time(run.began_at, zero)}/{format_time(run.ended_at, zero)}"
+            for run in self.runs
+        )
+        return (
+            f"{self.rule} {fate.attempt.decode()} {fate.call.route} at {fate.host}"
+            f" ({fate.habit}, place {fate.place}, {fate.behind} behind, {fate.used}"
+            f" before): sent {format_time(fate.sent_at, zero)}, {fate.end}"
+            f" {fate.status or ''} {format_time(fate.ended_at, zero)}"
+            f" from the {name} at {zero - start:.3f}; {fate.received_bytes} bytes;"
+            f" runs [{runs or 'none'}] {self.excuse}"
+        )
+
+
+def format_time(at: float | None, zero: float) -> str:
+    return "never" if at is None else f"{at - zero:+.3f}"
+
+
+@dataclass
+class Verdict:
+    """Judges all requests of a soak.
+
+    :param fates: requests as their clients saw them.
+    :param runs: requests as the servers saw them.
+    :param disruptions: what was done meanwhile.
+    :param timeouts_s: shortest time-out of each route during the soak, in seconds.
+    """
+
+    fates: list[Fate]
+    runs: dict[bytes, list[Run]]
+    disruptions: list[Disruption]
+    timeouts_s: dict[str, float]
+    excused: list[Finding] = field(default_factory=list)
+
+    def find(self) -> list[Finding]:
+        """Return what broke a rule; what a rule excuses is in ``excused``."""
+        findings: list[Finding] = []
+        kept: list[Finding] = []
+        for fate in self.fates:
+            runs = self.runs.get(fate.attempt, [])
+            for rule in self.check_answer(fate, runs):
+                near = self.find_near(fate)
+                findings.append(
+                    Finding(rule=rule, fate=fate, runs=runs, disruption=near)
+                )
+            lost = self.check_loss(fate, runs)
+            if lost is None:
+                continue
+            if lost.excuse:
+                self.excused.append(lost)
+            elif lost.rule == "LOST-KEPT":
+                kept.append(lost)
+            else:
+                findings.append(lost)
+        if len(kept) > KEPT_LOSSES_ALLOWED:
+            return findings + kept
+        for finding in kept:
+            finding.excuse = "(three are allowed)"
+        self.excused += kept
+        return findings
+
+    def check_answer(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        begun = [run for run in runs if run.began_at is not None]
+        if fate.call.unsafe and len(begun) > 1:
+            yield "TWICE"
+        if fate.end != "answered":
+            return
+        if fate.call.unsafe and fate.status in NOT_RUN_STATUSES and begun:
+            yield "REFUSED"
+        if fate.named not in (None, fate.attempt):
+            yield "MIXED"
+        elif fate.status < 300:
+            sums = [run.checksum for run in runs if run.end == "done"]
+            if fate.signature != b"sig." + fate.attempt or fate.checksum not in sums:
+                yield "MIXED"
+
+    def check_loss(self, fate: Fate, runs: list[Run]) -> Finding | None:
+        """Return a finding for a request that ended without its answer."""
+        if fate.end == "no answer":
+            return Finding(
+                rule="SILENT",
+                fate=fate,
+                runs=runs,
+                disruption=self.find_near(fate),
+                excuse="(noted only)",
+            )
+        if fate.end not in BROKEN_ENDS and not self.is_replaced(fate, runs):
+            return None
+        is_late = fate.ended_at - fate.sent_at > LOSS_SLACK_S
+        if not runs and (fate.place or not is_late):
+            return None
+        near = self.find_near(fate)
+        rule = f"LOST-{near.kind.upper()}" if near else "CUT"
+        if near is None and fate.used and runs:
+            rule = "LOST-KEPT"
+        excuse = self.find_excuse(fate, runs, near)
+        return Finding(rule=rule, fate=fate, runs=runs, disruption=near, excuse=excuse)
+
+    def is_replaced(self, fate: Fate, runs: list[Run]) -> bool:
+        """Whether an own failure stands for the answer of a server at work."""
+        is_own = fate.end == "answered" and fate.signature is None
+        was_cut = any(run.end == "cut" and run.began_at is not None for run in runs)
+        return is_own and fate.status in OWN_FAILURE_STATUSES and was_cut
+
+    def find_near(self, fate: Fate) -> Disruption | None:
+        """Return the planned work that a request's end counts to, a stop first."""
+        order = {"stop": 0, "hup": 1, "config": 2}
+        matches = [
+            item
+            for item in self.disruptions
+            if item.kind in order
+            and item.host in ("", fate.host)
+            and item.at <= fate.ended_at <= item.until
+            and (item.kind != "hup" or fate.sent_at <= item.at + PROPAGATION_S)
+        ]
+        return min(matches, key=lambda item: order[item.kind], default=None)
+
+    def find_excuse(self, fate: Fate, runs: list[Run], near: Disruption | None) -> str:
+        """Return why the rule does not count a loss, empty if it does."""
+        limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
+        if fate.ended_at - fate.sent_at >= limit_s - CLOCK_TOLERANCE_S:
+            return "(its time was over)"
+        if any(run.end == "broken off" for run in runs):
+            return "(the server broke off)"
+        if near is None or near.kind != "stop":
+            return ""
+        last_sixth = near.at + GRACE_S * 5 / 6
+        is_at_work = any(
+            run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
+            for run in runs
+        )
+        if is_at_work and fate.sent_at <= near.at + LATE_SENDER_S:
+            return "(the server was at work at the end of the grace time)"
+        return ""
+
+    def count(self) -> Counter[str]:
+        """Count the requests by their end."""
+        return Counter(f"{fate.end} {fate.status or ''}".strip() for fate in self.fates)
