Test which ends of requests the soak counts

The table holds the rule's exemptions: requests that cross a close, that were sent behind another and not passed on, whose time was over, whose server broke off, or at which a server was still at work in the last sixth of the grace time.

--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -117,6 +117,14 @@
         },
         answer_bytes=30_000,
     ),
+    # Short work gives many requests at each moment of a stop.
+    "dense": Deployment(
+        services={
+            "stock": Service(slots=16, seconds=0.01),
+            "orders": Service(slots=16, seconds=0.01, unsafe=True, calls="stock"),
+        },
+        answer_bytes=2000,
+    ),
 }
 
 
@@ -359,9 +367,9 @@
             self.timeouts_s[route["name"]] = shortest
         elif change == "limits":
             config["limits"]["max-body-bytes"] = self.random.choice([2, 4, 64]) << 20
-            config["limits"]["idle-timeout-s"] = self.random.choice([1, 1.2, 2]) * (
-                IDLE_TIMEOUT_S
-            )
+            config["limits"]["idle-timeout-s"] = self.random.choice(
+                [0.25, 0.5, 1, 2]
+            ) * (IDLE_TIMEOUT_S)
         elif change == "add":
             name = f"added-{config['version']}"
             config["routes"].append(route | {"name": name, "prefix": f"/{name}/"})
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -143,9 +143,6 @@
             )
         if fate.end not in BROKEN_ENDS and not self.is_replaced(fate, runs):
             return None
-        is_late = fate.ended_at - fate.sent_at > LOSS_SLACK_S
-        if not runs and (fate.place or not is_late):
-            return None
         near = self.find_near(fate)
         rule = f"LOST-{near.kind.upper()}" if near else "CUT"
         if near is None and fate.used and runs:
@@ -174,6 +171,9 @@
 
     def find_excuse(self, fate: Fate, runs: list[Run], near: Disruption | None) -> str:
         """Return why the rule does not count a loss, empty if it does."""
+        is_late = fate.ended_at - fate.sent_at > LOSS_SLACK_S
+        if not runs and (fate.place or not is_late):
+            return "(not passed on)"
         limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
         if fate.ended_at - fate.sent_at >= limit_s - CLOCK_TOLERANCE_S:
             return "(its time was over)"
--- /dev/null
+++ b/tests/end_to_end/test_verdict.py
@@ -0,0 +1,111 @@
+"""Which ends of requests the soak's verdict counts as broken rules."""
+
+import unittest
+from dataclasses import replace
+
+from nose2.tools import params
+
+from catkinpost_standins.users_platform.server import Run
+from catkinpost_standins.users_platform.traffic import Call, Fate
+from catkinpost_standins.users_platform.verdict import Disruption, Verdict
+
+HOST = "127.0.0.21"
+BODY_SUM = 5
+ORDER = Call(route="order", host="h", path="/", unsafe=True, deadline_s=6.0)
+BROWSE = replace(ORDER, unsafe=False)
+STOP = Disruption(kind="stop", host=HOST, at=100.0, until=107.0)
+HUP = Disruption(kind="hup", host=HOST, at=100.0, until=110.0)
+CONFIG = Disruption(kind="config", host="", at=100.0, until=103.5)
+
+
+def make_fate(**changes):
+    fate = Fate(
+        attempt=b"a",
+        call=ORDER,
+        host=HOST,
+        habit="kept",
+        place=0,
+        behind=0,
+        used=1,
+        sent_at=101.0,
+        ended_at=101.1,
+        end="reset",
+    )
+    return replace(fate, **changes)
+
+
+def make_run(began_at=101.02, ended_at=101.08, end="done"):
+    return Run(
+        attempt=b"a",
+        arrived_at=101.01,
+        began_at=began_at,
+        ended_at=ended_at,
+        end=end,
+        checksum=BODY_SUM,
+    )
+
+
+def judge(fate, runs, disruption, count=1):
+    verdict = Verdict(
+        [fate] * count,
+        {b"a": runs},
+        [disruption] if disruption else [],
+        {"order": 6.0},
+    )
+    return [finding.rule for finding in verdict.find()]
+
+
+ANSWER = {
+    "end": "answered",
+    "status": 200,
+    "signature": b"sig.a",
+    "named": b"a",
+    "checksum": BODY_SUM,
+}
+LATE = {"ended_at": 105.4}
+LONG_RUN = make_run(ended_at=105.4, end="cut")
+
+
+class TestVerdict(unittest.TestCase):
+    @params(
+        ("passed on", {}, [make_run()], STOP, ["LOST-STOP"]),
+        ("read, not passed on", LATE, [], STOP, ["LOST-STOP"]),
+        ("crosses the close", {}, [], STOP, []),
+        ("behind another, not passed on", LATE | {"place": 1}, [], STOP, []),
+        ("behind another, passed on", {"place": 1}, [make_run()], STOP, ["LOST-STOP"]),
+        ("other machine", {"host": "127.0.0.22", "used": 0}, [], STOP, []),
+        ("server at work at the end", LATE, [LONG_RUN], STOP, []),
+        ("sent late", LATE | {"sent_at": 103.5}, [LONG_RUN], STOP, ["LOST-STOP"]),
+        ("time over", {"ended_at": 107.0}, [make_run()], STOP, []),
+        ("server broke off", {}, [make_run(end="broken off")], STOP, []),
+        ("SIGHUP", {}, [make_run()], HUP, ["LOST-HUP"]),
+        ("long after SIGHUP", {"sent_at": 102.6, "used": 0}, [], HUP, []),
+        ("configuration", {}, [make_run()], CONFIG, ["LOST-CONFIG"]),
+        ("answered", ANSWER, [make_run()], STOP, []),
+        (
+            "own failure in place of a server at work",
+            ANSWER | {"status": 502, "signature": None},
+            [make_run(end="cut")],
+            STOP,
+            ["LOST-STOP"],
+        ),
+    )
+    def test_loss_around_planned_work(self, _name, changes, runs, near, expected):
+        self.assertEqual(judge(make_fate(**changes), runs, near), expected)
+
+    @params((3, 0), (4, 4))
+    def test_kept_connections_may_lose_three(self, count, expected):
+        found = judge(make_fate(), [make_run()], None, count)
+        self.assertEqual(found, ["LOST-KEPT"] * expected)
+
+    @params(
+        ("twice", ANSWER, [make_run(), make_run()], ["TWICE"]),
+        ("safe twice", ANSWER | {"call": BROWSE}, [make_run(), make_run()], []),
+        ("refused", ANSWER | {"status": 503}, [make_run()], ["REFUSED"]),
+        ("refused, not run", ANSWER | {"status": 503}, [make_run(None, None)], []),
+        ("unsigned", ANSWER | {"signature": None}, [make_run()], ["MIXED"]),
+        ("other body", ANSWER | {"checksum": 6}, [make_run()], ["MIXED"]),
+        ("other answer", ANSWER | {"named": b"b"}, [make_run()], ["MIXED"]),
+    )
+    def test_answer(self, _name, changes, runs, expected):
+        self.assertEqual(judge(make_fate(**changes), runs, None), expected)
