--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -69,6 +69,12 @@
         )
 
 
+def is_own_failure(fate: Fate) -> bool:
+    """Whether a node answered with a failure that promises nothing."""
+    is_own = fate.end == "answered" and fate.signature is None
+    return is_own and fate.status in OWN_FAILURE_STATUSES
+
+
 def format_time(at: float | None, zero: float) -> str:
     return "never" if at is None else f"{at - zero:+.3f}"
 
@@ -133,15 +139,16 @@
 
     def check_loss(self, fate: Fate, runs: list[Run]) -> Finding | None:
         """Return a finding for a request that ended without its answer."""
-        if fate.end == "no answer":
+        is_replaced = self.is_replaced(fate, runs)
+        if fate.end == "no answer" or is_own_failure(fate) and not is_replaced:
             return Finding(
-                rule="SILENT",
+                rule="FAILED",
                 fate=fate,
                 runs=runs,
                 disruption=self.find_near(fate),
                 excuse="(noted only)",
             )
-        if fate.end not in BROKEN_ENDS and not self.is_replaced(fate, runs):
+        if fate.end not in BROKEN_ENDS and not is_replaced:
             return None
         near = self.find_near(fate)
         rule = f"LOST-{near.kind.upper()}" if near else "CUT"
@@ -152,9 +159,8 @@
 
     def is_replaced(self, fate: Fate, runs: list[Run]) -> bool:
         """Whether an own failure stands for the answer of a server at work."""
-        is_own = fate.end == "answered" and fate.signature is None
         was_cut = any(run.end == "cut" and run.began_at is not None for run in runs)
-        return is_own and fate.status in OWN_FAILURE_STATUSES and was_cut
+        return is_own_failure(fate) and was_cut
 
     def find_near(self, fate: Fate) -> Disruption | None:
         """Return the planned work that a request's end counts to, a stop first."""
