--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -506,7 +506,7 @@
             "memory_mb": round(soak.largest_memory_mb),
         }
         typer.echo(json.dumps(summary))
-        if findings or soak.faults:
+        if lines:
             folder = logs / f"{seed}"
             shutil.rmtree(folder, ignore_errors=True)
             shutil.copytree(fleet.folder, folder)
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -159,8 +159,12 @@
 
     def is_replaced(self, fate: Fate, runs: list[Run]) -> bool:
         """Whether an own failure stands for the answer of a server at work."""
-        was_cut = any(run.end == "cut" and run.began_at is not None for run in runs)
-        return is_own_failure(fate) and was_cut
+        was_at_work = any(
+            run.end == "cut" or run.ended_at is None or run.ended_at > fate.ended_at
+            for run in runs
+            if run.began_at is not None
+        )
+        return is_own_failure(fate) and was_at_work
 
     def find_near(self, fate: Fate) -> Disruption | None:
         """Return the planned work that a request's end counts to, a stop first."""
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -62,8 +62,9 @@
     "named": b"a",
     "checksum": BODY_SUM,
 }
+OWN = ANSWER | {"status": 502, "signature": None}
 LATE = {"ended_at": 105.4}
-LONG_RUN = make_run(ended_at=105.4, end="cut")
+LONG_RUN = make_run(ended_at=105.4)
 
 
 class TestVerdict(unittest.TestCase):
@@ -82,13 +83,15 @@
         ("long after SIGHUP", {"sent_at": 102.6, "used": 0}, [], HUP, []),
         ("configuration", {}, [make_run()], CONFIG, ["LOST-CONFIG"]),
         ("answered", ANSWER, [make_run()], STOP, []),
+        ("own failure, run cut", OWN, [make_run(end="cut")], STOP, ["LOST-STOP"]),
         (
-            "own failure in place of a server at work",
-            ANSWER | {"status": 502, "signature": None},
-            [make_run(end="cut")],
+            "own failure, run goes on",
+            OWN,
+            [make_run(ended_at=102.0)],
             STOP,
             ["LOST-STOP"],
         ),
+        ("own failure after the run", OWN, [make_run()], STOP, []),
     )
     def test_loss_around_planned_work(self, _name, changes, runs, near, expected):
         self.assertEqual(judge(make_fate(**changes), runs, near), expected)
