--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -77,7 +77,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Service:
-    """Servers of one service and the route to them."""
+    """Servers of one service and the route to them.
+
+    :param slots: requests that a server runs at once, and that it queues.
+    :param seconds: service time.
+    :param calls: service that each request calls, empty for none.
+    :param deadline_s: seconds that clients wait, and the route's time-out.
+    """
 
     slots: int
     seconds: float
@@ -129,7 +135,12 @@
 
 
 class RecordedCalls:
-    """Connections of a server to its machine's node, which record each call's fate."""
+    """Connections of a server to its machine's node, which record each call's fate.
+
+    :param client: the connections.
+    :param soak: run whose fates are recorded.
+    :param call: kind of its requests.
+    """
 
     def __init__(self, client: BackendClient, soak: "Soak", call: Call) -> None:
         self.client, self.soak, self.call = client, soak, call
@@ -168,8 +179,15 @@
 class Soak:
     """One run: traffic and a plan of planned work.
 
+    :param fleet: machines of the deployment.
+    :param deployment: shape of its services.
     :param seed: seed of plan and traffic.
     :param seconds: length of the traffic.
+    :ivar misses: failed readiness probes in a row of each machine.
+    :ivar busy: machines with planned work in progress.
+    :ivar faults: what processes did that the platform does not expect.
+    :ivar largest_lag_s: longest delay of this process, in seconds, by which its times
+        may be wrong.
     """
 
     fleet: PlatformFleet
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -34,6 +34,8 @@
     """Kind of request that clients send.
 
     :param route: name of its route.
+    :param host: value of its ``Host`` header.
+    :param path: path.
     :param unsafe: whether it may run once only.
     :param deadline_s: seconds that a client waits.
     """
@@ -106,7 +108,11 @@
 class Client:
     """One client on a machine.
 
-    :param host: address of the machine, and :param port: port of its node.
+    :param host: address of the machine.
+    :param port: port at which its node takes calls.
+    :param calls: kinds of request to choose from.
+    :param habit: use of its connections.
+    :param seed: seed of its choices, and the start of its requests' identities.
     :param may_start: whether the machine gets new work.
     :param record: called with each request's fate.
     """
