--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -275,6 +275,9 @@
             stream = await setup.connect()
             self.assertEqual(await read_all(stream), b"")
             self.assertEqual(setup.reported_failures, [])
+            await trio.sleep(0.1)
+            # Nothing was on its way, so the descriptor is free at once.
+            self.assertFalse(setup.server.lingers)
             nursery.cancel_scope.cancel()
 
     @on_mock_clock(io=True)
