Keep keys deleted that a page of all keys no longer lists

A node used a server again that had left: it had learned of the removal from a page that lists all keys, which names no deletions, and then got a page of a peer that lagged behind it.

A key that is unknown at the base revision, from which all deletions are known, was deleted before it: a value with a lower revision is not taken.

Found by the random test of the feed with 2000 examples, without any restore in the failing case. The new test fails without the change, and passes with it.

--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -128,7 +128,9 @@
         """Return whether a change is newer than what is known of its key."""
         known = self.items.get(change.key)
         if known is None:
-            return change.revision > self.deleted.get(change.key, NO_REVISION)
+            # A key unknown at the base revision was deleted before it.
+            deleted_at = self.deleted.get(change.key, self.base_revision)
+            return change.revision > deleted_at
         if change.revision != known.revision or change.value is None:
             return change.revision > known.revision
         # Of two peers only one may know a change that a restored platform has lost.
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -106,6 +106,17 @@
         new = state.merge(snapshot_of(change("b", 2), revision=3))
         self.assertEqual([(item.key, item.value) for item in new], [("a", None)])
 
+    def test_lagging_peer_does_not_bring_back_a_key_that_a_full_page_lacks(self):
+        """A page of all keys names no deletions."""
+        reader = FeedState(is_older)
+        reader.merge(snapshot_of(change("a", 1), revision=1))
+        lagging = build_page(reader, since=0)
+        reader.merge(page_of(change("a", 2, None), revision=2))
+        state = FeedState(is_older)
+        state.merge_feed_page(build_page(reader, since=0), 0.0)
+        self.assertEqual(state.merge_feed_page(lagging, 0.0), [])
+        self.assertEqual(state.items, {})
+
     def test_page_behind_a_gap_is_not_applied(self):
         reader = FeedState(is_older)
         reader.merge(snapshot_of(revision=0))
