Treat a page of all keys behind a gap as a gap

A page that lists all keys carries values after its start only. A node that did not know the keys up to there took the page as complete: it knew their names as listed, missed their values, and watched on from the page's end, so that a server or a route was never served to callers until its next change.

The start of a page is now checked whether or not it lists all keys; the node subscribes again and gets the values. Found by the random test of the feed with 2000 examples, where the page was of a later era; it is the same within one. The new test fails without the change.

--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -256,7 +256,7 @@
         if era < self.era:
             return []
         known_revision = NO_REVISION if era > self.era else self.revision
-        if page.keys is None and page.since > known_revision:
+        if page.since > known_revision:
             return None
         changes = [
             KeyChange(
--- a/tests/state/test_feed_state.py
+++ b/tests/state/test_feed_state.py
@@ -106,6 +106,19 @@
         new = state.merge(snapshot_of(change("b", 2), revision=3))
         self.assertEqual([(item.key, item.value) for item in new], [("a", None)])
 
+    def test_list_of_all_keys_does_not_hide_a_gap(self):
+        """The list has the keys, and the page no values up to its start."""
+        reader = FeedState(is_older)
+        reader.merge(snapshot_of(change("a", 1), change("b", 2), revision=3))
+        page = build_page(reader, since=1)
+        self.assertEqual(len(page.keys), 2)
+        for state in (self.build_state(change("b", 0)), FeedState(is_older)):
+            self.assertIsNone(state.merge_feed_page(page, 0.0))
+        later = FeedState(is_older)
+        later.merge(snapshot_of(change("a", 1), change("b", 2), revision=3, era=1))
+        state = self.build_state(change("c", 9))
+        self.assertIsNone(state.merge_feed_page(build_page(later, 1, era=1), 0.0))
+
     def test_lagging_peer_does_not_bring_back_a_key_that_a_full_page_lacks(self):
         """A page of all keys names no deletions."""
         reader = FeedState(is_older)
@@ -113,6 +126,7 @@
         lagging = build_page(reader, since=0)
         reader.merge(page_of(change("a", 2, None), revision=2))
         state = FeedState(is_older)
+        state.merge(snapshot_of(revision=0))
         state.merge_feed_page(build_page(reader, since=0), 0.0)
         self.assertEqual(state.merge_feed_page(lagging, 0.0), [])
         self.assertEqual(state.items, {})
