Close a kept connection behind the answer that was being sent at the stop

Callers whose answer was being sent, without an announced close, when the node stopped reading kept the connection. Each further request on it was read and discarded without an answer or a close until the process ended, and the node counted as busy until the latest time of its stop.

Cause: whether the connection closes was decided when the answer was encoded. stop_reading sets closing during the send, cancels only idle and reading connections, and nothing looked at closing after the send.

Now the state after the send decides: a closing connection without requests is closed with a linger. Requests that were read before are still answered in order, as they are in the queue of exchanges.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -463,7 +463,8 @@
             await send_all(connection.stream, data)
             connection.exchanges.popleft()
             connection.capacity_available.set()
-            if is_last:
+            # Reading may have ended while an answer that keeps the connection was sent.
+            if connection.closing and not connection.exchanges:
                 connection.enter_phase(Phase.IDLE)
                 connection.scope.cancel()
                 return
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -31,6 +31,8 @@
 # Fits into the send buffer of the server, but not into the receive buffer of a caller.
 SLOWLY_READ_BODY = b"x" * 16_000
 SMALL_RECEIVE_BUFFER_BYTES = 4096
+# Exceeds the socket buffers, so that it is sent only while the caller reads.
+LARGE_BODY = b"x" * 1_000_000
 REAL_TIME_LIMIT_S = 30.0
 CLOSING_REQUEST = b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n"
 KEPT_REQUEST = b"GET /1 HTTP/1.1\r\n\r\n"
@@ -531,6 +533,45 @@
             self.assertFalse(setup.server.is_busy)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (bytes sent before stop_reading, target of the answer being sent, answers)
+        (KEPT_REQUEST, b"/1", 1),
+        (KEPT_REQUEST + b"GET /2 HT", b"/1", 1),
+        (KEPT_REQUEST + LATER_REQUESTS, b"/1", 3),
+        (LATER_REQUESTS + KEPT_REQUEST, b"/1", 3),
+    )
+    def test_kept_connection_is_closed_behind_the_answer_being_sent(
+        self, sent, large_target, answer_count
+    ):
+        self.check_stop_while_sending(sent, large_target, answer_count)
+
+    @on_mock_clock(io=True)
+    async def check_stop_while_sending(self, sent, large_target, answer_count):
+        setup = ServerSetup()
+        ours, theirs = (trio.SocketStream(end) for end in trio.socket.socketpair())
+
+        async def handle(request):
+            is_large = request.target == large_target
+            return HttpResponse(200, [], LARGE_BODY if is_large else b"small")
+
+        setup.server.handler = handle
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(setup.server.watch_connections)
+            nursery.start_soon(setup.server.serve_connection, ours)
+            await theirs.send_all(sent)
+            await trio.sleep(0.5)
+            setup.server.stop_reading()
+            data = b""
+            while LARGE_BODY not in data:
+                data += await theirs.receive_some(len(LARGE_BODY))
+            await theirs.send_all(b"GET /later HTTP/1.1\r\n\r\n")
+            with trio.fail_after(0.5):
+                data += await read_all(theirs)
+            self.assertEqual(data.count(b"HTTP/1.1 200"), answer_count)
+            await trio.sleep(0.1)
+            self.assertFalse(setup.server.is_busy)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_server_is_busy_until_the_answer_is_sent(self):
         async with trio.open_nursery() as nursery:
