Refuse a request that waits for memory when a stop ends reading

A caller whose whole body was sent while the memory for requests was full got no answer when the node stopped reading in that second: the connection was closed up to a second after the last byte. Behind earlier requests on the connection, the close came with the last answer to these.

Cause: a wait for memory looked to stop_reading like a request that is still arriving, although it is the node that doesn't read.

Now stop_reading ends the wait, and the reader refuses the request as leaving (503, not run), behind the answers that are due before it. An earlier answer doesn't announce a close while a request waits.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -33,6 +33,8 @@
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 MAX_PIPELINED_REQUESTS = 32
+# Another node can take a request that is refused during a stop.
+LEAVING_RETRY_AFTER_S = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -82,6 +84,7 @@
     :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
     :param reservation: memory for the request that is being read.
+    :param memory_wait: cancel scope of the wait for that memory, if it waits.
     """
 
     stream: trio.SocketStream
@@ -99,6 +102,7 @@
     reading_ended: bool = False
     nursery: trio.Nursery | None = None
     reservation: Reservation | None = None
+    memory_wait: trio.CancelScope | None = None
 
     @property
     def has_single_request(self) -> bool:
@@ -124,6 +128,14 @@
         is_read = self.has_reader_task or self.reading_ended
         return bool(self.exchanges) and not is_read
 
+    @property
+    def is_at_last_exchange(self) -> bool:
+        """Whether no answer is due behind that of the first request.
+
+        A request that waits for memory is answered in any case.
+        """
+        return len(self.exchanges) == 1 and self.memory_wait is None
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
         self.parser.body_parts.clear()
@@ -199,11 +211,16 @@
 
         Connections without a complete request are closed at once, the others after
         their last response. An incomplete request has not run, so its caller may send
-        it again. Input after that is discarded as unread.
+        it again; one that waits for memory may have been sent whole and is refused.
+        Input after that is discarded as unread.
         """
         self.leaving = True
         self.has_stopped_reading = True
         for connection in list(self.connections):
+            if connection.memory_wait is not None:
+                # Its reader refuses the request, which closes the connection.
+                connection.memory_wait.cancel()
+                continue
             connection.closing = True
             if connection.phase in (Phase.IDLE, Phase.READING):
                 connection.scope.cancel()
@@ -364,15 +381,24 @@
             return None
         started_at, waits_since = connection.phase_started_at, trio.current_time()
         connection.phase_started_at = math.inf
-        result = await reserve_body(
-            self.memory, connection.parser, connection.reservation
-        )
+        result: Reservation | Failure | None = None
+        with trio.CancelScope() as connection.memory_wait:
+            result = await reserve_body(
+                self.memory, connection.parser, connection.reservation
+            )
+        connection.memory_wait = None
         if connection.phase_started_at == math.inf:
             waited_s = trio.current_time() - waits_since
             connection.phase_started_at = started_at + waited_s
         if isinstance(result, Failure):
             return result
         connection.reservation = result
+        if self.has_stopped_reading:
+            return Failure(
+                reason=Reason.LEAVING,
+                detail="the node stopped before it had read the request",
+                retry_after=LEAVING_RETRY_AFTER_S,
+            )
         return None
 
     async def handle_single_request(
@@ -453,9 +479,9 @@
             first = connection.exchanges[0]
             # Later requests are already running: only the last response may close
             # the connection.
-            if self.leaving and len(connection.exchanges) == 1:
+            if self.leaving and connection.is_at_last_exchange:
                 connection.closing = True
-            is_last = connection.closing and len(connection.exchanges) == 1
+            is_last = connection.closing and connection.is_at_last_exchange
             keep_alive = first.keep_alive and not is_last
             data = encode_response(
                 first.response, keep_alive=keep_alive, head_only=first.head_only
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -11,6 +11,8 @@
 from nose2.tools import params
 
 from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock
@@ -33,6 +35,9 @@
 SMALL_RECEIVE_BUFFER_BYTES = 4096
 # Exceeds the socket buffers, so that it is sent only while the caller reads.
 LARGE_BODY = b"x" * 1_000_000
+WAITING_REQUEST = (
+    b"POST /wait HTTP/1.1\r\nContent-Length: 80000\r\n\r\n" + b"x" * 80_000
+)
 REAL_TIME_LIMIT_S = 30.0
 CLOSING_REQUEST = b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n"
 KEPT_REQUEST = b"GET /1 HTTP/1.1\r\n\r\n"
@@ -572,6 +577,56 @@
             self.assertFalse(setup.server.is_busy)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (earlier requests on the connection, seconds until they are answered)
+        (0, 0.0),
+        (1, 0.0),
+        (1, 0.4),
+        (1, 0.9),
+        (2, 0.9),
+    )
+    def test_request_that_waits_for_memory_as_reading_stops_is_refused(
+        self, earlier_count, answer_s
+    ):
+        self.check_memory_wait_at_stop(earlier_count, answer_s)
+
+    @on_mock_clock(io=True)
+    async def check_memory_wait_at_stop(self, earlier_count, answer_s):
+        handled = []
+
+        async def handle(request):
+            handled.append(request.target)
+            await trio.sleep(answer_s)
+            return HttpResponse(200, [], b"")
+
+        memory = RequestMemory(100_000, DecisionLog())
+        server = HttpServer(
+            handle, limits=HttpLimits(), report_failure=[].append, memory=memory
+        )
+        held = memory.reserve_now(90_000)
+        ours, theirs = (trio.SocketStream(end) for end in trio.socket.socketpair())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.watch_connections)
+            nursery.start_soon(server.serve_connection, ours)
+            await theirs.send_all(KEPT_REQUEST * earlier_count + WAITING_REQUEST)
+            # The notice of a stop comes before the end of reading.
+            await trio.sleep(0.2)
+            server.leaving = True
+            await trio.sleep(0.4)
+            server.stop_reading()
+            with trio.fail_after(0.5):
+                data = await read_all(theirs)
+            await theirs.aclose()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(handled, [b"/1"] * earlier_count)
+        answers = data.split(b"HTTP/1.1 ")[1:]
+        statuses = [answer[:3] for answer in answers]
+        self.assertEqual(statuses, [b"200"] * earlier_count + [b"503"])
+        self.assertIn(b"catkinpost-outcome: not-run", answers[-1])
+        self.assertEqual(data.count(b"connection: close"), 1)
+        held.release()
+        self.assertEqual((memory.used_bytes, len(memory.waiters)), (0, 0))
+
     @on_mock_clock(io=True)
     async def test_server_is_busy_until_the_answer_is_sent(self):
         async with trio.open_nursery() as nursery:
