Keep a withdrawal no longer than its call

Callers saw 503 (caller-gone, not run) for requests that nobody had withdrawn. A withdrawal that arrived while the answer of its call was being sent left the address of the call in the executor's table for good, as did two withdrawals read together with their call. The next call at that address was refused, and nothing moves or retries that reason.

The executor now keeps an entry from the beginning to the end of a run and the entry refers to the call, so its address can't be reused meanwhile. A withdrawal read before the task of its call begins is kept at the session, which refuses the call itself.

The test of the executor withdrew a call before its run began; that is now the case of the session (test_link), and the executor's test withdraws one that has begun and not yet reached the queue instead.

Both new tests failed before: the call after the first late withdrawal was refused as caller-gone, and the call withdrawn with its arrival got no refusal.

--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -37,6 +37,18 @@
 LEAVING_RETRY_AFTER_S = 0.1
 
 
+@dataclass(eq=False, slots=True)
+class ActiveCall:
+    """Call from the beginning to the end of :meth:`Executor.run`.
+
+    :param item: the call while it waits for a slot, otherwise ``None``.
+    """
+
+    call: Call
+    item: WorkItem | None = None
+    is_withdrawn: bool = False
+
+
 @dataclass(kw_only=True, eq=False)
 class Executor:
     """Runs calls at one backend server.
@@ -72,8 +84,7 @@
     dialect: Dialect = field(default_factory=NativeDialect)
     request_log: RequestLog = field(default_factory=RequestLog)
     active_calls: int = 0
-    waiting_items: dict[int, WorkItem] = field(default_factory=dict)
-    withdrawn_calls: set[int] = field(default_factory=set)
+    calls: dict[int, ActiveCall] = field(default_factory=dict)
     crash_check: trio.Event | None = None
     lost_runs: int = 0
 
@@ -99,6 +110,8 @@
             call ran.
         """
         self.active_calls += 1
+        # The table refers to the call, so that no other one gets its id meanwhile.
+        self.calls[id(call)] = ActiveCall(call)
         started_at = trio.current_time()
         try:
             result = await self.run_guarded(call)
@@ -110,7 +123,7 @@
             return self.build_refusal(call, INTERNAL_FAILURE, allowance=0)
         finally:
             self.active_calls -= 1
-            self.withdrawn_calls.discard(id(call))
+            del self.calls[id(call)]
 
     def withdraw(self, call: Call) -> None:
         """Refuse a call that was not yet handed to the backend server.
@@ -118,12 +131,14 @@
         A call that was handed over runs on; so does one that shares the run of an
         earlier sending of its key.
 
-        :param call: call in progress, as passed to :meth:`run`.
+        :param call: call as passed to :meth:`run`; ignored once that has ended.
         """
-        self.withdrawn_calls.add(id(call))
-        item = self.waiting_items.get(id(call))
-        if item is not None:
-            self.admission.withdraw(item)
+        active = self.calls.get(id(call))
+        if active is None:
+            return
+        active.is_withdrawn = True
+        if active.item is not None:
+            self.admission.withdraw(active.item)
 
     def log_failed_call(
         self, call: Call, result: Answer | Refusal, seconds: float
@@ -248,13 +263,17 @@
     async def acquire_slot(
         self, call: Call, item: WorkItem
     ) -> AdmissionPermit | Failure:
-        if id(call) in self.withdrawn_calls:
+        active = self.calls.get(id(call))
+        if active is None:
+            # The run of a key goes on although the connection of its caller is lost.
+            return await self.admission.acquire_slot(item)
+        if active.is_withdrawn:
             return self.admission.refuse_withdrawn(item)
-        self.waiting_items[id(call)] = item
+        active.item = item
         try:
             return await self.admission.acquire_slot(item)
         finally:
-            del self.waiting_items[id(call)]
+            active.item = None
 
     async def run_admitted(
         self, call: Call, permit: AdmissionPermit, fingerprint: bytes
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -47,6 +47,8 @@
 
     call: Call
     reservation: Reservation | None = None
+    has_begun: bool = False
+    is_withdrawn: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
@@ -244,23 +246,42 @@
         peer_call = session.calls.get(cancel.id)
         if peer_call is None:
             return
-        if cancel.only_waiting:
+        if not cancel.only_waiting:
+            peer_call.scope.cancel()
+        elif peer_call.has_begun:
             self.withdraw_call(peer_call.call)
         else:
-            peer_call.scope.cancel()
+            peer_call.is_withdrawn = True
 
     async def handle_call(self, session: PeerSession, peer_call: PeerCall) -> None:
         try:
             with peer_call.scope:
                 if peer_call.scope.cancel_called:
                     return
-                result = await self.run_call(peer_call.call)
-                await session.send_notification(result)
+                await session.send_notification(await self.run_or_refuse(peer_call))
         finally:
             session.calls.pop(peer_call.call.id, None)
             if peer_call.reservation is not None:
                 peer_call.reservation.release()
 
+    async def run_or_refuse(self, peer_call: PeerCall) -> Answer | Refusal:
+        """Run a call unless it was withdrawn before its task began."""
+        peer_call.has_begun = True
+        if peer_call.is_withdrawn:
+            return self.build_withdrawal_refusal(peer_call.call)
+        return await self.run_call(peer_call.call)
+
+    def build_withdrawal_refusal(self, call: Call) -> Refusal:
+        return Refusal(
+            call.id,
+            Reason.LEAVING,
+            Outcome.NOT_RUN,
+            "the call was withdrawn before it ran",
+            None,
+            call.allowance,
+            self.get_load(),
+        )
+
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
         for session in list(self.sessions.values()):
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -12,7 +12,7 @@
 from catkinpost.coordination.admission.fixed_limit import FixedLimits
 from catkinpost.coordination.admission.server_monitor import ServerMonitor
 from catkinpost.coordination.admission.throttle import Throttle
-from catkinpost.coordination.at_most_once.once import OnceGuard
+from catkinpost.coordination.at_most_once.once import OnceGuard, compute_fingerprint
 from catkinpost.coordination.routing.dialect import NativeDialect
 from catkinpost.protocol.header import PARENT_HEADER
 from catkinpost.protocol.http import HttpResponse, find_header
@@ -188,12 +188,17 @@
                 spawn=nursery.start_soon,
                 decisions=setup.decisions,
             )
-            # Two calls run, one waits for a slot and the task of one has not begun.
+            # Two calls run, one waits for a slot and one for its turn as a suspect.
             for number in range(3):
                 nursery.start_soon(run, number)
                 await wait_all_tasks_blocked()
-            setup.executor.withdraw(calls[3])
+            suspect = compute_fingerprint(calls[3])
+            setup.crash_guard.is_suspect = suspect.__eq__
+            await setup.crash_guard.suspect_limiter.acquire()
             nursery.start_soon(run, 3)
+            await wait_all_tasks_blocked()
+            setup.executor.withdraw(calls[3])
+            setup.crash_guard.suspect_limiter.release()
             setup.executor.withdraw(calls[0])
             setup.executor.withdraw(calls[2])
             await wait_all_tasks_blocked()
@@ -205,7 +210,18 @@
             self.assertIsInstance(results[0], Answer)
             self.assertIsInstance(results[1], Answer)
             self.assertEqual(len(setup.client.requests), 2)
-            self.assertEqual(setup.executor.withdrawn_calls, set())
+            self.assertEqual(setup.executor.calls, {})
+
+    @on_mock_clock
+    async def test_withdrawal_after_the_end_of_a_call_hits_no_other_call(self):
+        """Another call may get the address of one that has ended."""
+        setup = Setup(limits=False)
+        for number in range(50):
+            call = make_call("", 0, b"%d" % number)
+            self.assertIsInstance(await setup.executor.run(call), Answer)
+            setup.executor.withdraw(call)
+            del call
+        self.assertEqual(setup.executor.calls, {})
 
     @on_mock_clock
     async def test_fault_of_the_node_is_an_unknown_outcome(self):
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -246,6 +246,30 @@
             self.assertEqual(setup.started, [])
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_withdrawals_that_arrive_with_their_call_are_not_lost(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            withdrawn = []
+            setup.server.withdraw_call = withdrawn.append
+            await setup.start()
+            await setup.events.up.wait()
+            pending = PendingRequest(lambda: None)
+            cancel = Cancel(setup.link.pending.add(pending), only_waiting=True)
+            call = make_call("", 0)
+            call.id = cancel.id
+            data = b""
+            for message in (call, cancel, cancel):
+                encoded = encode_message(message)
+                data += LENGTH_PREFIX.pack(len(encoded)) + encoded
+            await setup.link.frames.stream.send_all(data)
+            await trio.sleep(0.5)
+            self.assertEqual((setup.started, withdrawn), ([], []))
+            self.assertIs(pending.result.outcome, Outcome.NOT_RUN)
+            self.assertIs(pending.result.reason, Reason.LEAVING)
+            self.assertFalse(setup.server.is_busy)
+            nursery.cancel_scope.cancel()
+
     @params((True, True), (True, False), (False, False))
     def test_withdrawn_call_ends_with_the_word_of_the_peer(self, waits, understood):
         """A peer of an older release would break off a call that it runs."""
