Do not send a call that its link was too late for

Callers got 502 (may have run) for orders that no server had, and orders ran after their node had withdrawn them. A call that waited for its link, for up to 1 s, was sent whatever had happened meanwhile: a withdrawal found nothing to withdraw and was never repeated, the welcome of a peer that is about to end was not looked at (its end then counts as a lost connection), and the call still granted the times computed before the wait, so the peer could run it for up to 1 s past its deadline.

The wait now ends with a withdrawal; the call is refused as LEAVING and not run, as is one to a peer whose fresh welcome says that it leaves. Its dispatcher may move it. Budget and use are shortened by the wait. Queries about keys still go to peers that leave.

The query about a key passes before and after.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -1,5 +1,6 @@
 """Connection from this node to one peer, reconnected until it is stopped."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -9,7 +10,11 @@
 
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity, generate_nonce
-from catkinpost.coordination.peers.pending import PendingRequest, PendingRequests
+from catkinpost.coordination.peers.pending import (
+    PendingRequest,
+    PendingRequests,
+    do_nothing,
+)
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
@@ -40,6 +45,7 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
+LEAVING_RETRY_AFTER_S = 0.1
 FRAME_OVERHEAD_BYTES = 64 * 1024
 
 
@@ -336,15 +342,14 @@
         :param request: request; this method sets its id.
         :param pending: receiver of the response.
         """
-        if not self.is_up and not await self.wait_until_up(CONNECT_TIMEOUT_S):
-            pending.resolve(
-                Failure(
-                    reason=Reason.PEER_UNREACHABLE,
-                    detail=f"no connection to {self.instance}",
-                    retry_after=MAX_BACKOFF_S,
-                )
-            )
-            return
+        if not self.is_up:
+            asked_at = trio.current_time()
+            failure = await self.wait_for_request(request, pending)
+            if failure is not None:
+                pending.resolve(failure)
+                return
+            if isinstance(request, Call):
+                deduct_wait(request, trio.current_time() - asked_at)
         request_id = self.pending.add(pending)
         pending.cancel = lambda: self.cancel_request(request_id)
         pending.withdraw = lambda: self.withdraw_request(request_id)
@@ -358,6 +363,31 @@
                 build_connection_failure("the connection broke while sending"),
             )
 
+    async def wait_for_request(
+        self, request: Call | KeyFence, pending: PendingRequest
+    ) -> Failure | None:
+        """Wait until the link is up for a request that may be withdrawn meanwhile.
+
+        :return: why the request must not be sent, ``None`` if it may be.
+        """
+        is_up = False
+        with trio.CancelScope() as scope:
+            pending.withdraw = scope.cancel
+            is_up = await self.wait_until_up(CONNECT_TIMEOUT_S)
+        pending.withdraw = do_nothing
+        if scope.cancel_called:
+            return build_leaving_failure("the call was withdrawn before it was sent")
+        if not is_up:
+            return Failure(
+                reason=Reason.PEER_UNREACHABLE,
+                detail=f"no connection to {self.instance}",
+                retry_after=MAX_BACKOFF_S,
+            )
+        # Later loads of the peer may differ, but this welcome has just arrived.
+        if isinstance(request, Call) and self.welcome.load.leaving:
+            return build_leaving_failure(f"{self.instance} is leaving")
+        return None
+
     def cancel_request(self, request_id: int) -> None:
         if request_id in self.pending.requests:
             self.pending.remove(request_id)
@@ -401,6 +431,23 @@
     return KeyFence(request_id, request.key, request.holder)
 
 
+def deduct_wait(call: Call, waited_s: float) -> None:
+    """Shorten the times that a call grants by a wait since they were computed.
+
+    :param waited_s: the wait in seconds.
+    """
+    waited_us = math.ceil(waited_s * 1e6)
+    call.budget_us = max(1, call.budget_us - waited_us)
+    if call.useful_us:
+        call.useful_us = max(1, call.useful_us - waited_us)
+
+
+def build_leaving_failure(detail: str) -> Failure:
+    return Failure(
+        reason=Reason.LEAVING, detail=detail, retry_after=LEAVING_RETRY_AFTER_S
+    )
+
+
 def build_connection_failure(detail: str) -> Failure:
     return Failure(
         reason=Reason.PEER_CONNECTION_LOST, outcome=Outcome.UNKNOWN, detail=detail
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -5,7 +5,7 @@
 from catkinpost.protocol.message import Answer, KeyReport, Refusal
 from catkinpost.protocol.outcome import Failure
 
-__all__ = ["PendingRequest", "PendingRequests", "Result"]
+__all__ = ["PendingRequest", "PendingRequests", "Result", "do_nothing"]
 
 Result = Answer | Refusal | KeyReport | Failure
 
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -20,6 +20,7 @@
     Answer,
     Cancel,
     Challenge,
+    KeyFence,
     Load,
     Ping,
     Refusal,
@@ -35,6 +36,7 @@
 from tests.coordination.at_most_once.test_once import make_call
 
 HOST = "127.0.0.1"
+HANDSHAKE_S = 0.5
 BREAKS = 20
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSED_PORT = 1
@@ -125,6 +127,11 @@
         )
         self.nursery.start_soon(self.link.run)
 
+    async def serve_late(self, stream):
+        """Serve a connection whose introduction takes its time."""
+        await trio.sleep(HANDSHAKE_S)
+        await self.server.serve_connection(stream)
+
     async def call(self, body=b"set"):
         done = trio.Event()
         pending = PendingRequest(done.set)
@@ -246,6 +253,78 @@
             self.assertEqual(setup.started, [])
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds until the withdrawal, whether the peer leaves)
+        (0.2, False),
+        (None, True),
+    )
+    def test_call_that_waited_for_the_link_in_vain_is_not_sent(self, after_s, leaving):
+        """The connection may end at any moment, and the call would count as unknown."""
+        self.check_not_sent(after_s, leaving)
+
+    @on_mock_clock(io=True)
+    async def check_not_sent(self, after_s, leaving):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.server.get_load = lambda: Load(leaving=leaving)
+            await setup.start(serve=setup.serve_late)
+            ended_at = []
+            pending = PendingRequest(lambda: ended_at.append(trio.current_time()))
+            started_at = trio.current_time()
+            nursery.start_soon(setup.link.send_request, make_call("", 0), pending)
+            if after_s is not None:
+                await trio.sleep(after_s)
+                pending.withdraw()
+            await trio.sleep(1.5)
+            self.assertEqual(setup.started, [])
+            self.assertIs(pending.result.reason, Reason.LEAVING)
+            self.assertIs(pending.result.outcome, Outcome.NOT_RUN)
+            self.assertFalse(pending.sent)
+            expected_s = HANDSHAKE_S if after_s is None else after_s
+            self.assertAlmostEqual(ended_at[0] - started_at, expected_s, delta=0.1)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_leaving_peer_is_still_asked_about_keys(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.server.get_load = lambda: Load(leaving=True)
+            await setup.start(serve=setup.serve_late)
+            pending = PendingRequest(lambda: None)
+            await setup.link.send_request(KeyFence(0, "k", "orders-1#1"), pending)
+            await trio.sleep(0.2)
+            asked = [message.key for message in setup.server_events.messages]
+            self.assertEqual(asked, ["k"])
+            nursery.cancel_scope.cancel()
+
+    @params((0, 0), (800_000, 300_000), (400_000, 1))
+    def test_call_that_waited_for_the_link_grants_the_time_left(self, useful, left):
+        self.check_time_left(useful, left)
+
+    @on_mock_clock(io=True)
+    async def check_time_left(self, useful_us, left_us):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            calls = []
+
+            async def run_call(call):
+                calls.append(call)
+                return Answer(call.id, 200, [], call.body, call.allowance, Load())
+
+            setup.server.run_call = run_call
+            await setup.start(serve=setup.serve_late)
+            call = make_call("", 0)
+            call.budget_us, call.useful_us = 2_000_000, useful_us
+            await setup.link.send_request(call, PendingRequest(lambda: None))
+            await trio.sleep(0.2)
+            budget_us = 2_000_000 - HANDSHAKE_S * 1e6
+            self.assertLessEqual(calls[0].budget_us, budget_us)
+            self.assertAlmostEqual(calls[0].budget_us, budget_us, delta=200_000)
+            self.assertLessEqual(calls[0].useful_us, left_us)
+            self.assertAlmostEqual(calls[0].useful_us, left_us, delta=200_000)
+            self.assertEqual(calls[0].useful_us > 0, useful_us > 0)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_withdrawals_that_arrive_with_their_call_are_not_lost(self):
         async with trio.open_nursery() as nursery:
