Refuse withdrawn calls for a reason that lets others move them

Callers of a node that did not stop got 503 (caller-gone): their call had joined the run of a key whose first sending was withdrawn by a stopping node, and caller-gone is neither moved nor retried, and counts as an arrival.

The fake peers of the other tests refuse as the node does now, and the dispatcher's test checks besides that a withdrawn call is sent once.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -373,9 +373,16 @@
                 return
 
     def refuse_withdrawn(self, item: WorkItem) -> Failure:
-        """Refuse a request that was withdrawn before it had a slot."""
+        """Refuse a request that was withdrawn before it had a slot.
+
+        Calls over other nodes may share the run of a key, and those nodes may send
+        theirs elsewhere.
+        """
         return self.refuse(
-            item, Reason.CALLER_GONE, "the call was withdrawn before it ran"
+            item,
+            Reason.LEAVING,
+            "the call was withdrawn before it ran",
+            retry_after=MIN_RETRY_AFTER_S,
         )
 
     def refuse_waiter(self, waiter: Waiter, failure: Failure) -> None:
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -14,6 +14,10 @@
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard, compute_fingerprint
 from catkinpost.coordination.routing.dialect import NativeDialect
+from catkinpost.coordination.routing.dispatcher import (
+    NOT_ARRIVED_REASONS,
+    RETRYABLE_REASONS,
+)
 from catkinpost.protocol.header import PARENT_HEADER
 from catkinpost.protocol.http import HttpResponse, find_header
 from catkinpost.protocol.message import Answer
@@ -205,6 +209,7 @@
             self.assertEqual(sorted(results), [2, 3])
             for refusal in results.values():
                 self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+                self.assertIs(refusal.reason, Reason.LEAVING)
             setup.client.hold.set()
             await wait_all_tasks_blocked()
             self.assertIsInstance(results[0], Answer)
@@ -212,6 +217,40 @@
             self.assertEqual(len(setup.client.requests), 2)
             self.assertEqual(setup.executor.calls, {})
 
+    @on_mock_clock
+    async def test_calls_that_share_a_withdrawn_run_may_be_moved(self):
+        setup = Setup("min_slots = 1", limits=False)
+        setup.client.hold = trio.Event()
+        results = []
+
+        async def run(call):
+            results.append(await setup.executor.run(call))
+
+        async with trio.open_nursery() as nursery:
+            setup.executor.once_guard = OnceGuard(
+                holder="orders-1#1",
+                lifetime_s=60.0,
+                replicas=None,
+                run_call=setup.executor.run_unguarded,
+                spawn=nursery.start_soon,
+                decisions=setup.decisions,
+            )
+            keys = ("orders/shop/1", "orders/shop/2", "orders/shop/3", "orders/shop/3")
+            calls = [make_call(key, 0, b"x") for key in keys]
+            for call in calls:
+                nursery.start_soon(run, call)
+                await wait_all_tasks_blocked()
+            setup.executor.withdraw(calls[2])
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(results), 2)
+            for refusal in results:
+                self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+                self.assertIn(refusal.reason, NOT_ARRIVED_REASONS)
+                self.assertIn(refusal.reason, RETRYABLE_REASONS)
+            setup.client.hold.set()
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(setup.client.requests), 2)
+
     @on_mock_clock
     async def test_withdrawal_after_the_end_of_a_call_hits_no_other_call(self):
         """Another call may get the address of one that has ended."""
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -371,7 +371,7 @@
                 if not waits:
                     return await setup.run_call(call)
                 await refused.wait()
-                failure = (Reason.CALLER_GONE, Outcome.NOT_RUN, "", None, 0, Load())
+                failure = (Reason.LEAVING, Outcome.NOT_RUN, "", None, 0, Load())
                 return Refusal(call.id, *failure)
 
             setup.server.run_call = run_call
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -127,7 +127,7 @@
 
     def refuse_waiting(self, pending):
         self.asked_to_refuse += 1
-        pending.resolve(refusal(Reason.CALLER_GONE, NOT_RUN))
+        pending.resolve(refusal(Reason.LEAVING, NOT_RUN))
 
 
 class Setup:
@@ -283,6 +283,7 @@
             await trio.sleep(0.1)
             self.assertEqual(setup.links.asked_to_refuse, 1)
             self.assertIs(outcome_of(responses[0]), NOT_RUN)
+            self.assertEqual(setup.links.attempts, 1)
             self.assertEqual(setup.sender.active_attempts, set())
 
     @params((["silent before"], UNKNOWN, 504), (["no link"] * 9, NOT_RUN, 503))
