Estimate the shortest wait from the shortest work ahead

Callers of short requests were refused as LEAVING at a stop although they could have been served: the least wait in the queue was taken as rounds of the mean duration over all classes, so long runs of other classes counted for short ones too, and so did waiters that need not start first.

The wait is now rounds of the least expected duration among the waiters that are ahead: those of the same rank and kind that came earlier, and more important ones that are not long (long work that has used up its slots lets others pass). Unknown durations count as 0.

All four cases of the new test fail before (admission.py and work.py stashed). The test of long work holds before as well; it fails when long waiters are counted as ahead.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -12,7 +12,9 @@
 from catkinpost.coordination.admission.work import (
     AdmissionPermit,
     RunWindow,
+    ServiceOrder,
     Waiter,
+    WorkAhead,
     WorkItem,
 )
 from catkinpost.coordination.event import AutoResetEvent
@@ -165,9 +167,8 @@
             self.log_refusal(item, Reason.QUEUE_FULL, "the limit is reached")
             return self.grant_slot(item, is_long, now)
         if not self.has_free_slot(is_long):
-            ahead = self.waiters.count_ahead(item.rank)
             refusal = (
-                self.check_windows(item, now + self.estimate_shortest_wait(ahead))
+                self.check_windows_after_wait(item, is_long, now)
                 or self.check_rate(item)
                 or self.check_expected_wait(item, now)
             )
@@ -237,16 +238,31 @@
             retry_after=MIN_RETRY_AFTER_S,
         )
 
-    def estimate_shortest_wait(self, waiters_ahead: int) -> float:
+    def check_windows_after_wait(
+        self, item: WorkItem, is_long: bool, now: float
+    ) -> Failure | None:
+        """Refuse a new request whose run would not fit into the windows."""
+        if not self.windows:
+            return None
+        order = ServiceOrder()
+        for waiter in self.waiters:
+            if waiter.item.rank > item.rank:
+                break
+            order.add(waiter, self.get_expected_duration(waiter.item))
+        ahead = order.get_ahead(item.rank, is_long)
+        return self.check_windows(item, now + self.estimate_shortest_wait(ahead))
+
+    def estimate_shortest_wait(self, ahead: WorkAhead) -> float:
         """Estimate the least seconds until a waiter may start, 0 while unknown.
 
-        All running requests may end at any moment, those after them take their time.
+        All running requests may end at any moment, and those after them may all be as
+        short as the shortest.
 
-        :param waiters_ahead: waiters that are served before this one.
+        :param ahead: waiters that are served before this one.
         """
-        rounds = waiters_ahead // max(1, self.limiter.get_limit())
-        slot_wait_s = rounds * (self.durations.mean_s or 0.0)
-        return max(slot_wait_s, self.rate_limiter.get_wait(waiters_ahead))
+        rounds = ahead.count // max(1, self.limiter.get_limit())
+        slot_wait_s = rounds * ahead.least_s if rounds else 0.0
+        return max(slot_wait_s, self.rate_limiter.get_wait(ahead.count))
 
     def check_deadline(self, item: WorkItem, now: float) -> Failure | None:
         expected_s = self.get_expected_duration(item)
@@ -335,12 +351,15 @@
             # The durations that the windows depend on are learned meanwhile.
             self.update_wait_deadlines()
         waiters_ahead = 0
+        order = ServiceOrder()
         for waiter in self.waiters:
-            start_at = now + self.estimate_shortest_wait(waiters_ahead)
+            ahead = order.get_ahead(waiter.item.rank, waiter.is_long)
+            start_at = now + self.estimate_shortest_wait(ahead)
             failure = self.check_windows(waiter.item, start_at)
             failure = failure or self.check_wait(waiter, waiters_ahead)
             if failure is None:
                 waiters_ahead += 1
+                order.add(waiter, self.get_expected_duration(waiter.item))
             else:
                 self.refuse_waiter(waiter, failure)
 
--- a/src/catkinpost/coordination/admission/work.py
+++ b/src/catkinpost/coordination/admission/work.py
@@ -1,13 +1,20 @@
 """Requests that arrive at, wait for, or run at one backend server."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from catkinpost.protocol.outcome import Failure
 
-__all__ = ["AdmissionPermit", "RunWindow", "Waiter", "WorkItem"]
+__all__ = [
+    "AdmissionPermit",
+    "RunWindow",
+    "ServiceOrder",
+    "Waiter",
+    "WorkAhead",
+    "WorkItem",
+]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +71,57 @@
     admitted_at: float
 
 
+@dataclass(slots=True)
+class WorkAhead:
+    """Waiters that certainly start before another one.
+
+    :param count: number of the waiters.
+    :param least_s: least expected duration among them in seconds.
+    """
+
+    count: int = 0
+    least_s: float = math.inf
+
+    def add(self, expected_s: float) -> None:
+        """Add one waiter.
+
+        :param expected_s: expected duration of its run in seconds.
+        """
+        self.count += 1
+        self.least_s = min(self.least_s, expected_s)
+
+
+class ServiceOrder:
+    """Work ahead of each waiter, while the waiters are passed from the first to last.
+
+    Long and other work of one rank take turns, and long work lets less important
+    work pass when its share of the slots is in use.
+    """
+
+    def __init__(self) -> None:
+        self.rank: int | None = None
+        self.more_important = WorkAhead()
+        self.same_rank: dict[bool, WorkAhead] = {}
+
+    def get_ahead(self, rank: int, is_long: bool) -> WorkAhead:
+        """Return the work ahead of the next waiter."""
+        if rank != self.rank:
+            self.rank = rank
+            self.same_rank = {
+                kind: replace(self.more_important) for kind in (False, True)
+            }
+        return self.same_rank[is_long]
+
+    def add(self, waiter: "Waiter", expected_s: float) -> None:
+        """Pass one waiter.
+
+        :param expected_s: expected duration of its run in seconds.
+        """
+        self.get_ahead(waiter.item.rank, waiter.is_long).add(expected_s)
+        if not waiter.is_long:
+            self.more_important.add(expected_s)
+
+
 @dataclass(eq=False, slots=True)
 class Waiter:
     """Request in the queue."""
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -129,8 +129,8 @@
 class TestRunWindow(unittest.TestCase):
     """Runs that must have ended by a time, as their node or server leaves."""
 
-    async def enter(self, admission, results):
-        result = await admission.acquire_slot(make_item(CRITICAL))
+    async def enter(self, admission, results, rank=CRITICAL):
+        result = await admission.acquire_slot(make_item(rank))
         results.append((type(result), trio.current_time()))
         if isinstance(result, Failure):
             self.assertIs(result.reason, Reason.LEAVING)
@@ -196,6 +196,60 @@
             self.assertEqual([kind for kind, _ in results], [AdmissionPermit] * 4)
             nursery.cancel_scope.cancel()
 
+    @params((True, 12, 12), (False, 12, 12), (True, 600, 396), (False, 600, 396))
+    def test_short_requests_that_can_end_in_time_are_served(self, before, count, least):
+        """Regression: long runs of other classes counted as the wait of short ones."""
+        self.check_short(before, count, least)
+
+    @on_mock_clock
+    async def check_short(self, window_before, count, least_served):
+        admission = make_admission(slots=4, min_slots=4, queue=700, queue_wait=9)
+        for _ in range(20):
+            admission.durations.record_duration("report", "/", 4.0)
+            admission.durations.record_duration("lookup", "/", 0.01)
+        served = []
+
+        async def enter():
+            permit = await admission.acquire_slot(make_item(CRITICAL))
+            if isinstance(permit, AdmissionPermit):
+                await trio.sleep(0.01)
+                admission.release_slot(permit, seconds=0.01)
+                served.append(trio.current_time())
+
+        window = RunWindow(ends_at=trio.current_time() + 1.0)
+        async with trio.open_nursery() as nursery:
+            if window_before:
+                admission.set_window("test", window)
+            for _ in range(count):
+                nursery.start_soon(enter)
+            await wait_all_tasks_blocked()
+            admission.set_window("test", window)
+        self.assertGreaterEqual(len(served), least_served)
+        self.assertLessEqual(len(served), 400)
+
+    @on_mock_clock
+    async def test_long_work_does_not_delay_less_important_requests(self):
+        """Long work that has no slot lets them pass."""
+        admission = make_admission(slots=4, min_slots=4, queue=50, queue_wait=9)
+        await record_durations(admission, "lookup", 0.01)
+        await record_durations(admission, "report", 4.0, count=5)
+        results = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                await admission.acquire_slot(make_item(CRITICAL))
+            for _ in range(4):
+                item = make_item(CRITICAL, "report", timeout=60.0)
+                nursery.start_soon(admission.acquire_slot, item)
+            await wait_all_tasks_blocked()
+            self.assertEqual(admission.queued, 4)
+            nursery.start_soon(self.enter, admission, results, NORMAL)
+            await wait_all_tasks_blocked()
+            ends_at = trio.current_time() + 4.005
+            admission.set_window("test", RunWindow(ends_at=ends_at))
+            await wait_all_tasks_blocked()
+            self.assertEqual((admission.queued, results), (5, []))
+            nursery.cancel_scope.cancel()
+
     @params((1.0, 2.5, 2.0), (None, 9.0, 3.0), (1.0, 1.5, 1.5))
     def test_waiter_is_refused_at_its_latest_start(self, expected_s, last, refused_at):
         self.check_latest_start(expected_s, last, refused_at)
