Let peers receive what was sent before a stopped node closes

What callers saw: 502 with an unknown outcome for runs that had ended, when the node that ran them stopped while their answers were on their way to the entry.

Cause: PeerServer.close_connections closed abortively. Unread input, or a Ping that arrived afterwards, made the kernel reset the connection and drop the rest of the answers.

At the end of a stop all sessions now stop reading together, close their sending side and discard input until everything sent is acknowledged or the peer closes. The wait ends at the end of the stop, as before with a plain close. A connection with nothing on its way is closed at once. Peers are no longer accepted by then. Where the system does not tell the size of the send queue, this is logged, and the close waits for the peer within the same bound; the ioctl's OSError would have ended the process.

Evidence: with the wait taken out of serve_connection, 4 of the 6 cases of tests.coordination.peers.test_link.TestClose fail: the answer of 1 MB that is being sent when the close begins ends in ECONNRESET or the end of the connection, and a peer that does not read is not waited for; the two cases of an idle connection pass.

--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -1,5 +1,6 @@
 """Connections that peers open to this node."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -64,6 +65,8 @@
         self.hello = hello
         self.last_received_at = trio.current_time()
         self.calls: dict[int, PeerCall] = {}
+        self.scope = trio.CancelScope()
+        self.closed = trio.Event()
 
     @property
     def instance(self) -> str:
@@ -136,6 +139,7 @@
             memory=self.memory,
         )
         key = id(frames)
+        session = None
         try:
             session = await self.perform_handshake(frames)
             if isinstance(session, Failure):
@@ -143,9 +147,12 @@
                 return
             self.sessions[key] = session
             await self.events.on_session_up(session)
-            async with trio.open_nursery() as nursery:
-                await self.read_messages(session, nursery)
-                nursery.cancel_scope.cancel()
+            with session.scope:
+                async with trio.open_nursery() as nursery:
+                    await self.read_messages(session, nursery)
+                    nursery.cancel_scope.cancel()
+            if session.scope.cancel_called:
+                await frames.deliver()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The connection is lost; the nursery has cancelled the peer's calls.
             pass
@@ -153,6 +160,8 @@
             self.sessions.pop(key, None)
             with trio.CancelScope(shield=True):
                 await frames.close()
+            if isinstance(session, PeerSession):
+                session.closed.set()
 
     async def perform_handshake(self, frames: FrameStream) -> PeerSession | Failure:
         with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
@@ -282,9 +291,19 @@
             self.get_load(),
         )
 
-    async def close_connections(self) -> None:
-        """Close every connection, also while a message is being sent."""
-        for session in list(self.sessions.values()):
+    async def close_connections(self, ends_at: float = -math.inf) -> None:
+        """Read no further messages, and close each connection once all is delivered.
+
+        :param ends_at: time at which the rest is closed, also while a message is
+            being sent.
+        """
+        sessions = list(self.sessions.values())
+        for session in sessions:
+            session.scope.cancel()
+        with trio.CancelScope(deadline=ends_at):
+            for session in sessions:
+                await session.closed.wait()
+        for session in sessions:
             await session.frames.close()
 
     async def broadcast(self, message: Message) -> None:
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -271,7 +271,10 @@
             nursery.start_soon(self.planned_stop.watch_signals)
             nursery.start_soon(self.supervise, self.pause_watch.run)
             nursery.start_soon(self.supervise, self.http_server.watch_connections)
-            await self.listen(listen.peers, self.peer_server.serve_connection)
+            accept_peers_scope = trio.CancelScope()
+            await self.listen(
+                listen.peers, self.peer_server.serve_connection, accept_peers_scope
+            )
             await self.listen(
                 listen.calls, self.http_server.serve_connection, self.accept_calls_scope
             )
@@ -282,7 +285,8 @@
             await self.planned_stop.run()
             # A send to a peer that does not read would outlast the cancellation.
             await self.links.close_connections()
-            await self.peer_server.close_connections()
+            accept_peers_scope.cancel()
+            await self.peer_server.close_connections(self.planned_stop.ends_at)
             nursery.cancel_scope.cancel()
         log_message("node: stopped", instance=self.identity.instance)
 
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -21,6 +21,7 @@
     RequestMemory,
     Reservation,
 )
+from catkinpost.transport.linger import Linger
 from catkinpost.transport.socket_io import receive_some, write_some
 
 __all__ = ["FrameStream", "SkippedCall"]
@@ -183,6 +184,18 @@
         reservation, self.reservation = self.reservation, None
         return reservation
 
+    async def deliver(self) -> None:
+        """Send no further message, and wait until the peer has received the others.
+
+        A close with unread input would reset the connection and destroy them.
+
+        :raises trio.BrokenResourceError: when the connection is lost.
+        """
+        # Other streams than sockets keep what was sent.
+        if hasattr(self.stream, "socket"):
+            async with self.send_lock:
+                await Linger(self.stream).deliver()
+
     async def close(self) -> None:
         """Close the connection without waiting for the peer."""
         if self.reservation is not None:
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -1,6 +1,7 @@
 """Graceful close of a connection, without a reset that destroys sent bytes."""
 
 import fcntl
+import functools
 import struct
 import termios
 
@@ -14,6 +15,7 @@
 # Time for a caller to close its side after everything sent was acknowledged.
 LINGER_TIMEOUT_S = 5.0
 DISCARD_READ_BYTES = 65536
+ACKNOWLEDGEMENT_CHECK_INTERVAL_S = 0.01
 # The end of the stream takes one place in the send queue until it is acknowledged.
 END_OF_STREAM_BYTES = 1
 QUEUE_SIZE = struct.Struct("i")
@@ -36,9 +38,12 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Number of sent bytes that the caller's system has not acknowledged."""
+        """Number of sent bytes that the caller's system has not acknowledged.
+
+        It is 0 when the number is unknown, so that nothing waits for it for ever.
+        """
         queued_bytes = count_unacknowledged_bytes(self.stream.socket)
-        return max(0, queued_bytes - END_OF_STREAM_BYTES)
+        return max(0, (queued_bytes or 0) - END_OF_STREAM_BYTES)
 
     @property
     def is_pending(self) -> bool:
@@ -63,6 +68,24 @@
         finally:
             self.log_unread_input()
 
+    async def deliver(self) -> None:
+        """Close the sending side and discard input until everything sent has arrived.
+
+        Unlike ``run``, this does not wait for a peer that keeps the connection open,
+        unless the number of unacknowledged bytes is unknown.
+
+        :raises trio.BrokenResourceError: when the peer has reset the connection.
+        """
+        if not has_data_in_flight(self.stream.socket):
+            return
+        await self.stream.send_eof()
+        while not self.caller_has_closed:
+            with trio.move_on_after(ACKNOWLEDGEMENT_CHECK_INTERVAL_S):
+                await self.discard_input()
+            queued_bytes = count_unacknowledged_bytes(self.stream.socket)
+            if queued_bytes is not None and queued_bytes <= END_OF_STREAM_BYTES:
+                return
+
     async def discard_input(self) -> None:
         """Discard input until the caller closes, for ``LINGER_TIMEOUT_S`` at most."""
         with trio.move_on_after(LINGER_TIMEOUT_S):
@@ -83,14 +106,32 @@
 
 
 def has_data_in_flight(socket: trio.socket.SocketType) -> bool:
-    """Return whether input is unread or sent bytes are not acknowledged.
+    """Return whether input is unread or sent bytes may not be acknowledged.
 
     :param socket: connected socket whose sending side is open.
     """
-    return socket.is_readable() or count_unacknowledged_bytes(socket) > 0
+    if socket.fileno() < 0:
+        return False
+    return socket.is_readable() or count_unacknowledged_bytes(socket) != 0
+
 
+def count_unacknowledged_bytes(socket: trio.socket.SocketType) -> int | None:
+    """Return the size of the send queue, with bytes that were sent once already.
 
-def count_unacknowledged_bytes(socket: trio.socket.SocketType) -> int:
-    """Return the size of the send queue, with bytes that were sent once already."""
-    size = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    :return: size in bytes, ``None`` when the system does not tell it.
+    """
+    if socket.fileno() < 0:
+        # Another task has closed it.
+        return 0
+    try:
+        size = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    except OSError as error:
+        log_unknown_size(error.errno, error.strerror)
+        return None
     return QUEUE_SIZE.unpack(size)[0]
+
+
+@functools.cache
+def log_unknown_size(number: int, reason: str) -> None:
+    """Log once for each error that the size of send queues is unknown."""
+    log_message("linger: size of the send queue unknown", errno=number, why=reason)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1,14 +1,18 @@
 """Tests of links between nodes, over real connections."""
 
 import contextlib
+import errno
+import fcntl
 import functools
 import random
 import socket
 import struct
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
+import trio.testing
 from nose2.tools import params
 
 from catkinpost.coordination.pause import PauseWatch
@@ -31,6 +35,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport import linger
 from catkinpost.transport.frame import LENGTH_PREFIX, FrameStream
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_call
@@ -40,6 +45,8 @@
 BREAKS = 20
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSED_PORT = 1
+CLOSE_S = 2.0
+ANSWER_BYTES = 1_000_000
 MEMORY_BYTES = 4_000_000
 SECRET = b"shared-secret-of-the-fleet"
 
@@ -636,6 +643,85 @@
             nursery.cancel_scope.cancel()
 
 
+class TestClose(unittest.TestCase):
+    """Close of a peer's connection at the end of a stop."""
+
+    async def connect(self, nursery, kind="socket"):
+        """Return the setup, its session and the peer's side of the connection."""
+        setup = Setup(nursery, memory=RequestMemory(MEMORY_BYTES, DecisionLog()))
+        await setup.start(port=CLOSED_PORT)
+        serve = setup.server.serve_connection
+        if kind == "memory":
+            stream, far = trio.testing.memory_stream_pair()
+            nursery.start_soon(serve, far)
+        else:
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            stream = await trio.open_tcp_stream(HOST, port)
+        frames = FrameStream(stream, max_frame_bytes=MEMORY_BYTES)
+        await setup.link.perform_handshake(frames)
+        await trio.sleep(0.1)
+        (session,) = setup.server.sessions.values()
+        return setup, session, frames
+
+    @params(fcntl.ioctl, mock.Mock(side_effect=OSError(errno.ENOTTY, "no queue")))
+    def test_late_message_of_a_peer_does_not_destroy_its_answer(self, ioctl):
+        """Guards against a reset, also where the size of send queues is unknown."""
+        with mock.patch.object(linger.fcntl, "ioctl", ioctl):
+            self.check_answer_arrives()
+
+    @on_mock_clock(io=True)
+    async def check_answer_arrives(self):
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await self.connect(nursery)
+            answer = Answer(1, 200, [], bytes(ANSWER_BYTES), 0, Load())
+            nursery.start_soon(session.send_notification, answer)
+            await trio.sleep(0.1)
+            ends_at = trio.current_time() + CLOSE_S
+            nursery.start_soon(setup.server.close_connections, ends_at)
+            await trio.sleep(0.1)
+            await frames.send(Ping(1))
+            await trio.sleep(0.1)
+            self.assertEqual(await frames.receive(), answer)
+            self.assertIsNone(await frames.receive())
+            await frames.close()
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.sessions, {})
+            self.assertLess(trio.current_time(), ends_at)
+            nursery.cancel_scope.cancel()
+
+    @params(ANSWER_BYTES, 10 * ANSWER_BYTES)
+    @on_mock_clock(io=True)
+    async def test_peer_that_does_not_read_is_waited_for_until_the_end(self, size):
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await self.connect(nursery)
+            answer = Answer(1, 200, [], bytes(size), 0, Load())
+            nursery.start_soon(session.send_notification, answer)
+            await trio.sleep(0.1)
+            started_at = trio.current_time()
+            await setup.server.close_connections(started_at + CLOSE_S)
+            self.assertAlmostEqual(trio.current_time() - started_at, CLOSE_S)
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.sessions, {})
+            nursery.cancel_scope.cancel()
+
+    @params("socket", "memory")
+    @on_mock_clock(io=True)
+    async def test_close_with_nothing_on_its_way_takes_no_time(self, kind):
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await self.connect(nursery, kind)
+            # What a peer sends acknowledges what it has received.
+            await frames.send(Cancel(1))
+            await trio.sleep(0.1)
+            started_at = trio.current_time()
+            await setup.server.close_connections(started_at + CLOSE_S)
+            self.assertEqual(trio.current_time(), started_at)
+            self.assertEqual(setup.server.sessions, {})
+            self.assertIsNone(await frames.receive())
+            nursery.cancel_scope.cancel()
+
+
 def fields_after_version(message):
     return [getattr(message, name) for name in message.__struct_fields__[1:]]
 
