Count received bytes as a sign of life of a peer

What callers saw: 502 with an unknown outcome for a large answer and for the small calls beside it, while the peer was sending all the time.

Cause: both sides counted only whole messages. One that takes longer to arrive than the timeout of a ping made its sender look silent.

FrameStream notes the time of its last read, and both monitors use it. Pings and the times after which a peer is silent stay as they are: the cases of a peer that sends the start of a frame and no more pass before and after, within the same bounds.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -297,9 +297,11 @@
         while True:
             now = trio.current_time()
             if self.ping_unanswered:
-                # A ping is answered after what was sent before it.
-                sent_at = max(self.ping_sent_at, frames.progressed_at)
-                if now - sent_at >= self.settings.ping_timeout_s:
+                # A ping is answered after what both sides sent before it.
+                alive_at = max(
+                    self.ping_sent_at, frames.progressed_at, frames.received_at
+                )
+                if now - alive_at >= self.settings.ping_timeout_s:
                     log_message("link: silent peer", peer=self.instance)
                     self.events.on_link_silent(self)
                     await frames.close()
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -63,7 +63,6 @@
     def __init__(self, frames: FrameStream, hello: Hello) -> None:
         self.frames = frames
         self.hello = hello
-        self.last_received_at = trio.current_time()
         self.calls: dict[int, PeerCall] = {}
         self.scope = trio.CancelScope()
         self.closed = trio.Event()
@@ -196,7 +195,6 @@
         nursery.start_soon(self.monitor_liveness, session)
         while True:
             message = await session.frames.receive()
-            session.last_received_at = trio.current_time()
             if message is None or self.pause.check_for_pause() != epoch:
                 return
             if isinstance(message, Failure):
@@ -225,7 +223,7 @@
     async def monitor_liveness(self, session: PeerSession) -> None:
         """Close the connection once nothing has arrived for too long."""
         max_silence_s = IDLE_PING_S + 2 * self.settings.ping_timeout_s
-        while trio.current_time() - session.last_received_at < max_silence_s:
+        while trio.current_time() - session.frames.received_at < max_silence_s:
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
         log_message("peer: silent", peer=session.instance)
         await session.frames.close()
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -54,7 +54,8 @@
 
     ``reservation`` belongs to the frame that is being received and, after that, to the
     call that was received last. ``progressed_at`` is the last time at which the peer
-    took a part of a message that it could not take at once.
+    took a part of a message that it could not take at once. ``received_at`` is the last
+    time at which any bytes arrived.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.progressed_at = -math.inf
+        self.received_at = -math.inf
         self.reservation: Reservation | None = None
         self.skipped_call: SkippedCall | None = None
         self.skip_bytes = 0
@@ -122,6 +124,7 @@
             data = await receive_some(self.stream, max_bytes)
             if not data:
                 return None
+            self.received_at = trio.current_time()
             self.received_bytes += len(data)
             self.buffer += data
 
