Hold the largest allowed request on nodes with little memory

What callers saw: 413 for a body within max_body_bytes, each time, on nodes whose memory for requests is small; a body that the entry held could be refused by every peer, as its frame with the head exceeded the bound of the same size.

Cause: one body was bound by seven eighths of the memory, whatever the settings allow.

The bound is now at least the largest allowed body with its head, up to the whole memory. Large bodies leave less than an eighth to the others only where this needs it. A body that the memory can't hold at all is refused at once with 503, not run and without a time to try again: the settings allow it, and another node may have more memory. A body above max_body_bytes still gets 413.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -32,7 +32,12 @@
 from catkinpost.protocol.message import Message, Pong
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import ServiceSection
-from catkinpost.protocol.settings import Address, NodeSettings, parse_address
+from catkinpost.protocol.settings import (
+    Address,
+    BoundsSection,
+    NodeSettings,
+    parse_address,
+)
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
@@ -52,6 +57,7 @@
 LISTEN_BACKLOG = 1024
 # Bounds the log lines of a task that fails at once each time.
 TASK_RESTART_DELAY_S = 0.1
+MESSAGE_OVERHEAD_BYTES = 4096
 # Shares of the time for which a leaving backend server continues to serve. Runs may
 # last longer than expected, and the start of that time may be known late: a silent feed
 # is noticed after 0.4 of it.
@@ -99,17 +105,19 @@
         self.notices = ServerNotices()
         self.running = RunningCalls()
         self.pause_watch = PauseWatch(self.decisions)
+        bounds = self.settings.bounds
         self.request_memory = RequestMemory(
-            self.settings.bounds.request_memory_bytes, self.decisions
+            bounds.request_memory_bytes,
+            self.decisions,
+            largest_bytes=bounds.max_body_bytes + compute_overhead(bounds),
         )
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
 
     def build_peers(self) -> None:
         bounds = self.settings.bounds
-        overhead_bytes = 2 * bounds.max_head_bytes + 4096
         self.link_settings = LinkSettings(
             ping_timeout_s=self.settings.peers.silence,
-            max_frame_bytes=2 * bounds.max_body_bytes + overhead_bytes,
+            max_frame_bytes=2 * bounds.max_body_bytes + compute_overhead(bounds),
         )
         self.links = LinkTable(
             identity=self.identity,
@@ -454,3 +462,8 @@
         self.broadcast(
             Pong(0, self.executor.get_load(), self.store.version, self.store.digest)
         )
+
+
+def compute_overhead(bounds: BoundsSection) -> int:
+    """Return the most bytes that a message of a peer has in addition to bodies."""
+    return 2 * bounds.max_head_bytes + MESSAGE_OVERHEAD_BYTES
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -141,8 +141,8 @@
     :param max_head_bytes: maximum size of the head of an HTTP message.
     :param max_body_bytes: maximum size of the body of an HTTP message.
     :param request_memory_bytes: maximum size of the bodies of all requests that the
-        node holds together; bodies of up to 8 KiB are not counted. A body above seven
-        eighths of it is refused.
+        node holds together; bodies of up to 8 KiB are not counted. A body above it is
+        refused with 503, as another node may have more memory.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
--- a/src/catkinpost/state/request_memory.py
+++ b/src/catkinpost/state/request_memory.py
@@ -63,11 +63,16 @@
 
     :param max_bytes: bytes of all bodies together, without those of small ones.
     :param decisions: log for refusals.
+    :param largest_bytes: size of the largest request that is allowed, with its head.
+        Large bodies leave less than their share to the others where it needs more.
     """
 
-    def __init__(self, max_bytes: int, decisions: DecisionLog) -> None:
+    def __init__(
+        self, max_bytes: int, decisions: DecisionLog, *, largest_bytes: int = 0
+    ) -> None:
         self.max_bytes = max_bytes
-        self.max_large_bytes = max_bytes - int(max_bytes * SHARE_WITHOUT_LARGE)
+        share_bytes = max_bytes - int(max_bytes * SHARE_WITHOUT_LARGE)
+        self.max_large_bytes = min(max_bytes, max(share_bytes, largest_bytes))
         self.decisions = decisions
         self.used_bytes = 0
         self.waiters: deque[Waiter] = deque()
@@ -101,9 +106,10 @@
         :param size: bytes to reserve.
         """
         if size > self.max_large_bytes:
-            return Failure(
-                reason=Reason.BODY_TOO_LARGE,
-                detail=f"the node holds bodies of up to {self.max_large_bytes} bytes",
+            # A node with more memory may hold it.
+            return self.refuse(
+                f"the node holds bodies of up to {self.max_large_bytes} bytes",
+                retry_after=None,
             )
         reservation = self.reserve_now(size)
         if reservation is not None:
@@ -123,20 +129,28 @@
                 self.serve_waiters()
         return waiter.reservation or self.refuse()
 
-    def refuse(self) -> Failure:
-        """Log a refusal and return its failure."""
+    def refuse(
+        self,
+        detail: str = "other requests use up the memory of the node",
+        retry_after: float | None = RETRY_AFTER_S,
+    ) -> Failure:
+        """Log a refusal and return its failure.
+
+        :param detail: reason of the refusal.
+        :param retry_after: seconds after which the caller may try this node again.
+        """
         self.decisions.add(
             "memory",
             "refuse",
             Reason.REQUEST_MEMORY_FULL,
-            reason="the bodies of other requests use up the memory",
+            reason=detail,
             used_bytes=self.used_bytes,
             max_bytes=self.max_bytes,
         )
         return Failure(
             reason=Reason.REQUEST_MEMORY_FULL,
-            detail="other requests use up the memory of the node",
-            retry_after=RETRY_AFTER_S,
+            detail=detail,
+            retry_after=retry_after,
         )
 
     def return_bytes(self, size: int) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -38,6 +38,22 @@
         node.pause_watch.check_for_pause()
         self.assertEqual(node.replicas.get_watched_s(), 0)
 
+    @params((32, True), (1, True), (1, False))
+    @on_mock_clock
+    async def test_largest_allowed_body_fits_with_its_head(self, memory_mib, is_peer):
+        """Guards against a 413 on small nodes, and a refusal by every peer."""
+        settings = parse_settings(GOOD)
+        bounds = msgspec.structs.replace(
+            settings.bounds,
+            max_body_bytes=960 * 1024,
+            request_memory_bytes=memory_mib * 1024 * 1024,
+        )
+        settings = dataclasses.replace(settings, bounds=bounds)
+        memory = Node(settings, NativeEnvironment()).request_memory
+        head_bytes = bounds.max_head_bytes if is_peer else 0
+        reservation = await memory.reserve(bounds.max_body_bytes + head_bytes)
+        self.assertNotIsInstance(reservation, Failure)
+
     @on_mock_clock
     async def test_exception_in_a_task_of_the_node_does_not_end_it(self):
         """Guards against a process that ends, and cuts all its requests."""
