Let withdrawals and windows reach crash suspects that wait

Callers got 502 (may have run) at a stop for orders that never ran: a crash suspect that waits for another one holds no place in the queue, so neither its withdrawal nor the window of the stop reached it. It stayed until the calls were broken off, and counted as possibly run.

The wait for other suspects now ends with the withdrawal, and admission moves its bound along with the windows, as for waiters in the queue. Both refuse as LEAVING and not run, at once.

The test of a suspect whose server left expected the refusal only once the limiter was free; it now expects it before that, while the other suspect still runs, and also that the other one gets its answer.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -2,6 +2,8 @@
 
 import math
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import trio
 
@@ -65,6 +67,7 @@
         self.long_in_flight = 0
         self.waiters = WaitQueue()
         self.windows: dict[str, RunWindow] = {}
+        self.bounded_waits: dict[trio.CancelScope, WorkItem] = {}
         self.last_sweep_at = -math.inf
 
     @property
@@ -109,7 +112,22 @@
         self.last_sweep_at = -math.inf
         self.refuse_late_waiters()
 
+    @contextmanager
+    def bound_wait(self, item: WorkItem) -> Iterator[trio.CancelScope]:
+        """Cancel a wait before the queue once a run would not fit into the windows.
+
+        :param item: request that waits.
+        """
+        with trio.CancelScope(deadline=self.get_latest_start(item)) as scope:
+            self.bounded_waits[scope] = item
+            try:
+                yield scope
+            finally:
+                del self.bounded_waits[scope]
+
     def update_wait_deadlines(self) -> None:
+        for scope, item in self.bounded_waits.items():
+            scope.deadline = self.get_latest_start(item)
         for waiter in self.waiters:
             waiter.scope.deadline = self.get_wait_deadline(
                 waiter.item, waiter.arrived_at
@@ -231,6 +249,10 @@
         """
         if start_at < self.get_latest_start(item):
             return None
+        return self.refuse_late(item)
+
+    def refuse_late(self, item: WorkItem) -> Failure:
+        """Refuse a request whose run would not fit into the windows."""
         return self.refuse(
             item,
             Reason.LEAVING,
--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -42,10 +42,12 @@
     """Call from the beginning to the end of :meth:`Executor.run`.
 
     :param item: the call while it waits for a slot, otherwise ``None``.
+    :param suspect_wait: its wait for other suspects, otherwise ``None``.
     """
 
     call: Call
     item: WorkItem | None = None
+    suspect_wait: trio.CancelScope | None = None
     is_withdrawn: bool = False
 
 
@@ -139,6 +141,8 @@
         active.is_withdrawn = True
         if active.item is not None:
             self.admission.withdraw(active.item)
+        if active.suspect_wait is not None:
+            active.suspect_wait.cancel()
 
     def log_failed_call(
         self, call: Call, result: Answer | Refusal, seconds: float
@@ -233,24 +237,39 @@
 
     async def admit_and_run(self, call: Call, deadline: float) -> Answer | Refusal:
         fingerprint = compute_fingerprint(call)
-        if self.crash_guard.is_suspect(fingerprint):
-            # One suspect at a time, so that a crash is attributed to the right one.
-            async with self.crash_guard.suspect_limiter:
-                return await self.wait_and_run(call, deadline, fingerprint)
-        return await self.wait_and_run(call, deadline, fingerprint)
+        item = build_work_item(call, deadline)
+        if not self.crash_guard.is_suspect(fingerprint):
+            return await self.wait_and_run(call, item, fingerprint)
+        # One suspect at a time, so that a crash is attributed to the right one.
+        failure = await self.wait_for_suspects(call, item)
+        if failure is not None:
+            return self.build_refusal(call, failure)
+        try:
+            return await self.wait_and_run(call, item, fingerprint)
+        finally:
+            self.crash_guard.suspect_limiter.release()
+
+    async def wait_for_suspects(self, call: Call, item: WorkItem) -> Failure | None:
+        """Acquire the limiter of suspects.
+
+        :return: why the call must not run, ``None`` once the limiter is acquired.
+        """
+        active = self.calls.get(id(call)) or ActiveCall(call)
+        if active.is_withdrawn:
+            return self.admission.refuse_withdrawn(item)
+        try:
+            with self.admission.bound_wait(item) as active.suspect_wait:
+                await self.crash_guard.suspect_limiter.acquire()
+                return None
+        finally:
+            active.suspect_wait = None
+        if active.is_withdrawn:
+            return self.admission.refuse_withdrawn(item)
+        return self.admission.refuse_late(item)
 
     async def wait_and_run(
-        self, call: Call, deadline: float, fingerprint: bytes
+        self, call: Call, item: WorkItem, fingerprint: bytes
     ) -> Answer | Refusal:
-        path = call.target.partition(b"?")[0].decode("latin-1")
-        item = WorkItem(
-            rank=call.rank,
-            deadline=deadline,
-            useful_until=get_useful_until(call, deadline),
-            call_class=call.call_class,
-            path=path,
-            max_rate_wait_s=call.rate_wait_us / 1e6 if call.rate_wait_us else math.inf,
-        )
         permit = await self.acquire_slot(call, item)
         if isinstance(permit, Failure):
             return self.build_refusal(call, permit)
@@ -415,6 +434,18 @@
         )
 
 
+def build_work_item(call: Call, deadline: float) -> WorkItem:
+    path = call.target.partition(b"?")[0].decode("latin-1")
+    return WorkItem(
+        rank=call.rank,
+        deadline=deadline,
+        useful_until=get_useful_until(call, deadline),
+        call_class=call.call_class,
+        path=path,
+        max_rate_wait_s=call.rate_wait_us / 1e6 if call.rate_wait_us else math.inf,
+    )
+
+
 def get_useful_until(call: Call, deadline: float) -> float:
     """Return the time until which a call may wait for a slot."""
     if not call.useful_us:
--- a/tests/coordination/admission/test_executor.py
+++ b/tests/coordination/admission/test_executor.py
@@ -163,10 +163,62 @@
             window = RunWindow(ends_at=trio.current_time() + 1.0)
             setup.executor.admission.set_window("test", window)
             await trio.sleep(1.5)
+            self.assertEqual([result.reason for result in results], [Reason.LEAVING])
             setup.client.hold.set()
             await wait_all_tasks_blocked()
             self.assertEqual(len(setup.client.requests), 1)
+            self.assertIsInstance(results[1], Answer)
+
+    @params(
+        # (ending, whether the call has a key)
+        ("withdrawal", False),
+        ("withdrawal", True),
+        ("window", False),
+        ("window", True),
+    )
+    def test_crash_suspect_that_waits_is_refused_at_once(self, ending, has_key):
+        """Otherwise it counts as possibly run when its node or caller's node ends."""
+        self.check_suspect(ending, has_key)
+
+    @on_mock_clock
+    async def check_suspect(self, ending, has_key):
+        setup = Setup(limits=False)
+        setup.client.hold = trio.Event()
+        setup.crash_guard.is_suspect = lambda fingerprint: True
+        key = "orders/shop/k" if has_key else ""
+        calls = [make_call(key and f"{key}{n}", 0, b"%d" % n) for n in range(2)]
+        results = {}
+
+        async def run(number):
+            results[number] = await setup.executor.run(calls[number])
+
+        async with trio.open_nursery() as nursery:
+            setup.executor.once_guard = OnceGuard(
+                holder="orders-1#1",
+                lifetime_s=60.0,
+                replicas=None,
+                run_call=setup.executor.run_unguarded,
+                spawn=nursery.start_soon,
+                decisions=setup.decisions,
+            )
+            for number in range(2):
+                nursery.start_soon(run, number)
+                await wait_all_tasks_blocked()
+            if ending == "withdrawal":
+                setup.executor.withdraw(calls[1])
+            else:
+                window = RunWindow(ends_at=trio.current_time())
+                setup.executor.admission.set_window("test", window)
+            await wait_all_tasks_blocked()
+            self.assertEqual(list(results), [1])
             self.assertIs(results[1].reason, Reason.LEAVING)
+            self.assertIs(results[1].outcome, Outcome.NOT_RUN)
+            setup.client.hold.set()
+            await wait_all_tasks_blocked()
+            self.assertIsInstance(results[0], Answer)
+            self.assertEqual(len(setup.client.requests), 1)
+            self.assertEqual(setup.crash_guard.suspect_limiter.borrowed_tokens, 0)
+            self.assertEqual(setup.executor.admission.bounded_waits, {})
 
     @params(("orders/shop/k-1", 0), ("", 0))
     def test_withdrawn_call_is_refused_unless_it_was_handed_over(self, key, attempt):
