--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -13,7 +13,7 @@
 LOSS_SLACK_S = 0.2
 PROPAGATION_S = 2.5
 TOUCH_S = 3.0
-# A request sent later than this after SIGTERM has no claim to its end.
+# Work at the end of the grace time excuses only requests sent until then after SIGTERM.
 LATE_SENDER_S = 3.0
 CLOCK_TOLERANCE_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
