Give a stop that overslept its end the time to answer

Callers saw: connections closed without an answer at the end of a planned stop, when the process did not run for the last part of it.

Cause: both deadlines at the end of a stop are absolute. After a wake-up past them, the calls were broken off, and the connections cancelled before their tasks could send the answers.

The new test failed before ([] != [503]).

Change: what is left after the calls were broken off has half of the time for answers, counted from then; in the usual case this is the same time as before.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -294,7 +294,9 @@
             # A send to a peer that does not read would outlast the cancellation.
             await self.links.close_connections()
             accept_peers_scope.cancel()
-            await self.peer_server.close_connections(self.planned_stop.ends_at)
+            await self.peer_server.close_connections(
+                self.planned_stop.compute_close_time()
+            )
             nursery.cancel_scope.cancel()
         log_message("node: stopped", instance=self.identity.instance)
 
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -53,6 +53,14 @@
         stop_timeout = self.node.settings.bounds.stop_timeout
         return min(MAX_ANSWER_TIME_S, ANSWER_TIME_SHARE * stop_timeout)
 
+    def compute_close_time(self) -> float:
+        """Return the time at which connections are closed, answered or not.
+
+        It is later than the end where the process woke up late, or it would close
+        connections before their tasks can send the answers.
+        """
+        return max(self.ends_at, trio.current_time() + self.answer_time_s / 2)
+
     async def watch_signals(self) -> None:
         """Request the stop at SIGTERM or SIGINT."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -75,7 +83,8 @@
     async def run(self) -> None:
         """Wait for the stop request, then for the notice periods and running requests.
 
-        The waits end at most ``stop_timeout`` seconds after the request.
+        The waits end at most ``stop_timeout`` seconds after the request, or as soon as
+        answers are sent if the process slept past that time.
         """
         await self.requested.wait()
         async with trio.open_nursery() as nursery:
@@ -102,7 +111,7 @@
         self.stop_reading()
         self.log_cut_off()
         self.node.dispatcher.end_calls()
-        with trio.CancelScope(deadline=self.ends_at):
+        with trio.CancelScope(deadline=self.compute_close_time()):
             await self.wait_until_idle()
 
     def stop_reading(self) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -159,6 +159,37 @@
             self.assertLess(duration_s, STOP_S)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock
+    async def test_request_is_answered_by_a_process_that_slept_past_its_end(self):
+        """Guards against connections that a late wake-up closes without an answer."""
+        setup = Setup()
+        dispatcher = setup.node.dispatcher
+        dispatcher.is_ready = lambda: True
+        setup.node.store.accept_document(1, POLICY, now=0.0, source="test")
+        responses = []
+
+        async def send_for_ever(call):
+            await trio.sleep_forever()
+
+        async def handle():
+            response = await dispatcher.handle(ORDER)
+            # Other tasks of the connection send the response.
+            await trio.sleep(0.01)
+            responses.append(response)
+
+        async def oversleep():
+            await trio.sleep(STOP_S / 2)
+            trio.lowlevel.current_clock().jump(STOP_S)
+
+        async with trio.open_nursery() as nursery:
+            dispatcher.send_with_retries = send_for_ever
+            nursery.start_soon(handle)
+            nursery.start_soon(oversleep)
+            await trio.sleep(0.1)
+            await setup.run()
+            self.assertEqual([item.status for item in responses], [503])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_peer_gets_its_response_before_the_process_ends(self):
         setup = Setup()
