Deliver what arrived while a stopping process slept

Callers saw: 504 for orders whose server had answered, and for orders that had waited at the node.

Cause: after a wake-up past the end of a stop, the calls were broken off in the same step in which their answers and the refusals of the queue became ready.

Calls at peers still end as unknown: a link is dropped after a pause. The test, which lets an answer take five steps, fails without the change.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -109,6 +109,9 @@
         if not scope.cancelled_caught:
             return
         self.stop_reading()
+        if trio.current_time() > answers_at + IDLE_CHECK_INTERVAL_S:
+            # The process overslept: results that arrived meanwhile are delivered first.
+            await trio.sleep(IDLE_CHECK_INTERVAL_S)
         self.log_cut_off()
         self.node.dispatcher.end_calls()
         with trio.CancelScope(deadline=self.compute_close_time()):
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,6 +1,7 @@
 """Tests of the planned stop, on a node that listens nowhere."""
 
 import dataclasses
+import math
 import unittest
 from unittest import mock
 
@@ -13,14 +14,17 @@
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.http import HttpRequest
+from catkinpost.protocol.message import Answer
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import parse_settings
+from catkinpost.transport.http_server import Phase
 from tests.clock import on_mock_clock
 from tests.protocol.test_settings import GOOD
 
 NOTICE_S = 2.5
 STOP_S = 5.0
+STEPS_OF_AN_ANSWER = 5
 POLICY = """\
 [service orders]
 owner = sales
@@ -159,22 +163,37 @@
             self.assertLess(duration_s, STOP_S)
             nursery.cancel_scope.cancel()
 
-    @on_mock_clock
-    async def test_request_is_answered_by_a_process_that_slept_past_its_end(self):
+    @params(
+        # (seconds until the call ends, status)
+        (STOP_S - 0.1, 200),
+        (math.inf, 503),
+    )
+    def test_request_is_answered_by_a_process_that_slept_past_its_end(
+        self, call_s, status
+    ):
         """Guards against connections that a late wake-up closes without an answer."""
+        self.check_oversleep(call_s, status)
+
+    @on_mock_clock
+    async def check_oversleep(self, call_s, status):
         setup = Setup()
         dispatcher = setup.node.dispatcher
         dispatcher.is_ready = lambda: True
         setup.node.store.accept_document(1, POLICY, now=0.0, source="test")
         responses = []
 
-        async def send_for_ever(call):
-            await trio.sleep_forever()
+        async def send(call):
+            await trio.sleep(call_s)
+            for _ in range(STEPS_OF_AN_ANSWER):
+                await trio.sleep(0)
+            return Answer(1, 200, [], b"", 0, setup.node.executor.get_load())
 
         async def handle():
+            connection = mock.Mock(phase=Phase.ANSWERING, memory_wait=None)
+            setup.node.http_server.connections.add(connection)
             response = await dispatcher.handle(ORDER)
-            # Other tasks of the connection send the response.
-            await trio.sleep(0.01)
+            await trio.sleep(0.01)  # sends the response
+            setup.node.http_server.connections.remove(connection)
             responses.append(response)
 
         async def oversleep():
@@ -182,12 +201,12 @@
             trio.lowlevel.current_clock().jump(STOP_S)
 
         async with trio.open_nursery() as nursery:
-            dispatcher.send_with_retries = send_for_ever
+            dispatcher.send_with_retries = send
             nursery.start_soon(handle)
             nursery.start_soon(oversleep)
             await trio.sleep(0.1)
             await setup.run()
-            self.assertEqual([item.status for item in responses], [503])
+            self.assertEqual([item.status for item in responses], [status])
             nursery.cancel_scope.cancel()
 
     @on_mock_clock
