--- /dev/null
+++ b/src/catkinpost/transport/http_connection.py
@@ -0,0 +1,144 @@
+"""State of one connection of a caller."""
+
+import enum
+from collections import deque
+from dataclasses import dataclass, field
+
+import trio
+
+from catkinpost.protocol.http import HttpResponse
+from catkinpost.state.request_memory import Reservation
+from catkinpost.transport.http_parser import RequestParser
+from catkinpost.transport.linger import has_data_in_flight
+
+__all__ = ["Connection", "Exchange", "Phase"]
+
+
+class Phase(enum.Enum):
+    """Phase of a connection between idle and sending a response."""
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+    SENDING = "sending"
+
+
+@dataclass(eq=False, slots=True)
+class Exchange:
+    """One request of a connection and its response, ``None`` until it is ready.
+
+    :param reservation: memory that was reserved while the body was read.
+    """
+
+    keep_alive: bool
+    head_only: bool
+    reservation: Reservation | None = None
+    response: HttpResponse | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One accepted connection.
+
+    :param stream: the connection.
+    :param parser: parser of the received bytes.
+    :param phase: current phase.
+    :param phase_started_at: time at which the phase began.
+    :param scope: cancel scope of the tasks of the connection.
+    :param exchanges: requests without a sent response, in the order of their arrival.
+    :param sending: whether a response is being sent.
+    :param closing: whether no further request is accepted.
+    :param overdue: whether the connection is closed because it made no progress.
+    :param caller_has_closed: whether the caller has closed its sending side.
+    :param capacity_available: set when a response was sent, so that another pipelined
+        request may start.
+    :param has_reader_task: whether the connection is read while requests are handled.
+    :param reading_ended: whether the first task that reads the connection has ended.
+    :param nursery: nursery of the tasks of the connection.
+    :param reservation: memory for the request that is being read.
+    :param memory_wait: cancel scope of the wait for that memory, if it waits.
+    """
+
+    stream: trio.SocketStream
+    parser: RequestParser
+    phase: Phase = Phase.IDLE
+    phase_started_at: float = 0.0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    exchanges: deque[Exchange] = field(default_factory=deque)
+    sending: bool = False
+    closing: bool = False
+    overdue: bool = False
+    caller_has_closed: bool = False
+    capacity_available: trio.Event = field(default_factory=trio.Event)
+    has_reader_task: bool = False
+    reading_ended: bool = False
+    nursery: trio.Nursery | None = None
+    reservation: Reservation | None = None
+    memory_wait: trio.CancelScope | None = None
+
+    @property
+    def has_single_request(self) -> bool:
+        """Whether exactly one request was received and none is in progress."""
+        parser = self.parser
+        no_other_request = not self.has_reader_task and not self.exchanges
+        return no_other_request and len(parser.messages) == 1 and not parser.in_message
+
+    @property
+    def is_awaiting_request(self) -> bool:
+        """Whether no complete request was received without a response."""
+        return self.phase in (Phase.IDLE, Phase.READING)
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether input or the caller's close can be read now."""
+        socket = self.stream.socket
+        is_open = not self.closing and socket.fileno() >= 0
+        return is_open and socket.is_readable()
+
+    @property
+    def needs_linger(self) -> bool:
+        """Whether a close by this side could destroy sent bytes.
+
+        An idle timeout is the most common close and mostly has nothing to protect.
+        """
+        if self.caller_has_closed:
+            return False
+        is_expired = self.overdue and self.phase is Phase.IDLE
+        return not is_expired or has_data_in_flight(self.stream.socket)
+
+    @property
+    def needs_reader_task(self) -> bool:
+        """Whether nothing reads the connection while requests are handled."""
+        is_read = self.has_reader_task or self.reading_ended
+        return bool(self.exchanges) and not is_read
+
+    @property
+    def is_at_last_exchange(self) -> bool:
+        """Whether no answer is due behind that of the first request.
+
+        A request that waits for memory is answered in any case.
+        """
+        return len(self.exchanges) == 1 and self.memory_wait is None
+
+    def drop_unfinished_body(self) -> None:
+        """Drop the body that is being read, which is not needed any more."""
+        self.parser.body_parts.clear()
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
+    def enter_phase(self, phase: Phase) -> None:
+        """Start a phase."""
+        self.phase = phase
+        self.phase_started_at = trio.current_time()
+
+    def update_phase(self) -> None:
+        """Set the phase from the state of the parser and of the exchanges."""
+        if self.exchanges:
+            new_phase = Phase.SENDING if self.sending else Phase.ANSWERING
+        elif self.parser.in_message:
+            new_phase = Phase.READING
+        else:
+            new_phase = Phase.IDLE
+        if new_phase is not self.phase or new_phase is Phase.IDLE:
+            self.enter_phase(new_phase)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -18,7 +18,7 @@
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import parse_settings
-from catkinpost.transport.http_server import Phase
+from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock
 from tests.protocol.test_settings import GOOD
 
