Bound the answers that callers do not take

Cause: finished answers had no common bound, and each was copied once more to be sent.

Change: AnswerMemory counts the bodies of answers until their caller or peer has taken them. Beyond the bound, callers that have taken nothing for 2 s are closed, and then the new answer becomes 502, unknown. Bodies over 64 KiB are sent in pieces without a copy.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -18,6 +18,7 @@
 from catkinpost.coordination.routing.dispatcher import Dispatcher
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import NodeSettings
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
@@ -51,6 +52,7 @@
     stats: PeerStats
     pause_watch: PauseWatch
     request_memory: RequestMemory
+    answer_memory: AnswerMemory
     links: LinkTable
     exchange: PolicyExchange
     peer_handler: PeerHandler
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -30,6 +30,7 @@
     Refusal,
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory, Reservation
 from catkinpost.transport.frame import FrameStream, SkippedCall
@@ -50,8 +51,13 @@
     reservation: Reservation | None = None
     has_begun: bool = False
     is_withdrawn: bool = False
+    progressed_at: float = 0.0
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    def give_up(self) -> bool:
+        """Keep the response: a link that takes nothing is closed by its own timeout."""
+        return False
+
 
 def ignore_withdrawal(call: Call) -> None:
     """Let a call run to its end."""
@@ -96,6 +102,7 @@
     :param pause: detection of pauses of this process.
     :param settings: bounds of a connection.
     :param memory: memory for the calls of all peers, ``None`` for no common bound.
+    :param answer_memory: memory for the responses to them, ``None`` for no bound.
     """
 
     def __init__(
@@ -110,6 +117,7 @@
         settings: LinkSettings,
         withdraw_call: Callable[[Call], None] = ignore_withdrawal,
         memory: RequestMemory | None = None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         self.identity = identity
         self.store = store
@@ -120,6 +128,7 @@
         self.pause = pause
         self.settings = settings
         self.memory = memory
+        self.answer_memory = answer_memory
         self.sessions: dict[int, PeerSession] = {}
 
     @property
@@ -265,9 +274,14 @@
             with peer_call.scope:
                 if peer_call.scope.cancel_called:
                     return
-                await session.send_notification(await self.run_or_refuse(peer_call))
+                response = self.hold_response(
+                    peer_call, await self.run_or_refuse(peer_call)
+                )
+                await session.send_notification(response)
         finally:
             session.calls.pop(peer_call.call.id, None)
+            if self.answer_memory is not None:
+                self.answer_memory.release_all(peer_call)
             if peer_call.reservation is not None:
                 peer_call.reservation.release()
 
@@ -278,6 +292,28 @@
             return self.build_withdrawal_refusal(peer_call.call)
         return await self.run_call(peer_call.call)
 
+    def hold_response(
+        self, peer_call: PeerCall, response: Answer | Refusal
+    ) -> Answer | Refusal:
+        """Count a response until it is sent, or replace one that can't be held.
+
+        Older releases know no reason for the lack of memory.
+        """
+        if self.answer_memory is None or isinstance(response, Refusal):
+            return response
+        failure = self.answer_memory.hold(peer_call, len(response.body))
+        if failure is None:
+            return response
+        return Refusal(
+            response.id,
+            Reason.BACKEND_BAD_ANSWER,
+            failure.outcome,
+            failure.detail,
+            None,
+            response.allowance,
+            response.load,
+        )
+
     def build_withdrawal_refusal(self, call: Call) -> Refusal:
         return Refusal(
             call.id,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -38,6 +38,7 @@
     NodeSettings,
     parse_address,
 )
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
@@ -111,6 +112,7 @@
             self.decisions,
             largest_bytes=bounds.max_body_bytes + compute_overhead(bounds),
         )
+        self.answer_memory = AnswerMemory(bounds.answer_memory_bytes, self.decisions)
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
 
     def build_peers(self) -> None:
@@ -260,6 +262,7 @@
             pause=self.pause_watch,
             settings=self.link_settings,
             memory=self.request_memory,
+            answer_memory=self.answer_memory,
         )
         self.replicas.server = self.peer_server
         self.pause_watch.listeners.append(self.replicas.on_pause)
@@ -269,6 +272,7 @@
             report_failure=self.report_bad_request,
             build_refusal=self.environment.dialect.build_failure_response,
             memory=self.request_memory,
+            answer_memory=self.answer_memory,
         )
 
     async def run(self) -> None:
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -55,9 +55,12 @@
 # Share of the process's memory for bodies of requests. A body is copied once more while
 # it is assembled or decoded, one at a time; the rest is for answers and the process.
 REQUEST_MEMORY_SHARE = 1 / 3
+# Answers that wait for slow callers; a peer's answer exists twice while it is decoded.
+ANSWER_MEMORY_SHARE = 1 / 6
 MEGABYTE = 1_000_000
 # Room for one body of the largest size.
 DEFAULT_REQUEST_MEMORY_BYTES = 80 * 1024 * 1024
+DEFAULT_ANSWER_MEMORY_BYTES = 40 * 1024 * 1024
 
 
 class LimitsTable(PlatformModel):
@@ -194,6 +197,13 @@
     return int(limits.memory_mb * MEGABYTE * REQUEST_MEMORY_SHARE)
 
 
+def compute_answer_memory(limits: LimitsTable) -> int:
+    """Return the bytes for bodies of answers that callers have not taken."""
+    if limits.memory_mb is None:
+        return DEFAULT_ANSWER_MEMORY_BYTES
+    return int(limits.memory_mb * MEGABYTE * ANSWER_MEMORY_SHARE)
+
+
 def build_node_settings(file: SettingsFile) -> NodeSettings:
     process = file.process
     first_port = file.network.internal_port_range[0]
@@ -216,6 +226,7 @@
         bounds=BoundsSection(
             max_body_bytes=64 * 1024 * 1024,
             request_memory_bytes=compute_request_memory(process.limits),
+            answer_memory_bytes=compute_answer_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             leave_notice=LEAVE_NOTICE_S,
             peer_notice=PEER_NOTICE_S,
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -131,6 +131,17 @@
     :param head_only: whether the request was HEAD, so that no body is sent.
     :return: encoded message.
     """
+    parts = encode_response_parts(response, keep_alive=keep_alive, head_only=head_only)
+    return b"".join(parts)
+
+
+def encode_response_parts(
+    response: HttpResponse, *, keep_alive: bool, head_only: bool
+) -> tuple[bytes, bytes]:
+    """Serialize a response without a copy of its body.
+
+    :return: encoded head and the body, see :func:`encode_response`.
+    """
     phrase = REASON_PHRASES.get(response.status, b"")
     parts = [b"HTTP/1.1 %d %b\r\n" % (response.status, phrase)]
     append_encoded_headers(parts, response.headers)
@@ -143,6 +154,5 @@
     if not keep_alive:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
-    if not head_only and response.status not in BODYLESS_STATUSES:
-        parts.append(response.body)
-    return b"".join(parts)
+    has_body = not head_only and response.status not in BODYLESS_STATUSES
+    return b"".join(parts), response.body if has_body else b""
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -28,6 +28,7 @@
     HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
     REQUEST_MEMORY_FULL = "request-memory-full"
+    ANSWER_MEMORY_FULL = "answer-memory-full"
     SLOW_SENDER = "slow-sender"
     INVALID_HEADER = "invalid-header"
     UNKNOWN_SERVICE = "unknown-service"
@@ -75,6 +76,7 @@
     Reason.UNKNOWN_CLASS: 400,
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.LIMIT_REACHED: 429,
+    Reason.ANSWER_MEMORY_FULL: 502,
     Reason.BACKEND_CONNECTION_LOST: 502,
     Reason.BACKEND_BAD_ANSWER: 502,
     Reason.PEER_CONNECTION_LOST: 502,
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -66,6 +66,7 @@
     """State of one node.
 
     :param request_bytes: bytes reserved for the bodies of requests.
+    :param answer_bytes: bytes of the bodies of answers that callers have not taken.
     """
 
     instance: str
@@ -83,6 +84,7 @@
     queued: int
     entry_calls: int
     request_bytes: int
+    answer_bytes: int
     backend_reachable: bool
     backend_reported_in_flight: int
     pauses: int
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -57,6 +57,7 @@
     :param nursery: nursery of the tasks of the connection.
     :param reservation: memory for the request that is being read.
     :param memory_wait: cancel scope of the wait for that memory, if it waits.
+    :param progressed_at: time at which the caller last took a part of a response.
     """
 
     stream: trio.SocketStream
@@ -75,6 +76,7 @@
     nursery: trio.Nursery | None = None
     reservation: Reservation | None = None
     memory_wait: trio.CancelScope | None = None
+    progressed_at: float = 0.0
 
     @property
     def has_single_request(self) -> bool:
@@ -120,6 +122,12 @@
         """
         return len(self.exchanges) == 1 and self.memory_wait is None
 
+    def give_up(self) -> bool:
+        """Close the connection without the rest of its responses."""
+        self.closing = True
+        self.scope.cancel()
+        return True
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
         self.parser.body_parts.clear()
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import trio
 
@@ -11,8 +11,10 @@
     HttpRequest,
     HttpResponse,
     encode_response,
+    encode_response_parts,
 )
 from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.request_memory import (
     SMALL_BODY_BYTES,
     RequestMemory,
@@ -34,6 +36,9 @@
 # Another node can take a request that is refused during a stop.
 LEAVING_RETRY_AFTER_S = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Larger bodies are sent without a copy, in pieces that show the caller's progress.
+MAX_COPIED_BODY_BYTES = 65536
+SENT_PIECE_BYTES = 16384
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 FailureReporter = Callable[[Failure], None]
@@ -50,6 +55,7 @@
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
+    :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
     :ivar leaving: whether each connection is closed after its last response.
     :ivar has_stopped_reading: whether no further request is accepted.
     """
@@ -62,12 +68,14 @@
         report_failure: FailureReporter,
         build_refusal: Callable[[Failure], HttpResponse] = build_failure_response,
         memory: RequestMemory | None = None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.report_failure = report_failure
         self.build_refusal = build_refusal
         self.memory = memory
+        self.answer_memory = answer_memory
         self.leaving = False
         self.has_stopped_reading = False
         self.connections: set[Connection] = set()
@@ -186,6 +194,8 @@
         finally:
             self.connections.discard(connection)
             connection.drop_unfinished_body()
+            if self.answer_memory is not None:
+                self.answer_memory.release_all(connection)
 
     async def linger(self, stream: trio.SocketStream) -> None:
         """Let the caller receive what was sent before the connection is closed."""
@@ -363,7 +373,7 @@
         self, connection: Connection, exchange: Exchange, response: HttpResponse
     ) -> None:
         """Store a response and send every response whose turn has come."""
-        exchange.response = response
+        exchange.response = self.hold_response(connection, response)
         if connection.sending:
             return
         connection.sending = True
@@ -376,11 +386,10 @@
                 connection.closing = True
             is_last = connection.closing and connection.is_at_last_exchange
             keep_alive = first.keep_alive and not is_last
-            data = encode_response(
-                first.response, keep_alive=keep_alive, head_only=first.head_only
-            )
-            await send_all(connection.stream, data)
+            await self.send_response(connection, first, keep_alive=keep_alive)
             connection.exchanges.popleft()
+            if self.answer_memory is not None:
+                self.answer_memory.release(connection, len(first.response.body))
             connection.capacity_available.set()
             # Reading may have ended while an answer that keeps the connection was sent.
             if connection.closing and not connection.exchanges:
@@ -389,3 +398,36 @@
                 return
         connection.sending = False
         connection.update_phase()
+
+    def hold_response(
+        self, connection: Connection, response: HttpResponse
+    ) -> HttpResponse:
+        """Count a response until it is sent, or replace one that can't be held."""
+        if self.answer_memory is None:
+            return response
+        failure = self.answer_memory.hold(connection, len(response.body))
+        if failure is None:
+            return response
+        self.report_failure(failure)
+        return self.build_refusal(failure)
+
+    async def send_response(
+        self, connection: Connection, exchange: Exchange, *, keep_alive: bool
+    ) -> None:
+        head, body = encode_response_parts(
+            exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
+        )
+        if len(body) <= MAX_COPIED_BODY_BYTES:
+            await send_all(connection.stream, head + body)
+            return
+        await send_all(connection.stream, head)
+        for piece in split_body(body):
+            await send_all(connection.stream, piece)
+            connection.progressed_at = trio.current_time()
+
+
+def split_body(body: bytes) -> Iterator[memoryview]:
+    """Split a body into pieces without copying it."""
+    view = memoryview(body)
+    for start in range(0, len(view), SENT_PIECE_BYTES):
+        yield view[start : start + SENT_PIECE_BYTES]
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -4,6 +4,7 @@
 import errno
 import fcntl
 import functools
+import math
 import random
 import socket
 import struct
@@ -36,6 +37,7 @@
 )
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.protocol.settings import Address
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory
@@ -86,7 +88,13 @@
     """One link and the peer server at its other end."""
 
     def __init__(
-        self, nursery, *, server_secret=SECRET, server_name="orders-2", memory=None
+        self,
+        nursery,
+        *,
+        server_secret=SECRET,
+        server_name="orders-2",
+        memory=None,
+        answer_memory=None,
     ):
         self.nursery = nursery
         self.started = []
@@ -111,6 +119,7 @@
             pause=PauseWatch(DecisionLog()),
             settings=self.settings,
             memory=memory,
+            answer_memory=answer_memory,
         )
 
     async def run_call(self, call):
@@ -625,6 +634,28 @@
             self.assertEqual(len(setup.events.ups), 1)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_answer_without_room_is_dropped_as_unknown_and_the_link_stays(self):
+        """Guards against a process that is killed as slow peers hold its answers."""
+        memory = RequestMemory(4 * MEMORY_BYTES, DecisionLog())
+        answer_memory = AnswerMemory(MEMORY_BYTES, DecisionLog())
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, memory=memory, answer_memory=answer_memory)
+            await setup.start()
+            answer_memory.hold(mock.Mock(progressed_at=math.inf), MEMORY_BYTES // 2)
+            calls = []
+            for body in (bytes(MEMORY_BYTES), b"birch"):
+                call = make_call(key="", attempt=0)
+                call.body = body
+                calls.append(PendingRequest(lambda: None))
+                await setup.link.send_request(call, calls[-1])
+            await trio.sleep(0.2)
+            self.assertIs(calls[0].result.outcome, Outcome.UNKNOWN)
+            self.assertEqual(calls[1].result.status, 200)
+            self.assertEqual(answer_memory.used_bytes, MEMORY_BYTES // 2)
+            self.assertEqual(len(setup.events.ups), 1)
+            nursery.cancel_scope.cancel()
+
     @params("cancel", "disconnect")
     @on_mock_clock(io=True)
     async def test_memory_returns_after_the_end_of_a_call(self, end):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -67,11 +67,14 @@
         self.assertEqual(bounds.server_drain, 2.5)
         self.assertLess(bounds.repeat_extra, 49)
 
-    @params((300, 100_000_000), (None, 83_886_080))
-    def test_bodies_of_requests_get_a_share_of_the_memory(self, memory_mb, expected):
+    @params((300, 100_000_000, 50_000_000), (None, 83_886_080, 41_943_040))
+    def test_bodies_get_a_share_of_the_memory(
+        self, memory_mb, request_bytes, answer_bytes
+    ):
         limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
         bounds = parse_platform_settings(SETTINGS + limits).node.bounds
-        self.assertEqual(bounds.request_memory_bytes, expected)
+        self.assertEqual(bounds.request_memory_bytes, request_bytes)
+        self.assertEqual(bounds.answer_memory_bytes, answer_bytes)
         largest_bytes = bounds.request_memory_bytes * 7 / 8
         self.assertLessEqual(bounds.max_body_bytes, largest_bytes)
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -12,6 +12,8 @@
 from nose2.tools import params
 
 from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.protocol.outcome import Reason
+from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport.http_server import HttpServer
@@ -782,3 +784,81 @@
             self.assertEqual(data.count(b"connection: close"), 1)
             self.assertLess(data.index(b"/1"), data.index(b"connection: close"))
             nursery.cancel_scope.cancel()
+
+
+class TestAnswerMemory(unittest.TestCase):
+    """Guards against a process that is killed over answers that callers don't read."""
+
+    async def start(self, nursery, count):
+        """Return callers that have asked for one large answer each, and read nothing.
+
+        :param count: number of answers of which the server may hold all.
+        """
+        setup = ServerSetup()
+        self.memory = AnswerMemory(count * len(LARGE_BODY), DecisionLog())
+        setup.server.answer_memory = self.memory
+        setup.server.handler = self.handle
+        await setup.start(nursery)
+        self.setup = setup
+        streams = []
+        for _ in range(count):
+            streams.append(await self.call())
+        return streams
+
+    async def handle(self, request):
+        return HttpResponse(200, [], LARGE_BODY)
+
+    async def call(self):
+        stream = await connect_slow_reader(self.setup)
+        await stream.send_all(CLOSING_REQUEST)
+        await trio.sleep(0.1)
+        return stream
+
+    @on_mock_clock(io=True)
+    async def test_answer_beyond_the_bound_is_replaced(self):
+        async with trio.open_nursery() as nursery:
+            streams = await self.start(nursery, 3)
+            late = await self.call()
+            answer = await read_all(late)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer)
+            self.assertIn(b"catkinpost-outcome: unknown", answer)
+            reasons = [failure.reason for failure in self.setup.reported_failures]
+            self.assertEqual(reasons, [Reason.ANSWER_MEMORY_FULL])
+            for stream in streams:
+                self.assertTrue((await read_all(stream)).endswith(LARGE_BODY))
+            self.assertEqual(self.memory.used_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_callers_that_take_nothing_are_closed_for_others(self):
+        async with trio.open_nursery() as nursery:
+            stalled, reading, *_ = await self.start(nursery, 3)
+            await trio.sleep(STALL_TIMEOUT_S)
+            data = b""
+            while len(data) < len(LARGE_BODY) / 2:
+                data += await reading.receive_some(65536)
+            late = await self.call()
+            self.assertTrue((await read_all(late)).endswith(LARGE_BODY))
+            self.assertTrue((data + await read_all(reading)).endswith(LARGE_BODY))
+            self.assertLess(len(await read_all(stalled)), len(LARGE_BODY))
+            nursery.cancel_scope.cancel()
+
+    @params("disconnect", "reset", "stop")
+    def test_bytes_are_released_when_a_connection_ends(self, end):
+        self.check_release(end)
+
+    @on_mock_clock(io=True)
+    async def check_release(self, end):
+        async with trio.open_nursery() as nursery:
+            (stream,) = await self.start(nursery, 1)
+            self.assertEqual(self.memory.used_bytes, len(LARGE_BODY))
+            if end == "reset":
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            if end == "stop":
+                for connection in self.setup.server.connections:
+                    connection.scope.cancel()
+            else:
+                await trio.aclose_forcefully(stream)
+            await trio.sleep(0.5)
+            self.assertEqual((self.memory.used_bytes, self.memory.sizes), (0, {}))
+            nursery.cancel_scope.cancel()
