Test stops of peers, stops that overlap and servers that leave meanwhile

The test of a planned stop knew one stop, that of the orders' entry. Its cases now also stop the node that runs the calls, two and all three nodes at once, and let the entry's or a peer's server leave during the stop: 30 seeds each, no order unanswered, and none that runs is told not run.

--- a/tests/coordination/test_planned_stop.py
+++ b/tests/coordination/test_planned_stop.py
@@ -1,10 +1,12 @@
-"""Tests of several nodes of which the entry of the requests stops."""
+"""Tests of several nodes of which some stop, and whose servers may leave."""
 
 import random
 import unittest
 
 import trio
+from nose2.tools import params
 
+from catkinpost.coordination.admission.admission import RunWindow
 from catkinpost.protocol.header import OUTCOME_HEADER
 from catkinpost.protocol.http import HttpRequest, find_header
 from tests.clock import on_mock_clock
@@ -31,7 +33,7 @@
 
 
 class Setup:
-    """Cluster whose first node gets all orders, and stops."""
+    """Cluster whose first node gets all orders."""
 
     def __init__(self, nursery, rng):
         self.nursery = nursery
@@ -50,28 +52,62 @@
         response = await self.node.dispatcher.handle(request)
         self.outcomes[root] = find_header(response.headers, OUTCOME_HEADER).decode()
 
-    async def stop(self):
+    async def stop(self, name):
+        """Stop a node at a random time; the links to it are lost at its end."""
         await trio.sleep(self.rng.uniform(0.0, 0.2))
-        self.node.start_stop(self.rng.uniform(0.0, 4 * SERVICE_S))
-        while trio.current_time() < self.node.sender.ends_at:
-            self.node.sender.withdraw_late_attempts()
+        node = self.cluster.nodes[name]
+        node.start_stop(self.rng.uniform(0.0, 4 * SERVICE_S))
+        while trio.current_time() < node.sender.ends_at:
+            node.sender.withdraw_late_attempts()
             await trio.sleep(SERVICE_S / 20)
-        self.node.end_stop()
+        node.end_stop()
         await trio.sleep(SERVICE_S / 10)
+        if node is not self.node:
+            self.cluster.crash(name)
+
+    async def leave(self, name):
+        """Let the backend server of a node leave at a random time."""
+        await trio.sleep(self.rng.uniform(0.0, 0.2))
+        node = self.cluster.nodes.get(name)
+        if node is None:
+            return
+        now = trio.current_time()
+        window = RunWindow(
+            ends_at=now + self.rng.uniform(1, 4) * SERVICE_S,
+            last_start_at=now + self.rng.uniform(0, 2) * SERVICE_S,
+        )
+        node.executor.admission.set_window("drain", window)
+        node.leaving = True
 
 
 class TestPlannedStop(unittest.TestCase):
-    @on_mock_clock
-    async def test_orders_at_a_stopping_node_end_with_the_truth(self):
+    @params(
+        # (nodes that stop, nodes whose backend server leaves, outcomes)
+        (["orders-1"], [], {"done", "not-run", "unknown"}),
+        (["orders-2"], [], {"done", "unknown"}),
+        (["orders-1", "orders-2"], [], {"done", "not-run", "unknown"}),
+        (["orders-1", "orders-2", "orders-3"], [], {"done", "not-run", "unknown"}),
+        (["orders-1"], ["orders-1"], {"done", "not-run", "unknown"}),
+        (["orders-1"], ["orders-2"], {"done", "not-run", "unknown"}),
+        (["orders-2"], ["orders-2", "orders-3"], {"done", "not-run", "unknown"}),
+    )
+    def test_orders_around_stops_end_with_the_truth(self, stops, leaves, outcomes):
         """Guards against closed connections, and refusals of orders that run."""
+        self.check_outcomes(stops, leaves, outcomes)
+
+    @on_mock_clock
+    async def check_outcomes(self, stops, leaves, outcomes):
         seen = set()
         for seed in range(30):
             async with trio.open_nursery() as nursery:
                 setup = Setup(nursery, random.Random(seed))
                 for number in range(ORDERS):
                     nursery.start_soon(setup.order, f"{seed}-{number}")
-                await setup.stop()
-                await trio.sleep(10 * SERVICE_S)
+                for name in stops:
+                    nursery.start_soon(setup.stop, name)
+                for name in leaves:
+                    nursery.start_soon(setup.leave, name)
+                await trio.sleep(20 * SERVICE_S)
                 self.assertEqual(len(setup.outcomes), ORDERS)
                 for root, outcome in setup.outcomes.items():
                     runs = setup.cluster.runs.get(("orders", root), 0)
@@ -79,4 +115,4 @@
                     self.assertLessEqual(runs, most, root)
                 seen.update(setup.outcomes.values())
                 nursery.cancel_scope.cancel()
-        self.assertEqual(seen, {"done", "not-run", "unknown"})
+        self.assertEqual(seen, outcomes)
