Stop whole services and send answers in pieces in the soak

The plan of the soak stopped one node of a service at a time, let a node stop only after its server, and its servers sent whole answers. All nodes of a service may stop within 2 s of each other now, a node may stop while its server drains, and a tenth of the answers come in four pieces.

--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -1,6 +1,7 @@
 """Stand-in of a server on the users' platform, with the faults that it may show."""
 
 import enum
+import math
 import random
 import zlib
 from collections import Counter
@@ -25,14 +26,41 @@
     HttpLimits,
     HttpRequest,
     HttpResponse,
+    encode_response,
     find_header,
 )
 from catkinpost.transport.http_client import BackendClient
+from catkinpost.transport.http_connection import Connection, Exchange
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["ChildCall", "Run", "ServerFault", "StandInServer"]
 
 LARGEST_BODY_BYTES = 64 * 1024 * 1024
+ANSWER_PIECES = 4
+PIECE_PAUSE_S = 0.05
+
+
+class PiecewiseServer(HttpServer):
+    """HTTP server that sends some of its answers in pieces, with pauses between.
+
+    :ivar piece_share: share of the answers that are sent so.
+    """
+
+    piece_share = 0.0
+
+    async def send_response(
+        self, connection: Connection, exchange: Exchange, *, keep_alive: bool
+    ) -> None:
+        if random.random() >= self.piece_share:
+            await super().send_response(connection, exchange, keep_alive=keep_alive)
+            return
+        data = encode_response(
+            exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
+        )
+        size = math.ceil(len(data) / ANSWER_PIECES)
+        for start in range(0, len(data), size):
+            await connection.stream.send_all(data[start : start + size])
+            await trio.sleep(PIECE_PAUSE_S)
 
 
 class ServerFault(enum.Enum):
@@ -123,7 +151,7 @@
         self.callers: set[bytes] = set()
         self.child_number = 0
         self.limits = HttpLimits(max_body_bytes=LARGEST_BODY_BYTES)
-        self.server = HttpServer(
+        self.server = PiecewiseServer(
             self.handle, limits=self.limits, report_failure=lambda failure: None
         )
 
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -62,6 +62,9 @@
 TAIL_SHARE = 0.04
 TAIL_FACTOR = 8.0
 BURST_CLIENTS = 60
+PIECE_SHARE = 0.1
+STOP_IN_DRAIN_SHARE = 0.3
+MAX_STOP_GAP_S = 2.0
 HABITS = [
     Habit(name="kept"),
     Habit(name="idle", pause_s=0.8 * IDLE_TIMEOUT_S),
@@ -233,6 +236,7 @@
         server.seconds = service.seconds
         server.tail_share, server.tail_factor = TAIL_SHARE, TAIL_FACTOR
         server.answer_bytes = self.deployment.answer_bytes
+        server.server.piece_share = PIECE_SHARE
         if service.calls:
             server.children = [ChildCall(host=HOST, path=f"/{service.calls}/called")]
             called = self.deployment.services[service.calls]
@@ -290,6 +294,7 @@
         await trio.sleep(WARM_UP_S)
         works: list[Callable[[], Awaitable[None]]] = [
             *[self.stop_node] * 4,
+            self.stop_service,
             self.signal_change,
             *[self.change_configuration] * 2,
             *[self.replace_server] * 2,
@@ -325,8 +330,22 @@
     async def stop_node(self) -> None:
         """Stop a node and start it again, while its server runs on."""
         machine = self.take_machine()
-        if machine is None:
+        if machine is not None:
+            await self.restart_node(machine)
+
+    async def stop_service(self) -> None:
+        """Stop all nodes of a service, one shortly after the other."""
+        service = self.random.choice(list(self.deployment.services))
+        machines = self.fleet.of_service(service)
+        if any(machine.host in self.busy for machine in machines):
             return
+        self.busy.update(machine.host for machine in machines)
+        async with trio.open_nursery() as nursery:
+            for machine in machines:
+                nursery.start_soon(self.restart_node, machine)
+                await trio.sleep(self.random.uniform(0, MAX_STOP_GAP_S))
+
+    async def restart_node(self, machine: Machine) -> None:
         await self.end_node(machine)
         await trio.sleep(self.random.uniform(0, 1))
         self.fleet.start_node(machine)
@@ -397,7 +416,7 @@
         self.note("config", "", PROPAGATION_S + 1, change)
 
     async def replace_server(self) -> None:
-        """Let a server leave with its node, and start both anew."""
+        """Let a server leave, at times with its node, and start both anew."""
         machine = self.take_machine()
         if machine is None:
             return
@@ -405,13 +424,17 @@
         self.fleet.register(machine, "draining")
         old.server.leaving = True
         self.note("drain", machine.host, DRAIN_S + 1)
-        await trio.sleep(DRAIN_S + self.random.uniform(0, 1))
+        ends_at = trio.current_time() + DRAIN_S + self.random.uniform(0, 1)
+        if self.random.random() < STOP_IN_DRAIN_SHARE:
+            await trio.sleep(self.random.uniform(0, DRAIN_S))
+            await self.end_node(machine)
+        await trio.sleep_until(ends_at)
         with trio.move_on_after(GRACE_S):
             while old.running or old.waiting:
                 await trio.sleep(0.01)
         old.end()
         self.fleet.store.put(SERVERS_PREFIX + old.instance, None)
-        if self.random.random() < 0.5:
+        if machine.process is not None and self.random.random() < 0.5:
             await self.end_node(machine)
         await trio.sleep(self.random.uniform(0.2, 1))
         self.generation += 1
