Ask only expired connections for unread input

Now only those that are past their idle timeout are asked. 73 tests of the server and the memory pass.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -138,9 +138,9 @@
         as the whole process was late. It was in time.
         """
         for connection in list(self.connections):
-            if connection.phase is Phase.IDLE and connection.has_unread_input:
-                continue
             if self.is_overdue(connection, now):
+                if connection.phase is Phase.IDLE and connection.has_unread_input:
+                    continue
                 connection.overdue = True
                 connection.closing = True
                 connection.scope.cancel()
