Count an answer that was taken as progress of its reader

Only pieces of bodies over 64 KiB counted, so that a caller which takes many smaller answers could be taken for one that stands still (read in the diff). The test fails without the change: the reader of small parts is dropped.

--- a/src/catkinpost/state/answer_memory.py
+++ b/src/catkinpost/state/answer_memory.py
@@ -69,13 +69,14 @@
         return not self.used_bytes or self.used_bytes + size <= self.max_bytes
 
     def release(self, reader: AnswerReader, size: int) -> None:
-        """Stop counting an answer that was sent.
+        """Stop counting an answer that its reader has taken.
 
         :param reader: reader as passed to :meth:`hold`; ignored once it has ended.
         :param size: size as passed to :meth:`hold`.
         """
         if size <= SMALL_BODY_BYTES or reader not in self.sizes:
             return
+        reader.progressed_at = trio.current_time()
         self.used_bytes -= size
         self.sizes[reader] -= size
         if not self.sizes[reader]:
--- a/tests/state/test_answer_memory.py
+++ b/tests/state/test_answer_memory.py
@@ -62,6 +62,16 @@
         self.assertEqual(self.get_given_up(), [False, True, False, False, False])
         self.assertEqual(self.memory.used_bytes, 3 * THIRD)
 
+    @on_mock_clock
+    async def test_reader_that_takes_small_parts_is_not_dropped(self):
+        for number in (0, 0, 1):
+            self.assertIsNone(self.hold(number))
+        await trio.sleep(STALL_TIMEOUT_S + 1)
+        self.memory.release(self.readers[0], THIRD)
+        self.assertIsNone(self.hold(2))
+        self.assertIsNone(self.hold(3))
+        self.assertEqual(self.get_given_up(), [False, True, False, False, False])
+
     @on_mock_clock
     async def test_reader_that_keeps_its_answers_stays_counted(self):
         self.readers[0].may_give_up = False
