Let stand-in servers promise only what has not begun

A request whose deadline passed while the stand-in ran it could get 503 with the promise that it was not run: the time-out of the queue went on while it ran and fired first. The new test fails before (begun request answered 503).

--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -196,11 +196,12 @@
 
     async def wait_and_run(self, request: HttpRequest, run: Run) -> HttpResponse:
         left_ms = int(find_header(request.headers, DEADLINE_REMAINING) or b"1000")
-        with trio.move_on_after(left_ms / 1000):
+        with trio.move_on_after(left_ms / 1000) as wait:
             await self.wait_for_slot()
-            return await self.run(request, run, left_ms)
-        run.end = "refused"
-        return self.refuse(503)
+        if wait.cancelled_caught:
+            run.end = "refused"
+            return self.refuse(503)
+        return await self.run(request, run, left_ms)
 
     async def wait_for_slot(self) -> None:
         self.waiting += 1
