Measure a client's wait from the start of its request

The client's wait was counted from the end of its send, which this process noted 75 ms late beside other load. The time that a request may take counts from the start of its send now; what was sent later is judged as before. The new case of the verdict fails without the change, and a request that ends early is still a loss.

--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -159,6 +159,7 @@
             place=0,
             behind=0,
             used=len(self.client.idle_connections),
+            started_at=trio.current_time(),
             sent_at=trio.current_time(),
             end="left",
         )
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -79,6 +79,8 @@
     :param place: position among the requests sent together, from 0.
     :param behind: requests that were sent behind it at once.
     :param used: requests that its connection had before.
+    :param started_at: time at which its client began to send it.
+    :param sent_at: time at which all of it was sent.
     :param end: ``"answered"``, ``"closed"``, ``"reset"``, ``"unsent"``, ``"unread"``
         behind an announced close, ``"left"`` by the client, or ``"no answer"``.
     :param received_bytes: bytes of an incomplete answer.
@@ -91,6 +93,7 @@
     place: int
     behind: int
     used: int
+    started_at: float
     sent_at: float
     ended_at: float = 0.0
     end: str = ""
@@ -201,6 +204,7 @@
                 place=place,
                 behind=len(calls) - place - 1,
                 used=used + place,
+                started_at=now,
                 sent_at=now,
                 end="unsent",
             )
@@ -246,7 +250,7 @@
         for data, fate in zip(requests, fates, strict=True):
             if fate.place and self.random.random() < SPREAD_SHARE:
                 await trio.sleep(self.random.uniform(0, MAX_SPREAD_S))
-            fate.sent_at = trio.current_time()
+            fate.started_at = fate.sent_at = trio.current_time()
             try:
                 await stream.send_all(data)
             except trio.BrokenResourceError:
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -185,7 +185,7 @@
         if not runs and (fate.place or not is_late):
             return "(not passed on)"
         limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
-        if fate.ended_at - fate.sent_at >= limit_s - CLOCK_TOLERANCE_S:
+        if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
             return "(its time was over)"
         if any(run.end == "broken off" for run in runs):
             return "(the server broke off)"
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -27,6 +27,7 @@
         place=0,
         behind=0,
         used=1,
+        started_at=101.0,
         sent_at=101.0,
         ended_at=101.1,
         end="reset",
@@ -64,6 +65,7 @@
 }
 OWN = ANSWER | {"status": 502, "signature": None}
 LATE = {"ended_at": 105.4}
+SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
 LONG_RUN = make_run(ended_at=105.4)
 
 
@@ -78,6 +80,14 @@
         ("server at work at the end", LATE, [LONG_RUN], STOP, []),
         ("sent late", LATE | {"sent_at": 103.5}, [LONG_RUN], STOP, ["LOST-STOP"]),
         ("time over", {"ended_at": 107.0}, [make_run()], STOP, []),
+        ("time over, sent slowly", SLOWLY_SENT, [make_run()], STOP, []),
+        (
+            "time not over",
+            SLOWLY_SENT | {"ended_at": 106.7},
+            [make_run()],
+            STOP,
+            ["LOST-STOP"],
+        ),
         ("server broke off", {}, [make_run(end="broken off")], STOP, []),
         ("SIGHUP", {}, [make_run()], HUP, ["LOST-HUP"]),
         ("long after SIGHUP", {"sent_at": 102.6, "used": 0}, [], HUP, []),
