--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -49,6 +49,13 @@
     def record_refusal(self, reason):
         self.refused_at = trio.current_time() - self.requested_at
 
+    def accept_orders(self, send):
+        """Let the node take orders, and end them as a function does."""
+        dispatcher = self.node.dispatcher
+        dispatcher.is_ready = lambda: True
+        dispatcher.send_with_retries = send
+        self.node.store.accept_document(1, POLICY, now=0.0, source="test")
+
     async def connect(self):
         if not self.reachable:
             return UNREACHABLE
@@ -140,9 +147,6 @@
     @on_mock_clock
     async def check_answer(self, outcome, status):
         setup = Setup()
-        dispatcher = setup.node.dispatcher
-        dispatcher.is_ready = lambda: True
-        setup.node.store.accept_document(1, POLICY, now=0.0, source="test")
         responses = []
 
         async def send_for_ever(call):
@@ -150,10 +154,10 @@
             await trio.sleep_forever()
 
         async def handle():
-            responses.append(await dispatcher.handle(ORDER))
+            responses.append(await setup.node.dispatcher.handle(ORDER))
 
         async with trio.open_nursery() as nursery:
-            dispatcher.send_with_retries = send_for_ever
+            setup.accept_orders(send_for_ever)
             nursery.start_soon(handle)
             await trio.sleep(0.1)
             duration_s = await setup.run()
@@ -177,9 +181,6 @@
     @on_mock_clock
     async def check_oversleep(self, call_s, status):
         setup = Setup()
-        dispatcher = setup.node.dispatcher
-        dispatcher.is_ready = lambda: True
-        setup.node.store.accept_document(1, POLICY, now=0.0, source="test")
         responses = []
 
         async def send(call):
@@ -191,7 +192,7 @@
         async def handle():
             connection = mock.Mock(phase=Phase.ANSWERING, memory_wait=None)
             setup.node.http_server.connections.add(connection)
-            response = await dispatcher.handle(ORDER)
+            response = await setup.node.dispatcher.handle(ORDER)
             await trio.sleep(0.01)  # sends the response
             setup.node.http_server.connections.remove(connection)
             responses.append(response)
@@ -201,7 +202,7 @@
             trio.lowlevel.current_clock().jump(STOP_S)
 
         async with trio.open_nursery() as nursery:
-            dispatcher.send_with_retries = send
+            setup.accept_orders(send)
             nursery.start_soon(handle)
             nursery.start_soon(oversleep)
             await trio.sleep(0.1)
