Count the time in which the machine is suspended towards deadlines

Callers saw answers long after their deadline, and servers got requests with more time than their callers had left: the event loop's clock stood still while the machine was suspended, so that every deadline on it was too late by that time. Only the detection of pauses added the gap.

The event loop now runs on a clock that goes on (CLOCK_BOOTTIME), so all deadlines expire when they do for peers and callers, for calls that wait in any place.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -8,18 +8,32 @@
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.state.decision_log import DecisionLog
 
-__all__ = ["PauseWatch"]
+__all__ = ["PauseWatch", "SuspendAwareClock"]
 
 CHECK_INTERVAL_S = 0.25
 MIN_PAUSE_S = 1.0
 
 
-def read_suspended_time() -> float:
-    """Return the seconds for which the machine was suspended since it started.
+class SuspendAwareClock(trio.abc.Clock):
+    """Clock of the event loop that goes on while the machine is suspended.
 
-    The clock of the event loop leaves this time out; the clocks of peers and callers
-    count it.
+    Deadlines thereby expire when they do for peers and callers.
     """
+
+    def start_clock(self) -> None:
+        """Do nothing: the clock goes on from the start of the machine."""
+
+    def current_time(self) -> float:
+        """Return the seconds since the start of the machine."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Return the seconds until a deadline."""
+        return deadline - self.current_time()
+
+
+def read_suspended_time() -> float:
+    """Return the seconds for which the machine was suspended since it started."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
 
 
@@ -27,7 +41,8 @@
     """Detector of periods in which the process did not run.
 
     :param decisions: log of automatic decisions; every pause is logged.
-    :param get_suspended_time: returns the seconds for which the machine was suspended.
+    :param get_suspended_time: returns the seconds for which the machine was suspended,
+        which the clock of the event loop counts.
     """
 
     def __init__(
@@ -40,6 +55,7 @@
         self.get_suspended_time = get_suspended_time
         self.listeners: list[Callable[[], None]] = []
         self.last_check_at: float | None = None
+        self.suspended_before_s = 0.0
         self.pauses = 0
 
     def check_for_pause(self) -> int:
@@ -48,8 +64,11 @@
         A connection compares this number with the one at its start before it acts
         on input, since input may be read before the periodic task runs again.
         """
-        now = trio.current_time() + self.get_suspended_time()
+        now = trio.current_time()
+        suspended_s = self.get_suspended_time()
         previous_check_at, self.last_check_at = self.last_check_at, now
+        new_suspended_s = suspended_s - self.suspended_before_s
+        self.suspended_before_s = suspended_s
         if previous_check_at is not None and now - previous_check_at >= MIN_PAUSE_S:
             self.pauses += 1
             self.decisions.add(
@@ -58,6 +77,7 @@
                 "this node",
                 reason="the process did not run; input read before may be stale",
                 seconds=round(now - previous_check_at, 3),
+                suspended=round(new_suspended_s, 3),
             )
             for listener in self.listeners:
                 listener()
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from catkinpost.coordination.pause import SuspendAwareClock
 from catkinpost.transport.moderation import PollModerator
 
 __all__ = ["run_process"]
@@ -23,4 +24,4 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS, 50, 50)
     instruments = [PollModerator(poll_interval)] if poll_interval else []
-    trio.run(start, instruments=instruments)
+    trio.run(start, clock=SuspendAwareClock(), instruments=instruments)
