Keep links, runs and answers over a pause of the process

Callers of a node that had stood still for a second got 502 for all their calls at other nodes, though most had been answered meanwhile; runs for peers on such a node were cut and counted as unknown. Both ends gave up their connections at the first message after the pause, since its age was unknown: the entry even if that message was the answer, the target with all runs.

The age matters for few messages. A Call counts its times from its sending: one that had arrived when the process went on is refused as not run, and so is one that arrives before a network that was away as long as the suspended machine must have repeated it. A KeyReport is a promise that may have expired, and a FeedPage tells an age: the first counts as lost, the second is skipped (the next page shows the gap, and the relay subscribes anew). A Call or FeedPage that was being sent is not completed. Answers and refusals are delivered, and runs and waiting calls, whose deadlines are times of this node, go on. Messages on the wire are as before.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -1,7 +1,9 @@
 """Detection of pauses of the node's own process."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Protocol
 
 import trio
 
@@ -37,6 +39,13 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
 
 
+class Input(Protocol):
+    """Received messages of one connection."""
+
+    def distrust(self, seconds: float) -> None:
+        """Count input as old that has arrived, or arrives within some seconds."""
+
+
 class PauseWatch:
     """Detector of periods in which the process did not run.
 
@@ -54,15 +63,25 @@
         self.decisions = decisions
         self.get_suspended_time = get_suspended_time
         self.listeners: list[Callable[[], None]] = []
+        self.inputs: set[Input] = set()
         self.last_check_at: float | None = None
         self.suspended_before_s = 0.0
         self.pauses = 0
 
+    @contextmanager
+    def watch_input(self, connection: Input) -> Iterator[None]:
+        """Tell a connection of each pause for the time of a ``with`` block."""
+        self.inputs.add(connection)
+        try:
+            yield
+        finally:
+            self.inputs.discard(connection)
+
     def check_for_pause(self) -> int:
         """Check for a pause since the last call and return the pauses found so far.
 
-        A connection compares this number with the one at its start before it acts
-        on input, since input may be read before the periodic task runs again.
+        A connection calls this before it acts on input, since input may be read before
+        the periodic task runs again.
         """
         now = trio.current_time()
         suspended_s = self.get_suspended_time()
@@ -73,12 +92,16 @@
             self.pauses += 1
             self.decisions.add(
                 "pause",
-                "drop links",
+                "distrust input",
                 "this node",
                 reason="the process did not run; input read before may be stale",
                 seconds=round(now - previous_check_at, 3),
                 suspended=round(new_suspended_s, 3),
             )
+            for connection in self.inputs:
+                # The network repeats what it could not deliver after about as long as
+                # the machine was away.
+                connection.distrust(new_suspended_s)
             for listener in self.listeners:
                 listener()
         return self.pauses
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -22,6 +22,7 @@
     Call,
     Cancel,
     Challenge,
+    FeedPage,
     KeyFence,
     KeyReport,
     Message,
@@ -123,7 +124,6 @@
         self.ping_sent_at = 0.0
         self.ping_due = False
         self.ping_unanswered = False
-        self.epoch = 0
         self.failed_connects = 0
         self.is_retired = False
 
@@ -195,14 +195,15 @@
             return Failure(reason=Reason.PEER_UNREACHABLE, detail=repr(error))
         frames = FrameStream(stream, max_frame_bytes=self.settings.max_frame_bytes)
         try:
-            welcome = await self.perform_handshake(frames)
-            if isinstance(welcome, Failure):
-                return welcome
-            self.mark_up(frames, welcome)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.monitor_liveness, frames)
-                failure = await self.read_messages(frames)
-                nursery.cancel_scope.cancel()
+            with self.pause.watch_input(frames):
+                welcome = await self.perform_handshake(frames)
+                if isinstance(welcome, Failure):
+                    return welcome
+                self.mark_up(frames, welcome)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.monitor_liveness, frames)
+                    failure = await self.read_messages(frames)
+                    nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
@@ -250,7 +251,6 @@
 
     def mark_up(self, frames: FrameStream, welcome: Welcome) -> None:
         self.frames = frames
-        self.epoch = self.pause.check_for_pause()
         self.welcome = welcome
         self.last_received_at = trio.current_time()
         self.ping_unanswered = False
@@ -261,8 +261,7 @@
     async def read_messages(self, frames: FrameStream) -> Failure:
         while True:
             message = await frames.receive()
-            if self.pause.check_for_pause() != self.epoch:
-                return build_connection_failure("this process was paused")
+            self.pause.check_for_pause()
             if message is None:
                 return build_connection_failure("the peer closed the connection")
             if isinstance(message, Failure):
@@ -275,8 +274,10 @@
             self.last_received_at = trio.current_time()
             self.ping_unanswered = False
             if isinstance(message, (Answer, Refusal, KeyReport)):
-                self.pending.resolve(message.id, message)
-                self.stop_if_retired()
+                self.deliver_response(message, is_old=frames.is_old)
+                continue
+            if isinstance(message, FeedPage) and frames.is_old:
+                # Its age counts from its sending; the next page shows the gap.
                 continue
             if isinstance(message, Pong):
                 self.record_round_trip(message)
@@ -285,6 +286,16 @@
                 continue
             await self.events.on_peer_message(self, message)
 
+    def deliver_response(
+        self, response: Answer | Refusal | KeyReport, *, is_old: bool
+    ) -> None:
+        """Deliver a response, unless the promise that it makes may have expired."""
+        result = response
+        if is_old and isinstance(response, KeyReport):
+            result = build_connection_failure("this process was paused")
+        self.pending.resolve(response.id, result)
+        self.stop_if_retired()
+
     def record_round_trip(self, pong: Pong) -> None:
         if pong.sequence == self.ping_sequence:
             self.round_trip_s = trio.current_time() - self.ping_sent_at
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -49,6 +49,7 @@
 
     call: Call
     reservation: Reservation | None = None
+    is_old: bool = False
     has_begun: bool = False
     is_withdrawn: bool = False
     progressed_at: float = 0.0
@@ -149,16 +150,19 @@
         key = id(frames)
         session = None
         try:
-            session = await self.perform_handshake(frames)
-            if isinstance(session, Failure):
-                log_message("peer: refused", reason=session.reason, why=session.detail)
-                return
-            self.sessions[key] = session
-            await self.events.on_session_up(session)
-            with session.scope:
-                async with trio.open_nursery() as nursery:
-                    await self.read_messages(session, nursery)
-                    nursery.cancel_scope.cancel()
+            with self.pause.watch_input(frames):
+                session = await self.perform_handshake(frames)
+                if isinstance(session, Failure):
+                    log_message(
+                        "peer: refused", reason=session.reason, why=session.detail
+                    )
+                    return
+                self.sessions[key] = session
+                await self.events.on_session_up(session)
+                with session.scope:
+                    async with trio.open_nursery() as nursery:
+                        await self.read_messages(session, nursery)
+                        nursery.cancel_scope.cancel()
             if session.scope.cancel_called:
                 await frames.deliver()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -200,11 +204,11 @@
         return Failure(reason=Reason.PEER_SILENT, detail="no introduction in time")
 
     async def read_messages(self, session: PeerSession, nursery: trio.Nursery) -> None:
-        epoch = self.pause.check_for_pause()
         nursery.start_soon(self.monitor_liveness, session)
         while True:
             message = await session.frames.receive()
-            if message is None or self.pause.check_for_pause() != epoch:
+            self.pause.check_for_pause()
+            if message is None:
                 return
             if isinstance(message, Failure):
                 log_message(
@@ -213,7 +217,9 @@
                 return
             if isinstance(message, Call):
                 # A Cancel may follow before the task of the call has begun.
-                peer_call = PeerCall(message, session.frames.take_reservation())
+                frames = session.frames
+                reservation = frames.take_reservation()
+                peer_call = PeerCall(message, reservation, frames.is_old)
                 session.calls[message.id] = peer_call
                 nursery.start_soon(self.handle_call, session, peer_call)
                 # The body of a call must not be kept until the next message.
@@ -286,10 +292,17 @@
                 peer_call.reservation.release()
 
     async def run_or_refuse(self, peer_call: PeerCall) -> Answer | Refusal:
-        """Run a call unless it was withdrawn before its task began."""
+        """Run a call unless it is old, or was withdrawn before its task began."""
         peer_call.has_begun = True
         if peer_call.is_withdrawn:
-            return self.build_withdrawal_refusal(peer_call.call)
+            return self.build_refusal(
+                peer_call.call, "the call was withdrawn before it ran"
+            )
+        if peer_call.is_old:
+            # Its times count from its sending.
+            return self.build_refusal(
+                peer_call.call, "the call may be older than it says"
+            )
         return await self.run_call(peer_call.call)
 
     def hold_response(
@@ -314,12 +327,12 @@
             response.load,
         )
 
-    def build_withdrawal_refusal(self, call: Call) -> Refusal:
+    def build_refusal(self, call: Call, detail: str) -> Refusal:
         return Refusal(
             call.id,
             Reason.LEAVING,
             Outcome.NOT_RUN,
-            "the call was withdrawn before it ran",
+            detail,
             None,
             call.allowance,
             self.get_load(),
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -9,6 +9,8 @@
 
 from catkinpost.protocol.message import (
     CALL_HEAD_BYTES,
+    Call,
+    FeedPage,
     Message,
     decode_call_id,
     decode_message,
@@ -22,7 +24,11 @@
     Reservation,
 )
 from catkinpost.transport.linger import Linger
-from catkinpost.transport.socket_io import receive_some, write_some
+from catkinpost.transport.socket_io import (
+    count_unread_bytes,
+    receive_some,
+    write_some,
+)
 
 __all__ = ["FrameStream", "SkippedCall"]
 
@@ -31,6 +37,8 @@
 LARGE_READ_BYTES = 256 * 1024
 SENT_PIECE_BYTES = 256 * 1024
 SEND_TIMEOUT_S = 3.0
+# Their times count from their sending.
+TIMED_MESSAGES = (Call, FeedPage)
 # Larger bodies are written without a copy.
 MAX_COPIED_BODY_BYTES = 65536
 
@@ -55,7 +63,8 @@
     ``reservation`` belongs to the frame that is being received and, after that, to the
     call that was received last. ``progressed_at`` is the last time at which the peer
     took a part of a message that it could not take at once. ``received_at`` is the last
-    time at which any bytes arrived.
+    time at which any bytes arrived. ``message_start`` is the position of the latest
+    message in all input.
     """
 
     def __init__(
@@ -74,10 +83,30 @@
         self.received_bytes = 0
         self.progressed_at = -math.inf
         self.received_at = -math.inf
+        self.message_start = 0
+        self.old_bytes = 0
+        self.old_until = -math.inf
+        self.pauses = 0
         self.reservation: Reservation | None = None
         self.skipped_call: SkippedCall | None = None
         self.skip_bytes = 0
 
+    @property
+    def is_old(self) -> bool:
+        """Whether the latest message may have been sent long before it was received."""
+        return (
+            self.message_start < self.old_bytes or trio.current_time() < self.old_until
+        )
+
+    def distrust(self, seconds: float) -> None:
+        """Count input as old that has arrived, or arrives within some seconds.
+
+        What is being sent is as old; a message with a time of its own is not completed.
+        """
+        self.pauses += 1
+        self.old_bytes = self.received_bytes + count_unread_bytes(self.stream)
+        self.old_until = trio.current_time() + seconds
+
     async def send(self, message: Message) -> None:
         """Send one message; concurrent calls are serialized.
 
@@ -85,6 +114,7 @@
         :raises trio.BrokenResourceError: when the connection is lost.
         """
         parts = encode_frame(message)
+        pauses = self.pauses
         self.sent_bytes += sum(map(len, parts))
         if not self.send_lock.locked():
             parts = write_parts(self.stream, parts)
@@ -96,17 +126,21 @@
         # A cancelled send would leave an incomplete frame on the stream, so the rest
         # is sent despite cancellation. The connection is closed when the peer receives
         # nothing for SEND_TIMEOUT_S.
+        is_old = False
         with trio.CancelScope(shield=True) as scope:
             try:
                 for piece in split_parts(parts):
+                    if self.pauses != pauses and isinstance(message, TIMED_MESSAGES):
+                        is_old = True
+                        break
                     scope.deadline = trio.current_time() + SEND_TIMEOUT_S
                     await self.stream.send_all(piece)
                     self.progressed_at = trio.current_time()
             finally:
                 self.send_lock.release()
-        if scope.cancelled_caught:
+        if scope.cancelled_caught or is_old:
             await self.close()
-            raise trio.BrokenResourceError("the peer takes no data")
+            raise trio.BrokenResourceError("the peer takes no data in time")
 
     async def receive(self) -> Message | SkippedCall | Failure | None:
         """Wait for the next message.
@@ -116,6 +150,7 @@
         :raises trio.BrokenResourceError: when the connection is lost.
         """
         while True:
+            self.message_start = self.received_bytes - len(self.buffer)
             message = self.extract_message()
             if message is not None:
                 return message
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -1,10 +1,27 @@
 """Socket reads and writes that avoid unnecessary task scheduling."""
 
+import fcntl
 import os
+import struct
+import termios
 
 import trio
 
-__all__ = ["receive_some", "send_all", "write_some"]
+__all__ = ["count_unread_bytes", "receive_some", "send_all", "write_some"]
+
+QUEUE_SIZE = struct.Struct("i")
+
+
+def count_unread_bytes(stream: trio.abc.Stream) -> int:
+    """Return the number of bytes that have arrived and were not read.
+
+    :param stream: connection; the number is 0 if it is not an open socket.
+    """
+    socket = getattr(stream, "socket", None)
+    if socket is None or socket.fileno() < 0:
+        return 0
+    reply = fcntl.ioctl(socket.fileno(), termios.FIONREAD, bytes(QUEUE_SIZE.size))
+    return QUEUE_SIZE.unpack(reply)[0]
 
 
 def write_some(stream: trio.abc.Stream, data: bytes) -> int:
--- a/tests/coordination/test_pause.py
+++ b/tests/coordination/test_pause.py
@@ -35,11 +35,15 @@
         watch = PauseWatch(DecisionLog(), get_suspended_time=lambda: times[0])
         heard = []
         watch.listeners.append(lambda: heard.append(True))
+        connection = mock.Mock()
         watch.check_for_pause()
         await trio.sleep(awake + suspended)
         times[0] = suspended
-        self.assertEqual(watch.check_for_pause(), pauses)
+        with watch.watch_input(connection):
+            self.assertEqual(watch.check_for_pause(), pauses)
         self.assertEqual(len(heard), pauses)
+        expected = [mock.call(suspended)] * pauses
+        self.assertEqual(connection.distrust.call_args_list, expected)
 
 
 class TestClock(unittest.TestCase):
