Count a connect that succeeded before its node woke up late

Callers got 503 for requests to a server that was there: when the node slept past the 0.3 s of a connect, the time-out fired although the kernel had established the connection meanwhile; until the next connect all further requests failed at once, and a stop that began then took the server for gone and left out the notice to its peers.

trio.open_tcp_stream waits in two tasks, and the time-out reaches the one whose input has not come. The new open_connection waits for the socket alone, whose readiness comes before time-outs in one wake-up. Evidence: test_http_client, connect that has succeeded before a late wake-up counts: 503 before, 200 now. The test of the silent server replaced open_tcp_stream by one that hangs; it now replaces the socket's connect, with the same times asked for.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -16,7 +16,7 @@
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.transport.http_parser import ResponseParser, build_bad_answer_failure
-from catkinpost.transport.socket_io import receive_some, send_all
+from catkinpost.transport.socket_io import open_connection, receive_some, send_all
 
 __all__ = ["BackendClient"]
 
@@ -161,8 +161,9 @@
             return self.build_connect_failure("another try has not ended yet")
         self.connecting_count += 1
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(self.host, self.port)
+            stream = await open_connection(
+                self.host, self.port, timeout_s=CONNECT_TIMEOUT_S
+            )
         except (OSError, trio.TooSlowError) as error:
             self.last_connect_failed = True
             return self.build_connect_failure(repr(error))
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -7,7 +7,13 @@
 
 import trio
 
-__all__ = ["count_unread_bytes", "receive_some", "send_all", "write_some"]
+__all__ = [
+    "count_unread_bytes",
+    "open_connection",
+    "receive_some",
+    "send_all",
+    "write_some",
+]
 
 QUEUE_SIZE = struct.Struct("i")
 
@@ -24,6 +30,30 @@
     return QUEUE_SIZE.unpack(reply)[0]
 
 
+async def open_connection(
+    host: str, port: int, *, timeout_s: float
+) -> trio.SocketStream:
+    """Open a connection within some time.
+
+    One that the kernel has established counts, even if this process sees it late.
+
+    :param host: IP address.
+    :param port: TCP port.
+    :param timeout_s: longest time in seconds.
+    :raises OSError: when it can't be established.
+    :raises trio.TooSlowError: when it was not established in time.
+    """
+    family = trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET
+    connection = trio.socket.socket(family, trio.socket.SOCK_STREAM)
+    try:
+        with trio.fail_after(timeout_s):
+            await connection.connect((host, port))
+    except BaseException:
+        connection.close()
+        raise
+    return trio.SocketStream(connection)
+
+
 def write_some(stream: trio.abc.Stream, data: bytes) -> int:
     """Write as many bytes as fit into the send buffer, without waiting.
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -62,6 +62,20 @@
         return BackendClient(HOST, port, limits=self.limits, **self.options)
 
 
+class LateWakeUp(trio.abc.Instrument):
+    """Event loop that sleeps past a time-out once, while a condition holds."""
+
+    def __init__(self, condition, seconds):
+        self.condition = condition
+        self.seconds = seconds
+        self.slept = False
+
+    def before_io_wait(self, timeout):
+        if not self.slept and self.condition():
+            self.slept = True
+            trio.lowlevel.current_clock().jump(self.seconds)
+
+
 ENDS = ["answer"] * 5 + ["reset", "cut", "close"]
 
 
@@ -94,7 +108,7 @@
     return find_header(response.headers, b"x-id") == request.target
 
 
-async def hang_on_connect(host, port):
+async def hang_on_connect(address):
     await trio.sleep_forever()
 
 
@@ -148,7 +162,8 @@
             self.assertIs(failure.outcome, Outcome.NOT_RUN)
             waits.append(trio.current_time() - begun)
 
-        with mock.patch.object(trio, "open_tcp_stream", hang_on_connect):
+        with mock.patch.object(trio.socket, "socket") as create_socket:
+            create_socket.return_value.connect = hang_on_connect
             await call()
             async with trio.open_nursery() as nursery:
                 for _ in range(10):
@@ -156,6 +171,20 @@
         self.assertEqual(sorted(waits)[:9], [0.0] * 9)
         self.assertEqual(waits.count(CONNECT_TIMEOUT_S), 2)
 
+    @on_mock_clock(io=True)
+    async def test_connect_that_has_succeeded_before_a_late_wake_up_counts(self):
+        """Guards against a server that counts as unreachable as its node has slept."""
+        async with trio.open_nursery() as nursery:
+            server = ScriptedServer([GOOD])
+            client = await server.start(nursery)
+            sleep = LateWakeUp(lambda: client.connecting_count, 3 * CONNECT_TIMEOUT_S)
+            trio.lowlevel.add_instrument(sleep)
+            result = await client.send_request(REQUEST)
+            self.assertTrue(sleep.slept)
+            self.assertEqual(result.status, 200)
+            self.assertFalse(client.last_connect_failed)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_refused_connection_means_not_run(self):
         listeners = await trio.open_tcp_listeners(0, host=HOST)
