Judge a peer's silence after what has arrived was read

Callers got 502 for all their calls on a link: when a process slept for a part of a second (0.8 s on the users' platform, with the time before), the check for silence and the reading of the pong that lay in the socket were due in the same wake-up, and in half of the orders of the two the link was closed first. After a pause it was closed at once, although the peer had had no time to answer, and connections of peers likewise after a longer one.

A connection with unread input isn't silent, and a pause ends the silence, which was none of the peer's.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -306,13 +306,12 @@
         Pings are frequent while requests are pending, and rare otherwise.
         """
         while True:
+            self.pause.check_for_pause()
             now = trio.current_time()
             if self.ping_unanswered:
                 # A ping is answered after what both sides sent before it.
-                alive_at = max(
-                    self.ping_sent_at, frames.progressed_at, frames.received_at
-                )
-                if now - alive_at >= self.settings.ping_timeout_s:
+                expected_after = max(self.ping_sent_at, frames.progressed_at)
+                if frames.is_silent(expected_after, self.settings.ping_timeout_s):
                     log_message("link: silent peer", peer=self.instance)
                     self.events.on_link_silent(self)
                     await frames.close()
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -238,7 +238,10 @@
     async def monitor_liveness(self, session: PeerSession) -> None:
         """Close the connection once nothing has arrived for too long."""
         max_silence_s = IDLE_PING_S + 2 * self.settings.ping_timeout_s
-        while trio.current_time() - session.frames.received_at < max_silence_s:
+        while True:
+            self.pause.check_for_pause()
+            if session.frames.is_silent(-math.inf, max_silence_s):
+                break
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
         log_message("peer: silent", peer=session.instance)
         await session.frames.close()
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -64,7 +64,7 @@
     call that was received last. ``progressed_at`` is the last time at which the peer
     took a part of a message that it could not take at once. ``received_at`` is the last
     time at which any bytes arrived. ``message_start`` is the position of the latest
-    message in all input.
+    message in all input. ``resumed_at`` is the end of the latest pause of this process.
     """
 
     def __init__(
@@ -87,6 +87,7 @@
         self.old_bytes = 0
         self.old_until = -math.inf
         self.pauses = 0
+        self.resumed_at = -math.inf
         self.reservation: Reservation | None = None
         self.skipped_call: SkippedCall | None = None
         self.skip_bytes = 0
@@ -105,7 +106,20 @@
         """
         self.pauses += 1
         self.old_bytes = self.received_bytes + count_unread_bytes(self.stream)
-        self.old_until = trio.current_time() + seconds
+        self.resumed_at = trio.current_time()
+        self.old_until = self.resumed_at + seconds
+
+    def is_silent(self, since: float, seconds: float) -> bool:
+        """Return whether the peer has shown no sign of life for some time.
+
+        A process that did not run has waited for none, and may not have read it yet.
+
+        :param since: time before which no sign was expected.
+        :param seconds: longest silence.
+        """
+        alive_at = max(since, self.received_at, self.resumed_at)
+        is_overdue = trio.current_time() - alive_at >= seconds
+        return is_overdue and not count_unread_bytes(self.stream)
 
     async def send(self, message: Message) -> None:
         """Send one message; concurrent calls are serialized.
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -55,6 +55,7 @@
 CLOSED_PORT = 1
 CLOSE_S = 2.0
 PAUSE_S = 2.0
+LATE_S = 1.2
 PIECES = 10
 ANSWER_BYTES = 1_000_000
 MEMORY_BYTES = 4_000_000
@@ -738,6 +739,63 @@
             nursery.cancel_scope.cancel()
 
 
+class TestLateWakeUp(unittest.TestCase):
+    """A peer is not silent because this process has slept."""
+
+    @params(*range(4))
+    def test_link_whose_pong_was_not_read_yet_stays(self, seed):
+        on_mock_clock(self.check_pong, io=True, seed=seed)(LATE_S)
+
+    @params(*range(4))
+    def test_link_whose_pong_the_network_holds_back_stays(self, seed):
+        on_mock_clock(self.check_pong, io=True, seed=seed)(LATE_S, 0.4)
+
+    async def check_pong(self, late_s, pong_delay_s=0.0):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.settings = LinkSettings(ping_timeout_s=LATE_S - 0.2)
+            slept = trio.Event()
+
+            async def serve(stream):
+                frames = FrameStream(stream, max_frame_bytes=10_000)
+                await setup.server.perform_handshake(frames)
+                call = await frames.receive()
+                while not isinstance(ping := await frames.receive(), Ping):
+                    pass
+                if not pong_delay_s:
+                    await frames.send(setup.server.build_pong(ping))
+                trio.lowlevel.current_clock().jump(late_s)
+                slept.set()
+                await trio.sleep(pong_delay_s)
+                if pong_delay_s:
+                    await frames.send(setup.server.build_pong(ping))
+                await frames.send(Answer(call.id, 200, [], b"late", 0, Load()))
+                await trio.sleep_forever()
+
+            await setup.start(serve)
+            await setup.events.up.wait()
+            setup.pause.check_for_pause()
+            result = await setup.call()
+            self.assertTrue(slept.is_set())
+            self.assertIsInstance(result, Answer)
+            self.assertEqual(setup.events.downs, [])
+            nursery.cancel_scope.cancel()
+
+    @params(*range(4))
+    def test_session_whose_ping_was_not_read_yet_stays(self, seed):
+        on_mock_clock(self.check_ping, io=True, seed=seed)()
+
+    async def check_ping(self):
+        async with trio.open_nursery() as nursery:
+            setup, _, frames = await connect(nursery)
+            max_silence_s = IDLE_PING_S + 2 * setup.settings.ping_timeout_s
+            await frames.send(Ping(1))
+            trio.lowlevel.current_clock().jump(max_silence_s + 1.0)
+            self.assertEqual((await frames.receive()).sequence, 1)
+            self.assertEqual(len(setup.server.sessions), 1)
+            nursery.cancel_scope.cancel()
+
+
 async def connect(nursery, kind="socket"):
     """Return a setup, its session and the peer's side of the connection."""
     setup = Setup(nursery, memory=RequestMemory(MEMORY_BYTES, DecisionLog()))
