Give no slot to a request whose time has passed

A process that slept past the deadline of a request in its queue meets the end of that wait and the end of a run in the same wake-up. If the run's end came first, the freed slot went to the request that was too late, whose run nobody waits for any more.

A waiter is refused as not run if too little time is left when its turn comes. Evidence: test_admission.TestLateWakeUp got a permit at 4 s for a deadline of 3 s in 2 of 4 orders of the tasks before, and gets a refusal in all now.

--- a/src/catkinpost/coordination/admission/admission.py
+++ b/src/catkinpost/coordination/admission/admission.py
@@ -584,7 +584,9 @@
             if waiter is None:
                 return
             now = trio.current_time()
-            refusal = self.check_windows(waiter.item, now)
+            refusal = self.check_windows(waiter.item, now) or self.check_deadline(
+                waiter.item, now
+            )
             if refusal is not None:
                 self.deliver_refusal(waiter, refusal)
                 continue
--- a/tests/coordination/admission/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -54,6 +54,35 @@
     )
 
 
+class TestLateWakeUp(unittest.TestCase):
+    @params(*range(4))
+    def test_request_without_time_left_gets_no_slot(self, seed):
+        """Guards against a run whose answer nobody waits for any more."""
+        on_mock_clock(self.check_slot, seed=seed)()
+
+    async def check_slot(self):
+        admission = make_admission(slots=1, queue_wait=9.0)
+        permit = await admission.acquire_slot(make_item())
+        results = []
+
+        async def enter():
+            item = make_item(timeout=3.0)
+            results.append(await admission.acquire_slot(item))
+
+        async def end_run():
+            await trio.sleep(2.0)
+            admission.release_slot(permit, seconds=2.0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter)
+            nursery.start_soon(end_run)
+            await wait_all_tasks_blocked()
+            trio.lowlevel.current_clock().jump(4.0)
+        self.assertIsInstance(results[0], Failure)
+        self.assertIs(results[0].outcome, Outcome.NOT_RUN)
+        self.assertEqual(admission.in_flight, 0)
+
+
 class TestClassLimit(unittest.TestCase):
     @params((Mode.ON, True), (Mode.OBSERVE, False), (Mode.OFF, False))
     def test_limit_learned_before_acts_only_while_the_mode_is_on(self, mode, refused):
