Describe what happens to input and calls over a pause

test_link.TestPause also covers a call that waits at a paused node: it keeps its deadline, runs if that lies ahead and is refused as not run otherwise.

--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -16,6 +16,7 @@
 import trio.testing
 from nose2.tools import params
 
+from catkinpost.coordination.admission.admission import Admission, WorkItem
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link import (
@@ -34,10 +35,12 @@
     KeyReport,
     Load,
     Ping,
+    Pong,
     Refusal,
     encode_message,
 )
-from catkinpost.protocol.outcome import Outcome, Reason
+from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
@@ -919,6 +922,51 @@
             self.assertEqual(setup.cancelled, 0)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds that the call may take, whether it runs after the pause)
+        (0.5 * PAUSE_S, False),
+        (10 * PAUSE_S, True),
+    )
+    def test_waiting_call_keeps_its_deadline_over_a_pause(self, budget_s, runs):
+        self.check_waiting(budget_s, runs)
+
+    @on_mock_clock(io=True)
+    async def check_waiting(self, budget_s, runs):
+        async with trio.open_nursery() as nursery:
+            setup, _, frames = await connect(nursery)
+            nursery.start_soon(setup.server.pause.run)
+            section = ServiceSection(
+                owner="test", slots=1, slow_start=0, queue=2, queue_wait=9.0
+            )
+            admission = Admission(section, DecisionLog())
+            permit = await admission.acquire_slot(make_item(60.0))
+
+            async def run_call(call):
+                result = await admission.acquire_slot(make_item(call.budget_us / 1e6))
+                if isinstance(result, Failure):
+                    fields = (result.reason, result.outcome, "", None, 0, Load())
+                    return Refusal(call.id, *fields)
+                return await setup.run_call(call)
+
+            setup.server.run_call = run_call
+            call = make_call("", 0, b"waits")
+            call.budget_us = int(budget_s * 1e6)
+            await frames.send(call)
+            await trio.sleep(0.1)
+            self.assertEqual(admission.queued, 1)
+            await frames.send(Ping(1))
+            trio.lowlevel.current_clock().jump(PAUSE_S)
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.pause.pauses, 1)
+            admission.release_slot(permit, seconds=PAUSE_S)
+            received = [await frames.receive() for _ in range(2)]
+            (response,) = [item for item in received if not isinstance(item, Pong)]
+            self.assertEqual(setup.started, [b"waits"] if runs else [])
+            if not runs:
+                self.assertIs(response.outcome, Outcome.NOT_RUN)
+            self.assertEqual(setup.cancelled, 0)
+            nursery.cancel_scope.cancel()
+
     @params(False, True)
     def test_call_whose_age_is_unknown_is_refused_as_not_run(self, suspended):
         self.check_old_call(suspended)
@@ -985,6 +1033,11 @@
             nursery.cancel_scope.cancel()
 
 
+def make_item(seconds):
+    deadline = trio.current_time() + seconds
+    return WorkItem(rank=0, deadline=deadline, call_class="place-order", path="/orders")
+
+
 def with_id(call, number):
     call.id = number
     return call
