Deliver an answer that arrived while the process slept past the deadline

Callers of a node that woke up after the deadline of their calls got 504 with an unknown outcome, although the answer of the peer lay in the link's socket: the deadline reached the waiting task in the wake-up in which the link's task was to read the answer.

A deadline that was met late by 50 ms or more waits 50 ms for what has arrived; only an answer counts then, and nothing is sent again. Evidence: test_dispatcher.TestLateWakeUp, answered: 504 before, 200 now; a refusal, no answer, and an answer after a deadline that was met in time still end with 504 and one attempt.

--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -43,6 +43,11 @@
 
 STOP_RETRY_AFTER_S = 0.1
 
+# From this time on, a deadline was met late since the process did not run.
+MIN_OVERSLEPT_S = 0.05
+# Time in which what arrived meanwhile is read.
+ARRIVED_ANSWER_S = 0.05
+
 AttemptResult = Answer | Refusal | Failure
 
 
@@ -144,7 +149,7 @@
                 is_only_attempt=hedge_delay_s is None,
             )
             while True:
-                await attempt_ended.wait(hedge_delay_s)
+                await self.wait_for_end(call, attempt_ended, attempts, hedge_delay_s)
                 for attempt in attempts:
                     result = attempt.pending.result
                     if result is None or attempt.is_recorded:
@@ -164,6 +169,28 @@
                     attempt.pending.cancel()
                     self.record_end(call, attempt, None)
 
+    async def wait_for_end(
+        self,
+        call: EntryCall,
+        attempt_ended: AutoResetEvent,
+        attempts: list[Attempt],
+        timeout: float | None,
+    ) -> None:
+        """Wait for the end of an attempt, past a deadline that was met late.
+
+        An answer that arrived while the process did not run is delivered.
+        """
+        try:
+            await attempt_ended.wait(timeout)
+        except trio.Cancelled:
+            now = trio.current_time()
+            if now < call.deadline + MIN_OVERSLEPT_S:
+                raise
+            with trio.CancelScope(shield=True, deadline=now + ARRIVED_ANSWER_S):
+                await attempt_ended.wait(None)
+            if not any(isinstance(item.pending.result, Answer) for item in attempts):
+                raise
+
     async def start_attempt(
         self,
         call: EntryCall,
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -28,11 +28,12 @@
 from catkinpost.state.retry_budget import RetryBound, RetryBudget
 from catkinpost.state.running import RunningCalls
 from catkinpost.state.server_notice import ServerNotices
-from tests.clock import on_mock_clock
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_instance
 from tests.log import CapturedLog
 
 RETRIES = 3
+CALL_TIMEOUT_S = 5
 POLICY = f"""\
 [service orders]
 owner = sales
@@ -43,7 +44,7 @@
 match = POST /orders
 importance = critical
 retries = {RETRIES}
-timeout = 5
+timeout = {CALL_TIMEOUT_S}
 
 [class show-order]
 owner = sales
@@ -52,7 +53,7 @@
 importance = normal
 repeatable = yes
 retries = {RETRIES}
-timeout = 5
+timeout = {CALL_TIMEOUT_S}
 """
 
 
@@ -307,6 +308,48 @@
             self.assertIs(outcome_of(responses[0]), known)
 
 
+class TestLateWakeUp(unittest.TestCase):
+    """The deadline of a call has passed when the process goes on."""
+
+    @params(
+        # (seconds since the deadline, fault, status, outcome)
+        (1.0, "answered", 200, Outcome.DONE),
+        (1.0, "leaving", 504, UNKNOWN),
+        (1.0, "silent after", 504, UNKNOWN),
+        (0.0, "answered", 504, UNKNOWN),
+    )
+    def test_answer_that_arrived_meanwhile_is_delivered(self, late_s, *expected):
+        self.check_late(late_s, *expected)
+
+    @on_mock_clock
+    async def check_late(self, late_s, fault, status, outcome):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"])
+            sent, responses = [], []
+            send_request = setup.links.send_request
+
+            async def record_request(call, pending):
+                sent.append(pending)
+                await send_request(call, pending)
+
+            async def send():
+                responses.append(await setup.send())
+
+            setup.links.send_request = record_request
+            nursery.start_soon(send)
+            await wait_all_tasks_blocked()
+            trio.lowlevel.current_clock().jump(CALL_TIMEOUT_S + late_s)
+            await trio.sleep(0.01)
+            result = FAULTS[fault][1]()
+            if result is not None:
+                sent[0].resolve(result)
+            await trio.sleep(0.1)
+            self.assertEqual([item.status for item in responses], [status])
+            self.assertIs(outcome_of(responses[0]), outcome)
+            self.assertEqual(setup.links.attempts, 1)
+            self.assertEqual(setup.sender.active_attempts, set())
+
+
 class TestMoves(unittest.TestCase):
     """Moves after refusals, and the budget of repeated arrivals."""
 
