Keep idle connections for the time-out that their callers know

Callers reuse a connection for up to four fifths of the idle time-out that was in force when their last answer came. When a configuration shortened it, all connections that had been idle for longer than the new one were closed at the next check, and requests on their way to them got no answer.

A connection that is idle now keeps the time-out that was in force at its last answer, or when it was accepted, if that is longer. A longer new one still applies at once.

Test: an idle connection under 4 s, shortened to 1 s, is reused after 3.2 s. Before, it was closed without an answer; the opposite order passed before too.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -58,6 +58,8 @@
     :param reservation: memory for the request that is being read.
     :param memory_wait: cancel scope of the wait for that memory, if it waits.
     :param progressed_at: time at which the caller last took a part of a response.
+    :param idle_timeout: seconds for which the caller may take the connection as kept,
+        by the limits in force when it last got an answer.
     """
 
     stream: trio.SocketStream
@@ -77,6 +79,7 @@
     reservation: Reservation | None = None
     memory_wait: trio.CancelScope | None = None
     progressed_at: float = 0.0
+    idle_timeout: float = 0.0
 
     @property
     def has_single_request(self) -> bool:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -51,7 +51,8 @@
     sent in the order of the requests.
 
     :param handler: handles one request; it is cancelled when the caller disconnects.
-    :param limits: limits on each message; changes apply to requests that begin later.
+    :param limits: limits on each message; changes apply to requests that begin later,
+        and a shorter ``idle_timeout`` to connections that become idle later.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
@@ -163,7 +164,10 @@
             return elapsed_s > self.limits.head_timeout
         if connection.phase is Phase.ANSWERING:
             return False
-        return elapsed_s > self.limits.idle_timeout
+        timeout_s = self.limits.idle_timeout
+        if connection.phase is Phase.IDLE:
+            timeout_s = max(timeout_s, connection.idle_timeout)
+        return elapsed_s > timeout_s
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it.
@@ -171,6 +175,7 @@
         :param stream: accepted connection; closed on return.
         """
         connection = Connection(stream, RequestParser(self.limits))
+        connection.idle_timeout = self.limits.idle_timeout
         connection.enter_phase(Phase.IDLE)
         try:
             async with stream:
@@ -386,6 +391,7 @@
                 connection.closing = True
             is_last = connection.closing and connection.is_at_last_exchange
             keep_alive = first.keep_alive and not is_last
+            connection.idle_timeout = self.limits.idle_timeout
             await self.send_response(connection, first, keep_alive=keep_alive)
             connection.exchanges.popleft()
             if self.answer_memory is not None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -295,6 +295,38 @@
             self.assertFalse(setup.server.lingers)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (idle time-out when the last answer came, and soon after it)
+        (4.0, 1.0),
+        (1.0, 4.0),
+    )
+    def test_idle_connection_is_kept_for_as_long_as_its_caller_was_told(
+        self, earlier_s, later_s
+    ):
+        """Guards against a shorter time-out that closes under a caller's request."""
+        self.check_changed_idle_timeout(earlier_s, later_s)
+
+    @on_mock_clock(io=True)
+    async def check_changed_idle_timeout(self, earlier_s, later_s):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            unused, used = await setup.connect(), await setup.connect()
+            for idle_s in (earlier_s, later_s):
+                limits = dataclasses.replace(LIMITS, idle_timeout=idle_s)
+                setup.server.limits = limits
+                if idle_s == earlier_s:
+                    await used.send_all(KEPT_REQUEST)
+                    self.assertIn(b"200", await used.receive_some(1000))
+            await trio.sleep(0.8 * max(earlier_s, later_s))
+            await used.send_all(KEPT_REQUEST)
+            self.assertIn(b"200", await receive_or_nothing(used))
+            # Told of the later time-out by this answer.
+            await trio.sleep(later_s + 0.5)
+            self.assertEqual(await receive_or_nothing(used), b"")
+            self.assertEqual(await receive_or_nothing(unused), b"")
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_request_that_arrives_when_its_connection_expires_is_whole(self):
         """Guards against a request that is started and then cut by the idle timeout.
