Accept the connections that wait when a node stops reading

At the end of reading the node closed its listener. The kernel then resets all connections that are complete and not yet accepted, with the requests sent on them. On a slow machine accepting may be late by hundreds of milliseconds, and these requests get no answer though they came long before the close.

An acceptor now takes what waits before it closes, through a second descriptor of the listener, so that the task that accepts has ended by then. The tasks of these connections have begun when the stop looks at all connections: their requests are read and answered like others that have arrived, and those without input are closed in order. As many are taken as the queue holds, so callers that never stop coming don't delay the end.

Tests: 20 connections that wait with a request are accepted, and on each of nine the request is answered, a bad or incomplete one refused or closed in order.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -25,6 +25,7 @@
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
 
@@ -63,7 +64,7 @@
     dispatcher: Dispatcher
     replicas: ServiceReplicas
     http_server: HttpServer
-    accept_calls_scope: trio.CancelScope
+    call_acceptor: Acceptor
     planned_stop: StopState
     is_leaving: bool
 
@@ -71,7 +72,7 @@
         self,
         address: str,
         serve: Callable[[trio.abc.Stream], Awaitable[None]],
-        scope: trio.CancelScope | None = None,
+        acceptor: Acceptor | None = None,
     ) -> None:
         """Accept connections at an address."""
 
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -49,13 +49,12 @@
 from catkinpost.state.running import RunningCalls
 from catkinpost.state.server_notice import ServerNotices
 from catkinpost.stop import PlannedStop
+from catkinpost.transport.acceptor import LISTEN_BACKLOG, Acceptor
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["Node"]
 
-# While the accept queue is full, each caller waits seconds before it connects again.
-LISTEN_BACKLOG = 1024
 # Bounds the log lines of a task that fails at once each time.
 TASK_RESTART_DELAY_S = 0.1
 MESSAGE_OVERHEAD_BYTES = 4096
@@ -81,7 +80,7 @@
         self.nursery: trio.Nursery | None = None
         self.is_leaving = False
         self.planned_stop = PlannedStop(self)
-        self.accept_calls_scope = trio.CancelScope()
+        self.call_acceptor = Acceptor()
         self.nodes_in_region = 1
         self.build_state()
         self.build_peers()
@@ -283,12 +282,12 @@
             nursery.start_soon(self.planned_stop.watch_signals)
             nursery.start_soon(self.supervise, self.pause_watch.run)
             nursery.start_soon(self.supervise, self.http_server.watch_connections)
-            accept_peers_scope = trio.CancelScope()
+            peer_acceptor = Acceptor()
             await self.listen(
-                listen.peers, self.peer_server.serve_connection, accept_peers_scope
+                listen.peers, self.peer_server.serve_connection, peer_acceptor
             )
             await self.listen(
-                listen.calls, self.http_server.serve_connection, self.accept_calls_scope
+                listen.calls, self.http_server.serve_connection, self.call_acceptor
             )
             nursery.start_soon(self.environment.run)
             nursery.start_soon(self.supervise, self.ejector.run)
@@ -297,7 +296,7 @@
             await self.planned_stop.run()
             # A send to a peer that does not read would outlast the cancellation.
             await self.links.close_connections()
-            accept_peers_scope.cancel()
+            peer_acceptor.scope.cancel()
             await self.peer_server.close_connections(
                 self.planned_stop.compute_close_time()
             )
@@ -308,13 +307,13 @@
         self,
         address: str,
         serve: Callable[[trio.abc.Stream], Awaitable[None]],
-        scope: trio.CancelScope | None = None,
+        acceptor: Acceptor | None = None,
     ) -> None:
         """Accept connections at an address.
 
         :param address: IP:port.
         :param serve: serves one connection.
-        :param scope: cancelling it stops accepting; open connections continue.
+        :param acceptor: stopping it stops accepting; open connections continue.
         """
         parsed_address: Address = parse_address(address)
         listeners = await trio.open_tcp_listeners(
@@ -328,18 +327,8 @@
                 # An exception in one connection must not end the process.
                 self.report_internal_error()
 
-        self.nursery.start_soon(
-            self.accept_connections, serve_guarded, listeners, scope
-        )
-
-    async def accept_connections(
-        self,
-        serve: Callable[[trio.abc.Stream], Awaitable[None]],
-        listeners: list[trio.SocketListener],
-        scope: trio.CancelScope | None,
-    ) -> None:
-        with scope or trio.CancelScope():
-            await trio.serve_listeners(serve, listeners, handler_nursery=self.nursery)
+        acceptor = acceptor or Acceptor()
+        self.nursery.start_soon(acceptor.run, serve_guarded, listeners, self.nursery)
 
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose exceptions do not end the process."""
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -104,11 +104,11 @@
         answers_at = self.ends_at - self.answer_time_s / 2
         with trio.CancelScope(deadline=answers_at) as scope:
             await self.wait_notice_periods()
-            self.stop_reading()
+            await self.stop_reading()
             await self.wait_until_idle()
         if not scope.cancelled_caught:
             return
-        self.stop_reading()
+        await self.stop_reading()
         if trio.current_time() > answers_at + IDLE_CHECK_INTERVAL_S:
             # The process overslept: results that arrived meanwhile are delivered first.
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
@@ -117,9 +117,9 @@
         with trio.CancelScope(deadline=self.compute_close_time()):
             await self.wait_until_idle()
 
-    def stop_reading(self) -> None:
+    async def stop_reading(self) -> None:
         """Read no further request, as it could not be answered in time."""
-        self.node.accept_calls_scope.cancel()
+        await self.node.call_acceptor.stop()
         self.node.http_server.stop_reading()
 
     async def wait_until_idle(self) -> None:
--- /dev/null
+++ b/src/catkinpost/transport/acceptor.py
@@ -0,0 +1,75 @@
+"""Accepting of connections at one address, and its end."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from eliot import log_message
+
+__all__ = ["LISTEN_BACKLOG", "Acceptor"]
+
+# While the accept queue is full, each caller waits seconds before it connects again.
+LISTEN_BACKLOG = 1024
+
+Serve = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+class Acceptor:
+    """Accepts connections until it is stopped; open connections continue.
+
+    The kernel resets the connections that wait to be accepted when their listener is
+    closed, with the requests sent on them. They are accepted before.
+
+    :param backlog: most connections that are accepted at the end, as callers may
+        never stop coming.
+    :ivar scope: cancelling it starts the end, as ``stop`` does.
+    """
+
+    def __init__(self, backlog: int = LISTEN_BACKLOG) -> None:
+        self.backlog = backlog
+        self.scope = trio.CancelScope()
+        self.is_running = False
+        self.ended = trio.Event()
+
+    async def run(
+        self, serve: Serve, listeners: list[trio.SocketListener], nursery: trio.Nursery
+    ) -> None:
+        """Accept connections until stopped, and then those that wait.
+
+        :param serve: serves one connection.
+        :param listeners: open listeners, which are closed on return.
+        :param nursery: nursery of the tasks that serve the connections.
+        """
+        self.is_running = True
+        # The queue of a listener stays while one of its descriptors is open.
+        queues = [trio.SocketListener(item.socket.dup()) for item in listeners]
+        try:
+            with self.scope:
+                await trio.serve_listeners(serve, listeners, handler_nursery=nursery)
+            for queue in queues:
+                await self.accept_waiting(serve, queue, nursery)
+        finally:
+            for queue in queues:
+                queue.socket.close()
+        # The tasks of the last connections run their first step meanwhile.
+        await trio.lowlevel.checkpoint()
+        self.ended.set()
+
+    async def accept_waiting(
+        self, serve: Serve, queue: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        for _ in range(self.backlog):
+            if not queue.socket.is_readable():
+                break
+            try:
+                stream = await queue.accept()
+            except OSError as error:
+                log_message("accept: connections left in the queue", why=repr(error))
+                break
+            nursery.start_soon(serve, stream)
+        queue.socket.close()
+
+    async def stop(self) -> None:
+        """Stop accepting; the tasks of all accepted connections have begun then."""
+        self.scope.cancel()
+        if self.is_running:
+            await self.ended.wait()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -88,7 +88,7 @@
         self.assertAlmostEqual(setup.refused_at, second)
         self.assertTrue(setup.node.planned_stop.is_requested)
         self.assertTrue(setup.node.http_server.leaving)
-        self.assertTrue(setup.node.accept_calls_scope.cancel_called)
+        self.assertTrue(setup.node.call_acceptor.scope.cancel_called)
 
     @params((1, 4.0, 4.0), (1, 9.0, 5.0))
     def test_running_requests_are_waited_for(self, active, ends_at, stopped_at):
--- /dev/null
+++ b/tests/transport/test_acceptor.py
@@ -0,0 +1,90 @@
+"""Tests of the end of accepting, on real connections."""
+
+import contextlib
+import socket
+import unittest
+
+import trio
+from nose2.tools import params
+
+from catkinpost.transport.acceptor import Acceptor
+from tests.clock import on_mock_clock
+
+HOST = "127.0.0.1"
+BACKLOG = 30
+WAITING = 20
+
+
+class Setup:
+    """Acceptor whose connections are recorded."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.accepted = []
+        self.acceptor = Acceptor(BACKLOG)
+
+    async def record(self, stream):
+        self.accepted.append(stream)
+        await trio.sleep_forever()
+
+    async def start(self, serve=None):
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        serve = serve or self.record
+        self.nursery.start_soon(self.acceptor.run, serve, listeners, self.nursery)
+
+    def connect_now(self):
+        """Connect and send in the current step of the event loop."""
+        caller = socket.create_connection((HOST, self.port))
+        caller.send(b"request")
+        return caller
+
+
+class TestAcceptor(unittest.TestCase):
+    @params(0, WAITING)
+    def test_connections_that_wait_are_accepted_at_the_end(self, count):
+        """Guards against requests that are reset unread as the listener closes."""
+        self.check_end(count)
+
+    @on_mock_clock(io=True)
+    async def check_end(self, count):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await trio.sleep(0.1)
+            callers = [setup.connect_now() for _ in range(count)]
+            await setup.acceptor.stop()
+            # Their tasks have run already: a stop looks at them next.
+            self.assertEqual(len(setup.accepted), count)
+            for stream in setup.accepted:
+                self.assertEqual(await stream.receive_some(100), b"request")
+            with self.assertRaises(OSError):
+                setup.connect_now()
+            for caller in callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_acceptor_that_never_ran_stops_at_once(self):
+        async with trio.open_nursery() as nursery:
+            await Setup(nursery).acceptor.stop()
+
+    @on_mock_clock(io=True)
+    async def test_callers_that_never_stop_coming_do_not_delay_the_end(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            callers = []
+
+            async def record_and_call_again(stream):
+                with contextlib.suppress(OSError):
+                    callers.append(setup.connect_now())
+                await setup.record(stream)
+
+            await setup.start(record_and_call_again)
+            await trio.sleep(0.1)
+            callers.append(setup.connect_now())
+            await setup.acceptor.stop()
+            self.assertLessEqual(len(setup.accepted), BACKLOG + 2)
+            for caller in callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -16,6 +16,7 @@
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock
@@ -71,7 +72,8 @@
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         nursery.start_soon(self.server.watch_connections)
         serve = self.server.serve_connection
-        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        self.acceptor = Acceptor()
+        nursery.start_soon(self.acceptor.run, serve, listeners, nursery)
         self.port = listeners[0].socket.getsockname()[1]
 
     async def connect(self):
@@ -443,6 +445,36 @@
             self.assertFalse(setup.server.is_busy)
             nursery.cancel_scope.cancel()
 
+    @params(
+        (KEPT_REQUEST, [200]), (b"nonsense\r\n\r\n", [400]), (b"GET /", []), (b"", [])
+    )
+    def test_request_that_waits_to_be_accepted_when_reading_stops(self, sent, statuses):
+        """Guards against a reset of connections that the kernel has completed."""
+        self.check_wait_to_be_accepted(sent, statuses)
+
+    @on_mock_clock(io=True)
+    async def check_wait_to_be_accepted(self, sent, statuses):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            await trio.sleep(0.5)
+            # No task runs until the stop.
+            callers = [socket.create_connection((HOST, setup.port)) for _ in range(9)]
+            for caller in callers:
+                caller.send(sent)
+            await setup.acceptor.stop()
+            setup.server.stop_reading()
+            self.assertTrue(setup.server.is_busy)
+            for caller in callers:
+                caller.setblocking(False)
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+                answers = split_answers(await read_all(stream))
+                self.assertEqual([int(answer[:3]) for answer in answers], statuses)
+                await stream.aclose()
+            await trio.sleep(0.5)
+            self.assertFalse(setup.server.is_busy)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_refusal_survives_a_body_that_is_still_arriving(self):
         async with trio.open_nursery() as nursery:
