Answer requests that come late in a stop with a refusal

At the end of the notice, 2.5 s after SIGTERM, a leaving node closed its idle connections and its listener, though the process lived on for as long as requests were in progress, 5.4 s at most. A request on its way, or one on a connection that its caller still took as kept, got no answer, and one that isn't safe can't be sent again after that.

The node now keeps both open until no request is in progress. What comes meanwhile is answered at once with 503 (not run), Retry-After as for other refusals of a leaving node, and Connection: close. At the end what has arrived is answered too, then the idle connections are closed.

Requests that have arrived unread at the end of the notice are refused, too; before, they were run.

Tests: late requests on idle and new connections, until the step in which the last run ends. Callers that never stop coming hold a stop to 4.9 s, or count as work, if refusals or incomplete requests are waited for.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -25,9 +25,10 @@
     Callers are notified at the signal, because they react late. Peers react as soon
     as they are notified, so they are notified later and their calls are accepted
     until then: a backend server that keeps running is unreachable for no longer than
-    a restart takes. After the notice periods the node reads no more requests, and
-    answers those that it has read. Requests that can't be run in time are refused as
-    soon as this is known, so that their callers can send them elsewhere.
+    a restart takes. After the notice periods the node answers the requests that it has
+    read, and refuses those that still come. Then it closes its connections. Requests
+    that can't be run in time are refused as soon as this is known, so that their
+    callers can send them elsewhere.
 
     :param node: node to stop.
     """
@@ -104,6 +105,9 @@
         answers_at = self.ends_at - self.answer_time_s / 2
         with trio.CancelScope(deadline=answers_at) as scope:
             await self.wait_notice_periods()
+            self.node.http_server.refuse_requests()
+            while self.is_working():
+                await trio.sleep(IDLE_CHECK_INTERVAL_S)
             await self.stop_reading()
             await self.wait_until_idle()
         if not scope.cancelled_caught:
@@ -157,16 +161,20 @@
         await trio.aclose_forcefully(probe)
         return True
 
-    def is_busy(self) -> bool:
-        """Return whether any request is in progress on this node."""
+    def is_working(self) -> bool:
+        """Return whether any request is in progress that the node has not refused."""
         node = self.node
         return bool(
             node.executor.active_calls
             or node.dispatcher.active_requests
             or node.peer_server.is_busy
-            or node.http_server.is_busy
+            or node.http_server.is_handling
         )
 
+    def is_busy(self) -> bool:
+        """Return whether any request is in progress on this node."""
+        return self.is_working() or self.node.http_server.is_busy
+
     async def send_key_records(self) -> None:
         """Send peers the results of the idempotency keys that this node holds."""
         node = self.node
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -28,10 +28,12 @@
     """One request of a connection and its response, ``None`` until it is ready.
 
     :param reservation: memory that was reserved while the body was read.
+    :param is_refused: whether the request is refused without being handled.
     """
 
     keep_alive: bool
     head_only: bool
+    is_refused: bool = False
     reservation: Reservation | None = None
     response: HttpResponse | None = None
 
@@ -93,6 +95,11 @@
         """Whether no complete request was received without a response."""
         return self.phase in (Phase.IDLE, Phase.READING)
 
+    @property
+    def is_handling(self) -> bool:
+        """Whether a request is handled, or its response is not sent yet."""
+        return any(not exchange.is_refused for exchange in self.exchanges)
+
     @property
     def has_unread_input(self) -> bool:
         """Whether input or the caller's close can be read now."""
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -35,6 +35,11 @@
 MAX_PIPELINED_REQUESTS = 32
 # Another node can take a request that is refused during a stop.
 LEAVING_RETRY_AFTER_S = 0.1
+LEAVING_FAILURE = Failure(
+    reason=Reason.LEAVING,
+    detail="the node stopped before it had read the request",
+    retry_after=LEAVING_RETRY_AFTER_S,
+)
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
 MAX_COPIED_BODY_BYTES = 65536
@@ -58,7 +63,10 @@
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
     :ivar leaving: whether each connection is closed after its last response.
+    :ivar is_refusing: whether requests that are read are refused.
     :ivar has_stopped_reading: whether no further request is accepted.
+    :ivar refused_requests: number of requests refused as the server leaves.
+    :ivar closed_idle: number of idle connections closed at the end of reading.
     """
 
     def __init__(
@@ -78,7 +86,10 @@
         self.memory = memory
         self.answer_memory = answer_memory
         self.leaving = False
+        self.is_refusing = False
         self.has_stopped_reading = False
+        self.refused_requests = 0
+        self.closed_idle = 0
         self.connections: set[Connection] = set()
         self.lingers: set[Linger] = set()
 
@@ -94,6 +105,25 @@
         )
         return is_serving or any(item.is_pending for item in self.lingers)
 
+    @property
+    def is_handling(self) -> bool:
+        """Whether any request is handled, or its response is not sent yet.
+
+        Requests that are refused don't count, as callers may never stop sending them.
+        """
+        return any(item.is_handling for item in self.connections)
+
+    def refuse_requests(self) -> None:
+        """Answer each request that is read from now on with a refusal.
+
+        Idle connections stay open, so that requests on their way get an answer.
+        """
+        self.leaving = True
+        self.is_refusing = True
+        for connection in self.connections:
+            if connection.memory_wait is not None:
+                connection.memory_wait.cancel()
+
     def stop_reading(self) -> None:
         """Accept no further requests and close each connection.
 
@@ -114,6 +144,8 @@
                 if connection.phase is Phase.IDLE:
                     connection.enter_phase(Phase.READING)
             else:
+                is_idle = connection.phase is Phase.IDLE and not connection.closing
+                self.closed_idle += is_idle
                 self.end_reading(connection)
 
     def end_reading(self, connection: Connection) -> None:
@@ -267,7 +299,7 @@
                 self.report_failure(failure)
                 connection.closing = True
                 connection.drop_unfinished_body()
-                exchange = Exchange(keep_alive=False, head_only=False)
+                exchange = Exchange(keep_alive=False, head_only=False, is_refused=True)
                 connection.exchanges.append(exchange)
                 await self.send_ready_responses(
                     connection, exchange, self.build_refusal(failure)
@@ -300,12 +332,9 @@
         if isinstance(result, Failure):
             return result
         connection.reservation = result
-        if self.has_stopped_reading:
-            return Failure(
-                reason=Reason.LEAVING,
-                detail="the node stopped before it had read the request",
-                retry_after=LEAVING_RETRY_AFTER_S,
-            )
+        if self.is_refusing or self.has_stopped_reading:
+            self.refused_requests += 1
+            return LEAVING_FAILURE
         return None
 
     async def handle_single_request(
@@ -333,8 +362,11 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
+        exchange.is_refused = self.is_refusing
+        self.refused_requests += self.is_refusing
         connection.exchanges.append(exchange)
-        connection.closing = connection.closing or not request.keep_alive
+        if self.is_refusing or not request.keep_alive:
+            connection.closing = True
         connection.update_phase()
         return exchange
 
@@ -353,7 +385,11 @@
         self, connection: Connection, exchange: Exchange, request: HttpRequest
     ) -> None:
         is_small = len(request.body) <= SMALL_BODY_BYTES
-        if self.memory is None or is_small and exchange.reservation is None:
+        if exchange.is_refused:
+            if exchange.reservation is not None:
+                exchange.reservation.release()
+            response = self.build_refusal(LEAVING_FAILURE)
+        elif self.memory is None or is_small and exchange.reservation is None:
             response = await self.handler(request)
         else:
             response = await self.hold_and_handle(self.memory, exchange, request)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -21,10 +21,17 @@
 from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock
 from tests.protocol.test_settings import GOOD
+from tests.transport.test_http_server import (
+    HOST,
+    KEPT_REQUEST,
+    read_all,
+    split_answers,
+)
 
 NOTICE_S = 2.5
 STOP_S = 5.0
 STEPS_OF_AN_ANSWER = 5
+CALL_INTERVAL_S = 0.02
 POLICY = """\
 [service orders]
 owner = sales
@@ -46,6 +53,16 @@
         self.refused_at = None
         self.node.start_leaving = self.record_refusal
 
+    async def listen(self, nursery):
+        """Let the node accept calls."""
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        serve = self.node.http_server.serve_connection
+        nursery.start_soon(self.node.call_acceptor.run, serve, listeners, nursery)
+
+    async def open_call(self):
+        return await trio.open_tcp_stream(HOST, self.port)
+
     def record_refusal(self, reason):
         self.refused_at = trio.current_time() - self.requested_at
 
@@ -210,6 +227,88 @@
             self.assertEqual([item.status for item in responses], [status])
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (second of the request, whether on a connection that was idle, statuses)
+        (NOTICE_S - 0.2, True, [503]),
+        (NOTICE_S + 0.2, True, [503]),
+        (NOTICE_S + 0.2, False, [503]),
+        (4.0, True, [503]),
+        (4.0, False, [503]),
+    )
+    def test_request_is_answered_while_the_process_lives(self, second, kept, statuses):
+        """Guards against idle connections that close under requests on their way."""
+        self.check_late_request(second, kept, statuses)
+
+    @on_mock_clock(io=True)
+    async def check_late_request(self, second, kept, statuses):
+        setup = Setup()
+        setup.node.executor.active_calls = 1
+        async with trio.open_nursery() as nursery:
+            await setup.listen(nursery)
+            stream = await setup.open_call()
+            unused = await setup.open_call()
+
+            async def send():
+                await trio.sleep(second)
+                caller = stream if kept else await setup.open_call()
+                # In the step of the event loop in which the last request ends.
+                caller.socket._sock.send(KEPT_REQUEST)
+                if second == 4.0:
+                    setup.node.executor.active_calls = 0
+                data = await read_all(caller)
+                self.assertEqual(
+                    [int(item[:3]) for item in split_answers(data)], statuses
+                )
+                self.assertEqual(data.count(b"connection: close"), 1)
+                if second < 4.0:
+                    await trio.sleep(4.0 - second)
+                    setup.node.executor.active_calls = 0
+
+            nursery.start_soon(send)
+            self.assertAlmostEqual(await setup.run(), 4.0, delta=0.2)
+            self.assertEqual(await read_all(unused), b"")
+            self.assertGreater(setup.node.http_server.closed_idle, 0)
+            nursery.cancel_scope.cancel()
+
+    @params((KEPT_REQUEST * 3, {b"503"}), (b"GET /half", set()))
+    def test_callers_that_never_stop_coming_do_not_keep_the_process(
+        self, sent, expected
+    ):
+        self.check_callers_that_never_stop(sent, expected)
+
+    @on_mock_clock(io=True)
+    async def check_callers_that_never_stop(self, sent, expected):
+        setup = Setup()
+        setup.node.executor.active_calls = 1
+        statuses = set()
+        async with trio.open_nursery() as nursery:
+            await setup.listen(nursery)
+
+            async def call():
+                while True:
+                    await trio.sleep(CALL_INTERVAL_S)
+                    try:
+                        caller = await setup.open_call()
+                    except OSError:
+                        return
+                    async with caller:
+                        await caller.send_all(sent)
+                        data = await read_all(caller)
+                    statuses.update(item[:3] for item in split_answers(data))
+                    self.assertLessEqual(data.count(b"connection: close"), 1)
+
+            async def end():
+                await trio.sleep(NOTICE_S + 0.5)
+                setup.node.executor.active_calls = 0
+
+            nursery.start_soon(end)
+            for _ in range(5):
+                nursery.start_soon(call)
+            duration_s = await setup.run()
+            self.assertAlmostEqual(duration_s, NOTICE_S + 0.5, delta=0.2)
+            self.assertEqual(statuses, expected)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_peer_gets_its_response_before_the_process_ends(self):
         setup = Setup()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -475,6 +475,71 @@
             self.assertFalse(setup.server.is_busy)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (request that comes late, whether memory is bounded)
+        (KEPT_REQUEST, False),
+        (KEPT_REQUEST * 3, False),
+        (b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nall", True),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", True),
+        (b"HEAD / HTTP/1.1\r\n\r\n", False),
+    )
+    def test_late_request_is_refused_and_not_handled(self, sent, has_memory):
+        self.check_refusal(sent, has_memory)
+
+    @on_mock_clock(io=True)
+    async def check_refusal(self, sent, has_memory):
+        handled = []
+
+        async def handle(request):
+            handled.append(request)
+            return HttpResponse(200)
+
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            server = setup.server
+            server.handler = handle
+            if has_memory:
+                server.memory = RequestMemory(100_000, DecisionLog())
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await trio.sleep(0.5)
+            server.refuse_requests()
+            send_now(stream, sent)
+            for _ in range(20):
+                # Callers that never stop must not count as work that is waited for.
+                self.assertFalse(server.is_handling)
+                await trio.sleep(0)
+            answer = await read_all(stream)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+            self.assertIn(b"connection: close", answer)
+            self.assertIn(b"retry-after", answer)
+            self.assertIn(b"catkinpost-outcome: not-run", answer)
+            self.assertEqual(len(split_answers(answer)), 1)
+            self.assertEqual((handled, server.refused_requests), ([], 1))
+            if has_memory:
+                self.assertEqual(server.memory.used_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_late_request_behind_one_at_work_waits_for_its_turn(self):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.release = trio.Event()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(0.5)
+            setup.server.refuse_requests()
+            await stream.send_all(LATER_REQUESTS)
+            await trio.sleep(0.5)
+            self.assertTrue(setup.server.is_handling)
+            setup.release.set()
+            data = await read_all(stream)
+            statuses = [int(answer[:3]) for answer in split_answers(data)]
+            self.assertEqual(statuses, [200, 503])
+            self.assertLess(data.index(b"503"), data.index(b"connection: close"))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_refusal_survives_a_body_that_is_still_arriving(self):
         async with trio.open_nursery() as nursery:
