Log what the end of a stop closed and refused

The close of idle connections left no line, so a log could not tell how many callers may have met it. A stop now logs once how many idle connections it closed and how many requests it refused.

Test: both numbers for late requests on idle and on new connections. Before, there was no such line.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -92,6 +92,12 @@
             nursery.start_soon(self.withdraw_late_attempts)
             await self.finish_requests()
             nursery.cancel_scope.cancel()
+        server = self.node.http_server
+        log_message(
+            "node: calls ended",
+            closed_idle=server.closed_idle,
+            refused=server.refused_requests,
+        )
         await self.send_key_records()
 
     async def withdraw_late_attempts(self) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -20,6 +20,7 @@
 from catkinpost.protocol.settings import parse_settings
 from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock
+from tests.log import CapturedLog
 from tests.protocol.test_settings import GOOD
 from tests.transport.test_http_server import (
     HOST,
@@ -265,9 +266,16 @@
                     setup.node.executor.active_calls = 0
 
             nursery.start_soon(send)
-            self.assertAlmostEqual(await setup.run(), 4.0, delta=0.2)
+            with CapturedLog() as messages:
+                self.assertAlmostEqual(await setup.run(), 4.0, delta=0.2)
             self.assertEqual(await read_all(unused), b"")
-            self.assertGreater(setup.node.http_server.closed_idle, 0)
+            # One connection was not used, or two if the late request came on a new one.
+            (end,) = [
+                (message["closed_idle"], message["refused"])
+                for message in messages
+                if message["message_type"] == "node: calls ended"
+            ]
+            self.assertEqual(end, (1 if kept else 2, 1 if second >= NOTICE_S else 0))
             nursery.cancel_scope.cancel()
 
     @params((KEPT_REQUEST * 3, {b"503"}), (b"GET /half", set()))
