Log what a stopping process holds near the end of its grace time

A process that is killed at the end of its grace time leaves a log that ends after "node: keys handed over" or earlier, and doesn't tell what held it.

One line at 0.925 of stop_timeout (5/6 of the platform's grace period) counts what is held by kind, also when the tasks of the node are being cancelled at that time; a process that ends earlier doesn't write it. Two more lines mark the end of each step: links closed, peers closed. Background tasks have the name of their function, and the table of links knows retired links until they have ended, so that both can be named.

tests.test_stop (TestEndOfProcess) holds a task beyond the end and reads the line.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -67,6 +67,7 @@
     call_acceptor: Acceptor
     planned_stop: StopState
     is_leaving: bool
+    nursery: trio.Nursery | None
 
     async def listen(
         self,
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -132,6 +132,11 @@
         """Whether the connection to the peer is established."""
         return self.frames is not None
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a message waits for the peer to take it."""
+        return self.frames is not None and self.frames.send_lock.locked()
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the latest attempt to connect failed."""
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -51,6 +51,7 @@
         self.events: LinkEvents | None = None
         self.links: dict[str, PeerLink] = {}
         self.bulk_links: dict[str, PeerLink] = {}
+        self.running_links: set[PeerLink] = set()
 
     def get_or_open_link(self, instance: Instance) -> PeerLink:
         """Return the link to an instance, opened if there is none."""
@@ -92,9 +93,29 @@
             spawn=self.spawn,
         )
         links[name] = link
-        self.spawn(link.run)
+        self.spawn(self.run_link, link)
         return link
 
+    async def run_link(self, link: PeerLink) -> None:
+        """Run a link, which is known here until it has ended, also when retired."""
+        self.running_links.add(link)
+        try:
+            await link.run()
+        finally:
+            self.running_links.discard(link)
+
+    def describe_busy(self) -> dict[str, int]:
+        """Return the number of pending requests by peer, for each link in use.
+
+        A link that is sending is in use.
+        """
+        busy: dict[str, int] = {}
+        for link in self.running_links:
+            count = len(link.pending.requests)
+            if count or link.is_sending:
+                busy[link.instance] = busy.get(link.instance, 0) + count
+        return busy
+
     def refresh(self) -> None:
         """Retire links to removed instances; open links to replicas and partners."""
         for name in {*self.links, *self.bulk_links}:
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -276,6 +276,14 @@
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.planned_stop.log_held)
+            await self.run_until_stopped()
+            nursery.cancel_scope.cancel()
+        log_message("node: stopped", instance=self.identity.instance)
+
+    async def run_until_stopped(self) -> None:
+        """Run all tasks of the node, and end them after a planned stop."""
         listen = self.settings.listen
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
@@ -296,12 +304,13 @@
             await self.planned_stop.run()
             # A send to a peer that does not read would outlast the cancellation.
             await self.links.close_connections()
+            log_message("node: links closed")
             peer_acceptor.scope.cancel()
             await self.peer_server.close_connections(
                 self.planned_stop.compute_close_time()
             )
+            log_message("node: peers closed")
             nursery.cancel_scope.cancel()
-        log_message("node: stopped", instance=self.identity.instance)
 
     async def listen(
         self,
@@ -339,7 +348,7 @@
             except Exception:
                 self.report_internal_error()
 
-        self.nursery.start_soon(run_guarded)
+        self.nursery.start_soon(run_guarded, name=function)
 
     async def supervise(self, function: Callable[[], Awaitable[None]]) -> None:
         """Run a task of the whole node, and start it again after an exception.
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -1,6 +1,7 @@
 """Planned stop of a node: order of its notifications and waits."""
 
 import signal
+from collections import Counter
 
 import trio
 from eliot import log_message
@@ -17,6 +18,9 @@
 # refusals of other requests reach callers over two cross-region hops.
 MAX_ANSWER_TIME_S = 0.3
 ANSWER_TIME_SHARE = 0.05
+# What is still held at this share of the time is logged: an end that hangs must show
+# before the process is killed.
+HELD_LOG_SHARE = 0.925
 
 
 class PlannedStop:
@@ -62,6 +66,35 @@
         """
         return max(self.ends_at, trio.current_time() + self.answer_time_s / 2)
 
+    async def log_held(self) -> None:
+        """Log what is still held shortly before the end of a stop."""
+        await self.requested.wait()
+        stop_timeout = self.node.settings.bounds.stop_timeout
+        await trio.sleep_until(self.requested_at + HELD_LOG_SHARE * stop_timeout)
+        log_message("node: still held", **self.describe_held())
+
+    def describe_held(self) -> dict[str, object]:
+        """Return what keeps the process from ending, by kind."""
+        node = self.node
+        sessions = node.peer_server.sessions.values()
+        lingers = node.http_server.lingers
+        tasks = node.nursery.child_tasks if node.nursery is not None else ()
+        return {
+            "running": node.executor.active_calls,
+            "queued": node.executor.admission.queued,
+            "requests": node.dispatcher.active_requests,
+            "peer_calls": {
+                item.instance: len(item.calls) for item in sessions if item.calls
+            },
+            "connections": Counter(
+                item.phase.value for item in node.http_server.connections
+            ),
+            "lingers": len(lingers),
+            "unsent_bytes": sum(item.unsent_bytes for item in lingers),
+            "links": node.links.describe_busy(),
+            "tasks": Counter(task.name.rpartition(".")[2] for task in tasks),
+        }
+
     async def watch_signals(self) -> None:
         """Request the stop at SIGTERM or SIGINT."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -19,7 +19,7 @@
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import parse_settings
 from catkinpost.transport.http_connection import Phase
-from tests.clock import on_mock_clock
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.log import CapturedLog
 from tests.protocol.test_settings import GOOD
 from tests.transport.test_http_server import (
@@ -33,6 +33,13 @@
 STOP_S = 5.0
 STEPS_OF_AN_ANSWER = 5
 CALL_INTERVAL_S = 0.02
+END_STEPS = [
+    "node: keys handed over",
+    "node: links closed",
+    "node: peers closed",
+    "node: stopped",
+]
+ANY_PORT = "127.0.0.1:0"
 POLICY = """\
 [service orders]
 owner = sales
@@ -79,6 +86,23 @@
             return UNREACHABLE
         return trio.testing.memory_stream_pair()[0]
 
+    async def run_node(self, prepare):
+        """Run the whole node, stop it, and return the duration of the stop.
+
+        :param prepare: called before the stop.
+        """
+        listen = msgspec.structs.replace(self.node.settings.listen, calls=ANY_PORT)
+        listen = msgspec.structs.replace(listen, peers=ANY_PORT)
+        self.node.settings = dataclasses.replace(self.node.settings, listen=listen)
+        self.node.environment.run = trio.sleep_forever
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.node.run)
+            await wait_all_tasks_blocked()
+            await prepare()
+            self.requested_at = trio.current_time()
+            self.node.planned_stop.request()
+        return trio.current_time() - self.requested_at
+
     async def run(self):
         """Stop the node and return the duration in seconds."""
         self.requested_at = trio.current_time()
@@ -330,3 +354,50 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(respond)
             self.assertAlmostEqual(await setup.run(), 4.0, delta=0.1)
+
+
+class TestEndOfProcess(unittest.TestCase):
+    """The end of a node that runs whole."""
+
+    @on_mock_clock(io=True)
+    async def test_log_tells_what_a_process_holds_before_it_is_killed(self):
+        setup = Setup()
+        node = setup.node
+
+        async def hold():
+            with trio.CancelScope(shield=True):
+                await trio.sleep(STOP_S + 1.0)
+
+        async def prepare():
+            node.spawn(hold)
+            node.executor.active_calls = 2
+            node.dispatcher.active_requests = 3
+            session = mock.Mock(instance="orders-2", calls={1: None})
+            session.closed.wait = session.frames.close = trio.lowlevel.checkpoint
+            node.peer_server.sessions[1] = session
+            phases = [Phase.ANSWERING, Phase.ANSWERING, Phase.SENDING]
+            node.http_server.connections.update(
+                mock.Mock(phase=phase, memory_wait=None) for phase in phases
+            )
+            node.http_server.lingers.add(mock.Mock(unsent_bytes=7))
+
+        with CapturedLog() as messages:
+            await setup.run_node(prepare)
+        (held,) = [m for m in messages if m["message_type"] == "node: still held"]
+        self.assertEqual(held["running"], 2)
+        self.assertEqual(held["requests"], 3)
+        self.assertEqual(held["peer_calls"], {"orders-2": 1})
+        self.assertEqual(held["connections"], {"answering": 2, "sending": 1})
+        self.assertEqual((held["lingers"], held["unsent_bytes"]), (1, 7))
+        self.assertEqual(held["tasks"]["hold"], 1)
+        steps = [m["message_type"] for m in messages if m["message_type"] in END_STEPS]
+        self.assertEqual(steps, END_STEPS)
+
+    @on_mock_clock(io=True)
+    async def test_stop_in_time_logs_nothing_as_held(self):
+        setup = Setup()
+        with CapturedLog() as messages:
+            await setup.run_node(trio.lowlevel.checkpoint)
+        kinds = [message["message_type"] for message in messages]
+        self.assertEqual([kind for kind in kinds if kind in END_STEPS], END_STEPS)
+        self.assertNotIn("node: still held", kinds)
