Answer requests that a stop finds on their way to a peer

A caller whose request was being sent to a peer that took nothing, or took a large body slowly, got no answer when its node stopped: the connection was closed with the end of the process.

The rest of a message is sent despite cancellation, as a cut one would break its link. So dispatcher.end_calls had no effect on such a request before the send timeout of 3 s, or for as long as the peer took a piece of 256 KiB every 3 s, and the end of the node came first.

After end_calls the stop now closes the links on which a message is being sent: the send fails, and the request is answered as unknown within the time that is kept for answers. Calls that wait on these links were all broken off before.

--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -150,6 +150,13 @@
             log_message("links: retired", peer=name, pending=len(link.pending.requests))
             link.retire()
 
+    async def close_stalled(self) -> None:
+        """Close every connection whose peer has not taken a whole message yet."""
+        for link in list(self.running_links):
+            if link.is_sending:
+                log_message("link: closed while sending", peer=link.instance)
+                await link.frames.close()
+
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
         for link in [*self.links.values(), *self.bulk_links.values()]:
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -157,6 +157,8 @@
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
         self.log_cut_off()
         self.node.dispatcher.end_calls()
+        # A call can't be ended while it is being sent, as that would cut its message.
+        await self.node.links.close_stalled()
         with trio.CancelScope(deadline=self.compute_close_time()):
             await self.wait_until_idle()
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,5 +1,6 @@
 """Tests of the planned stop, on a node that listens nowhere."""
 
+import contextlib
 import dataclasses
 import math
 import unittest
@@ -17,9 +18,11 @@
 from catkinpost.protocol.message import Answer
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
-from catkinpost.protocol.settings import parse_settings
+from catkinpost.protocol.settings import Address, parse_settings
+from catkinpost.transport.frame import FrameStream
 from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
+from tests.coordination.at_most_once.test_once import make_instance
 from tests.log import CapturedLog
 from tests.protocol.test_settings import GOOD
 from tests.transport.test_http_server import (
@@ -39,11 +42,21 @@
     "node: peers closed",
     "node: stopped",
 ]
-ANY_PORT = "127.0.0.1:0"
+HOST = "127.0.0.1"
+ANY_PORT = f"{HOST}:0"
+LARGE_BYTES = 15_000_000
 POLICY = """\
 [service orders]
 owner = sales
 """
+SLOW_POLICY = f"""\
+{POLICY}
+[class place-order]
+owner = sales
+service = orders
+match = POST /orders
+timeout = 60
+"""
 ORDER = HttpRequest(b"POST", b"/orders", [(b"host", b"orders")], b"one")
 UNREACHABLE = Failure(reason=Reason.BACKEND_UNREACHABLE)
 
@@ -96,12 +109,36 @@
         self.node.settings = dataclasses.replace(self.node.settings, listen=listen)
         self.node.environment.run = trio.sleep_forever
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.node.run)
+            self.nursery = nursery
+            nursery.start_soon(self.run_until_stopped)
             await wait_all_tasks_blocked()
             await prepare()
             self.requested_at = trio.current_time()
             self.node.planned_stop.request()
-        return trio.current_time() - self.requested_at
+        return self.stopped_at - self.requested_at
+
+    async def run_until_stopped(self):
+        """Run the node; the peers of the test outlast it."""
+        await self.node.run()
+        self.stopped_at = trio.current_time()
+        self.nursery.cancel_scope.cancel()
+
+    async def start_peer(self, name, serve):
+        """Start a peer and return its address.
+
+        :param serve: serves a connection after the handshake.
+        """
+        peer = Node(parse_settings(GOOD.replace("orders-1", name)), NativeEnvironment())
+
+        async def accept(stream):
+            frames = FrameStream(stream, max_frame_bytes=2 * LARGE_BYTES)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await peer.peer_server.perform_handshake(frames)
+                await serve(frames)
+
+        (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+        self.nursery.start_soon(trio.serve_listeners, accept, [listener])
+        return Address(HOST, listener.socket.getsockname()[1])
 
     async def run(self):
         """Stop the node and return the duration in seconds."""
@@ -112,6 +149,11 @@
         return trio.current_time() - self.requested_at
 
 
+async def read_nothing(frames):
+    """Serve a link as a peer that does not run."""
+    await trio.sleep_forever()
+
+
 class TestPlannedStop(unittest.TestCase):
     @params(
         # (seconds for peers, server reachable, second from which peers are refused)
@@ -401,3 +443,26 @@
         kinds = [message["message_type"] for message in messages]
         self.assertEqual([kind for kind in kinds if kind in END_STEPS], END_STEPS)
         self.assertNotIn("node: still held", kinds)
+
+    @on_mock_clock(io=True)
+    async def test_request_on_its_way_to_a_peer_that_reads_nothing_is_answered(self):
+        """Guards against a request that ends with the process, without an answer."""
+        setup = Setup()
+        responses = []
+
+        async def prepare():
+            address = await setup.start_peer("orders-2", read_nothing)
+            peer = dataclasses.replace(make_instance("orders-2"), peers=address)
+            setup.node.on_list_changed(setup.node.view.apply_list(1, [peer], 0.0))
+            setup.node.dispatcher.is_ready = lambda: True
+            setup.node.store.accept_document(1, SLOW_POLICY, now=0.0, source="test")
+            setup.node.spawn(handle)
+
+        async def handle():
+            await trio.sleep(NOTICE_S - 0.1)
+            order = dataclasses.replace(ORDER, body=bytes(LARGE_BYTES))
+            responses.append(await setup.node.dispatcher.handle(order))
+
+        duration_s = await setup.run_node(prepare)
+        self.assertEqual([item.status for item in responses], [504])
+        self.assertLess(duration_s, STOP_S)
