End the handover of keys at the end of a stop

A replica that took nothing kept a stopping process alive beyond its grace time: it was killed, with the connections of peers and callers that it had not yet closed, and replicas behind it got no keys, which may then run twice.

The handover sent the records of all keys one after the other, to one replica after the other, without a deadline. A replica that doesn't read cost 3 s a record, as its link was opened again after each.

Each replica now has a task of its own, which ends with its connection. The stop waits for them until the time at which connections are closed in any case; that close also ends a send that is not cancelled.

Evidence: 15 records of 1 MB, two replicas that read nothing and one that does, stop_timeout 5 s.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -8,7 +8,8 @@
 
 from catkinpost.coordination.admission.admission import RunWindow
 from catkinpost.coordination.environment import NodeParts
-from catkinpost.protocol.message import KeyRecords
+from catkinpost.coordination.peers.link import PeerLink
+from catkinpost.protocol.message import KeyRecordCopy, KeyRecords
 from catkinpost.protocol.outcome import Failure
 
 __all__ = ["PlannedStop"]
@@ -217,12 +218,34 @@
         return self.is_working() or self.node.http_server.is_busy
 
     async def send_key_records(self) -> None:
-        """Send peers the results of the idempotency keys that this node holds."""
+        """Send peers the results of the idempotency keys that this node holds.
+
+        Each peer takes them at its own pace, until the connections are closed.
+        """
         node = self.node
         copies = node.executor.once_guard.records.build_copies()
-        for copy in copies:
-            message = KeyRecords([copy])
-            for link in node.replicas.get_links():
-                if link.is_up:
-                    await link.send_notification(message)
+        ends = []
+        for link in node.replicas.get_links() if copies else []:
+            ends.append(trio.Event())
+            node.spawn(send_copies, link, copies, ends[-1])
+        with trio.CancelScope(deadline=self.compute_close_time()):
+            for end in ends:
+                await end.wait()
         log_message("node: keys handed over", count=len(copies))
+
+
+async def send_copies(
+    link: PeerLink, copies: list[KeyRecordCopy], ended: trio.Event
+) -> None:
+    """Send records to one peer while it is connected.
+
+    :param ended: set at the end.
+    """
+    try:
+        for copy in copies:
+            if not await link.send_notification(KeyRecords([copy])):
+                return
+            # Many small messages in a row must not hold up all other tasks.
+            await trio.lowlevel.checkpoint()
+    finally:
+        ended.set()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -15,10 +15,11 @@
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.http import HttpRequest
-from catkinpost.protocol.message import Answer
+from catkinpost.protocol.message import Answer, KeyRecords, Load
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address, parse_settings
+from catkinpost.stop import IDLE_CHECK_INTERVAL_S
 from catkinpost.transport.frame import FrameStream
 from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
@@ -45,6 +46,7 @@
 HOST = "127.0.0.1"
 ANY_PORT = f"{HOST}:0"
 LARGE_BYTES = 15_000_000
+RECORDS = 15
 POLICY = """\
 [service orders]
 owner = sales
@@ -466,3 +468,31 @@
         duration_s = await setup.run_node(prepare)
         self.assertEqual([item.status for item in responses], [504])
         self.assertLess(duration_s, STOP_S)
+
+    @on_mock_clock(io=True)
+    async def test_replica_that_reads_nothing_holds_up_neither_others_nor_the_end(self):
+        """Guards against a process that is killed, and keys that run twice."""
+        setup = Setup()
+        received = {"orders-2": 0, "orders-3": 0, "orders-4": 0}
+
+        async def prepare():
+            peers = []
+            for name in received:
+                address = await setup.start_peer(
+                    name, count_records if name == "orders-3" else read_nothing
+                )
+                peers.append(dataclasses.replace(make_instance(name), peers=address))
+            setup.node.on_list_changed(setup.node.view.apply_list(1, peers, 0.0))
+            records = setup.node.executor.once_guard.records
+            for number in range(RECORDS):
+                record = records.record_run(f"key-{number}", "orders-1", b"")
+                body = bytes(LARGE_BYTES // RECORDS)
+                records.record_result(record, Answer(1, 200, [], body, 0, Load()))
+
+        async def count_records(frames):
+            while message := await frames.receive():
+                received["orders-3"] += isinstance(message, KeyRecords)
+
+        duration_s = await setup.run_node(prepare)
+        self.assertEqual(received["orders-3"], RECORDS)
+        self.assertLessEqual(duration_s, STOP_S + IDLE_CHECK_INTERVAL_S)
