Open a link again after a message that its peer did not take

A peer that took no part of a message for 3 s, and then went on, got no further call from the node: each waited for the link for a second and was refused, until one of the two processes was started again.

The message was sent by the task that reads the link, in response to one of the peer (a policy, a key report). The send closes the connection at its timeout, and the next read waited on a closed descriptor, -1: epoll raises ValueError for that, which nothing expects, and so the task of the link ended. Its entry in the table stayed.

A read of a connection that this side has closed now fails like one that was waiting at the time of the close, and the link connects again.

Evidence: the new case of tests.coordination.peers.test_link failed with "ValueError: file descriptor cannot be a negative integer (-1)".

--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -108,6 +108,9 @@
     if socket is None:
         return await stream.receive_some(max_bytes)
     while True:
+        # Another task may have closed it while this one did not wait for bytes.
+        if socket.fileno() < 0:
+            raise trio.ClosedResourceError("the connection is closed")
         await trio.lowlevel.wait_readable(socket)
         # After a close, the descriptor number may belong to another connection.
         descriptor = socket.fileno()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -35,6 +35,7 @@
     KeyReport,
     Load,
     Ping,
+    PolicyFetch,
     Pong,
     Refusal,
     encode_message,
@@ -47,7 +48,7 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import SMALL_BODY_BYTES, RequestMemory
 from catkinpost.transport import linger
-from catkinpost.transport.frame import LENGTH_PREFIX, FrameStream
+from catkinpost.transport.frame import LENGTH_PREFIX, SEND_TIMEOUT_S, FrameStream
 from tests.clock import on_mock_clock
 from tests.coordination.at_most_once.test_once import make_call
 
@@ -519,6 +520,35 @@
             self.assertIsInstance(result, Answer)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_link_is_opened_again_after_a_message_that_the_peer_did_not_take(
+        self,
+    ):
+        """Guards against a link that stays down for good."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            accepted = []
+
+            async def serve(stream):
+                accepted.append(stream)
+                if len(accepted) > 1:
+                    await setup.server.serve_connection(stream)
+                    return
+                frames = FrameStream(stream, max_frame_bytes=10_000)
+                await setup.server.perform_handshake(frames)
+                await frames.send(PolicyFetch(0))
+                await trio.sleep_forever()
+
+            async def send_large(link, message):
+                answer = Answer(1, 200, [], bytes(PIECES * ANSWER_BYTES), 0, Load())
+                await link.send_notification(answer)
+
+            setup.events.on_peer_message = send_large
+            await setup.start(serve)
+            await trio.sleep(SEND_TIMEOUT_S + 0.5)
+            self.assertIsInstance(await setup.call(), Answer)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_peer_that_cannot_be_reached_means_not_run(self):
         async with trio.open_nursery() as nursery:
