Close retired links at the end of a stop

A stopping node whose link had been retired while it sent an answer to its peer stayed until the peer had taken it: 3 s after the last piece of 256 KiB that the peer took, also past the end of its grace time.

The end of the node closes all links first, as a send is not cancelled. A link whose peer has left the list was no longer in the table by then.

The table now closes the links that run, in the table or not.

--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -159,7 +159,7 @@
 
     async def close_connections(self) -> None:
         """Close every connection, also while a message is being sent."""
-        for link in [*self.links.values(), *self.bulk_links.values()]:
+        for link in list(self.running_links):
             if link.frames is not None:
                 await link.frames.close()
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -15,7 +15,7 @@
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.http import HttpRequest
-from catkinpost.protocol.message import Answer, KeyRecords, Load
+from catkinpost.protocol.message import Answer, KeyRecords, Load, PolicyFetch
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address, parse_settings
@@ -496,3 +496,35 @@
         duration_s = await setup.run_node(prepare)
         self.assertEqual(received["orders-3"], RECORDS)
         self.assertLessEqual(duration_s, STOP_S + IDLE_CHECK_INTERVAL_S)
+
+    @params("listed", "retired")
+    def test_peer_that_takes_no_answer_of_its_link_does_not_hold_the_process(
+        self, state
+    ):
+        """Guards against a process that is killed."""
+        self.check_stalled_answer(state)
+
+    @on_mock_clock(io=True)
+    async def check_stalled_answer(self, state):
+        setup = Setup()
+        links = setup.node.links
+
+        async def prepare():
+            setup.node.peer_handler.on_peer_message = send_large
+            address = await setup.start_peer("orders-2", fetch_and_read_nothing)
+            links.open_link("orders-2", address)
+
+        async def fetch_and_read_nothing(frames):
+            await trio.sleep(NOTICE_S - 1.0)
+            await frames.send(PolicyFetch(0))
+            await trio.sleep(0.5)
+            if state == "retired":
+                links.retire_link("orders-2")
+            await trio.sleep_forever()
+
+        async def send_large(link, message):
+            answer = Answer(1, 200, [], bytes(LARGE_BYTES), 0, Load())
+            await link.send_notification(answer)
+
+        duration_s = await setup.run_node(prepare)
+        self.assertAlmostEqual(duration_s, NOTICE_S, delta=0.1)
