Open no link again once a stop has closed them

A stopping node opened its links again, 0.05 s after it had closed them, when a peer was slow to take its last answers. New links take new messages (the load, the policy, subscriptions), and one that is not taken outlasts the cancellation of the node's tasks by up to 3 s.

Closing the links cancels their tasks now, so that they stay closed.

Evidence: a link with a peer that serves it, and a session that does not close before the end. Before: 2 handshakes; now 1 (tests.test_stop, mock clock).

--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -158,8 +158,9 @@
                 await link.frames.close()
 
     async def close_connections(self) -> None:
-        """Close every connection, also while a message is being sent."""
+        """Close every connection for good, also while a message is being sent."""
         for link in list(self.running_links):
+            link.cancel_scope.cancel()
             if link.frames is not None:
                 await link.frames.close()
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -528,3 +528,26 @@
 
         duration_s = await setup.run_node(prepare)
         self.assertAlmostEqual(duration_s, NOTICE_S, delta=0.1)
+
+    @on_mock_clock(io=True)
+    async def test_closed_link_is_not_opened_again_while_peers_are_closed(self):
+        """Guards against sends over new connections, which outlast a cancellation."""
+        setup = Setup()
+        welcomes = []
+
+        async def prepare():
+            address = await setup.start_peer("orders-2", serve_until_closed)
+            link = setup.node.links.open_link("orders-2", address)
+            await link.wait_until_up(1.0)
+            session = mock.Mock(instance="orders-3", calls={})
+            session.closed.wait = trio.sleep_forever
+            session.frames.close = trio.lowlevel.checkpoint
+            setup.node.peer_server.sessions[1] = session
+
+        async def serve_until_closed(frames):
+            welcomes.append(frames)
+            while await frames.receive():
+                pass
+
+        await setup.run_node(prepare)
+        self.assertEqual(len(welcomes), 1)
