Test a stop with a request on its way over a slow network

The peer takes 64 KiB every 0.1 s of a body of 15 MB, so that the send timeout never ends the send. Without the close of such links at the cut-off the caller gets no answer (mock clock).

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -47,6 +47,7 @@
 ANY_PORT = f"{HOST}:0"
 LARGE_BYTES = 15_000_000
 RECORDS = 15
+PIECE_BYTES = 65_536
 POLICY = """\
 [service orders]
 owner = sales
@@ -156,6 +157,12 @@
     await trio.sleep_forever()
 
 
+async def read_slowly(frames):
+    """Serve a link as a peer behind a slow network."""
+    while await frames.stream.receive_some(PIECE_BYTES):
+        await trio.sleep(0.1)
+
+
 class TestPlannedStop(unittest.TestCase):
     @params(
         # (seconds for peers, server reachable, second from which peers are refused)
@@ -446,14 +453,18 @@
         self.assertEqual([kind for kind in kinds if kind in END_STEPS], END_STEPS)
         self.assertNotIn("node: still held", kinds)
 
-    @on_mock_clock(io=True)
-    async def test_request_on_its_way_to_a_peer_that_reads_nothing_is_answered(self):
+    @params(read_nothing, read_slowly)
+    def test_request_on_its_way_to_a_slow_peer_is_answered(self, serve):
         """Guards against a request that ends with the process, without an answer."""
+        self.check_answer_during_send(serve)
+
+    @on_mock_clock(io=True)
+    async def check_answer_during_send(self, serve):
         setup = Setup()
         responses = []
 
         async def prepare():
-            address = await setup.start_peer("orders-2", read_nothing)
+            address = await setup.start_peer("orders-2", serve)
             peer = dataclasses.replace(make_instance("orders-2"), peers=address)
             setup.node.on_list_changed(setup.node.view.apply_list(1, [peer], 0.0))
             setup.node.dispatcher.is_ready = lambda: True
