Test links over pauses at random moments

200 calls a case over 10 pauses at either end: each is answered by its own run or refused as not run, and the link stays.

--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -59,6 +59,8 @@
 CLOSED_PORT = 1
 CLOSE_S = 2.0
 PAUSE_S = 2.0
+PAUSES = 10
+TICK_S = 0.05
 LATE_S = 1.2
 PIECES = 10
 ANSWER_BYTES = 1_000_000
@@ -861,6 +863,46 @@
 class TestPause(unittest.TestCase):
     """Input that has arrived during a pause is of unknown age."""
 
+    @params(*range(3))
+    def test_requests_over_pauses_at_random_run_or_are_refused(self, seed):
+        """None of them is lost, and those that are refused have not run."""
+        self.check_random_pauses(random.Random(seed))
+
+    @on_mock_clock(io=True)
+    async def check_random_pauses(self, rng):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            results = {}
+
+            async def run_call(call):
+                setup.started.append(call.body)
+                return await respond_after_steps(rng, call)
+
+            async def call(body):
+                await trio.sleep(TICK_S * rng.randrange(PAUSES))
+                results[body] = await setup.call(body)
+
+            setup.server.run_call = run_call
+            await setup.start()
+            await setup.events.up.wait()
+            async with trio.open_nursery() as callers:
+                for number in range(200):
+                    callers.start_soon(call, b"%d" % number)
+                for _ in range(PAUSES):
+                    await trio.sleep(TICK_S * rng.choice([0.5, 1.0]))
+                    pauses = [setup.pause, setup.server.pause]
+                    pause_process(rng.choice(pauses), suspended=False)
+            answered = [item for item in results if isinstance(results[item], Answer)]
+            refused = [item for item in results if item not in answered]
+            self.assertEqual(sorted(setup.started), sorted(answered))
+            self.assertEqual([results[item].body for item in answered], answered)
+            for body in refused:
+                self.assertIs(results[body].outcome, Outcome.NOT_RUN)
+            self.assertGreater(len(answered), 50)
+            self.assertGreater(len(refused), 10)
+            self.assertEqual(setup.events.downs, [])
+            nursery.cancel_scope.cancel()
+
     @params(False, True)
     def test_answer_that_arrived_during_a_pause_is_delivered(self, suspended):
         self.check_answer(suspended)
