Bound the time for connections that wait at the end of accepting

A stop waits until its listener is closed. Up to 1024 connections were accepted before, with steps of all other tasks between them, so that a busy process with a full queue could come near the end of its grace time there. No caller is known to have met it; found while reading again.

The connections that wait are now taken for 0.1 s at most.

Test: tasks that take 0.05 s each beside 20 waiting connections.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -5,10 +5,12 @@
 import trio
 from eliot import log_message
 
-__all__ = ["LISTEN_BACKLOG", "Acceptor"]
+__all__ = ["END_TIMEOUT_S", "LISTEN_BACKLOG", "Acceptor"]
 
 # While the accept queue is full, each caller waits seconds before it connects again.
 LISTEN_BACKLOG = 1024
+# A stop has a fixed end, and other tasks may run between two connections.
+END_TIMEOUT_S = 0.1
 
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -57,8 +59,9 @@
     async def accept_waiting(
         self, serve: Serve, queue: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
+        ends_at = trio.current_time() + END_TIMEOUT_S
         for _ in range(self.backlog):
-            if not queue.socket.is_readable():
+            if not queue.socket.is_readable() or trio.current_time() >= ends_at:
                 break
             try:
                 stream = await queue.accept()
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -7,7 +7,7 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.transport.acceptor import Acceptor
+from catkinpost.transport.acceptor import END_TIMEOUT_S, Acceptor
 from tests.clock import on_mock_clock
 
 HOST = "127.0.0.1"
@@ -69,6 +69,25 @@
         async with trio.open_nursery() as nursery:
             await Setup(nursery).acceptor.stop()
 
+    @on_mock_clock(io=True)
+    async def test_busy_process_does_not_delay_the_end(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+
+            async def take_long(stream):
+                trio.lowlevel.current_clock().jump(END_TIMEOUT_S / 2)
+                await setup.record(stream)
+
+            await setup.start(take_long)
+            await trio.sleep(0.1)
+            callers = [setup.connect_now() for _ in range(WAITING)]
+            started_at = trio.current_time()
+            await setup.acceptor.stop()
+            self.assertLess(trio.current_time() - started_at, 2 * END_TIMEOUT_S)
+            for caller in callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_callers_that_never_stop_coming_do_not_delay_the_end(self):
         async with trio.open_nursery() as nursery:
