Give new connections time for their first request at the end of a stop

A caller that had just connected when reading ended met the close before it had sent its request, which then got no answer.

The listener is closed first, with what waits in its queue; then connections without a request have 50 ms to send one, which is refused like others. As no more can come, this can't go on. Where the time is over, calls are answered before, so their end is not later than it was.

Test: 20 callers that connect in steps of 10 ms around the end and send 20 ms later are answered or not accepted.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -15,6 +15,7 @@
 __all__ = ["PlannedStop"]
 
 IDLE_CHECK_INTERVAL_S = 0.05
+FIRST_REQUEST_TIMEOUT_S = 0.05
 # Runs must have ended this long before the process, so that their results and the
 # refusals of other requests reach callers over two cross-region hops.
 MAX_ANSWER_TIME_S = 0.3
@@ -152,7 +153,7 @@
             await self.wait_until_idle()
         if not scope.cancelled_caught:
             return
-        await self.stop_reading()
+        self.node.http_server.refuse_requests()
         if trio.current_time() > answers_at + IDLE_CHECK_INTERVAL_S:
             # The process overslept: results that arrived meanwhile are delivered first.
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
@@ -161,11 +162,16 @@
         # A call can't be ended while it is being sent, as that would cut its message.
         await self.node.links.close_stalled()
         with trio.CancelScope(deadline=self.compute_close_time()):
+            await self.stop_reading()
             await self.wait_until_idle()
 
     async def stop_reading(self) -> None:
-        """Read no further request, as it could not be answered in time."""
+        """Accept no further connection, and then read no further request."""
         await self.node.call_acceptor.stop()
+        # Whoever has just connected is about to send a request.
+        with trio.move_on_after(FIRST_REQUEST_TIMEOUT_S):
+            while self.node.http_server.has_new_connection(FIRST_REQUEST_TIMEOUT_S):
+                await trio.sleep(FIRST_REQUEST_TIMEOUT_S / 10)
         self.node.http_server.stop_reading()
 
     async def wait_until_idle(self) -> None:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -113,6 +113,19 @@
         """
         return any(item.is_handling for item in self.connections)
 
+    def has_new_connection(self, max_age_s: float) -> bool:
+        """Return whether a caller has connected and sent nothing yet.
+
+        While the server leaves, no connection becomes idle after a response.
+
+        :param max_age_s: seconds for which a connection counts as new.
+        """
+        opened_after = trio.current_time() - max_age_s
+        return any(
+            item.phase is Phase.IDLE and item.phase_started_at > opened_after
+            for item in self.connections
+        )
+
     def refuse_requests(self) -> None:
         """Answer each request that is read from now on with a refusal.
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -353,6 +353,36 @@
             self.assertEqual(end, (1 if kept else 2, 1 if second >= NOTICE_S else 0))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_request_on_a_connection_opened_at_the_end_is_answered(self):
+        """Guards against a close between the connect of a caller and its request."""
+        setup = Setup()
+        setup.node.executor.active_calls = 1
+        ends = []
+
+        async def call(number):
+            await trio.sleep(4.0 + 0.01 * number)
+            setup.node.executor.active_calls = 0
+            try:
+                caller = await setup.open_call()
+            except OSError:
+                ends.append("not accepted")
+                return
+            await trio.sleep(0.02)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await caller.send_all(KEPT_REQUEST)
+            answers = split_answers(await read_all(caller))
+            ends.append(int(answers[0][:3]) if answers else "closed")
+
+        async with trio.open_nursery() as nursery:
+            await setup.listen(nursery)
+            async with trio.open_nursery() as callers:
+                for number in range(20):
+                    callers.start_soon(call, number)
+                self.assertLess(await setup.run(), 4.2)
+            self.assertEqual(set(ends), {503, "not accepted"})
+            nursery.cancel_scope.cancel()
+
     @params((KEPT_REQUEST * 3, {b"503"}), (b"GET /half", set()))
     def test_callers_that_never_stop_coming_do_not_keep_the_process(
         self, sent, expected
