--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -506,7 +506,10 @@
             order = dataclasses.replace(ORDER, body=bytes(LARGE_BYTES))
             responses.append(await setup.node.dispatcher.handle(order))
 
-        duration_s = await setup.run_node(prepare)
+        with CapturedLog() as messages:
+            duration_s = await setup.run_node(prepare)
+        (held,) = [m for m in messages if m["message_type"] == "node: still held"]
+        self.assertEqual(held["links"], {"orders-2": 1})
         self.assertEqual([item.status for item in responses], [504])
         self.assertLess(duration_s, STOP_S)
 
