Close idle connections in the step in which a stop looks at them

A request that reached an idle connection between the look for unread input and the close was discarded without an answer.

The sending side is now closed right behind the look. Test: the caller of an idle connection sees the close before any other task runs; without the call it does not.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from eliot import log_message
 
 from catkinpost.protocol.http import HttpResponse
 from catkinpost.state.request_memory import Reservation
@@ -138,6 +139,13 @@
         self.scope.cancel()
         return True
 
+    def end_sending(self) -> None:
+        """Close the sending side at once, before any other task runs."""
+        try:
+            self.stream.socket.shutdown(trio.socket.SHUT_WR)
+        except OSError as error:
+            log_message("http: closed by its caller before", why=repr(error))
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
         self.parser.body_parts.clear()
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -157,8 +157,10 @@
                 if connection.phase is Phase.IDLE:
                     connection.enter_phase(Phase.READING)
             else:
-                is_idle = connection.phase is Phase.IDLE and not connection.closing
-                self.closed_idle += is_idle
+                if connection.phase is Phase.IDLE and not connection.closing:
+                    self.closed_idle += 1
+                    # A request that arrives before its task runs would be discarded.
+                    connection.end_sending()
                 self.end_reading(connection)
 
     def end_reading(self, connection: Connection) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -27,7 +27,6 @@
 from tests.log import CapturedLog
 from tests.protocol.test_settings import GOOD
 from tests.transport.test_http_server import (
-    HOST,
     KEPT_REQUEST,
     read_all,
     split_answers,
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -19,7 +19,7 @@
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
-from tests.clock import on_mock_clock
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 
 LIMITS = HttpLimits(
     max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
@@ -676,6 +676,19 @@
             self.assertIn(b"connection: close", answer)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_idle_connection_is_closed_in_the_step_in_which_reading_stops(self):
+        """Guards against a request that arrives before the task of the close runs."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            caller = await setup.connect()
+            await wait_all_tasks_blocked()
+            setup.server.stop_reading()
+            self.assertTrue(caller.socket.is_readable())
+            self.assertEqual(await caller.receive_some(1), b"")
+            nursery.cancel_scope.cancel()
+
     @params(
         # (bytes sent before stop_reading, expected response bodies)
         (b"", []),
