Await answers of a silent peer to calls that must not be sent again

Callers of orders got 502 when the peer that ran them did not answer pings for 0.8 s, though the peer was only late: the link was closed, which also made the peer break off the runs when it went on.

A silent connection that has calls which must not be sent again is now set aside: new calls use a new connection, calls that may be repeated end as before, and the others wait for their answers on the old one until their deadlines, or until it is closed. Without such calls it is closed as before.

Test: a peer that answers a call after 9 s of silence (ping time-out 3 s). The call had an unknown outcome after 3 s before, and gets the answer now; a peer that closes and a caller that leaves end the wait.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -126,6 +127,7 @@
         self.ping_unanswered = False
         self.failed_connects = 0
         self.is_retired = False
+        self.silent_connections: set[SilentConnection] = set()
 
     @property
     def is_up(self) -> bool:
@@ -206,7 +208,7 @@
                     return welcome
                 self.mark_up(frames, welcome)
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.monitor_liveness, frames)
+                    nursery.start_soon(self.monitor_liveness, frames, nursery)
                     failure = await self.read_messages(frames)
                     nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -214,8 +216,9 @@
         finally:
             self.frames = None
             self.pending.resolve_all(failure)
-            with trio.CancelScope(shield=True):
-                await frames.close()
+            if all(item.frames is not frames for item in self.silent_connections):
+                with trio.CancelScope(shield=True):
+                    await frames.close()
         return failure
 
     async def perform_handshake(self, frames: FrameStream) -> Welcome | Failure:
@@ -305,10 +308,14 @@
         if pong.sequence == self.ping_sequence:
             self.round_trip_s = trio.current_time() - self.ping_sent_at
 
-    async def monitor_liveness(self, frames: FrameStream) -> None:
-        """Send pings and close the connection after a ping timeout.
+    async def monitor_liveness(
+        self, frames: FrameStream, nursery: trio.Nursery
+    ) -> None:
+        """Send pings and give the connection up after a ping timeout.
 
         Pings are frequent while requests are pending, and rare otherwise.
+
+        :param nursery: nursery of the tasks of the connection.
         """
         while True:
             self.pause.check_for_pause()
@@ -319,12 +326,41 @@
                 if frames.is_silent(expected_after, self.settings.ping_timeout_s):
                     log_message("link: silent peer", peer=self.instance)
                     self.events.on_link_silent(self)
-                    await frames.close()
+                    self.set_aside(frames)
+                    nursery.cancel_scope.cancel()
                     return
             elif now - self.last_received_at >= self.get_ping_interval():
                 await self.send_ping(frames, now)
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
 
+    def set_aside(self, frames: FrameStream) -> None:
+        """Keep a silent connection for the requests that must not be sent again.
+
+        The peer may only be late: it then still answers them, and would break them off
+        if the connection were closed.
+        """
+        waiting = self.pending.split_off_lasting()
+        if not waiting.requests:
+            return
+        connection = SilentConnection(frames, waiting, self.spawn)
+        self.silent_connections.add(connection)
+        self.spawn(self.finish_silent, connection)
+
+    async def finish_silent(self, connection: "SilentConnection") -> None:
+        """Read the late responses of a connection, and close it afterwards."""
+        try:
+            with self.pause.watch_input(connection.frames):
+                await connection.read_responses()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.silent_connections.discard(connection)
+            connection.waiting.resolve_all(
+                build_connection_failure("the silent connection was closed")
+            )
+            with trio.CancelScope(shield=True):
+                await connection.frames.close()
+
     def get_ping_interval(self) -> float:
         busy = self.pending.requests or self.ping_due
         return LIVENESS_CHECK_INTERVAL_S if busy else IDLE_PING_S
@@ -441,6 +477,50 @@
         return True
 
 
+class SilentConnection:
+    """Connection whose peer has gone silent, with the requests that outlast this.
+
+    :param frames: the connection.
+    :param waiting: its requests without a response.
+    :param spawn: starts a background task.
+    """
+
+    def __init__(
+        self, frames: FrameStream, waiting: PendingRequests, spawn: Spawn
+    ) -> None:
+        self.frames = frames
+        self.waiting = waiting
+        self.spawn = spawn
+        for request_id, pending in waiting.requests.items():
+            pending.cancel = partial(self.cancel_request, request_id)
+            pending.withdraw = partial(
+                spawn, self.send, Cancel(request_id, only_waiting=True)
+            )
+
+    async def read_responses(self) -> None:
+        """Deliver responses until all requests have one or the connection is lost."""
+        while self.waiting.requests:
+            message = await self.frames.receive()
+            if message is None or isinstance(message, Failure):
+                return
+            if isinstance(message, (Answer, Refusal)):
+                self.waiting.resolve(message.id, message)
+
+    def cancel_request(self, request_id: int) -> None:
+        self.waiting.remove(request_id)
+        self.spawn(self.send, Cancel(request_id))
+
+    async def send(self, message: Cancel) -> None:
+        """Send a message, and close the connection if nothing is awaited any more."""
+        try:
+            await self.frames.send(message)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The task that reads the connection notices the loss.
+            return
+        if not self.waiting.requests:
+            await self.frames.close()
+
+
 def assign_request_id(request: Call | KeyFence, request_id: int) -> Call | KeyFence:
     if isinstance(request, Call):
         request.id = request_id
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -111,7 +111,8 @@
         """
         busy: dict[str, int] = {}
         for link in self.running_links:
-            count = len(link.pending.requests)
+            tables = [link.pending, *(item.waiting for item in link.silent_connections)]
+            count = sum(len(table.requests) for table in tables)
             if count or link.is_sending:
                 busy[link.instance] = busy.get(link.instance, 0) + count
         return busy
@@ -163,6 +164,8 @@
             link.cancel_scope.cancel()
             if link.frames is not None:
                 await link.frames.close()
+            for connection in list(link.silent_connections):
+                await connection.frames.close()
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification over every link that is up."""
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -15,14 +15,27 @@
 
     :param on_result: called once, when the result is available.
 
+    :param outlasts_silence: whether the response is awaited although the peer has gone
+        silent, as the request must not be sent to another one.
+
     ``sent`` is true when the request may have reached its target. ``withdraw`` asks the
     target to refuse the request if it does not run yet; the response is still awaited.
     """
 
-    __slots__ = ("cancel", "on_result", "result", "sent", "withdraw")
-
-    def __init__(self, on_result: Callable[[], None]) -> None:
+    __slots__ = (
+        "cancel",
+        "on_result",
+        "outlasts_silence",
+        "result",
+        "sent",
+        "withdraw",
+    )
+
+    def __init__(
+        self, on_result: Callable[[], None], *, outlasts_silence: bool = False
+    ) -> None:
         self.on_result = on_result
+        self.outlasts_silence = outlasts_silence
         self.cancel: Callable[[], None] = do_nothing
         self.withdraw: Callable[[], None] = do_nothing
         self.result: Result | None = None
@@ -70,6 +83,18 @@
         pending.resolve(result)
         return True
 
+    def split_off_lasting(self) -> "PendingRequests":
+        """Move the requests that outlast the silence of the peer to a new table."""
+        lasting = PendingRequests()
+        lasting.requests = {
+            request_id: pending
+            for request_id, pending in self.requests.items()
+            if pending.outlasts_silence
+        }
+        for request_id in lasting.requests:
+            self.remove(request_id)
+        return lasting
+
     def resolve_all(self, failure: Failure) -> None:
         """Deliver one failure to all pending requests."""
         requests, self.requests = self.requests, {}
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -207,7 +207,9 @@
             that a local one needs no task of its own.
         """
         exclude.add(target.instance.name)
-        pending = PendingRequest(attempt_ended.set)
+        pending = PendingRequest(
+            attempt_ended.set, outlasts_silence=not call.is_repeatable
+        )
         reserved_retries = call.allowance.reserve_for_attempt()
         now = trio.current_time()
         attempt = Attempt(call.call_class, target, pending, reserved_retries, now)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -49,7 +49,7 @@
 from catkinpost.state.request_memory import SMALL_BODY_BYTES, RequestMemory
 from catkinpost.transport import linger
 from catkinpost.transport.frame import LENGTH_PREFIX, SEND_TIMEOUT_S, FrameStream
-from tests.clock import on_mock_clock
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
 
 HOST = "127.0.0.1"
@@ -163,9 +163,9 @@
         await trio.sleep(HANDSHAKE_S)
         await self.server.serve_connection(stream)
 
-    async def call(self, body=b"set"):
+    async def call(self, body=b"set", *, outlasts_silence=False):
         done = trio.Event()
-        pending = PendingRequest(done.set)
+        pending = PendingRequest(done.set, outlasts_silence=outlasts_silence)
         try:
             await self.link.send_request(make_call("k", 0, body), pending)
             await done.wait()
@@ -522,6 +522,61 @@
             self.assertIsInstance(result, Answer)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (what a silent peer does with a call that must not be sent again, its result)
+        ("answers late", Answer),
+        ("closes", Failure),
+        ("is not awaited", None),
+    )
+    def test_call_that_must_not_be_sent_again_outlasts_the_silence(self, end, kind):
+        """Guards against an unknown outcome although the peer is only late."""
+        self.check_silence(end, kind)
+
+    @on_mock_clock(io=True)
+    async def check_silence(self, end, kind):
+        accepted, results = [], []
+        gave_up = trio.Event()
+
+        async def serve(stream):
+            accepted.append(stream)
+            if len(accepted) > 1:
+                await setup.server.serve_connection(stream)
+                return
+            frames = FrameStream(stream, max_frame_bytes=10_000)
+            await setup.server.perform_handshake(frames)
+            call = await frames.receive()
+            await trio.sleep(3 * setup.settings.ping_timeout_s)
+            if end == "answers late":
+                await frames.send(Answer(call.id, 200, [], b"late", 0, Load()))
+            elif end == "is not awaited":
+                while await frames.receive():
+                    pass
+                gave_up.set()
+            await frames.close()
+
+        async def call():
+            results.append(await setup.call(outlasts_silence=True))
+
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start(serve)
+            async with trio.open_nursery() as callers:
+                callers.start_soon(call)
+                await trio.sleep(2 * setup.settings.ping_timeout_s)
+                self.assertEqual(setup.events.silent, "orders-2")
+                self.assertEqual(results, [])
+                # Other calls have a new connection.
+                self.assertIsInstance(await setup.call(), Answer)
+                if end == "is not awaited":
+                    callers.cancel_scope.cancel()
+            if kind is None:
+                await gave_up.wait()
+            else:
+                self.assertIsInstance(results[0], kind)
+            await wait_all_tasks_blocked()
+            self.assertEqual(setup.link.silent_connections, set())
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_link_is_opened_again_after_a_message_that_the_peer_did_not_take(
         self,
