Split the soak into its planned work and its run

plan.py holds the shape of a deployment and the planned work on it, soak.py the traffic, the watching of the nodes and the report.

--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -4,15 +4,12 @@
 machine, so that a seed need not show the same findings again.
 """
 
-import copy
 import json
 import os
 import random
 import shutil
-import signal
 import zlib
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -24,7 +21,6 @@
     ATTEMPT_ID,
     READINESS_PATH,
     RESPONSE_SIGNATURE,
-    SERVERS_PREFIX,
 )
 from catkinpost.protocol.http import (
     HttpLimits,
@@ -39,32 +35,29 @@
     PlatformFleet,
     open_platform_fleet,
 )
+from catkinpost_standins.users_platform.plan import (
+    DEPLOYMENTS,
+    HOST,
+    IDLE_TIMEOUT_S,
+    Deployment,
+    Plan,
+    build_configuration,
+)
 from catkinpost_standins.users_platform.server import ChildCall, Run, StandInServer
 from catkinpost_standins.users_platform.traffic import Call, Client, Fate, Habit
-from catkinpost_standins.users_platform.verdict import (
-    GRACE_S,
-    PROPAGATION_S,
-    Disruption,
-    Verdict,
-)
+from catkinpost_standins.users_platform.verdict import GRACE_S, Verdict
 
-__all__ = ["DEPLOYMENTS", "Deployment", "Soak", "main"]
+__all__ = ["Soak", "main"]
 
-HOST = "mesh.example"
 ZONES = {"zone-a": "region-a", "zone-b": "region-a"}
-DRAIN_S = 2.5
 PROBE_S = 1.0
 MISSES_ALLOWED = 1
 MEMORY_CHECK_S = 0.1
 LAG_CHECK_S = 0.02
-WARM_UP_S = 3.0
-IDLE_TIMEOUT_S = 6.0
 TAIL_SHARE = 0.04
 TAIL_FACTOR = 8.0
 BURST_CLIENTS = 60
 PIECE_SHARE = 0.1
-STOP_IN_DRAIN_SHARE = 0.3
-MAX_STOP_GAP_S = 2.0
 HABITS = [
     Habit(name="kept"),
     Habit(name="idle", pause_s=0.8 * IDLE_TIMEOUT_S),
@@ -78,65 +71,6 @@
 ]
 
 
-@dataclass(frozen=True, kw_only=True)
-class Service:
-    """Servers of one service and the route to them.
-
-    :param slots: requests that a server runs at once, and that it queues.
-    :param seconds: service time.
-    :param calls: service that each request calls, empty for none.
-    :param deadline_s: seconds that clients wait, and the route's time-out.
-    """
-
-    slots: int
-    seconds: float
-    unsafe: bool = False
-    calls: str = ""
-    deadline_s: float = 6.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class Deployment:
-    """Shape of a fleet: its services, and the size of its answers."""
-
-    services: dict[str, Service]
-    answer_bytes: int
-
-
-DEPLOYMENTS = {
-    "skaida": Deployment(
-        services={
-            "offcut-stock": Service(slots=12, seconds=0.14),
-            "orders": Service(
-                slots=12, seconds=0.18, unsafe=True, calls="offcut-stock"
-            ),
-            "certs": Service(slots=12, seconds=0.34),
-            "sets": Service(slots=4, seconds=0.054, deadline_s=1.2),
-        },
-        answer_bytes=20_000,
-    ),
-    "umuhora": Deployment(
-        services={
-            "depot-finder": Service(slots=6, seconds=0.1),
-            "refund-desk": Service(
-                slots=6, seconds=0.14, unsafe=True, calls="depot-finder"
-            ),
-            "slip-book": Service(slots=6, seconds=0.26, deadline_s=4.0),
-            "yard-board": Service(slots=2, seconds=0.041, deadline_s=1.0),
-        },
-        answer_bytes=30_000,
-    ),
-    # Short work gives many requests at each moment of a stop.
-    "dense": Deployment(
-        services={
-            "stock": Service(slots=16, seconds=0.01),
-            "orders": Service(slots=16, seconds=0.01, unsafe=True, calls="stock"),
-        },
-        answer_bytes=2000,
-    ),
-}
-
-
 class RecordedCalls:
     """Connections of a server to its machine's node, which record each call's fate.
 
@@ -181,15 +115,13 @@
 
 @dataclass(eq=False)
 class Soak:
-    """One run: traffic and a plan of planned work.
+    """One run: traffic, and planned work beside it.
 
     :param fleet: machines of the deployment.
     :param deployment: shape of its services.
     :param seed: seed of plan and traffic.
     :param seconds: length of the traffic.
     :ivar misses: failed readiness probes in a row of each machine.
-    :ivar busy: machines with planned work in progress.
-    :ivar faults: what processes did that the platform does not expect.
     :ivar largest_lag_s: longest delay of this process, in seconds, by which its times
         may be wrong.
     """
@@ -199,23 +131,22 @@
     seed: int
     seconds: float
     fates: list[Fate] = field(default_factory=list)
-    disruptions: list[Disruption] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
     servers: list[StandInServer] = field(default_factory=list)
     misses: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    busy: set[str] = field(default_factory=set)
     largest_lag_s: float = 0.0
     largest_memory_mb: float = 0.0
 
     def __post_init__(self) -> None:
-        self.random = random.Random(self.seed)
         self.start = trio.current_time()
         self.end = self.start + self.seconds
-        self.configuration = build_configuration(self.deployment)
-        self.timeouts_s = {
-            route["name"]: route["timeout-s"] for route in self.configuration["routes"]
-        }
         self.generation = 0
+        self.plan = Plan(
+            fleet=self.fleet,
+            deployment=self.deployment,
+            random=random.Random(self.seed),
+            prepare=self.prepare,
+            run_burst=self.run_burst,
+        )
 
     def build_calls(self) -> list[Call]:
         return [
@@ -258,7 +189,6 @@
         for machine in self.fleet.machines:
             self.prepare(machine)
         async with trio.open_nursery() as nursery:
-            self.nursery = nursery
             nursery.start_soon(self.watch_lag)
             for machine in self.fleet.machines:
                 nursery.start_soon(self.probe, machine)
@@ -267,13 +197,14 @@
                 for machine in self.fleet.machines:
                     for habit in HABITS:
                         self.start_client(traffic, machine, habit, self.end)
-                traffic.start_soon(self.run_plan, traffic)
+                traffic.start_soon(self.plan.run, nursery, self.end - GRACE_S)
             nursery.cancel_scope.cancel()
         runs: dict[bytes, list[Run]] = defaultdict(list)
         for server in self.servers:
             for run in server.history:
                 runs[run.attempt].append(run)
-        return Verdict(self.fates, runs, self.disruptions, self.timeouts_s)
+        plan = self.plan
+        return Verdict(self.fates, runs, plan.disruptions, plan.timeouts_s)
 
     def start_client(
         self, nursery: trio.Nursery, machine: Machine, habit: Habit, until: float
@@ -290,173 +221,16 @@
         )
         nursery.start_soon(client.run, until)
 
-    async def run_plan(self, nursery: trio.Nursery) -> None:
-        """Start planned work that follows and overlaps, as the seed says."""
-        await trio.sleep(WARM_UP_S)
-        works: list[Callable[[], Awaitable[None]]] = [
-            *[self.stop_node] * 4,
-            self.stop_service,
-            self.signal_change,
-            *[self.change_configuration] * 2,
-            *[self.replace_server] * 2,
-            self.run_burst,
-        ]
-        while trio.current_time() < self.end - GRACE_S:
-            nursery.start_soon(self.random.choice(works))
-            await trio.sleep(self.random.uniform(0.3, 2.5))
-
-    def note(self, kind: str, host: str, lasts_s: float, detail: str = "") -> None:
-        now = trio.current_time()
-        self.disruptions.append(
-            Disruption(kind=kind, host=host, at=now, until=now + lasts_s, detail=detail)
-        )
-
-    def take_machine(self) -> Machine | None:
-        """Choose a machine without planned work; a service keeps one."""
-        free = [
-            machine
-            for machine in self.fleet.machines
-            if machine.host not in self.busy
-            and not any(
-                other.host in self.busy
-                for other in self.fleet.of_service(machine.server.service)
-            )
-        ]
-        if not free:
-            return None
-        machine = self.random.choice(free)
-        self.busy.add(machine.host)
-        return machine
-
-    async def stop_node(self) -> None:
-        """Stop a node and start it again, while its server runs on."""
-        machine = self.take_machine()
-        if machine is not None:
-            await self.restart_node(machine)
-
-    async def stop_service(self) -> None:
-        """Stop all nodes of a service, one shortly after the other."""
-        service = self.random.choice(list(self.deployment.services))
-        machines = self.fleet.of_service(service)
-        if any(machine.host in self.busy for machine in machines):
-            return
-        self.busy.update(machine.host for machine in machines)
-        async with trio.open_nursery() as nursery:
-            for machine in machines:
-                nursery.start_soon(self.restart_node, machine)
-                await trio.sleep(self.random.uniform(0, MAX_STOP_GAP_S))
-
-    async def restart_node(self, machine: Machine) -> None:
-        await self.end_node(machine)
-        await trio.sleep(self.random.uniform(0, 1))
-        self.fleet.start_node(machine)
-        await self.fleet.wait_ready(machine)
-        self.busy.discard(machine.host)
-
-    async def end_node(self, machine: Machine) -> None:
-        """Send SIGTERM, and SIGKILL after the grace time."""
-        process = machine.process
-        self.note("stop", machine.host, GRACE_S + 1)
-        stopped_at = trio.current_time()
-        process.send_signal(signal.SIGTERM)
-        with trio.move_on_after(GRACE_S):
-            while process.poll() is None:
-                await trio.sleep(0.01)
-        took_s = trio.current_time() - stopped_at
-        if process.poll() is None:
-            self.faults.append(f"STAY {machine.host}: still there after {took_s:.2f} s")
-            process.kill()
-        elif process.returncode:
-            self.faults.append(f"EXIT {machine.host}: status {process.returncode}")
-        process.wait()
-        machine.process = None
-
-    async def signal_change(self) -> None:
-        """Change the settings of some machines, and send SIGHUP."""
-        for machine in self.random.sample(self.fleet.machines, 4):
-            if machine.host in self.busy or machine.process is None:
-                continue
-            machine.memory_mb = self.random.choice([260, 300, 340])
-            self.fleet.write_settings(machine)
-            machine.process.send_signal(signal.SIGHUP)
-            self.note("hup", machine.host, PROPAGATION_S + 7)
-
-    async def change_configuration(self) -> None:
-        """Move a route, change its time, or change the limits."""
-        config = self.configuration
-        config["version"] += self.random.randint(1, 9)
-        route = self.random.choice(config["routes"])
-        change = self.random.choice(["move", "time", "limits", "add", "remove"])
-        own = (
-            self.deployment.services[route["name"]]
-            if route["name"] in self.timeouts_s
-            else None
-        )
-        if change == "move" and own and not own.unsafe and not own.calls:
-            safe = [
-                name
-                for name, service in self.deployment.services.items()
-                if not service.unsafe
-            ]
-            route["service"] = self.random.choice([route["name"], *safe])
-        elif change == "time" and own:
-            route["timeout-s"] = own.deadline_s * self.random.choice([0.8, 0.9, 1])
-            shortest = min(self.timeouts_s[route["name"]], route["timeout-s"])
-            self.timeouts_s[route["name"]] = shortest
-        elif change == "limits":
-            config["limits"]["max-body-bytes"] = self.random.choice([2, 4, 64]) << 20
-            config["limits"]["idle-timeout-s"] = self.random.choice(
-                [0.25, 0.5, 1, 2]
-            ) * (IDLE_TIMEOUT_S)
-        elif change == "add":
-            name = f"added-{config['version']}"
-            config["routes"].append(route | {"name": name, "prefix": f"/{name}/"})
-        elif len(config["routes"]) > len(self.timeouts_s):
-            config["routes"].pop()
-        self.fleet.configure(copy.deepcopy(config))
-        self.note("config", "", PROPAGATION_S + 1, change)
-
-    async def replace_server(self) -> None:
-        """Let a server leave, at times with its node, and start both anew."""
-        machine = self.take_machine()
-        if machine is None:
-            return
-        old = machine.server
-        self.fleet.register(machine, "draining")
-        old.server.leaving = True
-        self.note("drain", machine.host, DRAIN_S + 1)
-        ends_at = trio.current_time() + DRAIN_S + self.random.uniform(0, 1)
-        if self.random.random() < STOP_IN_DRAIN_SHARE:
-            await trio.sleep(self.random.uniform(0, DRAIN_S))
-            await self.end_node(machine)
-        await trio.sleep_until(ends_at)
-        with trio.move_on_after(GRACE_S):
-            while old.running or old.waiting:
-                await trio.sleep(0.01)
-        old.end()
-        self.fleet.store.put(SERVERS_PREFIX + old.instance, None)
-        if machine.process is not None and self.random.random() < 0.5:
-            await self.end_node(machine)
-        await trio.sleep(self.random.uniform(0.2, 1))
-        self.generation += 1
-        machine.server = StandInServer(f"i-new-{self.generation}", old.service)
-        self.prepare(machine)
-        await machine.server.serve(self.nursery, machine.host, self.fleet.server_port)
-        if machine.process is None:
-            self.fleet.start_node(machine)
-        await self.fleet.wait_ready(machine)
-        self.busy.discard(machine.host)
-
     async def run_burst(self) -> None:
         """Let many clients come at once."""
-        lasts_s = self.random.uniform(1, 3)
-        self.note("burst", "", lasts_s)
+        choices = self.plan.random
+        lasts_s = choices.uniform(1, 3)
+        self.plan.note("burst", "", lasts_s)
         until = trio.current_time() + lasts_s
         async with trio.open_nursery() as nursery:
             for _ in range(BURST_CLIENTS):
-                machine = self.random.choice(self.fleet.machines)
-                habit = self.random.choice(HABITS[:4])
-                self.start_client(nursery, machine, habit, until)
+                machine = choices.choice(self.fleet.machines)
+                self.start_client(nursery, machine, choices.choice(HABITS[:4]), until)
 
     async def probe(self, machine: Machine) -> None:
         """Ask for readiness as the platform does."""
@@ -480,7 +254,7 @@
             memory_mb = int(statm[1]) * page_mb
             self.largest_memory_mb = max(self.largest_memory_mb, memory_mb)
             if memory_mb > machine.memory_mb:
-                self.faults.append(f"MEMORY {machine.host}: {memory_mb:.0f} MB")
+                self.plan.faults.append(f"MEMORY {machine.host}: {memory_mb:.0f} MB")
                 process.kill()
 
     async def watch_lag(self) -> None:
@@ -492,30 +266,6 @@
             self.largest_lag_s = max(self.largest_lag_s, lag_s)
 
 
-def build_configuration(deployment: Deployment) -> dict:
-    """Build the operator's first configuration."""
-    routes = [
-        {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "kind": "unsafe" if service.unsafe else "safe",
-            "timeout-s": service.deadline_s,
-            "target-latency-s": 0.25 * service.deadline_s,
-            "priority": 0 if service.unsafe else 2,
-            "service": name,
-            "max-attempts": 2,
-        }
-        for name, service in deployment.services.items()
-    ]
-    return {
-        "version": 1,
-        "services": [{"name": name} for name in deployment.services],
-        "routes": routes,
-        "limits": {"idle-timeout-s": IDLE_TIMEOUT_S},
-    }
-
-
 async def run_soak(
     deployment: Deployment, seed: int, seconds: float, logs: Path
 ) -> int:
@@ -524,26 +274,27 @@
     configuration = build_configuration(deployment)
     async with open_platform_fleet(services, ZONES, configuration) as fleet:
         soak = Soak(fleet, deployment, seed, seconds)
+        plan = soak.plan
         verdict = await soak.run()
         findings = verdict.find()
         lines = [item.describe(soak.start) for item in findings]
         lines += [item.describe(soak.start) for item in verdict.excused]
-        lines += soak.faults
+        lines += plan.faults
         for line in lines:
             typer.echo(line)
         rules = sorted({item.rule for item in findings})
         counts = {rule: sum(item.rule == rule for item in findings) for rule in rules}
-        plan = [
+        times = [
             f"{item.at - soak.start:.3f} {item.kind} {item.host} {item.detail}"
-            for item in soak.disruptions
+            for item in plan.disruptions
         ]
         summary = {
             "seed": seed,
             "broken": counts,
             "excused": len(verdict.excused),
-            "faults": len(soak.faults),
+            "faults": len(plan.faults),
             "requests": dict(sorted(verdict.count().items())),
-            "disruptions": dict(Counter(item.kind for item in soak.disruptions)),
+            "disruptions": dict(Counter(item.kind for item in plan.disruptions)),
             "lag_s": round(soak.largest_lag_s, 3),
             "memory_mb": round(soak.largest_memory_mb),
         }
@@ -552,8 +303,8 @@
             folder = logs / f"{seed}"
             shutil.rmtree(folder, ignore_errors=True)
             shutil.copytree(fleet.folder, folder)
-            (folder / "findings.txt").write_text("\n".join([*lines, "", *plan]))
-        return len(findings) + len(soak.faults)
+            (folder / "findings.txt").write_text("\n".join([*lines, "", *times]))
+        return len(findings) + len(plan.faults)
 
 
 def run(
--- a/tests/end_to_end/test_soak.py
+++ b/tests/end_to_end/test_soak.py
@@ -7,12 +7,8 @@
 from nose2.tools import params
 
 from catkinpost_standins.users_platform.fleet import open_platform_fleet
-from catkinpost_standins.users_platform.soak import (
-    DEPLOYMENTS,
-    ZONES,
-    Soak,
-    build_configuration,
-)
+from catkinpost_standins.users_platform.plan import DEPLOYMENTS, build_configuration
+from catkinpost_standins.users_platform.soak import ZONES, Soak
 
 TRAFFIC_S = 20.0
 LIMIT_S = 120.0
@@ -27,9 +23,9 @@
         verdict, soak = trio.run(self.run_soak, deployment, seed)
         findings = [item.describe(soak.start) for item in verdict.find()]
         self.assertEqual(findings, [])
-        self.assertEqual(soak.faults, [])
+        self.assertEqual(soak.plan.faults, [])
         # The soak shows something only if its plan and its traffic took place.
-        kinds = Counter(item.kind for item in soak.disruptions)
+        kinds = Counter(item.kind for item in soak.plan.disruptions)
         self.assertGreater(kinds["stop"], 0)
         self.assertGreater(verdict.count()["answered 200"], LEAST_REQUESTS)
 
