Let signals follow and overlap in the soak

SIGHUP and SIGTERM never met on one machine in the soak: a machine under planned work got no signal. Stops now meet SIGHUPs with changed settings before and during them and further SIGTERMs, starts meet either in their first second, and a SIGHUP passes no machine over. A second stop is judged on its own: the end of the grace time of the process before it no longer excuses a loss (the new case of the verdict fails without the change).

--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -79,6 +79,7 @@
     :param server: its server.
     :param callers: connections to its node, as clients and its server use them.
     :param memory_mb: memory of its node, in MB.
+    :ivar log_start: length of the log at the start of its process, in bytes.
     """
 
     host: str
@@ -87,6 +88,7 @@
     callers: BackendClient
     process: subprocess.Popen | None = None
     memory_mb: int = 300
+    log_start: int = 0
 
 
 class PlatformFleet:
@@ -158,6 +160,7 @@
         """Start the node of a machine."""
         path = self.write_settings(machine)
         with self.log_path(machine).open("ab") as log:
+            machine.log_start = log.tell()
             machine.process = subprocess.Popen(
                 [sys.executable, "-O", "-m", "catkinpost.platform"],
                 env=os.environ | {SETTINGS_VARIABLE: str(path)},
@@ -193,8 +196,21 @@
         """Return the file that holds the log of a machine's node."""
         return self.folder / f"{machine.host}.log"
 
+    def has_interpreter(self, machine: Machine) -> bool:
+        """Whether a node's process runs and has come as far as to run code of ours."""
+        if machine.process.poll() is not None:
+            return False
+        status = Path(f"/proc/{machine.process.pid}/status").read_text()
+        caught = next(line for line in status.splitlines() if "SigCgt" in line)
+        return bool(int(caught.split()[1], 16) >> (signal.SIGINT - 1) & 1)
+
+    def read_log(self, machine: Machine) -> bytes:
+        """Return what the last process of a machine's node has logged."""
+        return self.log_path(machine).read_bytes()[machine.log_start :]
+
     async def wait_ready(self, machine: Machine) -> None:
-        """Wait until a node says that it is ready."""
+        """Wait until a node says that it is ready, or its process ends."""
+        process = machine.process
         probe = BackendClient(machine.host, self.ready_port, limits=HttpLimits())
         request = HttpRequest(b"GET", READINESS_PATH, [(b"host", b"ready")])
         with trio.move_on_after(START_TIMEOUT_S):
@@ -203,6 +219,8 @@
                 if isinstance(answer, HttpResponse) and answer.status == 200:
                     probe.close_idle_connections()
                     return
+                if process is None or process.poll() is not None:
+                    return
                 await trio.sleep(POLL_S)
         log = self.log_path(machine).read_text(errors="replace")
         raise RuntimeError(f"the node at {machine.host} did not start:\n{log}")
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -25,6 +25,13 @@
 IDLE_TIMEOUT_S = 6.0
 STOP_IN_DRAIN_SHARE = 0.3
 MAX_STOP_GAP_S = 2.0
+# Signals in series: shares of the stops, and of the starts, that meet more of them.
+SIGNALS_IN_STOP_SHARE = 0.6
+SIGNALS_IN_START_SHARE = 0.4
+MAX_SIGNALS = 3
+MAX_SIGNAL_GAP_S = 2.0
+FIRST_SECOND_S = 1.0
+MEMORIES_MB = (260, 300, 340)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -120,7 +127,8 @@
     :param prepare: gives a machine's new server its shape.
     :param run_burst: lets many clients come at once.
     :ivar timeouts_s: shortest time-out that each first route had, in seconds.
-    :ivar busy: machines with planned work in progress.
+    :ivar busy: machines with a stop or a replacement in progress, which another one
+        must not overlap: SIGHUP may, at any moment.
     :ivar faults: what processes did that the platform does not expect.
     """
 
@@ -160,8 +168,10 @@
             *[self.replace_server] * 2,
             self.run_burst,
         ]
+        first = [self.signal_change, self.stop_node]
         while trio.current_time() < until:
-            nursery.start_soon(self.random.choice(works))
+            work = first.pop() if first else self.random.choice(works)
+            nursery.start_soon(work)
             await trio.sleep(self.random.uniform(0.3, 2.5))
 
     def note(self, kind: str, host: str, lasts_s: float, detail: str = "") -> None:
@@ -208,37 +218,94 @@
     async def restart_node(self, machine: Machine) -> None:
         await self.end_node(machine)
         await trio.sleep(self.random.uniform(0, 1))
-        self.fleet.start_node(machine)
-        await self.fleet.wait_ready(machine)
+        await self.start_node(machine)
         self.busy.discard(machine.host)
 
+    async def start_node(self, machine: Machine) -> None:
+        """Start a node until it is ready, at times with signals in its first second."""
+        self.fleet.start_node(machine)
+        async with trio.open_nursery() as nursery:
+            if self.random.random() < SIGNALS_IN_START_SHARE:
+                nursery.start_soon(self.signal_start, machine)
+            await self.fleet.wait_ready(machine)
+        if machine.process is None or machine.process.poll() is not None:
+            self.check_end(machine)
+            await self.start_node(machine)
+
+    async def signal_start(self, machine: Machine) -> None:
+        """Send SIGHUP or SIGTERM in the first second of a process's life."""
+        await trio.sleep(self.random.uniform(0, FIRST_SECOND_S))
+        if self.random.random() < 0.5:
+            self.send_hangup(machine)
+        else:
+            await self.end_node(machine)
+
     async def end_node(self, machine: Machine) -> None:
-        """Send SIGTERM, and SIGKILL after the grace time."""
+        """Send SIGTERM, at times in a series, and SIGKILL after the grace time."""
         process = machine.process
+        has_series = self.random.random() < SIGNALS_IN_STOP_SHARE
+        if has_series and self.random.random() < 0.5:
+            self.send_hangup(machine)
+            await trio.sleep(self.random.uniform(0, FIRST_SECOND_S))
         self.note("stop", machine.host, GRACE_S + 1)
         stopped_at = trio.current_time()
         process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S):
-            while process.poll() is None:
-                await trio.sleep(0.01)
+            async with trio.open_nursery() as nursery:
+                if has_series:
+                    nursery.start_soon(self.send_series, machine)
+                while process.poll() is None:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
         took_s = trio.current_time() - stopped_at
         if process.poll() is None:
             self.faults.append(f"STAY {machine.host}: still there after {took_s:.2f} s")
             process.kill()
-        elif process.returncode:
-            self.faults.append(f"EXIT {machine.host}: status {process.returncode}")
-        process.wait()
+            process.wait()
+            machine.process = None
+        self.check_end(machine)
+
+    def check_end(self, machine: Machine) -> None:
+        """Note the status of a process that ended otherwise than as asked.
+
+        SIGTERM may end a process that is not set up yet.
+        """
+        process = machine.process
+        if process is None:
+            return
+        status = process.wait()
         machine.process = None
+        when = "" if self.fleet.read_log(machine) else " before it was set up"
+        if status and not (when and status == -signal.SIGTERM):
+            self.faults.append(f"EXIT {machine.host}: status {status}{when}")
+
+    async def send_series(self, machine: Machine) -> None:
+        """Send more signals to a node that is stopping."""
+        for _ in range(self.random.randint(1, MAX_SIGNALS)):
+            await trio.sleep(self.random.uniform(0, MAX_SIGNAL_GAP_S))
+            if self.random.random() < 0.5:
+                self.send_hangup(machine)
+            else:
+                self.note("again", machine.host, 0)
+                machine.process.send_signal(signal.SIGTERM)
+
+    def send_hangup(self, machine: Machine) -> None:
+        """Change the settings of a machine, and send SIGHUP.
+
+        No program can withstand SIGHUP before its interpreter runs.
+        """
+        if not self.fleet.has_interpreter(machine):
+            return
+        machine.memory_mb = self.random.choice(MEMORIES_MB)
+        self.fleet.write_settings(machine)
+        machine.process.send_signal(signal.SIGHUP)
+        self.note("hup", machine.host, PROPAGATION_S + 7)
 
     async def signal_change(self) -> None:
-        """Change the settings of some machines, and send SIGHUP."""
+        """Send SIGHUP to some machines, also while they start or stop."""
         for machine in self.random.sample(self.fleet.machines, 4):
-            if machine.host in self.busy or machine.process is None:
-                continue
-            machine.memory_mb = self.random.choice([260, 300, 340])
-            self.fleet.write_settings(machine)
-            machine.process.send_signal(signal.SIGHUP)
-            self.note("hup", machine.host, PROPAGATION_S + 7)
+            if machine.process is not None:
+                self.send_hangup(machine)
 
     async def change_configuration(self) -> None:
         """Move a route, change its time, or change the limits."""
@@ -302,6 +369,5 @@
         self.prepare(machine)
         await machine.server.serve(self.servers, machine.host, self.fleet.server_port)
         if machine.process is None:
-            self.fleet.start_node(machine)
-        await self.fleet.wait_ready(machine)
+            await self.start_node(machine)
         self.busy.discard(machine.host)
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -26,7 +26,8 @@
 class Disruption:
     """Planned work, with times of the runtime's clock.
 
-    :param kind: ``"stop"``, ``"hup"``, ``"config"``, ``"drain"`` or ``"burst"``.
+    :param kind: ``"stop"``, ``"again"`` for a further SIGTERM to the same process,
+        ``"hup"``, ``"config"``, ``"drain"`` or ``"burst"``.
     :param host: machine concerned, empty for all.
     :param until: end of its effect.
     """
@@ -167,7 +168,10 @@
         return is_own_failure(fate) and was_at_work
 
     def find_near(self, fate: Fate) -> Disruption | None:
-        """Return the planned work that a request's end counts to, a stop first."""
+        """Return the planned work that a request's end counts to, a stop first.
+
+        Of several stops it is the last one: the ones before it ended other processes.
+        """
         order = {"stop": 0, "hup": 1, "config": 2}
         matches = [
             item
@@ -177,7 +181,7 @@
             and item.at <= fate.ended_at <= item.until
             and (item.kind != "hup" or fate.sent_at <= item.at + PROPAGATION_S)
         ]
-        return min(matches, key=lambda item: order[item.kind], default=None)
+        return min(matches, key=lambda item: (order[item.kind], -item.at), default=None)
 
     def find_excuse(self, fate: Fate, runs: list[Run], near: Disruption | None) -> str:
         """Return why the rule does not count a loss, empty if it does."""
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -106,6 +106,13 @@
     def test_loss_around_planned_work(self, _name, changes, runs, near, expected):
         self.assertEqual(judge(make_fate(**changes), runs, near), expected)
 
+    def test_a_stop_is_not_excused_by_the_one_before_it(self):
+        """Guards against work at the end of the time of a process that is gone."""
+        next_stop = replace(STOP, at=103.0, until=110.0)
+        fate = make_fate(sent_at=102.9, ended_at=105.4)
+        verdict = Verdict([fate], {b"a": [LONG_RUN]}, [STOP, next_stop], {"order": 6.0})
+        self.assertEqual([item.rule for item in verdict.find()], ["LOST-STOP"])
+
     @params((3, 0), (4, 4))
     def test_kept_connections_may_lose_three(self, count, expected):
         found = judge(make_fate(), [make_run()], None, count)
