Let the store fail while nodes stop in the soak

The store never failed in the soak, though its disruption alone excuses no loss of safe requests and of unsafe ones without a key. It refuses, is silent or slow, turns away three machines, cuts its connections, forgets its history or comes back from a copy now, for up to 5 s beside stops and signals. The stand-in tells machines apart by the address at which they call it. While it is down for all, nobody writes configurations or leaves. The verdict has no excuse for it (new case).

--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -60,7 +60,7 @@
 {zones}
 
 [platform.platform]
-address = "127.0.0.1:{store_port}"
+address = "{host}:{store_port}"
 
 [terms.bounds]
 grace-period-s = 6
@@ -126,7 +126,7 @@
 
     async def start(self, nursery: trio.Nursery, configuration: dict) -> None:
         """Start everything and wait until every node is ready."""
-        await self.store.start(nursery)
+        await self.store.start(nursery, [machine.host for machine in self.machines])
         nursery.start_soon(self.store.server.watch_connections)
         self.configure(configuration)
         for machine in self.machines:
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -32,6 +32,12 @@
 MAX_SIGNAL_GAP_S = 2.0
 FIRST_SECOND_S = 1.0
 MEMORIES_MB = (260, 300, 340)
+STORE_TROUBLES = ("refuses", "silent", "slow", "some", "cut", "forgets", "restored")
+MAX_STORE_TROUBLE_S = 5.0
+MAX_STORE_DELAY_S = 2.0
+STORE_CUT_GAP_S = 0.3
+# Writers are back at the store within this time.
+WRITERS_BACK_S = 2.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -141,6 +147,7 @@
     faults: list[str] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
     generation: int = 0
+    has_store_trouble: bool = False
 
     def __post_init__(self) -> None:
         self.configuration = build_configuration(self.deployment)
@@ -167,8 +174,9 @@
             *[self.change_configuration] * 2,
             *[self.replace_server] * 2,
             self.run_burst,
+            *[self.trouble_store] * 2,
         ]
-        first = [self.signal_change, self.stop_node]
+        first = [self.signal_change, self.stop_node, self.trouble_store]
         while trio.current_time() < until:
             work = first.pop() if first else self.random.choice(works)
             nursery.start_soon(work)
@@ -309,6 +317,8 @@
 
     async def change_configuration(self) -> None:
         """Move a route, change its time, or change the limits."""
+        if self.fleet.store.is_down:
+            return
         config = self.configuration
         config["version"] += self.random.randint(1, 9)
         route = self.random.choice(config["routes"])
@@ -342,9 +352,56 @@
         self.fleet.configure(copy.deepcopy(config))
         self.note("config", "", PROPAGATION_S + 1, change)
 
+    async def trouble_store(self) -> None:
+        """Let the store fail for some time, in one of its ways."""
+        store = self.fleet.store
+        if self.has_store_trouble:
+            return
+        self.has_store_trouble = True
+        kind = self.random.choice(STORE_TROUBLES)
+        ends_at = trio.current_time() + self.random.uniform(0.5, MAX_STORE_TROUBLE_S)
+        self.note("store", "", ends_at - trio.current_time(), kind)
+        saved = store.copy()
+        if kind == "slow":
+            store.delay_s = self.random.uniform(0, MAX_STORE_DELAY_S)
+        elif kind == "some":
+            hosts = [machine.host for machine in self.fleet.machines]
+            store.fault_hosts = set(self.random.sample(hosts, 3))
+        elif kind == "forgets":
+            store.forget_history()
+        if kind in ("refuses", "some"):
+            store.fault = store.refuse
+        elif kind == "silent":
+            store.fault = trio.sleep_forever
+        while kind in ("cut", "forgets") and trio.current_time() < ends_at:
+            store.cut_connections()
+            await trio.sleep(STORE_CUT_GAP_S)
+        await trio.sleep_until(ends_at)
+        store.fault, store.delay_s, store.fault_hosts = None, 0.0, set()
+        if kind == "restored":
+            store.restore(saved)
+            await trio.sleep(self.random.uniform(0, WRITERS_BACK_S))
+            self.write_again()
+        self.has_store_trouble = False
+
+    def write_again(self) -> None:
+        """Write what a restored store has lost, as servers and operator do."""
+        store = self.fleet.store
+        self.fleet.configure(copy.deepcopy(self.configuration))
+        servers = {
+            SERVERS_PREFIX + item.server.instance for item in self.fleet.machines
+        }
+        for key in [key for key in store.items if key.startswith(SERVERS_PREFIX)]:
+            if key not in servers:
+                store.put(key, None)
+        for machine in self.fleet.machines:
+            if not machine.server.scope.cancel_called:
+                is_leaving = machine.server.server.leaving
+                self.fleet.register(machine, "draining" if is_leaving else "ready")
+
     async def replace_server(self) -> None:
         """Let a server leave, at times with its node, and start both anew."""
-        machine = self.take_machine()
+        machine = None if self.fleet.store.is_down else self.take_machine()
         if machine is None:
             return
         old = machine.server
--- a/src/catkinpost_standins/users_platform/store.py
+++ b/src/catkinpost_standins/users_platform/store.py
@@ -2,7 +2,8 @@
 
 import base64
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from contextvars import ContextVar
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
@@ -16,6 +17,8 @@
 
 HOST = "127.0.0.1"
 PAGE_ITEMS = 50
+# Address at which the current call came in, which tells machines apart.
+ADDRESS: ContextVar[str] = ContextVar("ADDRESS", default="")
 
 
 @dataclass(frozen=True)
@@ -32,6 +35,8 @@
 
     ``fault`` answers every call in place of the store while it is set.
 
+    :ivar fault_hosts: addresses at which calls meet the fault, empty for all.
+    :ivar delay_s: seconds by which each call is slow.
     :ivar era: number of times that the store was restored from a copy, ``None`` for a
         store that names no era.
     """
@@ -44,19 +49,38 @@
         self.era: int | None = 1
         self.changed = trio.Event()
         self.fault: Callable[[], Awaitable[HttpResponse]] | None = None
+        self.fault_hosts: set[str] = set()
+        self.delay_s = 0.0
+        self.connections: set[trio.CancelScope] = set()
         self.reads: list[str] = []
         self.port = 0
         self.server = HttpServer(
             self.handle, limits=HttpLimits(), report_failure=lambda failure: None
         )
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Listen on a free port."""
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
-        nursery.start_soon(
-            trio.serve_listeners, self.server.serve_connection, listeners
-        )
-        self.port = listeners[0].socket.getsockname()[1]
+    @property
+    def is_down(self) -> bool:
+        """Whether nobody is served."""
+        return self.fault is not None and not self.fault_hosts
+
+    async def start(self, nursery: trio.Nursery, hosts: Sequence[str] = ()) -> None:
+        """Listen on a free port, which is the same at all addresses."""
+        for host in (HOST, *hosts):
+            listeners = await trio.open_tcp_listeners(self.port, host=host)
+            nursery.start_soon(trio.serve_listeners, self.serve_connection, listeners)
+            self.port = listeners[0].socket.getsockname()[1]
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        ADDRESS.set(stream.socket.getsockname()[0])
+        with trio.CancelScope() as scope:
+            self.connections.add(scope)
+            await self.server.serve_connection(stream)
+        self.connections.discard(scope)
+
+    def cut_connections(self) -> None:
+        """Cut every connection, waiting watches with it."""
+        for scope in self.connections:
+            scope.cancel()
 
     def put(self, key: str, value: bytes | None) -> None:
         """Write a key, ``None`` to delete it."""
@@ -102,13 +126,19 @@
             for key, values in parse_qs(parts.query, keep_blank_values=True).items()
         }
         self.reads.append(parts.path)
-        if self.fault is not None:
+        await trio.sleep(self.delay_s)
+        is_met = not self.fault_hosts or ADDRESS.get() in self.fault_hosts
+        if self.fault is not None and is_met:
             return await self.fault()
         response = await self.respond(parts.path, query)
         if self.era is not None:
             response.headers.append((STORE_ERA, b"%d" % self.era))
         return response
 
+    async def refuse(self) -> HttpResponse:
+        """Answer as a store that does nothing at the moment; for ``fault``."""
+        return HttpResponse(503)
+
     async def respond(self, path: str, query: dict[str, str]) -> HttpResponse:
         if path == "/v1/kv-range":
             return self.range(query)
--- a/tests/end_to_end/test_soak.py
+++ b/tests/end_to_end/test_soak.py
@@ -30,7 +30,7 @@
         self.assertEqual([item for item in soak.plan.faults if item not in known], [])
         # The soak shows something only if its plan and its traffic took place.
         kinds = Counter(item.kind for item in soak.plan.disruptions)
-        for kind in ("stop", "hup"):
+        for kind in ("stop", "hup", "store"):
             self.assertGreater(kinds[kind], 0)
         self.assertGreater(verdict.count()["answered 200"], LEAST_REQUESTS)
 
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -15,6 +15,7 @@
 BROWSE = replace(ORDER, unsafe=False)
 STOP = Disruption(kind="stop", host=HOST, at=100.0, until=107.0)
 HUP = Disruption(kind="hup", host=HOST, at=100.0, until=110.0)
+STORE = Disruption(kind="store", host="", at=100.0, until=107.0, detail="silent")
 CONFIG = Disruption(kind="config", host="", at=100.0, until=103.5)
 
 
@@ -91,6 +92,7 @@
         ("server broke off", {}, [make_run(end="broken off")], STOP, []),
         ("SIGHUP", {}, [make_run()], HUP, ["LOST-HUP"]),
         ("long after SIGHUP", {"sent_at": 102.6, "used": 0}, [], HUP, []),
+        ("store", {"used": 0}, [make_run()], STORE, ["CUT"]),
         ("configuration", {}, [make_run()], CONFIG, ["LOST-CONFIG"]),
         ("answered", ANSWER, [make_run()], STOP, []),
         ("own failure, run cut", OWN, [make_run(end="cut")], STOP, ["LOST-STOP"]),
