Replace the settings file of a stand-in machine as a whole

The stand-in wrote the file in place, and the node started in between. It is written beside and renamed now; the new test fails without that.

--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -170,10 +170,11 @@
             )
 
     def write_settings(self, machine: Machine) -> Path:
-        """Write the settings file of a machine's node."""
+        """Write the settings file of a machine's node, which is never half there."""
         path = self.folder / f"{machine.host}.toml"
         zones = "\n".join(f'{zone} = "{name}"' for zone, name in self.zones.items())
-        path.write_text(
+        new = path.with_suffix(".new")
+        new.write_text(
             SETTINGS.format(
                 host=machine.host,
                 zone=machine.zone,
@@ -190,6 +191,7 @@
                 zones=zones,
             )
         )
+        new.replace(path)
         return path
 
     def log_path(self, machine: Machine) -> Path:
