Give totals by cause in the soak's summary

Requests without an answer, own failures and excused losses were listed one by one and never counted by cause, so that growth from landing to landing did not show.

--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -291,7 +291,7 @@
         summary = {
             "seed": seed,
             "broken": counts,
-            "excused": len(verdict.excused),
+            "excused": dict(sorted(verdict.count_excused().items())),
             "faults": len(plan.faults),
             "requests": dict(sorted(verdict.count().items())),
             "disruptions": dict(Counter(item.kind for item in plan.disruptions)),
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -76,6 +76,14 @@
     return is_own and fate.status in OWN_FAILURE_STATUSES
 
 
+def name_failure(fate: Fate, runs: list[Run]) -> str:
+    """Return how a request failed, for totals."""
+    if fate.end == "no answer":
+        return fate.end
+    has_begun = any(run.began_at is not None for run in runs)
+    return f"own {fate.status}, server {'' if has_begun else 'not '}begun"
+
+
 def format_time(at: float | None, zero: float) -> str:
     return "never" if at is None else f"{at - zero:+.3f}"
 
@@ -147,7 +155,7 @@
                 fate=fate,
                 runs=runs,
                 disruption=self.find_near(fate),
-                excuse="(noted only)",
+                excuse=f"(noted only: {name_failure(fate, runs)})",
             )
         if fate.end not in BROKEN_ENDS and not is_replaced:
             return None
@@ -204,6 +212,10 @@
             return "(the server was at work at the end of the grace time)"
         return ""
 
+    def count_excused(self) -> Counter[str]:
+        """Count what the rules excuse, by rule and cause."""
+        return Counter(f"{item.rule} {item.excuse}" for item in self.excused)
+
     def count(self) -> Counter[str]:
         """Count the requests by their end."""
         return Counter(f"{fate.end} {fate.status or ''}".strip() for fate in self.fates)
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -120,6 +120,17 @@
         found = judge(make_fate(), [make_run()], None, count)
         self.assertEqual(found, ["LOST-KEPT"] * expected)
 
+    @params(
+        ("no answer", {"end": "no answer"}, [], "no answer"),
+        ("before its run", OWN, [], "own 502, server not begun"),
+        ("after its run", OWN, [make_run()], "own 502, server begun"),
+    )
+    def test_failure_is_noted_with_its_cause(self, _name, changes, runs, cause):
+        verdict = Verdict([make_fate(**changes)], {b"a": runs}, [], {"order": 6.0})
+        self.assertEqual(verdict.find(), [])
+        expected = {f"FAILED (noted only: {cause})": 1}
+        self.assertEqual(verdict.count_excused(), expected)
+
     @params(
         ("twice", ANSWER, [make_run(), make_run()], ["TWICE"]),
         ("safe twice", ANSWER | {"call": BROWSE}, [make_run(), make_run()], []),
