Let servers break off and repeat answers beside planned work in the soak

Clients sent small bodies with a length, and servers answered well or not at all. A third of the bodies comes in chunks now, and single servers truncate answers, reset answers without a length, end them properly without one, add bytes, answer again late, close kept connections, or reset connections beyond a limit for 1 to 5 s, at any moment of the planned work.

--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -10,7 +10,7 @@
 
 from catkinpost.platform.names import SERVERS_PREFIX
 from catkinpost_standins.users_platform.fleet import Machine, PlatformFleet
-from catkinpost_standins.users_platform.server import StandInServer
+from catkinpost_standins.users_platform.server import StandInServer, Trouble
 from catkinpost_standins.users_platform.verdict import (
     GRACE_S,
     PROPAGATION_S,
@@ -34,6 +34,7 @@
 MEMORIES_MB = (260, 300, 340)
 STORE_TROUBLES = ("refuses", "silent", "slow", "some", "cut", "forgets", "restored")
 MAX_STORE_TROUBLE_S = 5.0
+MAX_SERVER_TROUBLE_S = 5.0
 MAX_STORE_DELAY_S = 2.0
 STORE_CUT_GAP_S = 0.3
 # Writers are back at the store within this time.
@@ -175,6 +176,7 @@
             *[self.replace_server] * 2,
             self.run_burst,
             *[self.trouble_store] * 2,
+            *[self.trouble_server] * 2,
         ]
         first = [self.signal_change, self.stop_node, self.trouble_store]
         while trio.current_time() < until:
@@ -384,6 +386,16 @@
             self.write_again()
         self.has_store_trouble = False
 
+    async def trouble_server(self) -> None:
+        """Let a server break off, repeat or blur its answers for some time."""
+        server = self.random.choice(self.fleet.machines).server
+        trouble = self.random.choice([item for item in Trouble if item.value != "none"])
+        lasts_s = self.random.uniform(1, MAX_SERVER_TROUBLE_S)
+        self.note("server", server.instance, lasts_s, trouble.value)
+        server.server.trouble = trouble
+        await trio.sleep(lasts_s)
+        server.server.trouble = Trouble.NONE
+
     def write_again(self) -> None:
         """Write what a restored store has lost, as servers and operator do."""
         store = self.fleet.store
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -3,10 +3,15 @@
 import enum
 import math
 import random
+import socket
+import struct
 import zlib
 from collections import Counter
 from collections.abc import Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
+from typing import Any
+from weakref import WeakSet
 
 import trio
 
@@ -31,36 +36,121 @@
 )
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_connection import Connection, Exchange
-from catkinpost.transport.http_server import HttpServer
+from catkinpost.transport.http_server import Handler, HttpServer
 
-__all__ = ["ChildCall", "Run", "ServerFault", "StandInServer"]
+__all__ = ["ChildCall", "Run", "ServerFault", "StandInServer", "Trouble"]
 
 LARGEST_BODY_BYTES = 64 * 1024 * 1024
 ANSWER_PIECES = 4
 PIECE_PAUSE_S = 0.05
+TROUBLE_SHARE = 0.3
+MAX_REPEAT_S = 0.3
+MAX_CONNECTIONS = 2
+EXTRA_BYTES = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
 
 
-class PiecewiseServer(HttpServer):
-    """HTTP server that sends some of its answers in pieces, with pauses between.
+class Trouble(enum.Enum):
+    """What a server does with its connections, besides its answers."""
 
-    :ivar piece_share: share of the answers that are sent so.
+    NONE = "none"
+    TRUNCATES = "truncates"
+    RESETS = "resets an answer without a length"
+    NO_LENGTH = "ends answers without a length"
+    ADDS = "adds bytes"
+    REPEATS = "answers again"
+    CLOSES = "closes kept connections"
+    LIMITS = "resets connections beyond its limit"
+
+
+# Connection of the request that a task handles.
+STREAM: ContextVar[trio.SocketStream | None] = ContextVar("STREAM", default=None)
+
+
+class TroubledServer(HttpServer):
+    """HTTP server with answers in pieces and trouble on its connections.
+
+    :ivar piece_share: share of the answers that are sent in pieces, with pauses.
+    :ivar trouble: what it does to a share of its answers.
+    :ivar broken: connections that it has broken off.
+    :ivar break_off: called with a response whose caller does not get all of it.
     """
 
     piece_share = 0.0
+    trouble = Trouble.NONE
+    break_off: Callable[[HttpResponse], None]
+
+    def __init__(self, handler: Handler, **options: Any) -> None:
+        super().__init__(handler, **options)
+        self.broken: WeakSet[trio.SocketStream] = WeakSet()
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        is_full = len(self.connections) >= MAX_CONNECTIONS
+        if self.trouble is Trouble.LIMITS and is_full:
+            reset_at_close(stream)
+            await stream.aclose()
+            return
+        await super().serve_connection(stream)
+
+    async def handle_request(
+        self, connection: Connection, exchange: Exchange, request: HttpRequest
+    ) -> None:
+        STREAM.set(connection.stream)
+        await super().handle_request(connection, exchange, request)
+
+    async def linger(self, stream: trio.SocketStream) -> None:
+        if stream not in self.broken:
+            await super().linger(stream)
 
     async def send_response(
         self, connection: Connection, exchange: Exchange, *, keep_alive: bool
     ) -> None:
-        if random.random() >= self.piece_share:
-            await super().send_response(connection, exchange, keep_alive=keep_alive)
+        if connection.stream in self.broken:
+            self.break_off(exchange.response)
+            connection.scope.cancel()
             return
         data = encode_response(
             exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
         )
-        size = math.ceil(len(data) / ANSWER_PIECES)
+        if self.trouble is not Trouble.NONE and random.random() < TROUBLE_SHARE:
+            await self.send_with_trouble(connection, exchange.response, data)
+            return
+        is_whole = random.random() >= self.piece_share
+        size = len(data) if is_whole else math.ceil(len(data) / ANSWER_PIECES)
         for start in range(0, len(data), size):
             await connection.stream.send_all(data[start : start + size])
-            await trio.sleep(PIECE_PAUSE_S)
+            if not is_whole:
+                await trio.sleep(PIECE_PAUSE_S)
+
+    async def send_with_trouble(
+        self, connection: Connection, response: HttpResponse, data: bytes
+    ) -> None:
+        stream, trouble = connection.stream, self.trouble
+        if trouble in (Trouble.TRUNCATES, Trouble.RESETS):
+            self.break_off(response)
+        if trouble in (Trouble.NO_LENGTH, Trouble.RESETS):
+            length = b"content-length: %d\r\n" % len(response.body)
+            data = data.replace(length, b"connection: close\r\n", 1)
+        if trouble in (Trouble.TRUNCATES, Trouble.RESETS):
+            data = data[: len(data) // 2]
+        elif trouble is Trouble.ADDS:
+            data += EXTRA_BYTES
+        await stream.send_all(data)
+        if trouble is Trouble.REPEATS:
+            await trio.sleep(random.uniform(0, MAX_REPEAT_S))
+            await stream.send_all(data)
+        elif trouble not in (Trouble.ADDS, Trouble.LIMITS):
+            self.broken.add(stream)
+            if trouble is Trouble.RESETS:
+                reset_at_close(stream)
+                connection.scope.cancel()
+            else:
+                await stream.send_eof()
+
+
+def reset_at_close(stream: trio.SocketStream) -> None:
+    """Let a connection end with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 class ServerFault(enum.Enum):
@@ -151,9 +241,10 @@
         self.callers: set[bytes] = set()
         self.child_number = 0
         self.limits = HttpLimits(max_body_bytes=LARGEST_BODY_BYTES)
-        self.server = PiecewiseServer(
+        self.server = TroubledServer(
             self.handle, limits=self.limits, report_failure=lambda failure: None
         )
+        self.server.break_off = self.break_off
 
     async def serve(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """Listen at an address."""
@@ -172,6 +263,13 @@
         """End as a process does: close the listener and every connection."""
         self.scope.cancel()
 
+    def break_off(self, response: HttpResponse) -> None:
+        """Note that a run's caller does not get its whole answer."""
+        attempt = find_header(response.headers, ATTEMPT_ID)
+        for run in self.history:
+            if run.attempt == attempt:
+                run.end = "broken off"
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request, or say why it is not run."""
         expected = find_header(request.headers, EXPECTED_INSTANCE)
@@ -189,7 +287,8 @@
         try:
             return await self.wait_and_run(request, run)
         except trio.Cancelled:
-            run.end = "broken off" if self.scope.cancel_called else "cut"
+            is_broken = self.scope.cancel_called or STREAM.get() in self.server.broken
+            run.end = "broken off" if is_broken else "cut"
             raise
         finally:
             run.ended_at = trio.current_time()
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -13,7 +13,11 @@
     DEADLINE_REMAINING,
     RESPONSE_SIGNATURE,
 )
-from catkinpost.protocol.http import HttpRequest, encode_request
+from catkinpost.protocol.http import (
+    HttpRequest,
+    encode_request,
+    encode_request_head,
+)
 
 __all__ = ["Call", "Client", "Fate", "Habit"]
 
@@ -27,6 +31,8 @@
 # Requests sent ahead follow at once or, in this share, within some time.
 SPREAD_SHARE = 0.6
 MAX_SPREAD_S = 0.2
+CHUNKED_SHARE = 0.3
+CHUNK_BYTES = 10_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -303,4 +309,17 @@
         size = self.random.randint(1, self.habit.body_bytes) if call.unsafe else 0
         method = b"POST" if call.unsafe else b"GET"
         request = HttpRequest(method, call.path.encode(), headers, b"x" * size)
+        if size and self.random.random() < CHUNKED_SHARE:
+            return attempt, encode_in_chunks(request)
         return attempt, encode_request(request)
+
+
+def encode_in_chunks(request: HttpRequest) -> bytes:
+    """Serialize a request whose body has no length."""
+    length = b"content-length: %d" % len(request.body)
+    head = encode_request_head(request)
+    parts = [head.replace(length, b"transfer-encoding: chunked")]
+    for start in range(0, len(request.body), CHUNK_BYTES):
+        chunk = request.body[start : start + CHUNK_BYTES]
+        parts.append(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+    return b"".join([*parts, b"0\r\n\r\n"])
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -27,7 +27,7 @@
     """Planned work, with times of the runtime's clock.
 
     :param kind: ``"stop"``, ``"again"`` for a further SIGTERM to the same process,
-        ``"hup"``, ``"config"``, ``"drain"``, ``"store"`` or ``"burst"``.
+        ``"hup"``, ``"config"``, ``"drain"``, ``"store"``, ``"server"`` or ``"burst"``.
     :param host: machine concerned, empty for all.
     :param until: end of its effect.
     """
--- a/tests/end_to_end/test_server.py
+++ b/tests/end_to_end/test_server.py
@@ -1,15 +1,27 @@
-"""Tests of the stand-in of a server, without a connection."""
+"""Tests of the stand-in of a server."""
 
 import unittest
+from unittest import mock
 
 import trio
+from nose2.tools import params
 
 from catkinpost.platform.names import ATTEMPT_ID, DEADLINE_REMAINING, NOT_EXECUTED
-from catkinpost.protocol.http import HttpRequest, find_header
-from catkinpost_standins.users_platform.server import StandInServer
+from catkinpost.protocol.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
+from catkinpost.transport.http_client import BackendClient
+from catkinpost_standins.fleet import free_port
+from catkinpost_standins.users_platform import server as server_module
+from catkinpost_standins.users_platform.server import StandInServer, Trouble
 from tests.clock import on_mock_clock
 
 LONG_MS, SHORT_MS = 1000, 500
+HOST = "127.0.0.1"
+LIMIT_S = 30.0
 
 
 class TestStandInServer(unittest.TestCase):
@@ -32,3 +44,34 @@
         self.assertEqual(promises, [b"1", None])
         ends = [(run.end, run.began_at is not None) for run in server.history]
         self.assertEqual(ends, [("deadline", True), ("refused", False)])
+
+    @params(
+        (Trouble.NONE, "done", True),
+        (Trouble.TRUNCATES, "broken off", False),
+        (Trouble.RESETS, "broken off", False),
+        (Trouble.NO_LENGTH, "done", True),
+        (Trouble.REPEATS, "done", True),
+        (Trouble.CLOSES, "done", True),
+    )
+    def test_trouble_on_a_connection(self, trouble, end, is_answered):
+        """Guards against a verdict that excuses what the server did not break off."""
+        with mock.patch.object(server_module, "TROUBLE_SHARE", 1.0):
+            run, answer = trio.run(self.send, trouble)
+        self.assertEqual(run.end, end)
+        self.assertEqual(isinstance(answer, HttpResponse), is_answered)
+
+    async def send(self, trouble):
+        server = StandInServer("i-1", "orders", answer_bytes=1000)
+        server.server.trouble = trouble
+        port = free_port()
+        async with trio.open_nursery() as nursery:
+            await server.serve(nursery, HOST, port)
+            limits = HttpLimits(unsized_answers=True)
+            client = BackendClient(HOST, port, limits=limits)
+            headers = [(b"host", b"h"), (ATTEMPT_ID, b"a")]
+            with trio.fail_after(LIMIT_S):
+                answer = await client.send_request(
+                    HttpRequest(b"POST", b"/", headers, b"x")
+                )
+            nursery.cancel_scope.cancel()
+        return server.history[0], answer
