Kill nodes and hold them still in the soak, as an option

A closed connection is excused only by disruption of the machine that took the request, an own answer in place of a run also by that of another.

--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -35,6 +35,7 @@
 STORE_TROUBLES = ("refuses", "silent", "slow", "some", "cut", "forgets", "restored")
 MAX_STORE_TROUBLE_S = 5.0
 MAX_SERVER_TROUBLE_S = 5.0
+FREEZE_S = (0.05, 2.0)
 MAX_STORE_DELAY_S = 2.0
 STORE_CUT_GAP_S = 0.3
 # Writers are back at the store within this time.
@@ -133,6 +134,7 @@
     :param random: source of all choices.
     :param prepare: gives a machine's new server its shape.
     :param run_burst: lets many clients come at once.
+    :param has_unplanned: whether nodes are also killed and held still.
     :ivar timeouts_s: shortest time-out that each first route had, in seconds.
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
@@ -144,6 +146,7 @@
     random: random.Random
     prepare: Callable[[Machine], None]
     run_burst: Callable[[], Awaitable[None]]
+    has_unplanned: bool = False
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
@@ -178,17 +181,23 @@
             *[self.trouble_store] * 2,
             *[self.trouble_server] * 2,
         ]
+        if self.has_unplanned:
+            works += [*[self.kill_node] * 2, *[self.freeze_node] * 4]
         first = [self.signal_change, self.stop_node, self.trouble_store]
         while trio.current_time() < until:
             work = first.pop() if first else self.random.choice(works)
             nursery.start_soon(work)
             await trio.sleep(self.random.uniform(0.3, 2.5))
 
-    def note(self, kind: str, host: str, lasts_s: float, detail: str = "") -> None:
+    def note(
+        self, kind: str, host: str, lasts_s: float, detail: str = ""
+    ) -> Disruption:
         now = trio.current_time()
-        self.disruptions.append(
-            Disruption(kind=kind, host=host, at=now, until=now + lasts_s, detail=detail)
+        item = Disruption(
+            kind=kind, host=host, at=now, until=now + lasts_s, detail=detail
         )
+        self.disruptions.append(item)
+        return item
 
     def take_machine(self) -> Machine | None:
         """Choose a machine without planned work; a service keeps one."""
@@ -269,7 +278,8 @@
                 nursery.cancel_scope.cancel()
         took_s = trio.current_time() - stopped_at
         if process.poll() is None:
-            self.faults.append(f"STAY {machine.host}: still there after {took_s:.2f} s")
+            if not self.was_frozen(machine, stopped_at):
+                self.faults.append(f"STAY {machine.host}: still after {took_s:.2f} s")
             process.kill()
             process.wait()
             machine.process = None
@@ -354,6 +364,38 @@
         self.fleet.configure(copy.deepcopy(config))
         self.note("config", "", PROPAGATION_S + 1, change)
 
+    async def kill_node(self) -> None:
+        """End a node without notice, and start it again."""
+        machine = self.take_machine()
+        if machine is None:
+            return
+        item = self.note("kill", machine.host, 0)
+        machine.process.kill()
+        machine.process.wait()
+        await trio.sleep(self.random.uniform(0, 1))
+        await self.start_node(machine)
+        item.until = trio.current_time()
+        self.busy.discard(machine.host)
+
+    async def freeze_node(self) -> None:
+        """Hold a node still for a moment, also while it stops or starts."""
+        machine = self.random.choice(self.fleet.machines)
+        process = machine.process
+        if process is None:
+            return
+        lasts_s = self.random.uniform(*FREEZE_S)
+        item = self.note("freeze", machine.host, lasts_s)
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(lasts_s)
+        process.send_signal(signal.SIGCONT)
+        item.until = trio.current_time()
+
+    def was_frozen(self, machine: Machine, since: float) -> bool:
+        return any(
+            item.kind == "freeze" and item.host == machine.host and item.until >= since
+            for item in self.disruptions
+        )
+
     async def trouble_store(self) -> None:
         """Let the store fail for some time, in one of its ways."""
         store = self.fleet.store
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -108,6 +108,28 @@
     def test_loss_around_planned_work(self, _name, changes, runs, near, expected):
         self.assertEqual(judge(make_fate(**changes), runs, near), expected)
 
+    @params(
+        ("kill of its machine", {}, "kill", HOST, 99.0, []),
+        ("freeze of its machine", {}, "freeze", HOST, 99.0, []),
+        ("long before", {}, "kill", HOST, 97.0, ["LOST-STOP"]),
+        ("other machine", {}, "kill", "127.0.0.22", 99.0, ["LOST-STOP"]),
+        ("run at another machine", OWN, "kill", "127.0.0.22", 99.0, []),
+    )
+    def test_unplanned_disruption(self, _name, changes, kind, host, at, expected):
+        """Guards against excuses that the rule does not give."""
+        item = Disruption(kind=kind, host=host, at=at, until=at + 0.5)
+        runs = {b"a": [make_run(end="cut")]}
+        verdict = Verdict([make_fate(**changes)], runs, [STOP, item], {"order": 6.0})
+        self.assertEqual([found.rule for found in verdict.find()], expected)
+
+    @params("kill", "freeze")
+    def test_unplanned_disruption_excuses_no_second_run(self, kind):
+        """Guards against repeats that a disruption seems to allow."""
+        item = Disruption(kind=kind, host=HOST, at=100.9, until=101.5)
+        runs = {b"a": [make_run(), make_run()]}
+        verdict = Verdict([make_fate(**ANSWER)], runs, [item], {"order": 6.0})
+        self.assertEqual([found.rule for found in verdict.find()], ["TWICE"])
+
     def test_a_stop_is_not_excused_by_the_one_before_it(self):
         """Guards against work at the end of the time of a process that is gone."""
         next_stop = replace(STOP, at=103.0, until=110.0)
