--- a/tests/end_to_end/test_soak.py
+++ b/tests/end_to_end/test_soak.py
@@ -13,8 +13,6 @@
 TRAFFIC_S = 20.0
 LIMIT_S = 120.0
 LEAST_REQUESTS = 300
-# Listed in KNOWN-RED.txt.
-KNOWN_FAULT = "status -1 before it was set up"
 
 
 class TestSoak(unittest.TestCase):
@@ -25,9 +23,7 @@
         verdict, soak = trio.run(self.run_soak, deployment, seed)
         findings = [item.describe(soak.start) for item in verdict.find()]
         self.assertEqual(findings, [])
-        known = [fault for fault in soak.plan.faults if KNOWN_FAULT in fault]
-        print(f"{name}: {len(known)} known faults", *known, sep="\n")
-        self.assertEqual([item for item in soak.plan.faults if item not in known], [])
+        self.assertEqual(soak.plan.faults, [])
         # The soak shows something only if its plan and its traffic took place.
         kinds = Counter(item.kind for item in soak.plan.disruptions)
         for kind in ("stop", "hup", "store"):
