Close connections set aside while sending in a stop

Callers of a node that stops would get no answer to an order whose call was still being sent on a connection that was set aside as silent. Cause: before calls are broken off, a stop closes the links on which a message is being sent, as such a call can't be ended otherwise; it looked only at the current connection of each link.

Test: a call of 4 MB is being sent to a peer that does not read and whose connection is set aside; it has no result after the step of the stop before (0 results, 1 expected), and has one now. The stop now goes through all connections of a link, so that the send fails at once and its caller gets an answer.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -137,13 +137,20 @@
     @property
     def is_sending(self) -> bool:
         """Whether a message waits for the peer to take it."""
-        return self.frames is not None and self.frames.send_lock.locked()
+        return any(item.send_lock.locked() for item in self.get_connections())
 
     @property
     def is_unreachable(self) -> bool:
         """Whether the latest attempt to connect failed."""
         return self.frames is None and self.failed_connects > 0
 
+    def get_connections(self) -> list[FrameStream]:
+        """Return the connection of the link and those that are set aside."""
+        connections = [item.frames for item in self.silent_connections]
+        if self.frames is not None and self.frames not in connections:
+            connections.append(self.frames)
+        return connections
+
     async def run(self) -> None:
         """Connect, and reconnect with backoff, until :meth:`retire` is called."""
         with self.cancel_scope:
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -154,18 +154,17 @@
     async def close_stalled(self) -> None:
         """Close every connection whose peer has not taken a whole message yet."""
         for link in list(self.running_links):
-            if link.is_sending:
-                log_message("link: closed while sending", peer=link.instance)
-                await link.frames.close()
+            for connection in link.get_connections():
+                if connection.send_lock.locked():
+                    log_message("link: closed while sending", peer=link.instance)
+                    await connection.close()
 
     async def close_connections(self) -> None:
         """Close every connection for good, also while a message is being sent."""
         for link in list(self.running_links):
             link.cancel_scope.cancel()
-            if link.frames is not None:
-                await link.frames.close()
-            for connection in list(link.silent_connections):
-                await connection.frames.close()
+            for connection in link.get_connections():
+                await connection.close()
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification over every link that is up."""
--- a/tests/coordination/peers/test_link_table.py
+++ b/tests/coordination/peers/test_link_table.py
@@ -1,6 +1,7 @@
 """Tests of the links of one node, over real connections."""
 
 import dataclasses
+import functools
 import unittest
 
 import trio
@@ -8,7 +9,7 @@
 
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
-from catkinpost.coordination.peers.link import LinkSettings
+from catkinpost.coordination.peers.link import LIVENESS_CHECK_INTERVAL_S, LinkSettings
 from catkinpost.coordination.peers.link_table import LinkTable
 from catkinpost.coordination.peers.peer_server import PeerServer
 from catkinpost.coordination.peers.pending import PendingRequest
@@ -18,7 +19,8 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 from catkinpost.state.policy_store import PolicyStore
-from tests.clock import on_mock_clock
+from catkinpost.transport.frame import FrameStream
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
 from tests.coordination.peers.test_link import Events
 
@@ -26,6 +28,7 @@
 SECRET = b"shared-secret-of-the-fleet"
 READ_BYTES = 65_536
 READ_S = 0.08
+PING_TIMEOUT_S = 0.8
 LARGE_BYTES = 4_000_000
 
 
@@ -55,7 +58,9 @@
 
     def __init__(self, nursery):
         self.nursery = nursery
-        settings = LinkSettings(ping_timeout_s=0.8, max_frame_bytes=2 * LARGE_BYTES)
+        settings = LinkSettings(
+            ping_timeout_s=PING_TIMEOUT_S, max_frame_bytes=2 * LARGE_BYTES
+        )
         self.events = Events()
         self.server = PeerServer(
             identity=Identity(instance="orders-2", service="orders", secret=SECRET),
@@ -99,13 +104,18 @@
     async def serve(self, stream):
         await self.server.serve_connection(SlowStream(stream))
 
-    async def call(self, size, ends):
+    async def serve_without_reading(self, stream):
+        frames = FrameStream(stream, max_frame_bytes=LARGE_BYTES)
+        await self.server.perform_handshake(frames)
+        await trio.sleep_forever()
+
+    async def call(self, size, ends, *, outlasts_silence=False):
         """Send a call and record its result and duration."""
         started_at = trio.current_time()
         message = make_call(key="", attempt=0)
         message.body = bytes(size)
         done = trio.Event()
-        pending = PendingRequest(done.set)
+        pending = PendingRequest(done.set, outlasts_silence=outlasts_silence)
         link = self.sender.get_link(message, self.instance)
         await link.send_request(message, pending)
         await done.wait()
@@ -146,3 +156,27 @@
             self.assertFalse(link.is_up)
             self.assertEqual(setup.table.bulk_links, {})
             nursery.cancel_scope.cancel()
+
+
+class TestSilentConnection(unittest.TestCase):
+    @on_mock_clock(io=True)
+    async def test_send_on_a_silent_connection_ends_with_a_stop(self):
+        """Guards against a request without an answer, as its send can't be ended."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.serve = setup.serve_without_reading
+            await setup.start()
+            ends = []
+            call = functools.partial(setup.call, ends=ends, outlasts_silence=True)
+            link = setup.table.get_or_open_link(setup.instance)
+            link.ping_due = True
+            await trio.sleep(LIVENESS_CHECK_INTERVAL_S + PING_TIMEOUT_S / 2)
+            setup.sender.get_link = lambda message, instance: link
+            nursery.start_soon(call, LARGE_BYTES)
+            await trio.sleep(PING_TIMEOUT_S)
+            self.assertEqual(len(link.silent_connections), 1)
+            self.assertEqual(ends, [])
+            await setup.table.close_stalled()
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(ends), 1)
+            nursery.cancel_scope.cancel()
