Keep a retired link known until its silent connections have ended

The process of a stopping node could outlast its end, and the log of what it holds would not show why. Cause: when a link is retired, its run ends and the table forgets it, while connections that were set aside as silent go on reading and sending in tasks of their own; closing all links at the end of a stop did not reach them, and a send in progress outlasts the cancellation.

Test: a link with a silent connection is retired; it was missing among the busy links before, and its connection was not closed. The link now stays in the table until those connections have ended, so that the stop closes them too.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -362,12 +362,18 @@
             pass
         finally:
             self.silent_connections.discard(connection)
+            connection.ended.set()
             connection.waiting.resolve_all(
                 build_connection_failure("the silent connection was closed")
             )
             with trio.CancelScope(shield=True):
                 await connection.frames.close()
 
+    async def wait_for_silent(self) -> None:
+        """Wait until every connection that was set aside has ended."""
+        for connection in list(self.silent_connections):
+            await connection.ended.wait()
+
     def get_ping_interval(self) -> float:
         busy = self.pending.requests or self.ping_due
         return LIVENESS_CHECK_INTERVAL_S if busy else IDLE_PING_S
@@ -498,6 +504,7 @@
         self.frames = frames
         self.waiting = waiting
         self.spawn = spawn
+        self.ended = trio.Event()
         for request_id, pending in waiting.requests.items():
             pending.cancel = partial(self.cancel_request, request_id)
             pending.withdraw = partial(
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -97,10 +97,14 @@
         return link
 
     async def run_link(self, link: PeerLink) -> None:
-        """Run a link, which is known here until it has ended, also when retired."""
+        """Run a link, which is known here until it has ended, also when retired.
+
+        Its silent connections may outlast it.
+        """
         self.running_links.add(link)
         try:
             await link.run()
+            await link.wait_for_silent()
         finally:
             self.running_links.discard(link)
 
--- a/tests/coordination/peers/test_link_table.py
+++ b/tests/coordination/peers/test_link_table.py
@@ -180,3 +180,25 @@
             await wait_all_tasks_blocked()
             self.assertEqual(len(ends), 1)
             nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_silent_connection_of_a_retired_link_ends_with_a_stop(self):
+        """Guards against a send that outlasts the process of a retired link."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.serve = setup.serve_without_reading
+            await setup.start()
+            ends = []
+            call = functools.partial(setup.call, ends=ends, outlasts_silence=True)
+            nursery.start_soon(call, 1)
+            await trio.sleep(LIVENESS_CHECK_INTERVAL_S + 2 * PING_TIMEOUT_S)
+            link = setup.table.get_or_open_link(setup.instance)
+            self.assertEqual(len(link.silent_connections), 1)
+            setup.table.refresh()
+            await wait_all_tasks_blocked()
+            self.assertEqual(setup.table.describe_busy(), {"orders-2": 1})
+            await setup.table.close_connections()
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(ends), 1)
+            self.assertEqual(setup.table.running_links, set())
+            nursery.cancel_scope.cancel()
