Withdraw no call on a silent connection to an older release

During an update, an order that a late peer of an older release was running would be broken off as soon as its entry node stopped. Cause: such a peer takes a withdrawal for a cancellation, so a link sends it none; a connection that is set aside as silent sent withdrawals without asking what its peer understands.

Test: an older peer whose connection is set aside got Cancel(only_waiting) for its call, and gets nothing now; one that understands withdrawals gets it as before. The welcome of the connection is asked when it is set aside, before a new connection replaces it.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -349,7 +349,9 @@
         waiting = self.pending.split_off_lasting()
         if not waiting.requests:
             return
-        connection = SilentConnection(frames, waiting, self.spawn)
+        connection = SilentConnection(
+            frames, waiting, self.spawn, withdrawals=self.welcome.withdrawals
+        )
         self.silent_connections.add(connection)
         self.spawn(self.finish_silent, connection)
 
@@ -496,10 +498,17 @@
     :param frames: the connection.
     :param waiting: its requests without a response.
     :param spawn: starts a background task.
+    :param withdrawals: whether the peer understands withdrawals; one of an older
+        release would break off a request that it runs.
     """
 
     def __init__(
-        self, frames: FrameStream, waiting: PendingRequests, spawn: Spawn
+        self,
+        frames: FrameStream,
+        waiting: PendingRequests,
+        spawn: Spawn,
+        *,
+        withdrawals: bool,
     ) -> None:
         self.frames = frames
         self.waiting = waiting
@@ -507,9 +516,10 @@
         self.ended = trio.Event()
         for request_id, pending in waiting.requests.items():
             pending.cancel = partial(self.cancel_request, request_id)
-            pending.withdraw = partial(
-                spawn, self.send, Cancel(request_id, only_waiting=True)
-            )
+            pending.withdraw = do_nothing
+            if withdrawals:
+                cancel = Cancel(request_id, only_waiting=True)
+                pending.withdraw = partial(spawn, self.send, cancel)
 
     async def read_responses(self) -> None:
         """Deliver responses until all requests have one or the connection is lost."""
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -577,6 +577,32 @@
             self.assertEqual(setup.link.silent_connections, set())
             nursery.cancel_scope.cancel()
 
+    @params(True, False)
+    def test_withdrawal_on_a_silent_connection_ends_no_run(self, understood):
+        """A peer of an older release would break off a call that it runs."""
+        self.check_late_withdrawal(understood)
+
+    @on_mock_clock(io=True)
+    async def check_late_withdrawal(self, understood):
+        async with trio.open_nursery() as nursery:
+            setup, messages = Setup(nursery), []
+            await setup.start(functools.partial(record_messages, setup, messages))
+            await setup.events.up.wait()
+            setup.link.welcome = msgspec.structs.replace(
+                setup.link.welcome, withdrawals=understood
+            )
+            pending = PendingRequest(lambda: None, outlasts_silence=True)
+            await setup.link.send_request(make_call("", 0), pending)
+            await trio.sleep(2 * setup.settings.ping_timeout_s)
+            self.assertEqual(len(setup.link.silent_connections), 1)
+            pending.withdraw()
+            await trio.sleep(0.2)
+            expected = [Cancel(1, only_waiting=True)] if understood else []
+            self.assertEqual(
+                [item for item in messages if isinstance(item, Cancel)], expected
+            )
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_link_is_opened_again_after_a_message_that_the_peer_did_not_take(
         self,
@@ -1234,6 +1260,14 @@
     return [getattr(message, name) for name in message.__struct_fields__[1:]]
 
 
+async def record_messages(setup, messages, stream):
+    """Take messages from a link and answer none."""
+    frames = FrameStream(stream, max_frame_bytes=10_000)
+    await setup.server.perform_handshake(frames)
+    while (message := await frames.receive()) is not None:
+        messages.append(message)
+
+
 async def serve_until_silent(setup, stream):
     """Perform the handshake, then read without responding."""
     frames = FrameStream(stream, max_frame_bytes=10_000)
