Cancel the calls that are given up on a silent connection

Servers went on with reads whose entry node had given them up and sent them elsewhere, also after their callers had left (priced, and counted by GONE). Cause: a late peer used to see its connection closed, which ends the runs that it had from there. A connection that is set aside for calls that must not be sent again stays open, and the other calls on it were dropped without a word.

Test: with one call of each kind on a connection that goes silent, the peer got no cancellation; it now gets one for the call that was given up, and none for the other. Messages are sent in order, so the cancellation comes behind its call.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -354,6 +354,9 @@
         )
         self.silent_connections.add(connection)
         self.spawn(self.finish_silent, connection)
+        # The others end here, but the open connection would keep their runs.
+        for request_id in self.pending.requests:
+            self.spawn(connection.send, Cancel(request_id))
 
     async def finish_silent(self, connection: "SilentConnection") -> None:
         """Read the late responses of a connection, and close it afterwards."""
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -603,6 +603,26 @@
             )
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_call_given_up_on_a_silent_connection_is_cancelled_there(self):
+        """Guards against runs that nobody waits for, as the connection stays open."""
+        async with trio.open_nursery() as nursery:
+            setup, messages = Setup(nursery), []
+            await setup.start(functools.partial(record_messages, setup, messages))
+            await setup.events.up.wait()
+            ends = []
+            for is_lasting in (True, False):
+                pending = PendingRequest(
+                    functools.partial(ends.append, is_lasting),
+                    outlasts_silence=is_lasting,
+                )
+                await setup.link.send_request(make_call("", 0), pending)
+            await trio.sleep(2 * setup.settings.ping_timeout_s)
+            self.assertEqual(ends, [False])
+            cancels = [item for item in messages if isinstance(item, Cancel)]
+            self.assertEqual(cancels, [Cancel(2)])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_link_is_opened_again_after_a_message_that_the_peer_did_not_take(
         self,
