End reading at the end of a stop although accepting takes long

Idle connections and answers on their way were cut without a close of their own by a stop that has reached its end, or slept past it, while many callers connect. Cause: the end of accepting (0.1 s and more in a busy process) and the time for first requests (0.05 s) did not fit into the time before the close of everything (0.135 s on the platform); when it was over, the server was never told to end reading, so unread input was not looked at and nothing was closed in order.

Accepting and first requests now have half of that time together, then reading ends in any case, and the other half is for answers.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -1,5 +1,6 @@
 """Planned stop of a node: order of its notifications and waits."""
 
+import math
 import signal
 from collections import Counter
 
@@ -162,16 +163,21 @@
         # A call can't be ended while it is being sent, as that would cut its message.
         await self.node.links.close_stalled()
         with trio.CancelScope(deadline=self.compute_close_time()):
-            await self.stop_reading()
+            # The other half is for the answers to what was read last.
+            await self.stop_reading(trio.current_time() + self.answer_time_s / 4)
             await self.wait_until_idle()
 
-    async def stop_reading(self) -> None:
-        """Accept no further connection, and then read no further request."""
-        await self.node.call_acceptor.stop()
-        # Whoever has just connected is about to send a request.
-        with trio.move_on_after(FIRST_REQUEST_TIMEOUT_S):
-            while self.node.http_server.has_new_connection(FIRST_REQUEST_TIMEOUT_S):
-                await trio.sleep(FIRST_REQUEST_TIMEOUT_S / 10)
+    async def stop_reading(self, deadline: float = math.inf) -> None:
+        """Accept no further connection, and then read no further request.
+
+        :param deadline: time at which reading ends in any case.
+        """
+        with trio.CancelScope(deadline=deadline):
+            await self.node.call_acceptor.stop()
+            # Whoever has just connected is about to send a request.
+            with trio.move_on_after(FIRST_REQUEST_TIMEOUT_S):
+                while self.node.http_server.has_new_connection(FIRST_REQUEST_TIMEOUT_S):
+                    await trio.sleep(FIRST_REQUEST_TIMEOUT_S / 10)
         self.node.http_server.stop_reading()
 
     async def wait_until_idle(self) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import math
 import unittest
 from unittest import mock
@@ -20,6 +21,7 @@
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import Address, parse_settings
 from catkinpost.stop import IDLE_CHECK_INTERVAL_S
+from catkinpost.transport.acceptor import END_TIMEOUT_S
 from catkinpost.transport.frame import FrameStream
 from catkinpost.transport.http_connection import Phase
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
@@ -382,6 +384,23 @@
             self.assertEqual(set(ends), {503, "not accepted"})
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_slow_end_of_accepting_leaves_time_to_close_connections(self):
+        """Guards against connections that are cut as the time for answers is over."""
+        setup = Setup()
+        setup.node.executor.active_calls = 1
+        async with trio.open_nursery() as nursery:
+            await setup.listen(nursery)
+            unused = await setup.open_call()
+            # A busy process looks at the time between two connections only.
+            setup.node.call_acceptor.stop = functools.partial(
+                trio.sleep, 2 * END_TIMEOUT_S
+            )
+            self.assertLess(await setup.run(), STOP_S + 0.01)
+            self.assertTrue(setup.node.http_server.has_stopped_reading)
+            self.assertEqual(await read_all(unused), b"")
+            nursery.cancel_scope.cancel()
+
     @params((KEPT_REQUEST * 3, {b"503"}), (b"GET /half", set()))
     def test_callers_that_never_stop_coming_do_not_keep_the_process(
         self, sent, expected
