Keep a link whose waiting call has become too old to be sent

All calls on a link ended as unknown after a pause of their node, where one further call waited for the end of a message that the peer took slowly. Cause: a call is not completed after a pause, since its receiver would count its time from then; the connection was closed also when no byte of the call was on it.

Test: a call waits behind an answer of 20 MB over a pause; the connection ended behind the answer before, and serves the next message now. Only the call ends (as unknown, as before). A page that waits still ends the connection, since its subscriber must notice that it is missing.

--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -125,12 +125,14 @@
         """Send one message; concurrent calls are serialized.
 
         :param message: message to send.
-        :raises trio.BrokenResourceError: when the connection is lost.
+        :raises trio.BrokenResourceError: when the connection is lost, or the message
+            is too old to be sent.
         """
         parts = encode_frame(message)
         pauses = self.pauses
         self.sent_bytes += sum(map(len, parts))
-        if not self.send_lock.locked():
+        has_begun = not self.send_lock.locked()
+        if has_begun:
             parts = write_parts(self.stream, parts)
             if not parts:
                 return
@@ -148,12 +150,16 @@
                         is_old = True
                         break
                     scope.deadline = trio.current_time() + SEND_TIMEOUT_S
+                    has_begun = True
                     await self.stream.send_all(piece)
                     self.progressed_at = trio.current_time()
             finally:
                 self.send_lock.release()
         if scope.cancelled_caught or is_old:
-            await self.close()
+            # Without a part of a call on it, the connection serves others; a missing
+            # page must show.
+            if has_begun or not isinstance(message, Call):
+                await self.close()
             raise trio.BrokenResourceError("the peer takes no data in time")
 
     async def receive(self) -> Message | SkippedCall | Failure | None:
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1205,6 +1205,42 @@
             self.assertEqual(received is None, ends)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (message that waits, kind of what its receiver gets next)
+        (make_call("", 0), Pong),
+        (FeedPage(0, 1, 0, -1, False, []), type(None)),
+    )
+    def test_call_that_waits_behind_another_message_ends_no_link(self, message, kind):
+        """Guards against the loss of all runs of a link as one call is not sent.
+
+        The subscriber of a page must notice that it is missing.
+        """
+        self.check_old_message_that_waits(message, kind)
+
+    @on_mock_clock(io=True)
+    async def check_old_message_that_waits(self, message, kind):
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await connect(nursery)
+            answer = Answer(1, 200, [], bytes(20 * ANSWER_BYTES), 0, Load())
+            frames.max_frame_bytes = 2 * len(answer.body)
+            nursery.start_soon(setup.server.pause.run)
+            nursery.start_soon(session.send_notification, answer)
+            await trio.sleep(0.1)
+            results = []
+
+            async def send():
+                results.append(await session.send_notification(message))
+
+            nursery.start_soon(send)
+            await trio.sleep(0.1)
+            pause_process(setup.server.pause, suspended=False)
+            await trio.sleep(0.3)
+            self.assertIsInstance(await frames.receive(), Answer)
+            await session.send_notification(Pong(1, Load(), 0, b""))
+            self.assertIsInstance(await frames.receive(), kind)
+            self.assertEqual(results, [False])
+            nursery.cancel_scope.cancel()
+
 
 def make_item(seconds):
     deadline = trio.current_time() + seconds
