Tell connections that were set aside of pauses

A call still being sent on a connection that was set aside as silent would be completed after a pause of its node, and run with more time than its caller had. Cause: the task that goes on with the connection joins the watch for pauses before the one that gives it up leaves it, and the leaving removed the connection for both.

Test: a connection that was set aside is watched; it was not before. The watch now counts the blocks of each connection and ends with the last one.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -1,6 +1,7 @@
 """Detection of pauses of the node's own process."""
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Protocol
@@ -63,19 +64,24 @@
         self.decisions = decisions
         self.get_suspended_time = get_suspended_time
         self.listeners: list[Callable[[], None]] = []
-        self.inputs: set[Input] = set()
+        self.inputs: Counter[Input] = Counter()
         self.last_check_at: float | None = None
         self.suspended_before_s = 0.0
         self.pauses = 0
 
     @contextmanager
     def watch_input(self, connection: Input) -> Iterator[None]:
-        """Tell a connection of each pause for the time of a ``with`` block."""
-        self.inputs.add(connection)
+        """Tell a connection of each pause for the time of a ``with`` block.
+
+        Blocks for the same connection may overlap, as another task goes on with it.
+        """
+        self.inputs[connection] += 1
         try:
             yield
         finally:
-            self.inputs.discard(connection)
+            self.inputs[connection] -= 1
+            if not self.inputs[connection]:
+                del self.inputs[connection]
 
     def check_for_pause(self) -> int:
         """Check for a pause since the last call and return the pauses found so far.
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -619,6 +619,8 @@
                 await setup.link.send_request(make_call("", 0), pending)
             await trio.sleep(2 * setup.settings.ping_timeout_s)
             self.assertEqual(ends, [False])
+            (connection,) = setup.link.silent_connections
+            self.assertIn(connection.frames, setup.pause.inputs)
             cancels = [item for item in messages if isinstance(item, Cancel)]
             self.assertEqual(cancels, [Cancel(2)])
             nursery.cancel_scope.cancel()
