--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -87,6 +87,7 @@
     server: StandInServer
     callers: BackendClient
     process: subprocess.Popen | None = None
+    started_at: float = 0.0
     memory_mb: int = 300
     log_start: int = 0
 
@@ -158,6 +159,7 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
+        machine.started_at = trio.current_time()
         path = self.write_settings(machine)
         with self.log_path(machine).open("ab") as log:
             machine.log_start = log.tell()
