Read queue sizes and split bytes in one place

After the last reading of the change: the size of a socket's queue was asked in linger.py and again in socket_io.py, and bytes were split into pieces in frame.py and again in http_server.py. Both are functions of socket_io.py now. A link asks its own list whether a connection was set aside. Behaviour as before.

The two tests without a queue size name the patched ioctl by its module, as linger.py does not import it any more; it is the same function, and their assertions stay. transport 199, coordination.peers 87, test_stop, test_node, test_planned_stop, test_cluster and test_pause: passed.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -223,7 +223,7 @@
         finally:
             self.frames = None
             self.pending.resolve_all(failure)
-            if all(item.frames is not frames for item in self.silent_connections):
+            if frames not in self.get_connections():
                 with trio.CancelScope(shield=True):
                     await frames.close()
         return failure
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -14,7 +14,6 @@
     """Request that awaits its response.
 
     :param on_result: called once, when the result is available.
-
     :param outlasts_silence: whether the response is awaited although the peer has gone
         silent, as the request must not be sent to another one.
 
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -27,6 +27,7 @@
 from catkinpost.transport.socket_io import (
     count_unread_bytes,
     receive_some,
+    split_bytes,
     write_some,
 )
 
@@ -274,9 +275,7 @@
 def split_parts(parts: list[bytes]) -> Iterator[memoryview]:
     """Split parts into pieces, so that progress is seen while they are sent."""
     for part in parts:
-        view = memoryview(part)
-        for start in range(0, len(view), SENT_PIECE_BYTES):
-            yield view[start : start + SENT_PIECE_BYTES]
+        yield from split_bytes(part, SENT_PIECE_BYTES)
 
 
 def write_parts(stream: trio.abc.Stream, parts: list[bytes]) -> list[bytes]:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import math
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -24,7 +24,7 @@
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger
-from catkinpost.transport.socket_io import receive_some, send_all
+from catkinpost.transport.socket_io import receive_some, send_all, split_bytes
 
 __all__ = ["HttpServer"]
 
@@ -478,13 +478,6 @@
             await send_all(connection.stream, head + body)
             return
         await send_all(connection.stream, head)
-        for piece in split_body(body):
+        for piece in split_bytes(body, SENT_PIECE_BYTES):
             await send_all(connection.stream, piece)
             connection.progressed_at = trio.current_time()
-
-
-def split_body(body: bytes) -> Iterator[memoryview]:
-    """Split a body into pieces without copying it."""
-    view = memoryview(body)
-    for start in range(0, len(view), SENT_PIECE_BYTES):
-        yield view[start : start + SENT_PIECE_BYTES]
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -1,14 +1,12 @@
 """Graceful close of a connection, without a reset that destroys sent bytes."""
 
-import fcntl
 import functools
-import struct
 import termios
 
 import trio
 from eliot import log_message
 
-from catkinpost.transport.socket_io import receive_some
+from catkinpost.transport.socket_io import read_queue_size, receive_some
 
 __all__ = ["LINGER_TIMEOUT_S", "Linger", "has_data_in_flight"]
 
@@ -18,7 +16,6 @@
 ACKNOWLEDGEMENT_CHECK_INTERVAL_S = 0.01
 # The end of the stream takes one place in the send queue until it is acknowledged.
 END_OF_STREAM_BYTES = 1
-QUEUE_SIZE = struct.Struct("i")
 
 
 class Linger:
@@ -124,11 +121,10 @@
         # Another task has closed it.
         return 0
     try:
-        size = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        return read_queue_size(socket, termios.TIOCOUTQ)
     except OSError as error:
         log_unknown_size(error.errno, error.strerror)
         return None
-    return QUEUE_SIZE.unpack(size)[0]
 
 
 @functools.cache
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -4,14 +4,17 @@
 import os
 import struct
 import termios
+from collections.abc import Iterator
 
 import trio
 
 __all__ = [
     "count_unread_bytes",
     "open_connection",
+    "read_queue_size",
     "receive_some",
     "send_all",
+    "split_bytes",
     "write_some",
 ]
 
@@ -26,10 +29,29 @@
     socket = getattr(stream, "socket", None)
     if socket is None or socket.fileno() < 0:
         return 0
-    reply = fcntl.ioctl(socket.fileno(), termios.FIONREAD, bytes(QUEUE_SIZE.size))
+    return read_queue_size(socket, termios.FIONREAD)
+
+
+def read_queue_size(socket: trio.socket.SocketType, request: int) -> int:
+    """Return the size of a queue of an open socket, in bytes.
+
+    :param request: ``FIONREAD`` or ``TIOCOUTQ`` of :mod:`termios`.
+    :raises OSError: when the system does not tell it.
+    """
+    reply = fcntl.ioctl(socket.fileno(), request, bytes(QUEUE_SIZE.size))
     return QUEUE_SIZE.unpack(reply)[0]
 
 
+def split_bytes(data: bytes, size: int) -> Iterator[memoryview]:
+    """Split bytes into pieces without copying them.
+
+    :param size: largest size of a piece, in bytes.
+    """
+    view = memoryview(data)
+    for start in range(0, len(view), size):
+        yield view[start : start + size]
+
+
 async def open_connection(
     host: str, port: int, *, timeout_s: float
 ) -> trio.SocketStream:
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -47,7 +47,6 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import SMALL_BODY_BYTES, RequestMemory
-from catkinpost.transport import linger
 from catkinpost.transport.frame import LENGTH_PREFIX, SEND_TIMEOUT_S, FrameStream
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
@@ -1260,7 +1259,7 @@
     @params(fcntl.ioctl, mock.Mock(side_effect=OSError(errno.ENOTTY, "no queue")))
     def test_late_message_of_a_peer_does_not_destroy_its_answer(self, ioctl):
         """Guards against a reset, also where the size of send queues is unknown."""
-        with mock.patch.object(linger.fcntl, "ioctl", ioctl):
+        with mock.patch.object(fcntl, "ioctl", ioctl):
             self.check_answer_arrives()
 
     @on_mock_clock(io=True)
--- a/tests/transport/test_linger.py
+++ b/tests/transport/test_linger.py
@@ -1,6 +1,7 @@
 """Tests of the graceful close of a connection."""
 
 import errno
+import fcntl
 import unittest
 from unittest import mock
 
@@ -21,7 +22,7 @@
         near, far = map(trio.SocketStream, trio.socket.socketpair())
         linger.log_unknown_size.cache_clear()
         with (
-            mock.patch.object(linger.fcntl, "ioctl", side_effect=NO_QUEUE),
+            mock.patch.object(fcntl, "ioctl", side_effect=NO_QUEUE),
             CapturedLog() as messages,
         ):
             self.assertTrue(has_data_in_flight(near.socket))
