Build failures of leaving instances in one place

The Retry-After of a leaving instance stood in four modules under two names, three of them with a failure built by hand. protocol/outcome.py has the constant and the builder that link.py had. Details and values as before. transport, peers, routing, admission, protocol, test_stop, test_node, test_planned_stop, test_cluster and test_main: 652 tests passed.

--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -20,7 +20,13 @@
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
 from catkinpost.protocol.http import MIN_SERVER_ERROR_STATUS, HttpResponse
 from catkinpost.protocol.message import Answer, Call, Load, Refusal
-from catkinpost.protocol.outcome import INTERNAL_FAILURE, Failure, Outcome, Reason
+from catkinpost.protocol.outcome import (
+    INTERNAL_FAILURE,
+    Failure,
+    Outcome,
+    Reason,
+    build_leaving_failure,
+)
 from catkinpost.protocol.policy import Mode
 from catkinpost.state.allowance import Allowance
 from catkinpost.state.decision_log import DecisionLog
@@ -34,7 +40,6 @@
 
 CRASH_SETTLE_S = 0.02
 SILENT_CONNECTION_FACTOR = 5.0
-LEAVING_RETRY_AFTER_S = 0.1
 
 
 @dataclass(eq=False, slots=True)
@@ -209,11 +214,7 @@
     def check_call(self, call: Call) -> Failure | None:
         """Return a failure if the call must not start, otherwise ``None``."""
         if self.is_leaving():
-            return Failure(
-                reason=Reason.LEAVING,
-                detail="the instance is leaving",
-                retry_after=LEAVING_RETRY_AFTER_S,
-            )
+            return build_leaving_failure("the instance is leaving")
         return self.check_child_services(call)
 
     def check_child_services(self, call: Call) -> Failure | None:
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -32,7 +32,12 @@
     Refusal,
     Welcome,
 )
-from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.outcome import (
+    Failure,
+    Outcome,
+    Reason,
+    build_leaving_failure,
+)
 from catkinpost.protocol.settings import Address
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.transport.frame import FrameStream
@@ -47,7 +52,6 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
-LEAVING_RETRY_AFTER_S = 0.1
 FRAME_OVERHEAD_BYTES = 64 * 1024
 
 
@@ -566,12 +570,6 @@
         call.useful_us = max(1, call.useful_us - waited_us)
 
 
-def build_leaving_failure(detail: str) -> Failure:
-    return Failure(
-        reason=Reason.LEAVING, detail=detail, retry_after=LEAVING_RETRY_AFTER_S
-    )
-
-
 def build_connection_failure(detail: str) -> Failure:
     return Failure(
         reason=Reason.PEER_CONNECTION_LOST, outcome=Outcome.UNKNOWN, detail=detail
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -16,7 +16,12 @@
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.router import Router, Target
 from catkinpost.protocol.message import Answer, Call, Refusal, ServerNotice
-from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.outcome import (
+    Failure,
+    Outcome,
+    Reason,
+    build_leaving_failure,
+)
 from catkinpost.protocol.policy import Mode
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import Instance
@@ -41,8 +46,6 @@
 # attempt there costs up to two crossings between regions.
 MAX_RATE_WAIT_US = 100_000
 
-STOP_RETRY_AFTER_S = 0.1
-
 # From this time on, a deadline was met late since the process did not run.
 MIN_OVERSLEPT_S = 0.05
 # Steps of the event loop in which what arrived meanwhile is read.
@@ -104,10 +107,8 @@
 
     def choose_instance(self, call: EntryCall, exclude: set[str]) -> Target | Failure:
         if trio.current_time() >= self.get_latest_start(call.call_class):
-            return Failure(
-                reason=Reason.LEAVING,
-                detail="this node stops and a run would not end in time",
-                retry_after=STOP_RETRY_AFTER_S,
+            return build_leaving_failure(
+                "this node stops and a run would not end in time"
             )
         return self.router.choose_instance(
             call.service,
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -9,6 +9,7 @@
     "Failure",
     "Outcome",
     "Reason",
+    "build_leaving_failure",
     "merge_outcomes",
 ]
 
@@ -87,6 +88,8 @@
     Reason.INTERNAL_ERROR: 500,
 }
 DEFAULT_FAILURE_STATUS = 503
+# Another node can take the request at once.
+LEAVING_RETRY_AFTER_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,6 +120,13 @@
 )
 
 
+def build_leaving_failure(detail: str) -> Failure:
+    """Build the failure of a request that did not run, as an instance leaves."""
+    return Failure(
+        reason=Reason.LEAVING, detail=detail, retry_after=LEAVING_RETRY_AFTER_S
+    )
+
+
 def merge_outcomes(earlier: Outcome, latest: Outcome) -> Outcome:
     """Combine the outcomes of two attempts of one request.
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -13,7 +13,7 @@
     encode_response,
     encode_response_parts,
 )
-from catkinpost.protocol.outcome import Failure, Reason
+from catkinpost.protocol.outcome import Failure, Reason, build_leaving_failure
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.request_memory import (
     SMALL_BODY_BYTES,
@@ -33,12 +33,8 @@
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 MAX_PIPELINED_REQUESTS = 32
-# Another node can take a request that is refused during a stop.
-LEAVING_RETRY_AFTER_S = 0.1
-LEAVING_FAILURE = Failure(
-    reason=Reason.LEAVING,
-    detail="the node stopped before it had read the request",
-    retry_after=LEAVING_RETRY_AFTER_S,
+LEAVING_FAILURE = build_leaving_failure(
+    "the node stopped before it had read the request"
 )
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
