Let no further signal end a process that has stopped

Cause: trio restores the default action when the signal receiver ends, which is before the interpreter has ended. A Python handler would not help, as the interpreter drops these first. Stop signals stay blocked from the first one on.

The test sends SIGTERM to itself after the event loop has ended: status -15 before, 0 now.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -15,6 +15,7 @@
 
 __all__ = ["PlannedStop"]
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 IDLE_CHECK_INTERVAL_S = 0.05
 FIRST_REQUEST_TIMEOUT_S = 0.05
 # Runs must have ended this long before the process, so that their results and the
@@ -100,9 +101,12 @@
 
     async def watch_signals(self) -> None:
         """Request the stop at SIGTERM or SIGINT."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
             async for _ in signals:
                 self.request()
+                # The receiver ends before the process, which the next signal would
+                # end with a status of its own.
+                signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
     def request(self) -> None:
         """Start the stop: close caller connections after their next response."""
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,6 +4,8 @@
 import dataclasses
 import functools
 import math
+import subprocess
+import sys
 import unittest
 from unittest import mock
 
@@ -164,6 +166,35 @@
         await trio.sleep(0.1)
 
 
+SIGNAL_AFTER_STOP = """\
+import signal
+from unittest import mock
+import trio
+import trio.testing
+from catkinpost.stop import PlannedStop
+
+async def main():
+    stop = PlannedStop(mock.MagicMock())
+    stop.node.settings.bounds.stop_timeout = 5.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop.watch_signals)
+        await trio.testing.wait_all_tasks_blocked()
+        signal.raise_signal(signal.SIGTERM)
+        await stop.requested.wait()
+        nursery.cancel_scope.cancel()
+
+trio.run(main)
+signal.raise_signal(signal.SIGTERM)
+"""
+
+
+class TestSignals(unittest.TestCase):
+    def test_second_signal_after_the_stop_does_not_end_the_process(self):
+        """Guards against a stop in order that ends with the status of a signal."""
+        process = subprocess.run([sys.executable, "-c", SIGNAL_AFTER_STOP])
+        self.assertEqual(process.returncode, 0)
+
+
 class TestPlannedStop(unittest.TestCase):
     @params(
         # (seconds for peers, server reachable, second from which peers are refused)
