Refuse what waits by the earliest end of a stop that began in a pause

The stop counted from the wake-up, so that SIGKILL met it after 3 of its 5.4 s, with requests that waited or had just been begun.

Cause: the time at which a signal is handled was taken for the time at which it came. It is not known, but the time for which the process did not run is: the signal came within it. What waits, here or at peers, is now refused as not run by the earliest end that fits, and requests that come later are refused when they are read. Runs in progress are not broken off, as the signal may have come last. The log line of the request tells by how much it may be late.

The tests jump the clock before the request: refused after 4.75 s of 1.75 s allowed, and a late request begun, before.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -1,5 +1,6 @@
 """Detection of pauses of the node's own process."""
 
+import math
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -15,6 +16,10 @@
 
 CHECK_INTERVAL_S = 0.25
 MIN_PAUSE_S = 1.0
+# Shorter times without a check are usual on an idle node.
+MIN_GAP_S = 2 * CHECK_INTERVAL_S
+# Time within which the event loop handles a signal that came while it did not run.
+MAX_SIGNAL_DELAY_S = CHECK_INTERVAL_S
 
 
 class SuspendAwareClock(trio.abc.Clock):
@@ -67,6 +72,8 @@
         self.inputs: Counter[Input] = Counter()
         self.last_check_at: float | None = None
         self.suspended_before_s = 0.0
+        self.gap_started_at = -math.inf
+        self.gap_ended_at = -math.inf
         self.pauses = 0
 
     @contextmanager
@@ -94,6 +101,8 @@
         previous_check_at, self.last_check_at = self.last_check_at, now
         new_suspended_s = suspended_s - self.suspended_before_s
         self.suspended_before_s = suspended_s
+        if previous_check_at is not None and now - previous_check_at >= MIN_GAP_S:
+            self.gap_started_at, self.gap_ended_at = previous_check_at, now
         if previous_check_at is not None and now - previous_check_at >= MIN_PAUSE_S:
             self.pauses += 1
             self.decisions.add(
@@ -112,6 +121,16 @@
                 listener()
         return self.pauses
 
+    def find_earliest_signal(self) -> float:
+        """Return the earliest time at which a signal that is handled now may have come.
+
+        A signal that comes while the process does not run is handled afterwards.
+        """
+        self.check_for_pause()
+        now = trio.current_time()
+        is_recent = now - self.gap_ended_at <= MAX_SIGNAL_DELAY_S
+        return self.gap_started_at if is_recent else now
+
     async def run(self) -> None:
         """Check for pauses until cancelled."""
         while True:
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -38,13 +38,19 @@
     that can't be run in time are refused as soon as this is known, so that their
     callers can send them elsewhere.
 
+    A signal that came while the process did not run is handled late, and its sender
+    kills the process early. Whatever waits must have ended by the earliest such time;
+    what runs may still end later.
+
     :param node: node to stop.
+    :ivar signalled_at: earliest time at which the signal may have come.
     """
 
     def __init__(self, node: NodeParts) -> None:
         self.node = node
         self.requested = trio.Event()
         self.requested_at = 0.0
+        self.signalled_at = 0.0
 
     @property
     def is_requested(self) -> bool:
@@ -56,6 +62,12 @@
         """Time by which the process ends."""
         return self.requested_at + self.node.settings.bounds.stop_timeout
 
+    @property
+    def waits_end_at(self) -> float:
+        """Time by which requests that wait must have been run or refused."""
+        stop_timeout = self.node.settings.bounds.stop_timeout
+        return self.signalled_at + stop_timeout - self.answer_time_s
+
     @property
     def answer_time_s(self) -> float:
         """Seconds before the end that are kept for answers."""
@@ -113,12 +125,17 @@
         if self.is_requested:
             return
         node = self.node
-        log_message("node: stop asked for", instance=node.identity.instance)
+        self.signalled_at = node.pause_watch.find_earliest_signal()
         self.requested_at = trio.current_time()
-        runs_end_at = self.ends_at - self.answer_time_s
+        log_message(
+            "node: stop asked for",
+            instance=node.identity.instance,
+            late_by_at_most=round(self.requested_at - self.signalled_at, 3),
+        )
+        window = RunWindow(ends_at=self.waits_end_at)
         node.http_server.leaving = True
-        node.executor.admission.set_window("stop", RunWindow(ends_at=runs_end_at))
-        node.sender.ends_at = runs_end_at
+        node.executor.admission.set_window("stop", window)
+        node.sender.ends_at = self.waits_end_at
         self.requested.set()
 
     async def run(self) -> None:
@@ -208,9 +225,11 @@
         # If the backend server ended before its node, no call can be run any more.
         if await self.is_backend_reachable():
             peer_notice = min(bounds.peer_notice, bounds.leave_notice)
-        await trio.sleep_until(self.requested_at + peer_notice)
+        await trio.sleep_until(min(self.requested_at + peer_notice, self.waits_end_at))
         self.node.start_leaving("a planned stop was asked for")
-        await trio.sleep_until(self.requested_at + bounds.leave_notice)
+        await trio.sleep_until(
+            min(self.requested_at + bounds.leave_notice, self.waits_end_at)
+        )
 
     async def is_backend_reachable(self) -> bool:
         probe = await self.node.backend_client.connect()
--- a/tests/coordination/test_pause.py
+++ b/tests/coordination/test_pause.py
@@ -45,6 +45,29 @@
         expected = [mock.call(suspended)] * pauses
         self.assertEqual(connection.distrust.call_args_list, expected)
 
+    @params(
+        # (seconds without a check, seconds until the signal is handled, earliest)
+        (0.25, 0.0, 0.25),
+        (0.6, 0.0, 0.0),
+        (MIN_PAUSE_S + 2.0, 0.0, 0.0),
+        (MIN_PAUSE_S + 2.0, 0.1, 0.0),
+        (MIN_PAUSE_S + 2.0, 0.3, MIN_PAUSE_S + 2.3),
+    )
+    def test_earliest_time_of_a_signal(self, gap_s, delay_s, earliest):
+        self.check_earliest_signal(gap_s, delay_s, earliest)
+
+    @on_mock_clock
+    async def check_earliest_signal(self, gap_s, delay_s, earliest):
+        watch = PauseWatch(DecisionLog(), get_suspended_time=lambda: 0.0)
+        started_at = trio.current_time()
+        watch.check_for_pause()
+        await trio.sleep(gap_s)
+        if delay_s:
+            watch.check_for_pause()
+            await trio.sleep(delay_s)
+        signalled_s = watch.find_earliest_signal() - started_at
+        self.assertAlmostEqual(signalled_s, earliest)
+
 
 class TestClock(unittest.TestCase):
     @params(0.0, 30.0)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -38,6 +38,7 @@
 
 NOTICE_S = 2.5
 STOP_S = 5.0
+ANSWER_TIME_S = 0.25
 STEPS_OF_AN_ANSWER = 5
 CALL_INTERVAL_S = 0.02
 END_STEPS = [
@@ -264,6 +265,94 @@
             self.assertTrue(results[1].retry_after)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds without a check before the signal is handled, seconds until refusal)
+        (0.0, STOP_S - ANSWER_TIME_S),
+        (0.3, STOP_S - ANSWER_TIME_S),
+        (0.6, STOP_S - ANSWER_TIME_S - 0.6),
+        (3.0, STOP_S - ANSWER_TIME_S - 3.0),
+        (9.0, 0.0),
+    )
+    def test_waiting_request_is_refused_by_the_earliest_end_of_a_stop_in_a_pause(
+        self, pause_s, refused_after_s
+    ):
+        """Guards against SIGKILL that comes early, as SIGTERM came in a pause."""
+        self.check_stop_in_pause(pause_s, refused_after_s)
+
+    @on_mock_clock
+    async def check_stop_in_pause(self, pause_s, refused_after_s):
+        setup = Setup()
+        admission = setup.node.executor.admission
+        admission.update_section(
+            ServiceSection(owner="sales", slots=1, min_slots=1, slow_start=0)
+        )
+        refusals, responses = [], []
+
+        async def enter():
+            item = WorkItem(rank=0, deadline=60.0, call_class="order", path="/orders")
+            result = await admission.acquire_slot(item)
+            if isinstance(result, Failure):
+                refusals.append((result.outcome, trio.current_time()))
+
+        async def run(call):
+            await trio.sleep(STOP_S - 0.2)
+            return Answer(1, 200, [], b"", 0, setup.node.executor.get_load())
+
+        async def handle():
+            responses.append(await setup.node.dispatcher.handle(ORDER))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(enter)
+            await trio.sleep(0.1)
+            nursery.start_soon(enter)
+            setup.accept_orders(run)
+            setup.node.pause_watch.check_for_pause()
+            await wait_all_tasks_blocked()
+            trio.lowlevel.current_clock().jump(pause_s)
+            # The run goes on, as the signal may have come at the end of the pause.
+            nursery.start_soon(handle)
+            await setup.run()
+            ((outcome, refused_at),) = refusals
+            self.assertIs(outcome, Outcome.NOT_RUN)
+            self.assertAlmostEqual(
+                refused_at - setup.requested_at, refused_after_s, delta=0.02
+            )
+            self.assertEqual([item.status for item in responses], [200])
+            nursery.cancel_scope.cancel()
+
+    @params(
+        # (seconds without a check, second of the request, requests refused)
+        (0.0, 1.9, 0),
+        (3.0, 1.6, 0),
+        (3.0, 1.9, 1),
+    )
+    def test_late_request_is_refused_by_the_earliest_end_of_a_stop_in_a_pause(
+        self, pause_s, second, refused
+    ):
+        """Guards against work that is begun when SIGKILL may come at once."""
+        self.check_request_after_pause(pause_s, second, refused)
+
+    @on_mock_clock(io=True)
+    async def check_request_after_pause(self, pause_s, second, refused):
+        setup = Setup()
+        setup.node.executor.active_calls = 1
+        setup.node.pause_watch.check_for_pause()
+        trio.lowlevel.current_clock().jump(pause_s)
+        async with trio.open_nursery() as nursery:
+            await setup.listen(nursery)
+            caller = await setup.open_call()
+
+            async def send():
+                await trio.sleep(second)
+                await caller.send_all(KEPT_REQUEST)
+                await read_all(caller)
+                self.assertEqual(setup.node.http_server.refused_requests, refused)
+                setup.node.executor.active_calls = 0
+
+            nursery.start_soon(send)
+            await setup.run()
+            nursery.cancel_scope.cancel()
+
     @params((Outcome.UNKNOWN, 504), (Outcome.NOT_RUN, 503))
     def test_request_at_work_is_answered_before_the_process_ends(self, outcome, status):
         """A closed connection could be taken for a request that was not read."""
