Await a silent peer for each call that can't be sent again

The call had no attempt left, so nothing was gained by ending it.

Cause: only calls that must not be sent again were kept on the silent connection. The question is asked when the peer goes silent now, and covers the retries that are left, the budget of repeated arrivals and the instances that take work: if one of them forbids another attempt, the answer is awaited until the deadline.

The table of the test fails in its three new cases with the old condition.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -345,7 +345,7 @@
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
 
     def set_aside(self, frames: FrameStream) -> None:
-        """Keep a silent connection for the requests that must not be sent again.
+        """Keep a silent connection for the requests that can't be sent again.
 
         The peer may only be late: it then still answers them, and would break them off
         if the connection were closed.
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -14,8 +14,8 @@
     """Request that awaits its response.
 
     :param on_result: called once, when the result is available.
-    :param outlasts_silence: whether the response is awaited although the peer has gone
-        silent, as the request must not be sent to another one.
+    :param outlasts_silence: returns whether the response is awaited although the peer
+        has gone silent, as the request can't be sent to another one.
 
     ``sent`` is true when the request may have reached its target. ``withdraw`` asks the
     target to refuse the request if it does not run yet; the response is still awaited.
@@ -31,7 +31,10 @@
     )
 
     def __init__(
-        self, on_result: Callable[[], None], *, outlasts_silence: bool = False
+        self,
+        on_result: Callable[[], None],
+        *,
+        outlasts_silence: Callable[[], bool] = lambda: False,
     ) -> None:
         self.on_result = on_result
         self.outlasts_silence = outlasts_silence
@@ -88,7 +91,7 @@
         lasting.requests = {
             request_id: pending
             for request_id, pending in self.requests.items()
-            if pending.outlasts_silence
+            if pending.outlasts_silence()
         }
         for request_id in lasting.requests:
             self.remove(request_id)
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -28,6 +29,7 @@
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import LARGE_BODY_BYTES
+from catkinpost.state.retry_budget import RetryBudget
 from catkinpost.state.server_notice import ServerNotices
 
 __all__ = ["OVERLOAD_REASONS", "AttemptSender", "AttemptResult"]
@@ -87,6 +89,7 @@
     :param metrics: counters.
     :param decisions: log of automatic decisions.
     :param spawn: starts a background task.
+    :param retry_budget: bound on repeated arrivals at a service.
     :param ends_at: time by which all calls must have ended.
     :param active_attempts: attempts whose end has not been recorded.
     """
@@ -102,6 +105,7 @@
     metrics: Metrics
     decisions: DecisionLog
     spawn: Callable[..., None]
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
     ends_at: float = math.inf
     active_attempts: set[Attempt] = field(default_factory=set)
 
@@ -209,7 +213,8 @@
         """
         exclude.add(target.instance.name)
         pending = PendingRequest(
-            attempt_ended.set, outlasts_silence=not call.is_repeatable
+            attempt_ended.set,
+            outlasts_silence=partial(self.is_last_sending, call, exclude),
         )
         reserved_retries = call.allowance.reserve_for_attempt()
         now = trio.current_time()
@@ -246,6 +251,16 @@
             link = self.get_link(message, target.instance)
             await link.send_request(message, pending)
 
+    def is_last_sending(self, call: EntryCall, exclude: set[str]) -> bool:
+        """Return whether a call that may have arrived can't be sent again."""
+        if not call.is_repeatable or call.allowance.remaining < 1:
+            return True
+        now = trio.current_time()
+        return not (
+            self.retry_budget.has_repeat(call.service, now)
+            and self.router.has_instance(call.service, exclude=exclude)
+        )
+
     def get_link(self, message: Call, instance: Instance) -> PeerLink:
         """Return the link for a call, by the size of its body."""
         if len(message.body) > LARGE_BODY_BYTES:
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -227,6 +227,7 @@
             metrics=self.metrics,
             decisions=self.decisions,
             spawn=self.spawn,
+            retry_budget=self.retry_budget,
         )
         self.dispatcher = Dispatcher(
             store=self.store,
--- a/src/catkinpost/state/retry_budget.py
+++ b/src/catkinpost/state/retry_budget.py
@@ -71,15 +71,20 @@
         :param service: service to which the repeat would be sent.
         :param now: time on the node's clock.
         """
+        if not self.has_repeat(service, now):
+            return False
+        if self.bound is not None:
+            self.get_window(service, now).repeats.append(now)
+        return True
+
+    def has_repeat(self, service: str, now: float) -> bool:
+        """Return whether the bound allows another repeat, without acquiring it."""
         if self.bound is None:
             return True
         window = self.get_window(service, now)
         allowed = self.bound.ratio * len(window.requests)
         allowed += self.bound.extra / max(1, self.node_count)
-        if len(window.repeats) + 1 > allowed:
-            return False
-        window.repeats.append(now)
-        return True
+        return len(window.repeats) + 1 <= allowed
 
     def get_window(self, service: str, now: float) -> ServiceWindow:
         window = self.windows.get_or_create(service, ServiceWindow)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -164,7 +164,7 @@
 
     async def call(self, body=b"set", *, outlasts_silence=False):
         done = trio.Event()
-        pending = PendingRequest(done.set, outlasts_silence=outlasts_silence)
+        pending = PendingRequest(done.set, outlasts_silence=lambda: outlasts_silence)
         try:
             await self.link.send_request(make_call("k", 0, body), pending)
             await done.wait()
@@ -590,7 +590,7 @@
             setup.link.welcome = msgspec.structs.replace(
                 setup.link.welcome, withdrawals=understood
             )
-            pending = PendingRequest(lambda: None, outlasts_silence=True)
+            pending = PendingRequest(lambda: None, outlasts_silence=lambda: True)
             await setup.link.send_request(make_call("", 0), pending)
             await trio.sleep(2 * setup.settings.ping_timeout_s)
             self.assertEqual(len(setup.link.silent_connections), 1)
@@ -613,7 +613,7 @@
             for is_lasting in (True, False):
                 pending = PendingRequest(
                     functools.partial(ends.append, is_lasting),
-                    outlasts_silence=is_lasting,
+                    outlasts_silence=functools.partial(bool, is_lasting),
                 )
                 await setup.link.send_request(make_call("", 0), pending)
             await trio.sleep(2 * setup.settings.ping_timeout_s)
--- a/tests/coordination/peers/test_link_table.py
+++ b/tests/coordination/peers/test_link_table.py
@@ -115,7 +115,7 @@
         message = make_call(key="", attempt=0)
         message.body = bytes(size)
         done = trio.Event()
-        pending = PendingRequest(done.set, outlasts_silence=outlasts_silence)
+        pending = PendingRequest(done.set, outlasts_silence=lambda: outlasts_silence)
         link = self.sender.get_link(message, self.instance)
         await link.send_request(message, pending)
         await done.wait()
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -33,6 +33,7 @@
 from tests.log import CapturedLog
 
 RETRIES = 3
+NODE_RETRIES = get_node_retries(RETRIES)
 CALL_TIMEOUT_S = 5
 POLICY = f"""\
 [service orders]
@@ -105,6 +106,7 @@
 
     async def send_request(self, call, pending):
         self.attempts += 1
+        self.last_pending = pending
         self.granted.append(call.allowance)
         self.useful_us.append(call.useful_us)
         fault = self.faults.pop(0) if self.faults else "answered"
@@ -308,6 +310,49 @@
             self.assertIs(outcome_of(responses[0]), known)
 
 
+class TestSilentPeer(unittest.TestCase):
+    """A peer goes silent while its server runs a call."""
+
+    @params(
+        # (method, attempts that failed before, other instances, extra repeats, awaited)
+        (b"POST", 0, True, 9, True),
+        (b"GET", 0, True, 9, False),
+        (b"GET", NODE_RETRIES, True, 9, True),
+        (b"GET", 0, False, 9, True),
+        (b"GET", 0, True, 0, True),
+    )
+    def test_call_without_another_attempt_awaits_its_answer(self, *case):
+        """Guards against a failure in the place of the answer of a server at work."""
+        self.check_silence(*case)
+
+    @on_mock_clock
+    async def check_silence(self, method, failed, has_others, extra, is_awaited):
+        async with trio.open_nursery() as nursery:
+            faults = ["backend crashed"] * failed + ["silent after"]
+            setup = Setup(nursery, faults)
+            if not has_others:
+                setup.view.apply_list(2, [make_instance("orders-0")], 0.0)
+            bound = RetryBound(ratio=0.0, window_s=10.0, extra=extra)
+            budget = RetryBudget(bound)
+            setup.dispatcher.retry_budget = setup.sender.retry_budget = budget
+            responses = []
+
+            async def send():
+                responses.append(await setup.send(method))
+
+            nursery.start_soon(send)
+            await trio.sleep(1.0)
+            pending = setup.links.last_pending
+            self.assertIs(pending.outlasts_silence(), is_awaited)
+            if is_awaited:
+                pending.resolve(FAULTS["answered"][1]())
+            else:
+                pending.resolve(Failure(reason=Reason.PEER_SILENT, outcome=UNKNOWN))
+            await trio.sleep(1.0)
+            self.assertEqual([item.status for item in responses], [200])
+            self.assertEqual(setup.links.attempts, len(faults) + (not is_awaited))
+
+
 class TestLateWakeUp(unittest.TestCase):
     """The deadline of a call has passed when the process goes on."""
 
