Keep a connection whose caller takes an answer slowly

An answer had to be taken within the idle time-out as a whole, before and after the close of the sending side alike.

Cause: a time limit on progress was counted from the beginning. It now counts from the last time at which the send queue was seen to have shrunk, or a piece was sent; a caller that takes nothing is closed as before.

The test reads for twice the idle time-out: cut before, whole now; callers that take nothing are cut in both.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -10,7 +10,10 @@
 from catkinpost.protocol.http import HttpResponse
 from catkinpost.state.request_memory import Reservation
 from catkinpost.transport.http_parser import RequestParser
-from catkinpost.transport.linger import has_data_in_flight
+from catkinpost.transport.linger import (
+    count_unacknowledged_bytes,
+    has_data_in_flight,
+)
 
 __all__ = ["Connection", "Exchange", "Phase"]
 
@@ -60,7 +63,9 @@
     :param nursery: nursery of the tasks of the connection.
     :param reservation: memory for the request that is being read.
     :param memory_wait: cancel scope of the wait for that memory, if it waits.
-    :param progressed_at: time at which the caller last took a part of a response.
+    :param progressed_at: time at which the last piece of a large response was sent.
+    :param taken_at: time at which the send queue was last seen to have shrunk.
+    :param unsent_bytes: bytes in the send queue when it was last looked at.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
         by the limits in force when it last got an answer.
     """
@@ -82,6 +87,8 @@
     reservation: Reservation | None = None
     memory_wait: trio.CancelScope | None = None
     progressed_at: float = 0.0
+    taken_at: float = 0.0
+    unsent_bytes: int = 0
     idle_timeout: float = 0.0
 
     @property
@@ -133,6 +140,13 @@
         """
         return len(self.exchanges) == 1 and self.memory_wait is None
 
+    def update_taken_at(self, now: float) -> None:
+        """Note whether the caller's system has taken a part since the last look."""
+        unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
+        if unsent_bytes < self.unsent_bytes:
+            self.taken_at = now
+        self.unsent_bytes = unsent_bytes
+
     def give_up(self) -> bool:
         """Close the connection without the rest of its responses."""
         self.closing = True
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -207,10 +207,11 @@
             return elapsed_s > self.limits.head_timeout
         if connection.phase is Phase.ANSWERING:
             return False
-        timeout_s = self.limits.idle_timeout
         if connection.phase is Phase.IDLE:
-            timeout_s = max(timeout_s, connection.idle_timeout)
-        return elapsed_s > timeout_s
+            return elapsed_s > max(self.limits.idle_timeout, connection.idle_timeout)
+        connection.update_taken_at(now)
+        taken_at = max(connection.progressed_at, connection.taken_at)
+        return min(elapsed_s, now - taken_at) > self.limits.idle_timeout
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it.
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -12,6 +12,7 @@
 
 # Time for a caller to close its side after everything sent was acknowledged.
 LINGER_TIMEOUT_S = 5.0
+PROGRESS_CHECK_INTERVAL_S = 0.5
 DISCARD_READ_BYTES = 65536
 ACKNOWLEDGEMENT_CHECK_INTERVAL_S = 0.01
 # The end of the stream takes one place in the send queue until it is acknowledged.
@@ -50,18 +51,27 @@
     async def run(self, delivery_timeout_s: float) -> None:
         """Close the sending side and discard input until the caller closes.
 
-        This ends after ``LINGER_TIMEOUT_S`` at most, or later while sent bytes are on
-        their way to a caller that reads slowly.
+        This ends after ``LINGER_TIMEOUT_S`` at most, or later while a caller that reads
+        slowly takes what was sent.
 
-        :param delivery_timeout_s: seconds after which this ends in any case.
+        :param delivery_timeout_s: seconds after which this ends if the caller has taken
+            nothing meanwhile.
         :raises trio.BrokenResourceError: when the caller has reset the connection.
         """
         await self.stream.send_eof()
+        wait_s = min(LINGER_TIMEOUT_S, delivery_timeout_s)
+        taken_at = trio.current_time()
         try:
-            with trio.move_on_after(delivery_timeout_s):
-                await self.discard_input()
-                while self.unsent_bytes and not self.caller_has_closed:
+            while not self.caller_has_closed:
+                unsent_bytes = self.unsent_bytes
+                ends_at = taken_at + (delivery_timeout_s if unsent_bytes else wait_s)
+                now = trio.current_time()
+                if now >= ends_at:
+                    break
+                with trio.move_on_at(min(ends_at, now + PROGRESS_CHECK_INTERVAL_S)):
                     await self.discard_input()
+                if self.unsent_bytes < unsent_bytes:
+                    taken_at = trio.current_time()
         finally:
             self.log_unread_input()
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP server, on real connections."""
 
+import contextlib
 import dataclasses
 import functools
+import math
 import random
 import re
 import socket
@@ -94,6 +96,11 @@
     return run
 
 
+async def receive_up_to(stream, data, size):
+    while len(data) < size and (piece := await stream.receive_some(65536)):
+        data += piece
+
+
 async def read_all(stream):
     data = b""
     while True:
@@ -576,6 +583,41 @@
             self.assertFalse(setup.server.lingers)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (request, bytes that the caller takes a second, whether it gets all of them)
+        (KEPT_REQUEST, 100_000, True),
+        (KEPT_REQUEST, 0, False),
+        (CLOSING_REQUEST, 100_000, True),
+        (CLOSING_REQUEST, 0, False),
+    )
+    def test_answer_that_makes_progress_outlasts_the_idle_timeout(
+        self, request, step, is_whole
+    ):
+        """Guards against answers that are cut while a slow caller reads them."""
+        self.check_slow_answer(request, step, is_whole)
+
+    @on_mock_clock(io=True)
+    async def check_slow_answer(self, request, step, is_whole):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            body = LARGE_BODY * 4
+
+            async def handle(request):
+                return HttpResponse(200, [], body)
+
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(request)
+            data = bytearray()
+            with contextlib.suppress(trio.BrokenResourceError):
+                for _ in range(int(2 * LIMITS.idle_timeout) + 1):
+                    await trio.sleep(1.0)
+                    await receive_up_to(stream, data, len(data) + step)
+                await receive_up_to(stream, data, math.inf)
+            self.assertIs(data.endswith(body), is_whole)
+            nursery.cancel_scope.cancel()
+
     @params(stop_reading, close_by_itself)
     def test_server_is_busy_until_its_caller_has_the_answer(self, close):
         self.check_busy_until_delivered(close)
