Await a silent peer for each call of a node that stops

A call that may be repeated was given up at a silent peer, and its next attempt was then refused, as no run would end before the node: 502 while its server was at work, which the platform counts as LOST after SIGTERM. Found by reading, from the lead of the call without an attempt left.

Cause: whether a call can be sent again was judged without the end of the node.

--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -252,9 +252,14 @@
             await link.send_request(message, pending)
 
     def is_last_sending(self, call: EntryCall, exclude: set[str]) -> bool:
-        """Return whether a call that may have arrived can't be sent again."""
+        """Return whether a call that may have arrived can't be sent again.
+
+        While the node stops, another attempt may find no instance that ends in time.
+        """
         if not call.is_repeatable or call.allowance.remaining < 1:
             return True
+        if self.ends_at != math.inf:
+            return True
         now = trio.current_time()
         return not (
             self.retry_budget.has_repeat(call.service, now)
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of the dispatch of requests to instances."""
 
 import functools
+import math
 import unittest
 
 import trio
@@ -314,19 +315,23 @@
     """A peer goes silent while its server runs a call."""
 
     @params(
-        # (method, attempts that failed before, other instances, extra repeats, awaited)
-        (b"POST", 0, True, 9, True),
-        (b"GET", 0, True, 9, False),
-        (b"GET", NODE_RETRIES, True, 9, True),
-        (b"GET", 0, False, 9, True),
-        (b"GET", 0, True, 0, True),
+        # (method, attempts that failed before, other instances, extra repeats, second
+        # at which the node ends, awaited)
+        (b"POST", 0, True, 9, math.inf, True),
+        (b"GET", 0, True, 9, math.inf, False),
+        (b"GET", NODE_RETRIES, True, 9, math.inf, True),
+        (b"GET", 0, False, 9, math.inf, True),
+        (b"GET", 0, True, 0, math.inf, True),
+        (b"GET", 0, True, 9, 4.0, True),
     )
     def test_call_without_another_attempt_awaits_its_answer(self, *case):
         """Guards against a failure in the place of the answer of a server at work."""
         self.check_silence(*case)
 
     @on_mock_clock
-    async def check_silence(self, method, failed, has_others, extra, is_awaited):
+    async def check_silence(
+        self, method, failed, has_others, extra, ends_at, is_awaited
+    ):
         async with trio.open_nursery() as nursery:
             faults = ["backend crashed"] * failed + ["silent after"]
             setup = Setup(nursery, faults)
@@ -342,6 +347,7 @@
 
             nursery.start_soon(send)
             await trio.sleep(1.0)
+            setup.sender.ends_at = ends_at
             pending = setup.links.last_pending
             self.assertIs(pending.outlasts_silence(), is_awaited)
             if is_awaited:
