Close what nothing is due on when descriptors run out

At the end of a stop the connections in the queue would have been reset.

Cause: an accept without a descriptor was repeated every 0.1 s, while connections that had been answered, or were idle, kept theirs. These are closed now: first those that only await the close of their callers, then those idle for the longest time, sixteen at once, for 0.2 s at least. Without any such connection callers wait, as before; nothing can be told to them without a descriptor.

The test of the acceptor fails before, as no connection is accepted; the one of the server is of a new function.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -274,6 +274,7 @@
             memory=self.request_memory,
             answer_memory=self.answer_memory,
         )
+        self.call_acceptor.make_room = self.http_server.make_room
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -1,5 +1,6 @@
 """Accepting of connections at one address, and its end."""
 
+import errno
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -12,9 +13,53 @@
 # A stop has a fixed end, and other tasks may run between two connections.
 END_TIMEOUT_S = 0.1
 
+SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
+# Time in which the tasks of closed connections release their descriptors.
+RELEASE_TIME_S = 0.01
+
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
 
+def keep_all() -> int:
+    """Close no connection for a new one."""
+    return 0
+
+
+class SparingListener(trio.abc.Listener[trio.SocketStream]):
+    """Listener that closes other connections when descriptors run out.
+
+    Callers whose connections nobody accepts wait for as long as the shortage lasts.
+
+    :param listener: listener with the queue of connections.
+    :param make_room: closes connections and returns their number.
+    """
+
+    def __init__(
+        self, listener: trio.SocketListener, make_room: Callable[[], int]
+    ) -> None:
+        self.listener = listener
+        self.make_room = make_room
+
+    async def accept(self) -> trio.SocketStream:
+        """Accept a connection.
+
+        :raises OSError: when no descriptor can be had.
+        """
+        while True:
+            try:
+                return await self.listener.accept()
+            except OSError as error:
+                closed = self.make_room() if error.errno in SHORTAGE_ERRORS else 0
+                if not closed:
+                    raise
+                log_message("accept: closed others", count=closed, why=repr(error))
+            await trio.sleep(RELEASE_TIME_S)
+
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self.listener.aclose()
+
+
 class Acceptor:
     """Accepts connections until it is stopped; open connections continue.
 
@@ -23,11 +68,14 @@
 
     :param backlog: most connections that are accepted at the end, as callers may
         never stop coming.
+    :ivar make_room: closes connections when descriptors run out, and returns their
+        number.
     :ivar scope: cancelling it starts the end, as ``stop`` does.
     """
 
     def __init__(self, backlog: int = LISTEN_BACKLOG) -> None:
         self.backlog = backlog
+        self.make_room: Callable[[], int] = keep_all
         self.scope = trio.CancelScope()
         self.is_running = False
         self.ended = trio.Event()
@@ -45,8 +93,9 @@
         # The queue of a listener stays while one of its descriptors is open.
         queues = [trio.SocketListener(item.socket.dup()) for item in listeners]
         try:
+            sparing = [SparingListener(item, self.make_room) for item in listeners]
             with self.scope:
-                await trio.serve_listeners(serve, listeners, handler_nursery=nursery)
+                await trio.serve_listeners(serve, sparing, handler_nursery=nursery)
             for queue in queues:
                 await self.accept_waiting(serve, queue, nursery)
         finally:
@@ -60,11 +109,12 @@
         self, serve: Serve, queue: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
         ends_at = trio.current_time() + END_TIMEOUT_S
+        listener = SparingListener(queue, self.make_room)
         for _ in range(self.backlog):
             if not queue.socket.is_readable() or trio.current_time() >= ends_at:
                 break
             try:
-                stream = await queue.accept()
+                stream = await listener.accept()
             except OSError as error:
                 log_message("accept: connections left in the queue", why=repr(error))
                 break
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -33,6 +33,9 @@
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 MAX_PIPELINED_REQUESTS = 32
+# A caller that has just connected, or been answered, is likely to send next.
+MIN_IDLE_S = 0.2
+MAX_CLOSED_AT_ONCE = 16
 LEAVING_FAILURE = build_leaving_failure(
     "the node stopped before it had read the request"
 )
@@ -165,6 +168,31 @@
         if connection.is_awaiting_request:
             connection.scope.cancel()
 
+    def make_room(self) -> int:
+        """Close connections on which nothing is due, and return their number.
+
+        Answered ones that await the close of their callers go first, and then those
+        that have been idle for the longest time.
+        """
+        delivered = [item for item in self.lingers if not item.is_pending]
+        for linger in delivered:
+            linger.scope.cancel()
+        if delivered:
+            return len(delivered)
+        idle_before = trio.current_time() - MIN_IDLE_S
+        idle = [
+            item
+            for item in self.connections
+            if item.phase is Phase.IDLE
+            and item.phase_started_at < idle_before
+            and not item.closing
+            and not item.has_unread_input
+        ]
+        idle.sort(key=lambda item: item.phase_started_at)
+        for connection in idle[:MAX_CLOSED_AT_ONCE]:
+            self.close_overdue(connection)
+        return len(idle[:MAX_CLOSED_AT_ONCE])
+
     async def watch_connections(self) -> None:
         """Close overdue connections and start readers where needed, until cancelled.
 
@@ -185,12 +213,16 @@
             if self.is_overdue(connection, now):
                 if connection.phase is Phase.IDLE and connection.has_unread_input:
                     continue
-                connection.overdue = True
-                connection.closing = True
-                connection.scope.cancel()
+                self.close_overdue(connection)
             elif connection.needs_reader_task:
                 self.start_reader_if_readable(connection)
 
+    def close_overdue(self, connection: Connection) -> None:
+        """Close a connection that makes no progress."""
+        connection.overdue = True
+        connection.closing = True
+        connection.scope.cancel()
+
     def start_reader_if_readable(self, connection: Connection) -> None:
         """Start to read a connection beside its only request if it is readable.
 
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -28,11 +28,13 @@
     closes.
 
     :param stream: connection to close; the caller of ``run`` closes it afterwards.
+    :ivar scope: cancelling it ends ``run``.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.caller_has_closed = False
+        self.scope = trio.CancelScope()
 
     @property
     def unsent_bytes(self) -> int:
@@ -62,16 +64,17 @@
         wait_s = min(LINGER_TIMEOUT_S, delivery_timeout_s)
         taken_at = trio.current_time()
         try:
-            while not self.caller_has_closed:
-                unsent_bytes = self.unsent_bytes
-                ends_at = taken_at + (delivery_timeout_s if unsent_bytes else wait_s)
-                now = trio.current_time()
-                if now >= ends_at:
-                    break
-                with trio.move_on_at(min(ends_at, now + PROGRESS_CHECK_INTERVAL_S)):
-                    await self.discard_input()
-                if self.unsent_bytes < unsent_bytes:
-                    taken_at = trio.current_time()
+            with self.scope:
+                while not self.caller_has_closed:
+                    unsent = self.unsent_bytes
+                    ends_at = taken_at + (delivery_timeout_s if unsent else wait_s)
+                    now = trio.current_time()
+                    if now >= ends_at:
+                        break
+                    with trio.move_on_at(min(ends_at, now + PROGRESS_CHECK_INTERVAL_S)):
+                        await self.discard_input()
+                    if self.unsent_bytes < unsent:
+                        taken_at = trio.current_time()
         finally:
             self.log_unread_input()
 
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -1,8 +1,10 @@
 """Tests of the end of accepting, on real connections."""
 
 import contextlib
+import errno
 import socket
 import unittest
+from unittest import mock
 
 import trio
 from nose2.tools import params
@@ -64,6 +66,46 @@
                 caller.close()
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (whether the acceptor stops meanwhile, connections to close, accepted)
+        (False, 1, 1),
+        (False, 0, 0),
+        (True, 1, 1),
+        (True, 0, 0),
+    )
+    def test_connection_is_accepted_when_another_makes_room(self, *case):
+        """Guards against callers that nobody answers, as descriptors have run out."""
+        self.check_shortage(*case)
+
+    @on_mock_clock(io=True)
+    async def check_shortage(self, is_stopped, can_close, accepted):
+        async with trio.open_nursery() as nursery:
+            setup, closed = Setup(nursery), []
+            accept = trio.SocketListener.accept
+
+            def make_room():
+                closed.extend([1] * can_close)
+                return can_close
+
+            async def accept_if_room(listener):
+                await trio.lowlevel.wait_readable(listener.socket)
+                if not closed:
+                    raise OSError(errno.EMFILE, "no descriptor is left")
+                return await accept(listener)
+
+            with mock.patch.object(trio.SocketListener, "accept", accept_if_room):
+                setup.acceptor.make_room = make_room
+                await setup.start()
+                await trio.sleep(0.1)
+                caller = setup.connect_now()
+                if is_stopped:
+                    await setup.acceptor.stop()
+                else:
+                    await trio.sleep(0.05)
+                self.assertEqual(len(setup.accepted), accepted)
+            caller.close()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_acceptor_that_never_ran_stops_at_once(self):
         async with trio.open_nursery() as nursery:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 import trio
 from nose2.tools import params
@@ -18,6 +19,7 @@
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport import http_server
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
@@ -583,6 +585,38 @@
             self.assertFalse(setup.server.lingers)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_room_is_made_by_connections_on_which_nothing_is_due(self):
+        """Guards against callers that nobody answers, as descriptors have run out."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.release = trio.Event()
+            await setup.start(nursery)
+            idle = await setup.connect()
+            await trio.sleep(0.1)
+            later = await setup.connect()
+            busy = await setup.connect()
+            await busy.send_all(KEPT_REQUEST)
+            await trio.sleep(1.0)
+            new = await setup.connect()
+            await trio.sleep(0.1)
+            with mock.patch.object(http_server, "MAX_CLOSED_AT_ONCE", 1):
+                self.assertEqual(setup.server.make_room(), 1)
+                self.assertEqual(await read_all(idle), b"")
+                self.assertEqual(setup.server.make_room(), 1)
+                self.assertEqual(await read_all(later), b"")
+                self.assertEqual(setup.server.make_room(), 0)
+            setup.release.set()
+            await new.send_all(CLOSING_REQUEST)
+            await read_all(new)
+            # An answered connection awaits the close of its caller.
+            self.assertEqual(len(setup.server.lingers), 1)
+            self.assertEqual(setup.server.make_room(), 1)
+            await trio.sleep(0.1)
+            self.assertEqual(len(setup.server.lingers), 0)
+            self.assertTrue((await busy.receive_some(100)).startswith(b"HTTP/1.1 200"))
+            nursery.cancel_scope.cancel()
+
     @params(
         # (request, bytes that the caller takes a second, whether it gets all of them)
         (KEPT_REQUEST, 100_000, True),
