Play planned work in each pair of circumstances, on the standard library

The servers, clients and probes of the soak use the product's own HTTP, so that a fault on both sides cancels out, and its conjunctions come by chance. catkinpost-plays shares no code with the nodes: a table of eleven factors, in which each pair of values occurs (allpairspy), one scripted play of some seconds a row, with relays between clients, machines and regions (delay of 1.4 to 20 ms, narrow ways).

--- /dev/null
+++ b/src/catkinpost_standins/plays/client.py
@@ -0,0 +1,311 @@
+"""Clients of a play, on plain sockets."""
+
+import asyncio
+import contextlib
+import random
+import select
+import socket
+import time
+import zlib
+from dataclasses import dataclass
+
+from catkinpost_standins.plays.server import build_body
+from catkinpost_standins.plays.wire import build_head, encode_chunks
+
+__all__ = ["HOST", "Client", "Fate", "Sending"]
+
+HOST = "mesh.example"
+PATIENCE_S = 0.6
+PIECES = 5
+PIECE_GAP_S = 0.03
+CONTINUE_WAIT_S = 0.3
+SLOW_READ_BYTES = 4096
+SLOW_READ_GAP_S = 0.02
+READ_BYTES = 65_536
+IDLE_SHARE = 0.78
+# Requests that a client sends ahead on a connection, and without an answer at a time.
+AHEAD = 12
+MOST_OPEN = 3
+
+
+@dataclass
+class Fate:
+    """What became of one request, with times of the steady clock.
+
+    :param place: number of requests before it on its connection without an answer.
+    :param is_reused: whether its connection had answered a request before.
+    :param is_begun: whether a part of it may have been sent.
+    :param sent_at: time of the last byte, ``None`` if it was not sent whole.
+    :param end: ``"answered"``, ``"closed"``, ``"cut"``, ``"reset"``, ``"no answer"``
+        ``"refused"`` for a connection that could not be opened, or ``"unsent"``.
+    """
+
+    attempt: str
+    method: str
+    path: str
+    upload: int
+    place: int
+    is_reused: bool
+    started_at: float
+    is_begun: bool = False
+    sent_at: float | None = None
+    ended_at: float = 0.0
+    end: str = "open"
+    status: int = 0
+    is_signed: bool = False
+    is_whole_body: bool = False
+    named: str = ""
+
+
+@dataclass(frozen=True)
+class Sending:
+    """How clients of a play send.
+
+    :param form: value of the play's factor.
+    :param upload: body of each request.
+    :param is_chunked: whether the body is sent in chunks.
+    :param answer_bytes: size of a server's whole body.
+    :param deadline_s: seconds that clients wait.
+    """
+
+    form: str
+    method: str
+    path: str
+    upload: bytes
+    is_chunked: bool
+    is_slow_reader: bool
+    answer_bytes: int
+    deadline_s: float
+
+
+class Connection:
+    """One connection of a client."""
+
+    def __init__(self, sending: Sending) -> None:
+        self.sending = sending
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        if sending.is_slow_reader:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES)
+        self.data = b""
+        self.answers = 0
+        self.idle_since = 0.0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has closed, or sent what nobody asked for."""
+        return bool(select.select([self.socket], [], [], 0)[0])
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.socket, data)
+
+    async def receive(self) -> bool:
+        """Read more, and return whether the connection goes on."""
+        is_slow = self.sending.is_slow_reader
+        if is_slow:
+            await asyncio.sleep(SLOW_READ_GAP_S)
+        data = await asyncio.get_running_loop().sock_recv(
+            self.socket, SLOW_READ_BYTES if is_slow else READ_BYTES
+        )
+        self.data += data
+        return bool(data)
+
+    async def receive_until(self, is_complete) -> bool:
+        while not is_complete():
+            if not await self.receive():
+                return False
+        return True
+
+    async def read_answer(self, fate: Fate) -> dict[str, str]:
+        """Read one answer into a fate, and return its headers."""
+        while True:
+            if not await self.receive_until(lambda: b"\r\n\r\n" in self.data):
+                fate.end = "cut" if self.data else "closed"
+                return {}
+            head, _, self.data = self.data.partition(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            fate.status = int(lines[0].split()[1])
+            if fate.status >= 200:
+                break
+        pairs = (line.partition(":") for line in lines[1:])
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        fate.named = headers.get("attempt-id", "")
+        fate.is_signed = "response-signature" in headers
+        size = int(headers["content-length"])
+        if not await self.receive_until(lambda: len(self.data) >= size):
+            fate.end = "cut"
+            return headers
+        body, self.data = self.data[:size], self.data[size:]
+        expected = build_body(fate.attempt, self.sending.answer_bytes)
+        fate.is_whole_body = body == expected
+        fate.end = "answered"
+        self.answers += 1
+        return headers
+
+
+class Client:
+    """Client that sends requests one after the other, or a few ahead.
+
+    :param address: where it connects.
+    :param sending: how it sends.
+    :param seed: source of its choices.
+    :param get_idle_limit: returns the idle time-out in force in seconds.
+    :param accepts: returns whether the machine gets new work.
+    """
+
+    def __init__(self, address, sending: Sending, seed: str, get_idle_limit, accepts):
+        self.address = address
+        self.sending = sending
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.get_idle_limit = get_idle_limit
+        self.accepts = accepts
+        self.fates: list[Fate] = []
+
+    async def run(self, first_at: float, until: float, gap_s: float) -> None:
+        """Send from one time to another.
+
+        :param gap_s: longest pause between two requests.
+        """
+        await asyncio.sleep(first_at - time.monotonic())
+        connection = None
+        while time.monotonic() < until and self.accepts():
+            connection = await self.send_batch(connection)
+            pause_s = self.random.uniform(0.2, 1.0) * gap_s
+            if self.sending.form == "idle":
+                pause_s = IDLE_SHARE * self.get_idle_limit()
+            await asyncio.sleep(pause_s)
+            if self.sending.form == "new" and connection is not None:
+                connection.socket.close()
+                connection = None
+        if connection is not None:
+            connection.socket.close()
+
+    def is_usable(self, connection: Connection | None) -> bool:
+        """Whether a connection may be used again by the platform's rules."""
+        if connection is None:
+            return False
+        idle_s = time.monotonic() - connection.idle_since
+        if not connection.has_ended and idle_s <= 0.8 * self.get_idle_limit():
+            return True
+        connection.socket.close()
+        return False
+
+    async def send_batch(self, connection: Connection | None) -> Connection | None:
+        """Send one request, or some ahead, and return a connection that is kept."""
+        if not self.is_usable(connection):
+            connection = Connection(self.sending)
+        count = AHEAD if self.sending.form == "ahead" else 1
+        fates = [self.build_fate(connection, number) for number in range(count)]
+        self.fates += fates
+        is_kept = False
+        try:
+            if not connection.answers:
+                fates[0].is_begun = True
+                await asyncio.get_running_loop().sock_connect(
+                    connection.socket, self.address
+                )
+            is_kept = await self.exchange(connection, fates)
+        except TimeoutError:
+            self.end_open(fates, "no answer")
+        except ConnectionRefusedError:
+            self.end_open(fates, "refused")
+        except OSError:
+            self.end_open(fates, "reset")
+        if is_kept:
+            connection.idle_since = time.monotonic()
+            return connection
+        connection.socket.close()
+        return None
+
+    def end_open(self, fates: list[Fate], end: str) -> None:
+        """End the requests without an answer."""
+        for fate in fates:
+            if fate.end == "open":
+                fate.end = end if fate.is_begun else "unsent"
+                fate.ended_at = time.monotonic()
+
+    async def exchange(self, connection: Connection, fates: list[Fate]) -> bool:
+        """Send requests and read their answers."""
+        slots = asyncio.Semaphore(MOST_OPEN)
+        sender = asyncio.create_task(self.send_all(connection, fates, slots))
+        headers: dict[str, str] = {}
+        try:
+            for fate in fates:
+                async with asyncio.timeout(self.sending.deadline_s + PATIENCE_S):
+                    headers = await connection.read_answer(fate)
+                fate.ended_at = time.monotonic()
+                slots.release()
+                if fate.end != "answered":
+                    self.end_open(fates, "closed")
+                    return False
+                if headers.get("connection", "").lower() == "close":
+                    self.end_open(fates, "closed")
+                    return False
+        finally:
+            if not sender.done() and fates[-1].end == "answered":
+                with contextlib.suppress(OSError):
+                    await sender
+            sender.cancel()
+            await asyncio.wait({sender})
+        return True
+
+    async def send_all(
+        self, connection: Connection, fates: list[Fate], slots: asyncio.Semaphore
+    ) -> None:
+        with contextlib.suppress(OSError):
+            # A reset shows when the answer is read.
+            for number, fate in enumerate(fates):
+                await slots.acquire()
+                fate.is_begun, fate.started_at = True, time.monotonic()
+                fate.place = sum(item.end == "open" for item in fates[:number])
+                await self.send(connection, fate)
+                fate.sent_at = time.monotonic()
+
+    async def send(self, connection: Connection, fate: Fate) -> None:
+        """Send one request in the form of the play."""
+        sending, form = self.sending, self.sending.form
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": fate.attempt,
+            "Deadline-Remaining": str(int(sending.deadline_s * 1000)),
+        }
+        body = sending.upload
+        if sending.is_chunked:
+            headers["Transfer-Encoding"] = "chunked"
+            body = encode_chunks(body)
+        else:
+            headers["Content-Length"] = str(len(body))
+        if form == "expect" and body:
+            headers["Expect"] = "100-continue"
+        head = build_head(f"{fate.method} {fate.path} HTTP/1.1", headers)
+        if form == "split head":
+            half = len(head) // 2
+            await connection.send(head[:half])
+            await asyncio.sleep(PIECE_GAP_S)
+            await connection.send(head[half:] + body)
+        elif form == "expect":
+            await connection.send(head)
+            await asyncio.sleep(self.random.uniform(0, CONTINUE_WAIT_S))
+            await connection.send(body)
+        elif form == "pieces":
+            data = head + body
+            step = len(data) // PIECES + 1
+            for start in range(0, len(data), step):
+                await connection.send(data[start : start + step])
+                await asyncio.sleep(PIECE_GAP_S)
+        else:
+            await connection.send(head + body)
+
+    def build_fate(self, connection: Connection, number: int) -> Fate:
+        number += len(self.fates)
+        attempt = f"{zlib.crc32(self.seed.encode()):08x}{number:08x}"
+        return Fate(
+            attempt=attempt,
+            method=self.sending.method,
+            path=f"{self.sending.path}{attempt}",
+            upload=zlib.crc32(self.sending.upload),
+            place=0,
+            is_reused=connection.answers > 0,
+            started_at=time.monotonic(),
+        )
--- /dev/null
+++ b/src/catkinpost_standins/plays/table.py
@@ -0,0 +1,82 @@
+"""Table of plays, in which each pair of factors' values occurs."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, fields
+from itertools import combinations
+
+from allpairspy import AllPairs
+
+__all__ = ["FACTORS", "Play", "build_plays", "list_pairs"]
+
+FACTORS = {
+    "work": [
+        "SIGTERM at the entry",
+        "SIGTERM at the target",
+        "SIGTERM at both",
+        "SIGTERM after the server's end",
+        "SIGTERM in series",
+        "SIGTERM with a change",
+        "SIGHUP",
+        "shorter idle time-out",
+        "shorter route time-out",
+        "route moves",
+        "draining",
+        "drained without notice",
+        "silent store",
+    ],
+    "form": ["kept", "new", "ahead", "idle", "expect", "pieces", "split head"],
+    "kind": ["safe", "unsafe"],
+    "upload": ["empty", "small", "large", "chunked"],
+    "answer": ["small", "large", "chunked", "until close"],
+    "server": ["quick", "slow", "early answer", "interim", "sheds", "resets idle"],
+    "place": ["here", "near", "far"],
+    "reader": ["quick", "slow"],
+    "queue": ["free", "full"],
+    "traffic": ["heeds readiness", "goes on"],
+    "network": ["plain", "delay", "narrow"],
+}
+
+
+@dataclass(frozen=True)
+class Play:
+    """One row of the table: the value of each factor.
+
+    :param work: planned work.
+    :param form: how clients send, and on which connections.
+    :param kind: kind of the route.
+    :param upload: form of the request's body.
+    :param answer: form of the server's body.
+    :param server: what the server does with a request.
+    :param place: where the route's server stands, seen from the clients.
+    :param reader: how clients read.
+    :param queue: whether requests wait for a slot.
+    :param traffic: whether clients stop when their node says that it is not ready.
+    :param network: what the links between machines do.
+    """
+
+    work: str
+    form: str
+    kind: str
+    upload: str
+    answer: str
+    server: str
+    place: str
+    reader: str
+    queue: str
+    traffic: str
+    network: str
+
+    def describe(self) -> str:
+        """Return the values in one line."""
+        return ", ".join(getattr(self, field.name) for field in fields(self))
+
+
+def build_plays() -> list[Play]:
+    """Return plays in which each pair of values of two factors occurs."""
+    return [Play(*row) for row in AllPairs(list(FACTORS.values()))]
+
+
+def list_pairs(play: Play) -> Iterator[tuple[tuple[str, str], tuple[str, str]]]:
+    """List the pairs of values that a play reaches."""
+    values = [(name, getattr(play, name)) for name in FACTORS]
+    yield from combinations(values, 2)
--- /dev/null
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -0,0 +1,141 @@
+"""Verdict on the requests of a play, by the platform's rules."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from catkinpost_standins.plays.client import Fate
+from catkinpost_standins.plays.fleet import GRACE_S
+from catkinpost_standins.plays.server import Run
+
+__all__ = ["Verdict"]
+
+LOSS_SLACK_S = 0.2
+LATE_SENDER_S = 3.0
+ANSWER_SLACK_S = 0.5
+CLOCK_TOLERANCE_S = 0.05
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+UNKNOWN_STATUSES = (500, 502, 504)
+TIME_IS_OVER = "its time was over"
+BROKEN_ENDS = ("closed", "cut", "reset")
+
+
+@dataclass
+class Verdict:
+    """Judges the requests of one play.
+
+    :param fates: requests as their clients saw them.
+    :param runs: requests as the servers saw them.
+    :param work_at: time of the planned work.
+    :param stopped_at: time of SIGTERM to the clients' machine, ``None`` without one.
+    :param limit_s: seconds until the deadline or the time-out of the route.
+    :param is_unsafe: whether a request may run once at most.
+    :ivar excused: number of ends that the rules excuse, by kind and cause.
+    :ivar failures: number of own failures, by kind.
+    """
+
+    fates: list[Fate]
+    runs: dict[str, list[Run]]
+    work_at: float
+    stopped_at: float | None
+    limit_s: float
+    is_unsafe: bool
+    excused: Counter = field(default_factory=Counter)
+    failures: Counter = field(default_factory=Counter)
+
+    def find(self) -> list[str]:
+        """Return a line for each request that broke a rule."""
+        lines = []
+        for fate in self.fates:
+            runs = self.runs.get(fate.attempt, [])
+            rules = [*self.check_runs(fate, runs), *self.check_end(fate, runs)]
+            if rules:
+                lines.append(f"{' '.join(rules)} {self.describe(fate, runs)}")
+        return lines
+
+    def describe(self, fate: Fate, runs: list[Run]) -> str:
+        """Return the course of a request, relative to the planned work."""
+        zero = self.work_at
+        sent = "never" if fate.sent_at is None else f"{fate.sent_at - zero:+.3f}"
+        course = "; ".join(run.describe(zero) for run in runs) or "none"
+        return (
+            f"{fate.attempt} {fate.path} place {fate.place}"
+            f" {'kept' if fate.is_reused else 'new'}: {fate.started_at - zero:+.3f}"
+            f" sent {sent}, {fate.end} {fate.status or ''} {fate.ended_at - zero:+.3f};"
+            f" runs {course}"
+        )
+
+    def check_runs(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        begun = [run for run in runs if run.began_at is not None]
+        if self.is_unsafe and len(begun) > 1:
+            yield "TWICE"
+        for run in runs:
+            is_same = (run.method, run.path) == (fate.method, fate.path)
+            if not is_same or run.end == "done" and run.upload not in (0, fate.upload):
+                yield "UNASKED"
+        if fate.end != "answered":
+            return
+        if self.is_unsafe and fate.status in NOT_RUN_STATUSES and begun:
+            yield "REFUSED"
+        if fate.named not in ("", fate.attempt):
+            yield "MIXED"
+        if fate.status < 300 and not (fate.is_signed and fate.is_whole_body):
+            yield "MIXED"
+
+    def check_end(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        """Yield the rule that a request's end broke."""
+        if fate.end in ("refused", "unsent"):
+            return
+        if fate.end == "no answer":
+            # An answer that has begun, or one behind it, waits for its reader.
+            if not fate.status and not fate.place:
+                yield "LATE"
+        elif fate.end in BROKEN_ENDS:
+            excuse = self.find_excuse(fate, runs)
+            if not excuse:
+                yield "LOST"
+            else:
+                self.excused[f"{fate.end}, {excuse}"] += 1
+        elif not fate.is_signed and fate.status not in NOT_RUN_STATUSES:
+            yield from self.check_own_failure(fate, runs)
+
+    def check_own_failure(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        kind = f"own {fate.status}, runs {sorted({run.end for run in runs})}"
+        self.failures[kind] += 1
+        if fate.status not in UNKNOWN_STATUSES:
+            yield "DENIED"
+        is_over = self.find_excuse(fate, runs) == TIME_IS_OVER
+        has_run = any(
+            run.end == "done" and run.ended_at < fate.ended_at for run in runs
+        )
+        if has_run and not is_over:
+            yield "DROPPED"
+        was_at_work = any(
+            run.began_at is not None
+            and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
+            for run in runs
+        )
+        if was_at_work and not self.find_excuse(fate, runs):
+            yield "LOST-STOP" if self.stopped_at else "BROKEN-OFF"
+
+    def find_excuse(self, fate: Fate, runs: list[Run]) -> str:
+        """Return why the rules excuse an end without the server's answer."""
+        sent_at = fate.sent_at or fate.ended_at
+        if not runs and fate.place:
+            return "sent behind another"
+        if not runs and fate.ended_at - sent_at <= LOSS_SLACK_S:
+            return "not passed on" if fate.sent_at else "not sent whole"
+        if fate.ended_at - fate.started_at >= self.limit_s - CLOCK_TOLERANCE_S:
+            return TIME_IS_OVER
+        if any(run.end == "broken off" for run in runs):
+            return "the server broke off"
+        if self.stopped_at is None:
+            return ""
+        last_sixth = self.stopped_at + GRACE_S * 5 / 6
+        is_at_work = any(
+            run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
+            for run in runs
+        )
+        if is_at_work and sent_at <= self.stopped_at + LATE_SENDER_S:
+            return "at work at the end of the grace time"
+        return ""
--- /dev/null
+++ b/tests/end_to_end/plays/test_table.py
@@ -0,0 +1,18 @@
+"""Tests of the table of plays."""
+
+import itertools
+import unittest
+
+from catkinpost_standins.plays.table import FACTORS, build_plays, list_pairs
+
+
+class TestTable(unittest.TestCase):
+    def test_each_pair_of_values_occurs(self):
+        reached = {pair for play in build_plays() for pair in list_pairs(play)}
+        expected = {
+            ((first, one), (second, other))
+            for first, second in itertools.combinations(FACTORS, 2)
+            for one in FACTORS[first]
+            for other in FACTORS[second]
+        }
+        self.assertEqual(reached, expected)
--- /dev/null
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -0,0 +1,85 @@
+"""Tests of the verdict on the requests of a play."""
+
+import unittest
+
+from nose2.tools import params
+
+from catkinpost_standins.plays.client import Fate
+from catkinpost_standins.plays.server import Run
+from catkinpost_standins.plays.verdict import Verdict
+
+STOPPED_AT = 100.0
+LIMIT_S = 4.0
+
+
+def build_fate(end, status=0, *, place=0, sent=99.0, ended=101.0, signed=False):
+    return Fate(
+        "a-1",
+        "POST",
+        "/play/a-1",
+        7,
+        place,
+        False,
+        started_at=98.9,
+        sent_at=sent,
+        ended_at=ended,
+        end=end,
+        status=status,
+        is_signed=signed,
+        is_whole_body=signed,
+    )
+
+
+def build_run(end, began=99.5, ended=99.9, *, path="/play/a-1", upload=7):
+    return Run("i-1", "POST", path, 99.4, upload, began, ended, end)
+
+
+class TestVerdict(unittest.TestCase):
+    @params(
+        # (fate, runs, whether the clients' machine was stopped, rules)
+        (build_fate("answered", 200, signed=True), [build_run("done")], True, ""),
+        (build_fate("answered", 200), [build_run("done")], True, "MIXED"),
+        (build_fate("closed"), [build_run("done")], True, "LOST"),
+        (build_fate("reset"), [build_run("done")], False, "LOST"),
+        (build_fate("cut", 200), [build_run("done")], True, "LOST"),
+        (build_fate("closed"), [build_run("broken off")], True, ""),
+        (build_fate("closed"), [], True, "LOST"),
+        (build_fate("closed", ended=99.1), [], True, ""),
+        (build_fate("closed", place=1), [], True, ""),
+        (build_fate("closed", sent=None), [], True, ""),
+        (build_fate("closed", ended=102.9), [build_run("runs")], True, ""),
+        (build_fate("no answer"), [], False, "LATE"),
+        (build_fate("no answer", 200), [], False, ""),
+        (build_fate("no answer", place=1), [], False, ""),
+        (build_fate("answered", 504, ended=102.9), [build_run("done")], False, ""),
+        (build_fate("refused"), [], False, ""),
+        (build_fate("answered", 503), [build_run("done")], False, "REFUSED"),
+        (build_fate("answered", 503), [build_run("shed", None)], False, ""),
+        (build_fate("answered", 502), [build_run("cut", 99.5, 101.01)], True, "LOST-"),
+        (build_fate("answered", 502), [build_run("cut")], False, "BROKEN-OFF"),
+        (build_fate("answered", 502), [build_run("done")], False, "DROPPED"),
+        (build_fate("answered", 502), [build_run("broken off")], True, ""),
+        (build_fate("answered", 404), [], False, "DENIED"),
+        (build_fate("refused"), [build_run("done"), build_run("cut")], True, "TWICE"),
+        (build_fate("refused"), [build_run("done", path="/x")], True, "UNASKED"),
+        (build_fate("refused"), [build_run("done", upload=8)], True, "UNASKED"),
+    )
+    def test_rule(self, fate, runs, was_stopped, rule):
+        stopped_at = STOPPED_AT if was_stopped else None
+        verdict = Verdict([fate], {"a-1": runs}, 100.0, stopped_at, LIMIT_S, True)
+        lines = verdict.find()
+        self.assertEqual(len(lines), bool(rule))
+        self.assertTrue(not rule or lines[0].startswith(rule))
+
+    @params(
+        # (second of the send after SIGTERM, second of the run's end, whether lost)
+        (2.5, 5.2, False),
+        (2.5, 4.8, True),
+        (3.2, 5.2, True),
+    )
+    def test_work_at_the_end_of_the_grace_time(self, sent_s, ended_s, is_lost):
+        fate = build_fate("answered", 502, sent=100.0 + sent_s, ended=100.0 + ended_s)
+        fate.started_at = fate.sent_at
+        run = build_run("cut", 103.3, 100.0 + ended_s)
+        verdict = Verdict([fate], {"a-1": [run]}, 100.0, STOPPED_AT, LIMIT_S, False)
+        self.assertEqual(bool(verdict.find()), is_lost)
