Read the rest of a request before it is refused as slow

Idle connections were looked at first, half-read requests not. The test jumps the clock over the time-out with the rest unread: 408 before.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -206,12 +206,12 @@
     def check_connections(self, now: float) -> None:
         """Close overdue connections, and start readers where needed.
 
-        A request may have arrived on an idle connection that its task has not read yet,
-        as the whole process was late. It was in time.
+        A request, or the rest of one, may have arrived on a connection whose task has
+        not read it yet, as the whole process was late. It was in time.
         """
         for connection in list(self.connections):
             if self.is_overdue(connection, now):
-                if connection.phase is Phase.IDLE and connection.has_unread_input:
+                if connection.is_awaiting_request and connection.has_unread_input:
                     continue
                 self.close_overdue(connection)
             elif connection.needs_reader_task:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -21,6 +21,7 @@
 from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport import http_server
 from catkinpost.transport.acceptor import Acceptor
+from catkinpost.transport.http_connection import Phase
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
@@ -372,6 +373,25 @@
             self.assertEqual(sorted(answered), sorted(started))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_rest_of_a_request_that_arrived_in_a_pause_is_in_time(self):
+        """Guards against requests refused as slow, as the process did not run."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(b"POST /1 HTTP/1.1\r\nContent-Length: 4\r\n\r\nha")
+            await trio.sleep(0.1)
+            (connection,) = setup.server.connections
+            self.assertIs(connection.phase, Phase.READING)
+            send_now(stream, b"lf")
+            trio.lowlevel.current_clock().jump(LIMITS.head_timeout + 1.0)
+            setup.server.check_connections(trio.current_time())
+            self.assertTrue(
+                (await stream.receive_some(100)).startswith(b"HTTP/1.1 200")
+            )
+            nursery.cancel_scope.cancel()
+
     @params(
         # (first request, close of the connection, whether later requests arrive before
         # it, targets that run)
