--- a/src/catkinpost_standins/plays/command.py
+++ b/src/catkinpost_standins/plays/command.py
@@ -34,6 +34,7 @@
 BEFORE_S, AFTER_S = 1.5, 4.0
 TOUCH_S = 3.0
 DRAIN_S = 2.5
+PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
@@ -248,6 +249,12 @@
             await self.drain(target, has_notice=work == "draining")
 
     async def run_stop(self, work: str) -> None:
+        if work == "SIGTERM in a pause":
+            self.entry.process.send_signal(signal.SIGSTOP)
+            pause = asyncio.create_task(self.end_pause())
+            await self.stop([self.entry], [])
+            await pause
+            return
         if work == "SIGTERM after the server's end":
             await self.drain(self.target, has_notice=True)
             await self.stop([self.target], [])
@@ -261,6 +268,10 @@
             again_s = [self.random.uniform(0, 3) for _ in range(4)]
         await self.stop(machines, again_s)
 
+    async def end_pause(self) -> None:
+        await asyncio.sleep(PAUSE_S)
+        self.entry.process.send_signal(signal.SIGCONT)
+
     async def stop(self, machines: list[Machine], again_s: list[float]) -> None:
         if self.entry in machines:
             self.stopped_at = time.monotonic()
@@ -370,6 +381,7 @@
     seed: Annotated[int, typer.Option(help="Source of all choices.")] = 1,
     jobs: Annotated[int, typer.Option(help="Plays at a time.")] = 4,
     only: Annotated[str, typer.Option(help="Numbers of plays, as 3,7,12.")] = "",
+    work: Annotated[str, typer.Option(help="Planned work of all plays.")] = "",
     keep: Annotated[
         Path | None, typer.Option(help="Folder for the logs of broken plays.")
     ] = None,
@@ -385,6 +397,8 @@
     if only:
         chosen = {int(item) for item in only.split(",")}
         plays = [item for item in plays if item[0] in chosen]
+    if work:
+        plays = [item for item in plays if item[1].work == work]
     node_cores = frozenset(int(item) for item in cores.split(",") if item)
     if node_cores:
         os.sched_setaffinity(0, os.sched_getaffinity(0) - node_cores)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -16,6 +16,7 @@
         "SIGTERM after the server's end",
         "SIGTERM in series",
         "SIGTERM with a change",
+        "SIGTERM in a pause",
         "SIGHUP",
         "shorter idle time-out",
         "shorter route time-out",
