--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -264,6 +264,9 @@
                 again_s.pop(0)
                 process.send_signal(signal.SIGTERM)
             await asyncio.sleep(0.002)
+        if machine is self.machines[0]:
+            # Clients are refused then, as they are without a relay.
+            self.relays[0].listener.close()
         if process.poll() is None:
             machine.ends.append("STAY: killed at the end of the grace time")
             process.kill()
