--- /dev/null
+++ b/src/catkinpost_standins/plays/stage.py
@@ -0,0 +1,307 @@
+"""One play: traffic and planned work on a fleet of its own."""
+
+import asyncio
+import random
+import signal
+import time
+from pathlib import Path
+
+from catkinpost_standins.plays.client import HOST, Client, Sending
+from catkinpost_standins.plays.fleet import (
+    FIRST_PORT,
+    PLACES,
+    Fleet,
+    Machine,
+    NodeBounds,
+    Ways,
+    find_port_block,
+)
+from catkinpost_standins.plays.relay import Link
+from catkinpost_standins.plays.server import Behaviour
+from catkinpost_standins.plays.table import Play
+from catkinpost_standins.plays.verdict import Verdict
+
+__all__ = ["Stage", "run_play"]
+
+BEFORE_S, AFTER_S = 1.5, 4.0
+TOUCH_S = 3.0
+DRAIN_S = 2.5
+PAUSE_S = 3.0
+PROBE_S, MISSES = 1.0, 2
+CLIENTS = {"free": 12, "full": 30}
+DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
+IDLE_S, SHORT_IDLE_S = 2.0, 1.0
+STORE_SILENCE_S = 3.0
+PORTS_OF_A_PLAY = 64
+SIZES = {"empty": 0, "small": 2_000, "large": 200_000, "chunked": 30_000}
+ANSWER_SIZES = {"small": 500, "large": 300_000, "chunked": 20_000, "until close": 5_000}
+TIMES_S = {"quick": 0.01, "slow": 0.6}
+UNBOUNDED = NodeBounds()
+NETWORKS = {
+    "plain": Ways(),
+    "delay": Ways(Link(0.008), Link(0.0014), Link(0.02)),
+    "narrow": Ways(
+        Link(0.001, 4e6), Link(0.0014, bytes_per_s=4e6), Link(0.02, bytes_per_s=2e6)
+    ),
+}
+
+
+class Stage:
+    """One play on its own fleet.
+
+    :param play: row of the table.
+    :param seed: source of its choices.
+    :param number: number of the play, from which its addresses follow.
+    :param folder: where settings and logs are written.
+    :param bounds: what each node's process may use.
+    """
+
+    def __init__(
+        self,
+        play: Play,
+        seed: int,
+        number: int,
+        folder: Path,
+        bounds: NodeBounds,
+    ) -> None:
+        self.play, self.seed = play, f"{seed}-{number}"
+        self.random = random.Random(self.seed)
+        self.idle_limit_s, self.version = IDLE_S, 1
+        self.is_accepting = True
+        self.stopped_at: float | None = None
+        self.lag_s = 0.0
+        behaviour = Behaviour(
+            kind=play.server,
+            answer=play.answer,
+            size=ANSWER_SIZES[play.answer],
+            seconds=TIMES_S.get(play.server, 0.1),
+            slots=2 if play.queue == "full" else 32,
+        )
+        network = 10 + number % 200
+        hosts = [f"127.0.{network}.{11 + index}" for index in range(len(PLACES))]
+        port = find_port_block(FIRST_PORT + PORTS_OF_A_PLAY * number, hosts)
+        self.fleet = Fleet(
+            folder, network, behaviour, NETWORKS[play.network], port, bounds
+        )
+        names = {"here": 0, "near": 1, "far": 2}
+        self.entry = self.fleet.machines[0]
+        self.target = self.fleet.machines[names[play.place]]
+
+    def build_configuration(self, service: str, timeout_s: float) -> dict:
+        """Build the configuration of the operator."""
+        route = {
+            "name": "r-play",
+            "host": HOST,
+            "prefix": "/play/",
+            "kind": self.play.kind,
+            "timeout-s": timeout_s,
+            "target-latency-s": 1.0,
+            "priority": 0,
+            "service": service,
+            "max-attempts": 2,
+        }
+        return {
+            "version": self.version,
+            "routes": [route],
+            "services": [{"name": name} for name in ("here", "near", "far")],
+            "limits": {"idle-timeout-s": self.idle_limit_s},
+        }
+
+    def build_sending(self) -> Sending:
+        """Return how the clients of the play send."""
+        play = self.play
+        # Clients send no unsafe request ahead.
+        form = "kept" if (play.form, play.kind) == ("ahead", "unsafe") else play.form
+        size = SIZES[play.upload]
+        return Sending(
+            form=form,
+            method="POST" if size or play.kind == "unsafe" else "GET",
+            path="/play/",
+            upload=bytes(self.random.randbytes(size)),
+            is_chunked=play.upload == "chunked",
+            is_slow_reader=play.reader == "slow",
+            answer_bytes=ANSWER_SIZES[play.answer],
+            deadline_s=DEADLINE_S,
+        )
+
+    async def run(self) -> tuple[list[str], Verdict]:
+        """Play, and return what broke a rule."""
+        try:
+            await self.fleet.start(
+                self.build_configuration(self.play.place, DEADLINE_S)
+            )
+            return await self.perform()
+        finally:
+            await self.fleet.end()
+
+    async def perform(self) -> tuple[list[str], Verdict]:
+        self.work_at = time.monotonic() + max(BEFORE_S + 0.2, TOUCH_S)
+        # A relay reads at once, and would hide what a slow reader does to a node.
+        is_direct = self.play.network == "plain"
+        port = self.fleet.outbound_port if is_direct else self.fleet.client_port
+        address = (self.entry.host, port)
+        sending = self.build_sending()
+        clients = [
+            Client(
+                address,
+                sending,
+                f"{self.seed}-{index}",
+                lambda: self.idle_limit_s,
+                lambda: self.is_accepting or self.play.traffic == "goes on",
+            )
+            for index in range(CLIENTS[self.play.queue])
+        ]
+        first_at = self.work_at - BEFORE_S
+        async with asyncio.TaskGroup() as group:
+            background = [
+                group.create_task(self.probe()),
+                group.create_task(self.measure_lag()),
+            ]
+            works = group.create_task(self.run_work(group))
+            runs = [
+                group.create_task(
+                    client.run(
+                        first_at + self.random.uniform(0, 0.4),
+                        self.work_at + AFTER_S,
+                        gap_s=0.2,
+                    )
+                )
+                for client in clients
+            ]
+            await asyncio.wait([works, *runs])
+            for task in background:
+                task.cancel()
+        fates = [fate for client in clients for fate in client.fates]
+        runs_by_attempt: dict = {}
+        for machine in self.fleet.machines:
+            for attempt, items in machine.server.runs.items():
+                runs_by_attempt.setdefault(attempt, []).extend(items)
+        is_short = self.play.work == "shorter route time-out"
+        verdict = Verdict(
+            fates,
+            runs_by_attempt,
+            self.work_at,
+            self.stopped_at,
+            SHORT_TIMEOUT_S if is_short else DEADLINE_S,
+            self.play.kind == "unsafe",
+        )
+        lines = verdict.find()
+        for machine in self.fleet.machines:
+            lines += [f"{end} ({machine.host})" for end in machine.ends]
+            if machine.process.poll() not in (None, 0) and not machine.ends:
+                lines.append(f"EXIT {machine.host}: {machine.process.returncode}")
+        return lines, verdict
+
+    async def probe(self) -> None:
+        """Ask the clients' machine for readiness, and take it out after two misses."""
+        await asyncio.sleep(self.random.uniform(0, PROBE_S))
+        misses = 0
+        while True:
+            is_ready = await self.fleet.is_ready(self.entry)
+            misses = 0 if is_ready else misses + 1
+            self.is_accepting = misses < MISSES
+            await asyncio.sleep(PROBE_S)
+
+    async def measure_lag(self) -> None:
+        """Note by how much this process is late at the most."""
+        while True:
+            due_at = time.monotonic() + 0.02
+            await asyncio.sleep(0.02)
+            self.lag_s = max(self.lag_s, time.monotonic() - due_at)
+
+    async def run_work(self, group: asyncio.TaskGroup) -> None:
+        """Do the planned work of the play."""
+        await asyncio.sleep(self.work_at - time.monotonic())
+        work, fleet, target = self.play.work, self.fleet, self.target
+        if work == "silent store":
+            fleet.store.is_silent = True
+            await asyncio.sleep(self.random.uniform(0, 1))
+            await self.stop([self.entry], [])
+            fleet.store.is_silent = False
+        elif work in ("SIGHUP", "SIGTERM with a change"):
+            for machine in (self.entry, target):
+                text = machine.settings.read_text()
+                machine.settings.write_text(text.replace("= 300", "= 280"))
+                machine.process.send_signal(signal.SIGHUP)
+            if work != "SIGHUP":
+                self.idle_limit_s = SHORT_IDLE_S
+                self.configure(self.play.place, DEADLINE_S)
+                await self.stop([self.entry], [])
+        elif work.startswith("SIGTERM"):
+            await self.run_stop(work)
+        elif work == "shorter idle time-out":
+            self.idle_limit_s = SHORT_IDLE_S
+            self.configure(self.play.place, DEADLINE_S)
+        elif work == "shorter route time-out":
+            self.configure(self.play.place, SHORT_TIMEOUT_S)
+        elif work == "route moves":
+            others = {"here": "near", "near": "far", "far": "here"}
+            self.configure(others[self.play.place], DEADLINE_S)
+        else:
+            await self.drain(target, has_notice=work == "draining")
+
+    async def run_stop(self, work: str) -> None:
+        if work == "SIGTERM in a pause":
+            self.entry.process.send_signal(signal.SIGSTOP)
+            pause = asyncio.create_task(self.end_pause())
+            await self.stop([self.entry], [])
+            await pause
+            return
+        if work == "SIGTERM after the server's end":
+            await self.drain(self.target, has_notice=True)
+            await self.stop([self.target], [])
+            return
+        machines = {
+            "SIGTERM at the target": [self.target],
+            "SIGTERM at both": list({self.entry, self.target}),
+        }.get(work, [self.entry])
+        again_s = []
+        if work == "SIGTERM in series":
+            again_s = [self.random.uniform(0, 3) for _ in range(4)]
+        await self.stop(machines, again_s)
+
+    async def end_pause(self) -> None:
+        await asyncio.sleep(PAUSE_S)
+        self.entry.process.send_signal(signal.SIGCONT)
+
+    async def stop(self, machines: list[Machine], again_s: list[float]) -> None:
+        if self.entry in machines:
+            self.stopped_at = time.monotonic()
+        await asyncio.gather(
+            *[self.fleet.stop_node(machine, list(again_s)) for machine in machines]
+        )
+
+    def configure(self, service: str, timeout_s: float) -> None:
+        self.version += 3
+        configuration = self.build_configuration(service, timeout_s)
+        self.fleet.store.put("op/config", configuration)
+
+    async def drain(self, machine: Machine, *, has_notice: bool) -> None:
+        """Let a server leave: it serves for a while, and ends once it is idle."""
+        server = machine.server
+        if has_notice:
+            self.fleet.register(machine, "draining")
+        else:
+            self.fleet.store.put(f"servers/{server.identity}", None)
+        server.is_leaving = True
+        await asyncio.sleep(DRAIN_S + self.random.uniform(0.1, 0.5))
+        while server.is_working:
+            await asyncio.sleep(0.01)
+        server.end()
+        self.fleet.store.put(f"servers/{server.identity}", None)
+
+
+async def run_play(
+    play: Play, seed: int, number: int, folder: Path, bounds: NodeBounds = UNBOUNDED
+) -> tuple[list[str], Verdict, float]:
+    """Run one play.
+
+    :param play: row of the table.
+    :param number: number of the play.
+    :param folder: where settings and logs are written.
+    :param bounds: what each node's process may use.
+    :return: what broke a rule, the verdict, and by how much the play was late.
+    """
+    stage = Stage(play, seed, number, folder, bounds)
+    lines, verdict = await stage.run()
+    return lines, verdict, stage.lag_s
--- a/tests/end_to_end/plays/test_command.py
+++ b/tests/end_to_end/plays/test_stage.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from catkinpost_standins.plays.command import run_play
+from catkinpost_standins.plays.stage import run_play
 from catkinpost_standins.plays.table import Play
 
 SEED = 1
