Wait for the sender's task in the test of a message that waits

Traced: the sender closes the connection and its task goes on some steps later, while the receiver, in the same process, sees the end and the test looks at the sender's result. With a sleep after the close the test fails each time in this way; it waits for the task now, and passes with the sleep as without. It asks for the same result as before; a task that never ends fails the test by its time limit.

--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1227,10 +1227,11 @@
             nursery.start_soon(setup.server.pause.run)
             nursery.start_soon(session.send_notification, answer)
             await trio.sleep(0.1)
-            results = []
+            results, ended = [], trio.Event()
 
             async def send():
                 results.append(await session.send_notification(message))
+                ended.set()
 
             nursery.start_soon(send)
             await trio.sleep(0.1)
@@ -1239,6 +1240,8 @@
             self.assertIsInstance(await frames.receive(), Answer)
             await session.send_notification(Pong(1, Load(), 0, b""))
             self.assertIsInstance(await frames.receive(), kind)
+            # The end of the connection is seen while its sender still closes it.
+            await ended.wait()
             self.assertEqual(results, [False])
             nursery.cancel_scope.cancel()
 
