Remove what the plays do not use

Read once more: two constants and a parameter without a use, a flag that nobody asked for, with an error that it swallowed (a message that ends early now raises it, as a head does), and zones that were written out and then made unique as text. The plays' own tests: 33 passed; lint passed.

--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -195,7 +195,8 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
-        zones = "\n".join(f'{zone} = "{region}"' for _, zone, region in PLACES)
+        regions = {zone: region for _, zone, region in PLACES}
+        zones = "\n".join(f'{zone} = "{name}"' for zone, name in regions.items())
         machine.settings.write_text(
             SETTINGS.format(
                 host=machine.host,
@@ -210,7 +211,7 @@
                 peer_port_end=machine.peer_port + 1,
                 store=self.store_address,
                 grace_s=GRACE_S,
-                zones="\n".join(sorted(set(zones.split("\n")))),
+                zones=zones,
             )
         )
         environment = os.environ | {"CATKINPOST_CONFIG": str(machine.settings)}
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -31,7 +31,6 @@
 CLIENTS = {"free": 12, "full": 30}
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
-STORE_SILENCE_S = 3.0
 PORTS_OF_A_PLAY = 64
 SIZES = {"empty": 0, "small": 2_000, "large": 200_000, "chunked": 30_000}
 ANSWER_SIZES = {"small": 500, "large": 300_000, "chunked": 20_000, "until close": 5_000}
@@ -157,7 +156,7 @@
                 group.create_task(self.probe()),
                 group.create_task(self.measure_lag()),
             ]
-            works = group.create_task(self.run_work(group))
+            works = group.create_task(self.run_work())
             runs = [
                 group.create_task(
                     client.run(
@@ -209,7 +208,7 @@
             await asyncio.sleep(0.02)
             self.lag_s = max(self.lag_s, time.monotonic() - due_at)
 
-    async def run_work(self, group: asyncio.TaskGroup) -> None:
+    async def run_work(self) -> None:
         """Do the planned work of the play."""
         await asyncio.sleep(self.work_at - time.monotonic())
         work, fleet, target = self.play.work, self.fleet, self.target
--- a/src/catkinpost_standins/plays/wire.py
+++ b/src/catkinpost_standins/plays/wire.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 of the plays, written for them alone."""
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 
 __all__ = ["Message", "build_head", "encode_chunks", "read_head", "read_message"]
@@ -11,15 +10,11 @@
 
 @dataclass
 class Message:
-    """One message; header names are in lower case.
-
-    :param is_whole: whether the body came to its end.
-    """
+    """One message; header names are in lower case."""
 
     first_line: str
     headers: dict[str, str]
     body: bytes = b""
-    is_whole: bool = True
 
     @property
     def status(self) -> int:
@@ -72,13 +67,11 @@
 
 
 async def read_message(reader: asyncio.StreamReader) -> Message | None:
-    """Read a message; one that ends early is not whole."""
+    """Read a message, ``None`` at the end of the connection before its first byte.
+
+    :raises asyncio.IncompleteReadError: at an end in the message.
+    """
     message = await read_head(reader)
     if message is not None:
-        try:
-            message.body = await read_body(reader, message)
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            message.is_whole = False
-            with contextlib.suppress(AttributeError):
-                message.body = error.partial
+        message.body = await read_body(reader, message)
     return message
