Apply settings that change between the start and their watch

Callers saw: a node that keeps the address or service of a former settings file for good, so that its requests go nowhere. Cause: the node is built from the text that the program read, but the watch took the text at its own start, or at its start after an exception, as the one in force. Change: the text stays with the settings that were parsed from it, and the watch compares with that. Evidence: both cases of test_settings_that_change_before_they_are_watched failed before ('orders' != 'stock') and pass; tests of environment, settings and program: 48 passed.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -47,7 +47,7 @@
             lease_s=settings.lease_s,
         )
         self.list_version = 0
-        self.settings_text = ""
+        self.settings_text = settings.text
 
     def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
@@ -185,7 +185,6 @@
 
     async def watch_settings(self) -> None:
         """Watch the settings file, which may change with or without a signal."""
-        self.settings_text = self.path.read_text(encoding="utf-8")
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             while True:
                 with trio.move_on_after(SETTINGS_CHECK_INTERVAL_S):
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -141,6 +141,7 @@
 class PlatformSettings:
     """Settings of the platform in the form that the node uses.
 
+    :param text: content of the file that they were read from.
     :param node: settings in the product's own form.
     :param readiness_address: IP:port at which readiness is probed.
     :param peer_port: port at which every node accepts connections of peers.
@@ -149,6 +150,7 @@
     :param lease_s: seconds of silence of a server after which its entry lapses.
     """
 
+    text: str
     node: NodeSettings
     readiness_address: str
     peer_port: int
@@ -174,6 +176,7 @@
         )
         return Failure(reason=Reason.BAD_SETTINGS, detail=detail)
     return PlatformSettings(
+        text=text,
         node=build_node_settings(file),
         readiness_address=file.network.listen_addresses.ready,
         peer_port=first_port,
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -401,3 +401,23 @@
             await trio.sleep(1.5)
             self.assertEqual(setup.environment.get_calling_service(), "stock")
             nursery.cancel_scope.cancel()
+
+    @params(False, True)
+    def test_settings_that_change_before_they_are_watched(self, has_failed):
+        """Guards against a change that is lost while a node starts."""
+        self.check_change_before_watch(has_failed)
+
+    @with_followed_store
+    async def check_change_before_watch(self, setup, has_failed):
+        environment = setup.environment
+        async with trio.open_nursery() as nursery:
+            if has_failed:
+                with trio.move_on_after(0.1):
+                    await environment.watch_settings()
+            text = setup.path.read_text(encoding="utf-8")
+            text = text.replace('service = "orders"', 'service = "stock"')
+            setup.path.write_text(text, encoding="utf-8")
+            nursery.start_soon(environment.watch_settings)
+            await trio.sleep(1.5)
+            self.assertEqual(environment.get_calling_service(), "stock")
+            nursery.cancel_scope.cancel()
