Ignore SIGHUP before any module is read

Cause: the interpreter imports site, runpy and signal before the first line of the program. Change: the deploy file starts the module file without site, and it takes the built-in module of signal. The soak sends SIGHUP at any time and allows an end by it only where the interpreter itself was not set up; it allowed the whole first second. Stand-ins and review start nodes as the deploy file does.

Test: test_signal_is_ignored_before_any_module_is_read failed before ('types', 'operator', ... are read from files), passes now.

--- a/review/harness.py
+++ b/review/harness.py
@@ -18,11 +18,13 @@
 import sys
 import tempfile
 import time
+import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
+DEPLOYMENT = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START_TIMEOUT_S = 30.0
@@ -455,7 +457,7 @@
         }
         with (Path(self.folder.name) / f"node-{number}.log").open("wb") as log:
             node.process = subprocess.Popen(
-                ["python3", "-O", "-m", "catkinpost.platform"],
+                DEPLOYMENT["roles"]["node"]["run"].split(),
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
--- a/src/catkinpost/platform/__main__.py
+++ b/src/catkinpost/platform/__main__.py
@@ -1,6 +1,7 @@
-"""``python -m catkinpost.platform``: a node on the users' platform."""
+"""Program of a node on the users' platform."""
 
-import signal
+# The module `signal` would take longer to import than the interpreter to start.
+import _signal
 import sys
 
 __all__ = ["main"]
@@ -10,7 +11,7 @@
     """Run the node until a stop is requested."""
     # SIGHUP announces a changed settings file: until the file is watched, the
     # signal must not end the process. The import below takes most of its start.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
     from catkinpost.platform.program import run
 
     return run()
--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -7,11 +7,11 @@
 import signal
 import socket
 import subprocess
-import sys
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from catkinpost_standins.launch import start_node
 from catkinpost_standins.plays.relay import Link, Relay
 from catkinpost_standins.plays.server import Behaviour, Server
 from catkinpost_standins.plays.store import Store
@@ -214,15 +214,8 @@
                 zones=zones,
             )
         )
-        environment = os.environ | {"CATKINPOST_CONFIG": str(machine.settings)}
-        with (self.folder / f"{machine.index}.log").open("ab") as log:
-            machine.process = subprocess.Popen(
-                [sys.executable, "-O", "-m", "catkinpost.platform"],
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        log = self.folder / f"{machine.index}.log"
+        machine.process = start_node(machine.settings, log)
         self.bounds.apply(machine.process.pid)
 
     async def wait_until_ready(self, machine: Machine) -> None:
--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -6,10 +6,8 @@
 
 import contextlib
 import json
-import os
 import signal
 import subprocess
-import sys
 import tempfile
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -17,16 +15,12 @@
 
 import trio
 
-from catkinpost.platform.names import (
-    CONFIG_KEY,
-    READINESS_PATH,
-    SERVERS_PREFIX,
-    SETTINGS_VARIABLE,
-)
+from catkinpost.platform.names import CONFIG_KEY, READINESS_PATH, SERVERS_PREFIX
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.protocol.outcome import Failure
 from catkinpost.transport.http_client import BackendClient
 from catkinpost_standins.fleet import free_port
+from catkinpost_standins.launch import start_node
 from catkinpost_standins.users_platform.server import StandInServer
 from catkinpost_standins.users_platform.store import StandInStore
 
@@ -87,7 +81,6 @@
     server: StandInServer
     callers: BackendClient
     process: subprocess.Popen | None = None
-    started_at: float = 0.0
     memory_mb: int = 300
     log_start: int = 0
 
@@ -159,17 +152,10 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
-        machine.started_at = trio.current_time()
         path = self.write_settings(machine)
-        with self.log_path(machine).open("ab") as log:
-            machine.log_start = log.tell()
-            machine.process = subprocess.Popen(
-                [sys.executable, "-O", "-m", "catkinpost.platform"],
-                env=os.environ | {SETTINGS_VARIABLE: str(path)},
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        log = self.log_path(machine)
+        machine.log_start = log.stat().st_size if log.exists() else 0
+        machine.process = start_node(path, log)
 
     def write_settings(self, machine: Machine) -> Path:
         """Write the settings file of a machine's node, which is never half there."""
@@ -201,9 +187,7 @@
         return self.folder / f"{machine.host}.log"
 
     def has_interpreter(self, machine: Machine) -> bool:
-        """Whether a node's process runs and has come as far as to run code of ours."""
-        if machine.process.poll() is not None:
-            return False
+        """Whether the interpreter of a node's process has been set up."""
         status = Path(f"/proc/{machine.process.pid}/status").read_text()
         caught = next(line for line in status.splitlines() if "SigCgt" in line)
         return bool(int(caught.split()[1], 16) >> (signal.SIGINT - 1) & 1)
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -3,6 +3,7 @@
 import copy
 import random
 import signal
+import subprocess
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -139,7 +140,8 @@
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
     :ivar faults: what processes did that the platform does not expect.
-    :ivar hangups: time of the latest SIGHUP to each machine.
+    :ivar early_hangups: processes that were sent SIGHUP before their interpreter was
+        set up.
     """
 
     fleet: PlatformFleet
@@ -150,7 +152,7 @@
     has_unplanned: bool = False
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
-    hangups: dict[str, float] = field(default_factory=dict)
+    early_hangups: set[subprocess.Popen] = field(default_factory=set)
     busy: set[str] = field(default_factory=set)
     generation: int = 0
     has_store_trouble: bool = False
@@ -290,9 +292,8 @@
     def check_end(self, machine: Machine) -> None:
         """Note the status of a process that ended otherwise than as asked.
 
-        SIGTERM may end a process that is not set up yet. So may SIGHUP in its first
-        second: the platform doesn't count an end within a second of a start as the
-        program's own, and no program can withstand it before it runs.
+        SIGTERM may end a process that is not set up yet. SIGHUP may end one whose
+        interpreter is not, as no code of the program has run by then.
         """
         process = machine.process
         if process is None:
@@ -303,10 +304,7 @@
         allowed = {0}
         if when:
             allowed.add(-signal.SIGTERM)
-            if (
-                self.hangups.get(machine.host, 0.0)
-                <= machine.started_at + FIRST_SECOND_S
-            ):
+            if process in self.early_hangups:
                 allowed.add(-signal.SIGHUP)
         if status not in allowed:
             self.faults.append(f"EXIT {machine.host}: status {status}{when}")
@@ -322,16 +320,14 @@
                 machine.process.send_signal(signal.SIGTERM)
 
     def send_hangup(self, machine: Machine) -> None:
-        """Change the settings of a machine, and send SIGHUP.
-
-        No program can withstand SIGHUP before its interpreter runs.
-        """
-        if not self.fleet.has_interpreter(machine):
+        """Change the settings of a machine, and send SIGHUP."""
+        if machine.process.poll() is not None:
             return
         machine.memory_mb = self.random.choice(MEMORIES_MB)
         self.fleet.write_settings(machine)
+        if not self.fleet.has_interpreter(machine):
+            self.early_hangups.add(machine.process)
         machine.process.send_signal(signal.SIGHUP)
-        self.hangups[machine.host] = trio.current_time()
         self.note("hup", machine.host, PROPAGATION_S + 7)
 
     async def signal_change(self) -> None:
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,14 +1,22 @@
 """Tests of the program that the platform starts."""
 
 import os
+import re
 import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest
+from importlib.util import find_spec
 from pathlib import Path
 
+from catkinpost_standins.launch import NODE_OPTIONS
+
 SLOW_LIBRARIES = ("hypercorn", "httpcore", "matplotlib", "prometheus_client", "typer")
 TIMEOUT_S = 60
+PROGRAM = Path(find_spec("catkinpost.platform").submodule_search_locations[0])
+DEPLOYMENT = Path(__file__).parents[2] / "deploy" / "system.toml"
+IMPORT_LINE = re.compile(r"^import '?([\w.]+)'? # .*SourceFileLoader", re.MULTILINE)
 # The program gets a signal at the first import of a library.
 SIGNAL_DURING_IMPORT = """\
 import os, runpy, signal, sys
@@ -38,16 +46,39 @@
         """Guards against a process that ends by SIGHUP before it watches the file."""
         self.check_end_by_bad_settings(["-c", SIGNAL_DURING_IMPORT])
 
-    def check_end_by_bad_settings(self, arguments):
+    def test_signal_is_ignored_before_any_module_is_read(self):
+        """Guards against a process that SIGHUP ends while its interpreter starts."""
+        result = self.run_program([*NODE_OPTIONS, "-v", f"{PROGRAM}/__main__.py"])
+        names = IMPORT_LINE.findall(result.stderr)
+        before = names[: names.index("catkinpost")]
+        self.assertEqual(
+            [name for name in before if name.split(".")[0] != "encodings"], []
+        )
+
+    def test_stand_ins_start_the_program_as_it_is_deployed(self):
+        roles = tomllib.loads(DEPLOYMENT.read_text(encoding="utf-8"))["roles"]
+        interpreter, *options, program = roles["node"]["run"].split()
+        self.assertEqual(interpreter, "python3")
+        self.assertEqual(tuple(options), NODE_OPTIONS)
+        self.assertEqual(program, "target/deps/catkinpost/platform/__main__.py")
+
+    def run_program(self, arguments):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "local.toml"
             path.write_text("[self]\nip-address = 3\n", encoding="utf-8")
-            result = subprocess.run(
+            return subprocess.run(
                 [sys.executable, *arguments],
-                env={**os.environ, "CATKINPOST_CONFIG": str(path)},
+                env={
+                    **os.environ,
+                    "CATKINPOST_CONFIG": str(path),
+                    "PYTHONPATH": os.pathsep.join(item for item in sys.path if item),
+                },
                 capture_output=True,
                 text=True,
                 timeout=TIMEOUT_S,
             )
+
+    def check_end_by_bad_settings(self, arguments):
+        result = self.run_program(arguments)
         self.assertEqual(result.returncode, 2)
         self.assertIn("local.toml", result.stderr)
