Wait for a settings file that is being replaced at the start

Seen: a settings file that is missing or unreadable at the moment of a start ends the node with a traceback and status 1, one that is half written with status 2; nobody starts it again by a change of the file. Cause: the file was read once, and OSError and UnicodeDecodeError were not caught.

--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -4,17 +4,23 @@
 import sys
 from pathlib import Path
 
+import trio
+from eliot import log_message
+
 from catkinpost.log import start_log
 from catkinpost.node import Node
 from catkinpost.platform.environment import PlatformEnvironment
 from catkinpost.platform.names import SETTINGS_VARIABLE
-from catkinpost.platform.settings import parse_platform_settings
+from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
 from catkinpost.process import run_process
-from catkinpost.protocol.outcome import Failure
+from catkinpost.protocol.outcome import Failure, Reason
 
-__all__ = ["run"]
+__all__ = ["load_settings", "run"]
 
 EXIT_BAD_SETTINGS = 2
+# The file may be replaced at the moment of the start, and be missing or incomplete.
+SETTINGS_TIMEOUT_S = 2.0
+SETTINGS_POLL_S = 0.02
 
 
 def run() -> int:
@@ -22,12 +28,38 @@
 
     :return: exit status of the process.
     """
-    path = Path(os.environ[SETTINGS_VARIABLE])
-    settings = parse_platform_settings(path.read_text(encoding="utf-8"))
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"{SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    start_log(sys.stdout.fileno())
+    settings = trio.run(load_settings, Path(path))
     if isinstance(settings, Failure):
         print(f"{path}: {settings.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    start_log(sys.stdout.fileno())
-    node = Node(settings.node, PlatformEnvironment(settings, path))
+    node = Node(settings.node, PlatformEnvironment(settings, Path(path)))
     run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
     return 0
+
+
+async def load_settings(path: Path) -> PlatformSettings | Failure:
+    """Read the settings file, and wait for some time until it can be used.
+
+    :return: the settings, or the reason why the file still can't be used.
+    """
+    ends_at = trio.current_time() + SETTINGS_TIMEOUT_S
+    settings = read_settings(path)
+    if isinstance(settings, Failure):
+        log_message("settings: wait", path=str(path), why=settings.detail)
+    while isinstance(settings, Failure) and trio.current_time() < ends_at:
+        await trio.sleep(SETTINGS_POLL_S)
+        settings = read_settings(path)
+    return settings
+
+
+def read_settings(path: Path) -> PlatformSettings | Failure:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(reason=Reason.BAD_SETTINGS, detail=repr(error))
+    return parse_platform_settings(text)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -10,10 +10,13 @@
 from importlib.util import find_spec
 from pathlib import Path
 
+from nose2.tools import params
+
 from catkinpost_standins.launch import NODE_OPTIONS
 
 SLOW_LIBRARIES = ("hypercorn", "httpcore", "matplotlib", "prometheus_client", "typer")
 TIMEOUT_S = 60
+BAD_VALUE = b"[self]\nip-address = 3\n"
 PROGRAM = Path(find_spec("catkinpost.platform").submodule_search_locations[0])
 DEPLOYMENT = Path(__file__).parents[2] / "deploy" / "system.toml"
 IMPORT_LINE = re.compile(r"^import '?([\w.]+)'? # .*SourceFileLoader", re.MULTILINE)
@@ -39,8 +42,21 @@
         self.assertIn("catkinpost.node", loaded)
         self.assertEqual([name for name in SLOW_LIBRARIES if name in loaded], [])
 
-    def test_bad_settings_end_the_program_with_a_reason(self):
-        self.check_end_by_bad_settings(["-m", "catkinpost.platform"])
+    @params(
+        ("bad value", BAD_VALUE),
+        ("missing", None),
+        ("empty", b""),
+        ("no text", b"\xff\xfe"),
+    )
+    def test_bad_settings_end_the_program_with_a_reason(self, _name, content):
+        """Guards against an end by an exception, with another status."""
+        arguments = ["-m", "catkinpost.platform"]
+        self.check_end_by_bad_settings(arguments, content)
+
+    def test_start_without_a_settings_file_ends_with_a_reason(self):
+        result = self.run_program(["-m", "catkinpost.platform"], has_variable=False)
+        self.assertEqual(result.returncode, 2)
+        self.assertEqual(len(result.stderr.splitlines()), 1)
 
     def test_changed_settings_do_not_end_a_starting_program(self):
         """Guards against a process that ends by SIGHUP before it watches the file."""
@@ -62,23 +78,25 @@
         self.assertEqual(tuple(options), NODE_OPTIONS)
         self.assertEqual(program, "target/deps/catkinpost/platform/__main__.py")
 
-    def run_program(self, arguments):
+    def run_program(self, arguments, content=BAD_VALUE, *, has_variable=True):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "local.toml"
-            path.write_text("[self]\nip-address = 3\n", encoding="utf-8")
+            if content is not None:
+                path.write_bytes(content)
+            environment = os.environ | {
+                "CATKINPOST_CONFIG": str(path) if has_variable else "",
+                "PYTHONPATH": os.pathsep.join(item for item in sys.path if item),
+            }
             return subprocess.run(
                 [sys.executable, *arguments],
-                env={
-                    **os.environ,
-                    "CATKINPOST_CONFIG": str(path),
-                    "PYTHONPATH": os.pathsep.join(item for item in sys.path if item),
-                },
+                env=environment,
                 capture_output=True,
                 text=True,
                 timeout=TIMEOUT_S,
             )
 
-    def check_end_by_bad_settings(self, arguments):
-        result = self.run_program(arguments)
+    def check_end_by_bad_settings(self, arguments, content=BAD_VALUE):
+        result = self.run_program(arguments, content)
         self.assertEqual(result.returncode, 2)
         self.assertIn("local.toml", result.stderr)
+        self.assertEqual(len(result.stderr.splitlines()), 1)
