Wait for an address that is in use

Seen: a node that starts while another process listens at its outbound, ready or peers' address, or while an outgoing connection has that port, ends with status 1 and a traceback: a process is started again while its predecessor is still there. The readiness address is opened last, when the node serves already, so that its requests in progress are lost with it. Cause: the error of the bind ended the task of the whole node. Change: an address is tried again until it can be had, with a log line, while all else runs; the node isn't ready until callers can connect, and a stop ends the wait. An error while accepting no longer ends it; the first descriptor of a listener keeps its queue meanwhile.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -75,7 +75,7 @@
         serve: Callable[[trio.abc.Stream], Awaitable[None]],
         acceptor: Acceptor | None = None,
     ) -> None:
-        """Accept connections at an address."""
+        """Accept connections at an address, now or as soon as it can be had."""
 
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose exceptions do not end the process."""
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -33,7 +33,6 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import (
-    Address,
     BoundsSection,
     NodeSettings,
     parse_address,
@@ -49,7 +48,7 @@
 from catkinpost.state.running import RunningCalls
 from catkinpost.state.server_notice import ServerNotices
 from catkinpost.stop import PlannedStop
-from catkinpost.transport.acceptor import LISTEN_BACKLOG, Acceptor
+from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_server import HttpServer
 
@@ -307,7 +306,7 @@
             # A send to a peer that does not read would outlast the cancellation.
             await self.links.close_connections()
             log_message("node: links closed")
-            peer_acceptor.scope.cancel()
+            peer_acceptor.start_end()
             await self.peer_server.close_connections(
                 self.planned_stop.compute_close_time()
             )
@@ -320,17 +319,12 @@
         serve: Callable[[trio.abc.Stream], Awaitable[None]],
         acceptor: Acceptor | None = None,
     ) -> None:
-        """Accept connections at an address.
+        """Accept connections at an address, now or as soon as it can be had.
 
         :param address: IP:port.
         :param serve: serves one connection.
         :param acceptor: stopping it stops accepting; open connections continue.
         """
-        parsed_address: Address = parse_address(address)
-        listeners = await trio.open_tcp_listeners(
-            parsed_address.port, host=parsed_address.host, backlog=LISTEN_BACKLOG
-        )
-
         async def serve_guarded(stream: trio.SocketStream) -> None:
             try:
                 await serve(stream)
@@ -339,7 +333,9 @@
                 self.report_internal_error()
 
         acceptor = acceptor or Acceptor()
-        self.nursery.start_soon(acceptor.run, serve_guarded, listeners, self.nursery)
+        await self.nursery.start(
+            acceptor.listen, parse_address(address), serve_guarded, self.nursery
+        )
 
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose exceptions do not end the process."""
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -108,7 +108,12 @@
     async def handle_probe(self, request: HttpRequest) -> HttpResponse:
         if not request.target.startswith(READINESS_PATH):
             return HttpResponse(404)
-        is_serving = self.is_ready() and not self.node.planned_stop.is_requested
+        node = self.node
+        is_serving = (
+            self.is_ready()
+            and node.call_acceptor.is_listening
+            and not node.planned_stop.is_requested
+        )
         return HttpResponse(200 if is_serving else 503)
 
     def apply_changes(self, changes: list[KeyChange]) -> None:
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -4,15 +4,21 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from eliot import log_message
+from eliot import log_message, write_traceback
 
-__all__ = ["END_TIMEOUT_S", "LISTEN_BACKLOG", "Acceptor"]
+from catkinpost.protocol.settings import Address
+
+__all__ = ["END_TIMEOUT_S", "LISTEN_BACKLOG", "MAX_OPEN_RETRY_S", "Acceptor"]
 
 # While the accept queue is full, each caller waits seconds before it connects again.
 LISTEN_BACKLOG = 1024
 # A stop has a fixed end, and other tasks may run between two connections.
 END_TIMEOUT_S = 0.1
 
+# An address that is in use is tried again after times that double up to the second.
+OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
+ACCEPT_RETRY_S = 0.1
+
 SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
 # Time in which the tasks of closed connections release their descriptors.
 RELEASE_TIME_S = 0.01
@@ -70,16 +76,49 @@
         never stop coming.
     :ivar make_room: closes connections when descriptors run out, and returns their
         number.
-    :ivar scope: cancelling it starts the end, as ``stop`` does.
+    :ivar is_listening: whether connections can be made.
     """
 
     def __init__(self, backlog: int = LISTEN_BACKLOG) -> None:
         self.backlog = backlog
         self.make_room: Callable[[], int] = keep_all
+        self.open_scope = trio.CancelScope()
         self.scope = trio.CancelScope()
         self.is_running = False
+        self.is_listening = False
         self.ended = trio.Event()
 
+    async def listen(
+        self,
+        address: Address,
+        serve: Serve,
+        nursery: trio.Nursery,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Open an address, as soon as it can be had, and accept connections there.
+
+        It may still belong to a process that ends, or be the local port of a
+        connection to elsewhere.
+
+        :param address: where to listen.
+        :param serve: serves one connection.
+        :param nursery: nursery of the tasks that serve the connections.
+        :param task_status: is told when the address was tried once.
+        """
+        self.is_running = True
+        listeners: list[trio.SocketListener] = []
+        with self.open_scope:
+            listeners = await try_to_open(address)
+            task_status.started()
+            delay_s = OPEN_RETRY_S
+            while not listeners:
+                await trio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_OPEN_RETRY_S)
+                listeners = await try_to_open(address)
+                if listeners:
+                    log_message("listen: address opened", address=str(address))
+        await self.run(serve, listeners, nursery)
+
     async def run(
         self, serve: Serve, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
@@ -90,20 +129,33 @@
         :param nursery: nursery of the tasks that serve the connections.
         """
         self.is_running = True
-        # The queue of a listener stays while one of its descriptors is open.
-        queues = [trio.SocketListener(item.socket.dup()) for item in listeners]
+        self.is_listening = bool(listeners)
         try:
-            sparing = [SparingListener(item, self.make_room) for item in listeners]
             with self.scope:
-                await trio.serve_listeners(serve, sparing, handler_nursery=nursery)
-            for queue in queues:
-                await self.accept_waiting(serve, queue, nursery)
+                await self.accept(serve, listeners, nursery)
+            for listener in listeners:
+                await self.accept_waiting(serve, listener, nursery)
+            # The tasks of the last connections run their first step meanwhile.
+            await trio.lowlevel.checkpoint()
         finally:
-            for queue in queues:
-                queue.socket.close()
-        # The tasks of the last connections run their first step meanwhile.
-        await trio.lowlevel.checkpoint()
-        self.ended.set()
+            self.is_listening = False
+            for listener in listeners:
+                listener.socket.close()
+            self.ended.set()
+
+    async def accept(
+        self, serve: Serve, listeners: list[trio.SocketListener], nursery: trio.Nursery
+    ) -> None:
+        """Accept connections until cancelled, whatever fails meanwhile."""
+        while True:
+            try:
+                # The queue of a listener stays while one of its descriptors is open.
+                copies = [trio.SocketListener(item.socket.dup()) for item in listeners]
+                sparing = [SparingListener(item, self.make_room) for item in copies]
+                await trio.serve_listeners(serve, sparing, handler_nursery=nursery)
+            except Exception:
+                write_traceback()
+            await trio.sleep(ACCEPT_RETRY_S)
 
     async def accept_waiting(
         self, serve: Serve, queue: trio.SocketListener, nursery: trio.Nursery
@@ -121,8 +173,27 @@
             nursery.start_soon(serve, stream)
         queue.socket.close()
 
+    def start_end(self) -> None:
+        """Let accepting end, without waiting for that."""
+        self.open_scope.cancel()
+        self.scope.cancel()
+
     async def stop(self) -> None:
         """Stop accepting; the tasks of all accepted connections have begun then."""
-        self.scope.cancel()
+        self.start_end()
         if self.is_running:
             await self.ended.wait()
+
+
+async def try_to_open(address: Address) -> list[trio.SocketListener]:
+    """Open an address.
+
+    :return: open listeners, none if the address can't be had now.
+    """
+    try:
+        return await trio.open_tcp_listeners(
+            address.port, host=address.host, backlog=LISTEN_BACKLOG
+        )
+    except OSError as error:
+        log_message("listen: address not open", address=str(address), why=repr(error))
+        return []
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -1,7 +1,10 @@
 """Tests of the platform environment with a stand-in store on real connections."""
 
+import dataclasses
+import functools
 import json
 import signal
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -63,6 +66,7 @@
         self.environment = PlatformEnvironment(settings, self.path)
         self.node = Node(settings.node, self.environment)
         self.node.nursery = nursery
+        self.node.call_acceptor.is_listening = True
         self.node.links.refresh = lambda: None
         self.node.replicas.update_watch = lambda: None
         nursery.start_soon(self.environment.relay.run)
@@ -84,6 +88,7 @@
 
 def with_followed_store(test):
     @on_mock_clock(io=True)
+    @functools.wraps(test)
     async def run(self, *args):
         async with trio.open_nursery() as nursery:
             setup = Setup()
@@ -421,3 +426,21 @@
             await trio.sleep(1.5)
             self.assertEqual(environment.get_calling_service(), "stock")
             nursery.cancel_scope.cancel()
+
+    @with_followed_store
+    async def test_readiness_address_in_use_does_not_end_the_node(self, setup):
+        """Guards against a node that serves, and ends with requests in progress."""
+        environment = setup.environment
+        with socket.create_server(("127.0.0.1", 0)) as holder:
+            port = holder.getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            environment.settings = dataclasses.replace(
+                environment.settings, readiness_address=address
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(environment.run)
+                await trio.sleep(1.0)
+                holder.close()
+                await trio.sleep(1.0)
+                await (await trio.open_tcp_stream("127.0.0.1", port)).aclose()
+                nursery.cancel_scope.cancel()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """Tests of the assembly of a node from its parts."""
 
 import dataclasses
+import socket
 import unittest
 
 import msgspec
@@ -19,6 +20,8 @@
 from tests.coordination.at_most_once.test_once import make_instance
 from tests.protocol.test_settings import GOOD
 
+HOST = "127.0.0.1"
+ANY_PORT = f"{HOST}:0"
 POLICY = """\
 [service orders]
 owner = sales
@@ -234,3 +237,38 @@
             node.on_list_changed(node.view.apply_list(2, [], 1.0))
             self.assertEqual(node.stats.get_or_create("orders-2").failures, 0)
             nursery.cancel_scope.cancel()
+
+
+class TestLife(unittest.TestCase):
+    """Guards against a process that ends by itself, and cuts all its requests."""
+
+    @params("calls", "peers")
+    def test_address_in_use_is_waited_for(self, name):
+        self.check_address_in_use(name)
+
+    @on_mock_clock(io=True)
+    async def check_address_in_use(self, name):
+        with socket.create_server((HOST, 0)) as holder:
+            port = holder.getsockname()[1]
+            node = make_listening_node(**{name: f"{HOST}:{port}"})
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                holder.close()
+                await trio.sleep(1.0)
+                await (await trio.open_tcp_stream(HOST, port)).aclose()
+                node.planned_stop.request()
+
+
+def make_listening_node(**addresses):
+    """Make a node that finds nothing of its platform.
+
+    :param addresses: addresses by their names in the settings.
+    """
+    settings = parse_settings(GOOD)
+    listen = msgspec.structs.replace(
+        settings.listen, **{"calls": ANY_PORT, "peers": ANY_PORT, **addresses}
+    )
+    node = Node(dataclasses.replace(settings, listen=listen), NativeEnvironment())
+    node.environment.run = trio.sleep_forever
+    return node
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -9,7 +9,8 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.transport.acceptor import END_TIMEOUT_S, Acceptor
+from catkinpost.protocol.settings import Address
+from catkinpost.transport.acceptor import END_TIMEOUT_S, MAX_OPEN_RETRY_S, Acceptor
 from tests.clock import on_mock_clock
 
 HOST = "127.0.0.1"
@@ -35,6 +36,13 @@
         serve = serve or self.record
         self.nursery.start_soon(self.acceptor.run, serve, listeners, self.nursery)
 
+    async def listen(self, port):
+        self.port = port
+        address = Address(HOST, port)
+        await self.nursery.start(
+            self.acceptor.listen, address, self.record, self.nursery
+        )
+
     def connect_now(self):
         """Connect and send in the current step of the event loop."""
         caller = socket.create_connection((HOST, self.port))
@@ -106,6 +114,69 @@
             caller.close()
             nursery.cancel_scope.cancel()
 
+    @params("listener", "outgoing connection")
+    def test_address_in_use_is_waited_for(self, holder):
+        """Guards against a process that ends as its predecessor is still there."""
+        self.check_address_in_use(holder)
+
+    @on_mock_clock(io=True)
+    async def check_address_in_use(self, holder):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            with self.hold_port(holder) as port:
+                await setup.listen(port)
+                await trio.sleep(2.0)
+                self.assertFalse(setup.acceptor.is_listening)
+            await trio.sleep(MAX_OPEN_RETRY_S)
+            self.assertTrue(setup.acceptor.is_listening)
+            caller = setup.connect_now()
+            await setup.acceptor.stop()
+            self.assertEqual(len(setup.accepted), 1)
+            caller.close()
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_acceptor_that_waits_for_its_address_stops_at_once(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            with self.hold_port("listener") as port:
+                await setup.listen(port)
+                await setup.acceptor.stop()
+
+    @contextlib.contextmanager
+    def hold_port(self, holder):
+        with socket.create_server((HOST, 0)) as server:
+            if holder == "listener":
+                yield server.getsockname()[1]
+                return
+            with socket.create_connection(server.getsockname()) as caller:
+                yield caller.getsockname()[1]
+                # The side that closes first would keep the port for a minute.
+                server.accept()[0].close()
+                caller.recv(1)
+
+    @on_mock_clock(io=True)
+    async def test_failure_to_accept_does_not_end_accepting(self):
+        """Guards against a process that ends, and cuts all its requests."""
+        async with trio.open_nursery() as nursery:
+            setup, accept = Setup(nursery), trio.SocketListener.accept
+            failures = [OSError(errno.EIO, "I/O error"), ValueError()]
+
+            async def accept_or_fail(listener):
+                await trio.lowlevel.wait_readable(listener.socket)
+                if failures:
+                    raise failures.pop()
+                return await accept(listener)
+
+            with mock.patch.object(trio.SocketListener, "accept", accept_or_fail):
+                await setup.start()
+                caller = setup.connect_now()
+                await trio.sleep(1.0)
+            self.assertEqual(failures, [])
+            self.assertEqual(len(setup.accepted), 1)
+            caller.close()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_acceptor_that_never_ran_stops_at_once(self):
         async with trio.open_nursery() as nursery:
