Let no failing task of the node end the process

Cause: only some tasks were supervised. Change: all are, with times that double up to 1 s and a log line that names the task; the steps of a stop are repeated while there is time.

Test: test_exception_in_one_of_its_tasks_does_not_end_it, seven tasks, failed before (the exception ended the node) and pass.

--- a/src/catkinpost/native/environment.py
+++ b/src/catkinpost/native/environment.py
@@ -74,6 +74,7 @@
     async def run(self) -> None:
         """Run the watches and the operators' interface until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.api.serve, self.operators)
+            serve = partial(self.api.serve, self.operators)
+            nursery.start_soon(self.node.supervise, serve)
             for watch in (self.policy_watch, self.instance_watch, self.backend_watch):
                 nursery.start_soon(self.node.supervise, watch.run)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -54,8 +54,8 @@
 
 __all__ = ["Node"]
 
-# Bounds the log lines of a task that fails at once each time.
-TASK_RESTART_DELAY_S = 0.1
+# Times that double bound the log lines of a task that fails at once each time.
+TASK_RESTART_DELAY_S, MAX_TASK_RESTART_DELAY_S = 0.1, 1.0
 MESSAGE_OVERHEAD_BYTES = 4096
 # Shares of the time for which a leaving backend server continues to serve. Runs may
 # last longer than expected, and the start of that time may be known late: a silent feed
@@ -80,6 +80,7 @@
         self.is_leaving = False
         self.planned_stop = PlannedStop(self)
         self.call_acceptor = Acceptor()
+        self.peer_acceptor = Acceptor()
         self.nodes_in_region = 1
         self.build_state()
         self.build_peers()
@@ -278,7 +279,7 @@
     async def run(self) -> None:
         """Run until a planned stop is complete."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.planned_stop.log_held)
+            nursery.start_soon(self.supervise, self.planned_stop.log_held)
             await self.run_until_stopped()
             nursery.cancel_scope.cancel()
         log_message("node: stopped", instance=self.identity.instance)
@@ -288,31 +289,32 @@
         listen = self.settings.listen
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            nursery.start_soon(self.planned_stop.watch_signals)
+            nursery.start_soon(self.supervise, self.planned_stop.watch_signals)
             nursery.start_soon(self.supervise, self.pause_watch.run)
             nursery.start_soon(self.supervise, self.http_server.watch_connections)
-            peer_acceptor = Acceptor()
             await self.listen(
-                listen.peers, self.peer_server.serve_connection, peer_acceptor
+                listen.peers, self.peer_server.serve_connection, self.peer_acceptor
             )
             await self.listen(
                 listen.calls, self.http_server.serve_connection, self.call_acceptor
             )
-            nursery.start_soon(self.environment.run)
+            nursery.start_soon(self.supervise, self.environment.run)
             nursery.start_soon(self.supervise, self.ejector.run)
             nursery.start_soon(self.supervise, self.executor.admission.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
-            # A send to a peer that does not read would outlast the cancellation.
-            await self.links.close_connections()
-            log_message("node: links closed")
-            peer_acceptor.start_end()
-            await self.peer_server.close_connections(
-                self.planned_stop.compute_close_time()
-            )
-            log_message("node: peers closed")
+            await self.planned_stop.repeat(self.close_peers)
             nursery.cancel_scope.cancel()
 
+    async def close_peers(self) -> None:
+        """Close the connections to and from peers."""
+        # A send to a peer that does not read would outlast the cancellation.
+        await self.links.close_connections()
+        log_message("node: links closed")
+        self.peer_acceptor.start_end()
+        await self.peer_server.close_connections(self.planned_stop.compute_close_time())
+        log_message("node: peers closed")
+
     async def listen(
         self,
         address: str,
@@ -325,6 +327,7 @@
         :param serve: serves one connection.
         :param acceptor: stopping it stops accepting; open connections continue.
         """
+
         async def serve_guarded(stream: trio.SocketStream) -> None:
             try:
                 await serve(stream)
@@ -355,13 +358,16 @@
 
         :param function: runs until it is cancelled.
         """
+        delay_s = TASK_RESTART_DELAY_S
         while True:
             try:
                 await function()
                 return
             except Exception:
                 self.report_internal_error()
-            await trio.sleep(TASK_RESTART_DELAY_S)
+            log_message("node: task failed", task=repr(function), again_in_s=delay_s)
+            await trio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_TASK_RESTART_DELAY_S)
 
     def report_internal_error(self) -> None:
         self.metrics.counters["internal-error"] += 1
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -20,6 +20,7 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import parse_address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
+from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["PlatformEnvironment"]
@@ -46,6 +47,7 @@
             regions=settings.regions,
             lease_s=settings.lease_s,
         )
+        self.probe_acceptor = Acceptor()
         self.list_version = 0
         self.settings_text = settings.text
 
@@ -93,9 +95,12 @@
 
     async def run(self) -> None:
         """Run the watches and the readiness probe until cancelled."""
-        await self.node.listen(
-            self.settings.readiness_address, self.probe_server.serve_connection
-        )
+        if not self.probe_acceptor.is_running:
+            await self.node.listen(
+                self.settings.readiness_address,
+                self.probe_server.serve_connection,
+                self.probe_acceptor,
+            )
         async with trio.open_nursery() as nursery:
             for function in (
                 self.probe_server.watch_connections,
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -3,6 +3,7 @@
 import math
 import signal
 from collections import Counter
+from collections.abc import Awaitable, Callable
 
 import trio
 from eliot import log_message
@@ -146,8 +147,8 @@
         """
         await self.requested.wait()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.withdraw_late_attempts)
-            await self.finish_requests()
+            nursery.start_soon(self.node.supervise, self.withdraw_late_attempts)
+            await self.repeat(self.finish_requests)
             nursery.cancel_scope.cancel()
         server = self.node.http_server
         log_message(
@@ -155,7 +156,19 @@
             closed_idle=server.closed_idle,
             refused=server.refused_requests,
         )
-        await self.send_key_records()
+        await self.repeat(self.send_key_records)
+
+    async def repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run a step of the stop, again after an exception while there is time."""
+        while True:
+            try:
+                await step()
+                return
+            except Exception:
+                self.node.report_internal_error()
+            if trio.current_time() >= self.ends_at:
+                return
+            await trio.sleep(IDLE_CHECK_INTERVAL_S)
 
     async def withdraw_late_attempts(self) -> None:
         """Withdraw calls that wait at peers for too long, until cancelled."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import socket
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
@@ -259,6 +260,46 @@
                 await (await trio.open_tcp_stream(HOST, port)).aclose()
                 node.planned_stop.request()
 
+    @params(
+        "planned_stop.watch_signals",
+        "planned_stop.log_held",
+        "environment.run",
+        "planned_stop.finish_requests",
+        "planned_stop.withdraw_late_attempts",
+        "planned_stop.send_key_records",
+        "links.close_connections",
+    )
+    def test_exception_in_one_of_its_tasks_does_not_end_it(self, path):
+        self.check_exception(path)
+
+    @on_mock_clock(io=True)
+    async def check_exception(self, path):
+        node = make_listening_node()
+        part = node
+        *parts, name = path.split(".")
+        for item in parts:
+            part = getattr(part, item)
+        function = getattr(part, name)
+        failures = [ValueError()]
+
+        async def fail_once():
+            if failures:
+                raise failures.pop()
+            await function()
+
+        with mock.patch.object(part, name, fail_once):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                requested_at = trio.current_time()
+                node.planned_stop.request()
+        self.assertEqual(failures, [])
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+        stopped_after_s = trio.current_time() - requested_at
+        bounds = node.settings.bounds
+        self.assertGreaterEqual(stopped_after_s, bounds.leave_notice)
+        self.assertLess(stopped_after_s, bounds.stop_timeout)
+
 
 def make_listening_node(**addresses):
     """Make a node that finds nothing of its platform.
