Leave connections to the address of former settings

Callers saw: with settings that name another address of the server, requests go on to the former one over pooled connections, for up to 15 s each. Cause: only the address of new connections changed. Change: idle connections are closed, and those in progress are closed after their answer. Test: both cases of test_connection_to_a_former_address_is_not_used_again failed before ([2, 0] requests, not [1, 1], with the address set as before); 41 tests of the module pass.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -222,8 +222,7 @@
         self.settings = settings
         self.servers.regions = settings.regions
         backend_address = parse_address(settings.node.backend.address)
-        self.node.backend_client.host = backend_address.host
-        self.node.backend_client.port = backend_address.port
+        self.node.backend_client.set_address(backend_address.host, backend_address.port)
         self.node.executor.service = settings.node.node.service
         store_address = parse_address(settings.node.platform.address)
         if store_address != self.store_client.address:
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -122,6 +122,7 @@
         :return: the complete response, or a failure whose outcome is not-run only if no
             byte of the request was sent.
         """
+        address = (self.host, self.port)
         stream = self.pop_idle_connection()
         if stream is None:
             stream = await self.connect()
@@ -130,7 +131,8 @@
         expires_at = None
         try:
             result = await self.send_and_receive(stream, request)
-            if isinstance(result, HttpResponse) and result.keep_alive:
+            is_current = address == (self.host, self.port)
+            if isinstance(result, HttpResponse) and result.keep_alive and is_current:
                 expires_at = trio.current_time() + get_max_idle_s(result)
             return result
         finally:
@@ -139,6 +141,18 @@
             else:
                 await trio.aclose_forcefully(stream)
 
+    def set_address(self, host: str, port: int) -> None:
+        """Send new requests to another address; those in progress go on.
+
+        :param host: IP address of the backend server.
+        :param port: TCP port of the backend server.
+        """
+        if (host, port) == (self.host, self.port):
+            return
+        self.host, self.port = host, port
+        self.last_connect_failed = False
+        self.close_idle_connections()
+
     def pop_idle_connection(self) -> trio.SocketStream | None:
         now = trio.current_time()
         while self.idle_connections:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -135,6 +135,32 @@
             self.assertEqual(server.accepted_count, 2)
             nursery.cancel_scope.cancel()
 
+    @params(False, True)
+    def test_connection_to_a_former_address_is_not_used_again(self, in_progress):
+        """Guards against requests that go on to the server of former settings."""
+        self.check_former_address(in_progress)
+
+    @on_mock_clock(io=True)
+    async def check_former_address(self, in_progress):
+        def move(*_):
+            if in_progress:
+                clients[0].set_address(HOST, clients[1].port)
+            return True
+
+        async with trio.open_nursery() as nursery:
+            servers = [
+                ScriptedServer([GOOD, GOOD], is_matching_response=move),
+                ScriptedServer([GOOD]),
+            ]
+            clients = [await server.start(nursery) for server in servers]
+            first = await clients[0].send_request(REQUEST)
+            self.assertIsInstance(first, HttpResponse)
+            clients[0].set_address(HOST, clients[1].port)
+            await clients[0].send_request(REQUEST)
+            self.assertEqual([item.request_count for item in servers], [1, 1])
+            await servers[0].closed_by_client.wait()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_connection_that_was_idle_for_long_is_not_used_again(self):
         async with trio.open_nursery() as nursery:
