Log the settings in force at the start and at each change

The log could not tell which settings a node had started with, and so whether a change was lost. Tests of environment and program pass.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -23,7 +23,7 @@
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 
-__all__ = ["PlatformEnvironment"]
+__all__ = ["PlatformEnvironment", "log_settings"]
 
 EXPIRY_CHECK_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 1.0
@@ -218,8 +218,8 @@
         if isinstance(settings, Failure):
             log_message("settings: ignored", why=settings.detail)
             return
-        log_message("settings: read again", service=settings.node.node.service)
         self.settings = settings
+        log_settings("settings: read again", settings)
         self.servers.regions = settings.regions
         backend_address = parse_address(settings.node.backend.address)
         self.node.backend_client.set_address(backend_address.host, backend_address.port)
@@ -227,3 +227,17 @@
         store_address = parse_address(settings.node.platform.address)
         if store_address != self.store_client.address:
             self.store_client = StoreClient(store_address)
+
+
+def log_settings(message: str, settings: PlatformSettings) -> None:
+    """Log the settings that may change while the process runs.
+
+    :param message: type of the log line.
+    """
+    node = settings.node
+    log_message(
+        message,
+        service=node.node.service,
+        server=node.backend.address,
+        store=node.platform.address,
+    )
--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -9,7 +9,7 @@
 
 from catkinpost.log import start_log
 from catkinpost.node import Node
-from catkinpost.platform.environment import PlatformEnvironment
+from catkinpost.platform.environment import PlatformEnvironment, log_settings
 from catkinpost.platform.names import SETTINGS_VARIABLE
 from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
 from catkinpost.process import run_process
@@ -37,6 +37,7 @@
     if isinstance(settings, Failure):
         print(f"{path}: {settings.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    log_settings("settings: read", settings)
     node = Node(settings.node, PlatformEnvironment(settings, Path(path)))
     run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
     return 0
