Let answers being sent keep the idle time-out they began with

Callers saw an answer that they were still taking end early with its connection, when a configuration with a shorter idle time-out came into force meanwhile.

The check of a connection on which an answer is sent used the time-out of now. It uses the longer of this one and the one in force when the answer began, as it does for idle connections.

test_answer_being_taken_outlasts_a_changed_idle_timeout failed before for a change from 4 to 1 s (the answer was cut), and held for 1 to 4 s.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -56,7 +56,8 @@
 
     :param handler: handles one request; it is cancelled when the caller disconnects.
     :param limits: limits on each message; changes apply to requests that begin later,
-        and a shorter ``idle_timeout`` to connections that become idle later.
+        and a shorter ``idle_timeout`` to answers that are sent later and to connections
+        that become idle behind them.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
@@ -239,11 +240,12 @@
             return elapsed_s > self.limits.head_timeout
         if connection.phase is Phase.ANSWERING:
             return False
+        idle_timeout = max(self.limits.idle_timeout, connection.idle_timeout)
         if connection.phase is Phase.IDLE:
-            return elapsed_s > max(self.limits.idle_timeout, connection.idle_timeout)
+            return elapsed_s > idle_timeout
         connection.update_taken_at(now)
         taken_at = max(connection.progressed_at, connection.taken_at)
-        return min(elapsed_s, now - taken_at) > self.limits.idle_timeout
+        return min(elapsed_s, now - taken_at) > idle_timeout
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until either side closes it.
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -672,6 +672,37 @@
             self.assertIs(data.endswith(body), is_whole)
             nursery.cancel_scope.cancel()
 
+    @params((4.0, 1.0), (1.0, 4.0))
+    def test_answer_being_taken_outlasts_a_changed_idle_timeout(
+        self, earlier_s, later_s
+    ):
+        """Guards against a configuration that cuts the answers of slow callers."""
+        self.check_slow_answer_in_change(earlier_s, later_s)
+
+    @on_mock_clock(io=True)
+    async def check_slow_answer_in_change(self, earlier_s, later_s):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            body = LARGE_BODY * 4
+
+            async def handle(request):
+                return HttpResponse(200, [], body)
+
+            setup.server.handler = handle
+            limits = dataclasses.replace(LIMITS, idle_timeout=earlier_s)
+            setup.server.limits = limits
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(0.5)
+            setup.server.limits = dataclasses.replace(limits, idle_timeout=later_s)
+            await trio.sleep(0.5 * max(earlier_s, later_s))
+            data = bytearray()
+            with contextlib.suppress(trio.BrokenResourceError):
+                await receive_up_to(stream, data, len(body) + 1)
+            self.assertTrue(data.endswith(body))
+            nursery.cancel_scope.cancel()
+
     @params(stop_reading, close_by_itself)
     def test_server_is_busy_until_its_caller_has_the_answer(self, close):
         self.check_busy_until_delivered(close)
