Keep connections whose answers wait behind a request at work

Callers that send ahead saw their connection closed without an answer to a request that its server was running, while the node was short of memory for answers.

An answer that is ready counts until it is sent. One behind a slower request of its connection can't be sent, yet after 2 s its caller counted as one that takes nothing, and was dropped with the run in progress. Only a connection on which an answer is being sent is dropped now; the new answer is replaced by a failure, as if no caller were stalled.

test_answer_behind_one_at_work_is_not_stalled_by_its_caller failed before (no answer on the connection).

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -148,7 +148,12 @@
         self.unsent_bytes = unsent_bytes
 
     def give_up(self) -> bool:
-        """Close the connection without the rest of its responses."""
+        """Close the connection without the rest of its responses, unless none is due.
+
+        A response that waits behind a request at work is not for the caller to take.
+        """
+        if not self.sending:
+            return False
         self.closing = True
         self.scope.cancel()
         return True
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1112,6 +1112,35 @@
             self.assertLess(len(await read_all(stalled)), len(LARGE_BODY))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_answer_behind_one_at_work_is_not_stalled_by_its_caller(self):
+        """Guards against a run that is broken off, as if its caller took nothing."""
+        async with trio.open_nursery() as nursery:
+            await self.start(nursery, 0)
+            self.memory.max_bytes = len(LARGE_BODY)
+            release = trio.Event()
+
+            async def handle(request):
+                if request.target == b"/slow":
+                    await release.wait()
+                    return HttpResponse(200)
+                return HttpResponse(200, [], LARGE_BODY)
+
+            self.setup.server.handler = handle
+            waiting = await connect_slow_reader(self.setup)
+            await waiting.send_all(b"GET /slow HTTP/1.1\r\n\r\n" + CLOSING_REQUEST)
+            await trio.sleep(STALL_TIMEOUT_S + 1.0)
+            late = [await self.call()]
+            release.set()
+            await trio.sleep(0.1)
+            late.append(await self.call())
+            data = await read_all(waiting)
+            self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+            self.assertTrue(data.endswith(LARGE_BODY))
+            for stream in late:
+                self.assertIn(b"HTTP/1.1 502", await stream.receive_some(100))
+            nursery.cancel_scope.cancel()
+
     @params("disconnect", "reset", "stop")
     def test_bytes_are_released_when_a_connection_ends(self, end):
         self.check_release(end)
