Go on with calls whose service has left the policy

Callers got 500 when a configuration without the service of their request came into force meanwhile: instead of a move to another instance after a refusal that says "not run", and, where hedging is on, instead of the answer of the server that was at work.

Each sending, and the hedge, looked up the section of the service in the policy of now, and the missing key ended the request. A service that has left the policy has no hedging.

test_service_that_leaves_the_policy_meanwhile failed before in both cases (500).

--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -347,10 +347,17 @@
         elif not getattr(result, "fenced", False):
             call.record_outcome(result.outcome)
 
+    def get_hedging_mode(self, call: EntryCall) -> Mode:
+        """Return the mode of hedging.
+
+        The service of a call may have left the policy since the call was read.
+        """
+        section = self.store.policy.services.get(call.service)
+        return Mode.OFF if section is None else section.hedging
+
     def get_hedge_delay(self, call: EntryCall) -> float | None:
         """Return the seconds to wait before a hedge, ``None`` for no hedge."""
-        section = self.store.policy.services[call.service]
-        if section.hedging is Mode.OFF or not call.is_repeatable:
+        if self.get_hedging_mode(call) is Mode.OFF or not call.is_repeatable:
             return None
         if call.allowance.remaining < 1:
             return None
@@ -368,8 +375,10 @@
         attempts: list[Attempt],
         exclude: set[str],
     ) -> None:
-        mode = self.store.policy.services[call.service].hedging
-        if call.allowance.remaining < 1 or not self.hedging.acquire_token():
+        mode = self.get_hedging_mode(call)
+        if mode is Mode.OFF or call.allowance.remaining < 1:
+            return
+        if not self.hedging.acquire_token():
             return
         self.decisions.add(
             "hedging",
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -428,6 +428,35 @@
             )
             self.assertLessEqual(setup.links.runs, 1)
 
+    @params("leaving", "silent after")
+    def test_service_that_leaves_the_policy_meanwhile(self, fault):
+        """Guards against requests that fail as they were read before a change."""
+        self.check_removed_service(fault)
+
+    @on_mock_clock
+    async def check_removed_service(self, fault):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [fault])
+            text = POLICY.replace("[class", "hedging = on\n\n[class", 1)
+            text = text.replace("timeout = 5", "timeout = 5\nmoves = 3")
+            setup.store.accept_document(2, text, now=0.0, source="test")
+            setup.sender.hedging.get_delay = lambda *_: 0.1
+            send_request = setup.links.send_request
+
+            async def change_and_send(call, pending):
+                text = POLICY.replace("orders", "stock")
+                setup.store.accept_document(3, text, now=0.0, source="test")
+                await send_request(call, pending)
+
+            setup.links.send_request = change_and_send
+            response = None
+            with trio.move_on_after(1.0):
+                response = await setup.send(b"GET")
+            # A run that takes long goes on, and a refused request moves.
+            expected = 200 if fault == "leaving" else None
+            self.assertEqual(getattr(response, "status", None), expected)
+            nursery.cancel_scope.cancel()
+
     @params((None, 3), (RetryBound(ratio=0.0, extra=1.0), 2))
     def test_budget_bounds_repeated_arrivals(self, bound, attempts):
         self.check_budget(bound, attempts)
