Take the answer of a server that comes before it has read the body

Callers got the answer to a large request only once its server read on, or 504 at their deadline instead of it; and 502 (may have run) where the server had answered, even "not executed", and closed.

The whole request was sent before the response was read. A body of over 64 KiB is sent beside the reading now; if the answer comes first, or the sending fails, what has arrived counts, and the connection is closed behind an incomplete body, as nothing else may follow it.

test_answer_that_comes_before_the_body_is_read failed before for a server that reads on after 50 s (no answer within 10 s) and for one that closes (502); a server that reads at once held, on one kept connection.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client for one backend server."""
 
+import contextlib
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -197,17 +198,40 @@
     ) -> HttpResponse | Failure:
         parser = ResponseParser(self.limits, head_only=request.method == b"HEAD")
         try:
+            if len(request.body) > MAX_COPIED_BODY_BYTES:
+                return await self.send_while_receiving(stream, request, parser)
+            await send_all(stream, encode_request(request))
             return await self.receive_response(stream, request, parser)
         except trio.BrokenResourceError as error:
             return build_connection_lost_failure(str(error))
         finally:
             self.buffer.remove(parser)
 
+    async def send_while_receiving(
+        self, stream: trio.SocketStream, request: HttpRequest, parser: ResponseParser
+    ) -> HttpResponse | Failure:
+        """Send a large request, and take a response that comes before its end.
+
+        The server may read the rest late, or not at all. Nothing else may follow an
+        incomplete request, so its connection is not used again.
+        """
+        await send_all(stream, encode_request_head(request))
+        is_sent = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_body, stream, request.body, is_sent)
+            try:
+                result = await self.receive_response(stream, request, parser)
+            except trio.BrokenResourceError as error:
+                result = build_connection_lost_failure(str(error))
+            nursery.cancel_scope.cancel()
+        if isinstance(result, HttpResponse) and not is_sent.is_set():
+            result.keep_alive = False
+        return result
+
     async def receive_response(
         self, stream: trio.SocketStream, request: HttpRequest, parser: ResponseParser
     ) -> HttpResponse | Failure:
         stray_count = 0
-        await send_encoded(stream, request)
         while True:
             failure = await self.receive_message(stream, parser)
             if failure is not None:
@@ -250,13 +274,16 @@
             self.idle_connections.pop().stream.socket.close()
 
 
-async def send_encoded(stream: trio.SocketStream, request: HttpRequest) -> None:
-    """Send one request."""
-    if len(request.body) <= MAX_COPIED_BODY_BYTES:
-        await send_all(stream, encode_request(request))
-        return
-    await send_all(stream, encode_request_head(request))
-    await send_all(stream, request.body)
+async def send_body(
+    stream: trio.SocketStream, body: bytes, is_sent: trio.Event
+) -> None:
+    """Send a body; a lost connection is left to the task that reads the response.
+
+    :param is_sent: set once the whole body was sent.
+    """
+    with contextlib.suppress(trio.BrokenResourceError):
+        await send_all(stream, body)
+        is_sent.set()
 
 
 def get_max_idle_s(response: HttpResponse) -> float:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -18,6 +18,9 @@
 
 REQUEST = HttpRequest(b"POST", b"/orders", [(b"host", b"orders")], b"body")
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+FULL = b"HTTP/1.1 503 Full\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n"
+# Exceeds the socket buffers, so that it is sent only while the server reads.
+LARGE_BODY = b"x" * 30_000_000
 HOST = "127.0.0.1"
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -108,6 +111,21 @@
     return find_header(response.headers, b"x-id") == request.target
 
 
+async def answer_early(stream, reads_after_s):
+    """Answer a large request at its head, unless it is to be read at once."""
+    while data := await stream.receive_some(65536):
+        is_large = b"content-length: 5\r\n" not in data
+        if is_large and reads_after_s != 0.0:
+            await stream.send_all(FULL)
+            if reads_after_s is None:
+                return
+            await trio.sleep(reads_after_s)
+        unread = len(LARGE_BODY) - len(data.partition(b"\r\n\r\n")[2])
+        while is_large and unread > 0:
+            unread -= len(await stream.receive_some(65536))
+        await stream.send_all(GOOD)
+
+
 async def hang_on_connect(address):
     await trio.sleep_forever()
 
@@ -211,6 +229,40 @@
             self.assertFalse(client.last_connect_failed)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds after which the server reads on, or None if it closes, statuses)
+        (0.0, [200, 200], 1),
+        (50.0, [503, 200], 2),
+        (None, [503, 200], 2),
+    )
+    def test_answer_that_comes_before_the_body_is_read(self, *case):
+        """Guards against an answer that waits for a server that reads on late."""
+        self.check_early_answer(*case)
+
+    @on_mock_clock(io=True)
+    async def check_early_answer(self, reads_after_s, statuses, connections):
+        async with trio.open_nursery() as nursery:
+            accepted = []
+
+            async def serve(stream):
+                accepted.append(stream)
+                with contextlib.suppress(trio.BrokenResourceError):
+                    async with stream:
+                        await answer_early(stream, reads_after_s)
+
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            client = BackendClient(HOST, port, limits=HttpLimits())
+            answers = []
+            for body in (LARGE_BODY, b"small"):
+                request = HttpRequest(b"POST", b"/", [(b"host", b"orders")], body)
+                with trio.move_on_after(10.0):
+                    answers.append(await client.send_request(request))
+            self.assertEqual([answer.status for answer in answers], statuses)
+            self.assertEqual(len(accepted), connections)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_refused_connection_means_not_run(self):
         listeners = await trio.open_tcp_listeners(0, host=HOST)
