Keep descriptors free for the server, peers and probes

Cause: idle connections are closed for want of a descriptor only when a connection of a caller is accepted. With all descriptors in use and nobody in that queue, connects to the server fail as unreachable, and neither peers nor the probe are accepted.

Change: while callers' connections are a quarter of the descriptors or more, the server of callers checks each 0.2 s whether one of the 16 highest is free, and else closes what an accept would close. The server of the probe does not, as it has none to spare.

The test failed before: the connect to the server found no descriptor after 0.5 s.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -75,6 +75,7 @@
             self.handle_probe,
             limits=self.settings.node.http_limits,
             report_failure=node.report_bad_request,
+            reserved_descriptors=0,
         )
 
     def get_calling_service(self) -> str:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,9 +1,11 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import math
+import resource
 from collections.abc import Awaitable, Callable
 
 import trio
+from eliot import log_message
 
 from catkinpost.protocol.header import build_failure_response
 from catkinpost.protocol.http import (
@@ -24,7 +26,12 @@
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger
-from catkinpost.transport.socket_io import receive_some, send_all, split_bytes
+from catkinpost.transport.socket_io import (
+    has_free_descriptors,
+    receive_some,
+    send_all,
+    split_bytes,
+)
 
 __all__ = ["HttpServer"]
 
@@ -36,6 +43,12 @@
 # A caller that has just connected, or been answered, is likely to send next.
 MIN_IDLE_S = 0.2
 MAX_CLOSED_AT_ONCE = 16
+# Descriptors for connections that a node needs to answer its callers: to its server,
+# peers and the store, and for readiness probes.
+RESERVED_DESCRIPTORS = 16
+# With fewer connections than this share of the descriptors, it is not callers that
+# use them up.
+CALLERS_SHARE = 0.25
 LEAVING_FAILURE = build_leaving_failure(
     "the node stopped before it had read the request"
 )
@@ -62,6 +75,7 @@
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
+    :param reserved_descriptors: descriptors that idle connections leave free.
     :ivar leaving: whether each connection is closed after its last response.
     :ivar is_refusing: whether requests that are read are refused.
     :ivar has_stopped_reading: whether no further request is accepted.
@@ -78,6 +92,7 @@
         build_refusal: Callable[[Failure], HttpResponse] = build_failure_response,
         memory: RequestMemory | None = None,
         answer_memory: AnswerMemory | None = None,
+        reserved_descriptors: int = RESERVED_DESCRIPTORS,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -85,6 +100,7 @@
         self.build_refusal = build_refusal
         self.memory = memory
         self.answer_memory = answer_memory
+        self.reserved_descriptors = reserved_descriptors
         self.leaving = False
         self.is_refusing = False
         self.has_stopped_reading = False
@@ -194,6 +210,21 @@
             self.close_overdue(connection)
         return len(idle[:MAX_CLOSED_AT_ONCE])
 
+    def keep_descriptors_free(self) -> None:
+        """Close connections on which nothing is due while descriptors are short."""
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if not self.reserved_descriptors or not self.connections:
+            return
+        if len(self.connections) < CALLERS_SHARE * limit:
+            return
+        descriptor = next(iter(self.connections)).stream.socket.fileno()
+        if descriptor < 0 or has_free_descriptors(
+            descriptor, self.reserved_descriptors
+        ):
+            return
+        if closed := self.make_room():
+            log_message("http: closed for descriptors", count=closed)
+
     async def watch_connections(self) -> None:
         """Close overdue connections and start readers where needed, until cancelled.
 
@@ -203,6 +234,7 @@
         while True:
             await trio.sleep(CONNECTION_CHECK_INTERVAL_S)
             self.check_connections(trio.current_time())
+            self.keep_descriptors_free()
 
     def check_connections(self, now: float) -> None:
         """Close overdue connections, and start readers where needed.
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -1,7 +1,9 @@
 """Socket reads and writes that avoid unnecessary task scheduling."""
 
+import errno
 import fcntl
 import os
+import resource
 import struct
 import termios
 from collections.abc import Iterator
@@ -10,6 +12,7 @@
 
 __all__ = [
     "count_unread_bytes",
+    "has_free_descriptors",
     "open_connection",
     "read_queue_size",
     "receive_some",
@@ -42,6 +45,25 @@
     return QUEUE_SIZE.unpack(reply)[0]
 
 
+def has_free_descriptors(descriptor: int, count: int) -> bool:
+    """Return whether any of the highest descriptors of this process is free.
+
+    The system hands out the lowest free one, so that they are used last.
+
+    :param descriptor: any open descriptor.
+    :param count: number of the highest descriptors.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    try:
+        copy = fcntl.fcntl(descriptor, fcntl.F_DUPFD_CLOEXEC, max(0, limit - count))
+    except OSError as error:
+        if error.errno != errno.EMFILE:
+            raise
+        return False
+    os.close(copy)
+    return True
+
+
 def split_bytes(data: bytes, size: int) -> Iterator[memoryview]:
     """Split bytes into pieces without copying them.
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -4,8 +4,10 @@
 import dataclasses
 import functools
 import math
+import os
 import random
 import re
+import resource
 import socket
 import struct
 import unittest
@@ -15,12 +17,13 @@
 from nose2.tools import params
 
 from catkinpost.protocol.http import HttpLimits, HttpResponse
-from catkinpost.protocol.outcome import Reason
+from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport import http_server
 from catkinpost.transport.acceptor import Acceptor
+from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_connection import Phase
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
@@ -99,6 +102,19 @@
     return run
 
 
+@contextlib.contextmanager
+def no_free_descriptors():
+    """Lower the limit of this process to the descriptors that are open."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 async def receive_up_to(stream, data, size):
     while len(data) < size and (piece := await stream.receive_some(65536)):
         data += piece
@@ -637,6 +653,29 @@
             self.assertTrue((await busy.receive_some(100)).startswith(b"HTTP/1.1 200"))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_idle_connections_leave_descriptors_for_the_backend_server(self):
+        """Guards against refusals as idle callers hold all descriptors."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.release = trio.Event()
+            await setup.start(nursery)
+            client = BackendClient(HOST, setup.port, limits=LIMITS)
+            idle = [await setup.connect() for _ in range(20)]
+            busy = await setup.connect()
+            await busy.send_all(KEPT_REQUEST)
+            await trio.sleep(0.1)
+            with no_free_descriptors():
+                self.assertIsInstance(await client.connect(), Failure)
+                await trio.sleep(0.5)
+                connected = await client.connect()
+            self.assertNotIsInstance(connected, Failure)
+            await trio.aclose_forcefully(connected)
+            self.assertEqual(await read_all(idle[0]), b"")
+            setup.release.set()
+            self.assertTrue((await busy.receive_some(100)).startswith(b"HTTP/1.1 200"))
+            nursery.cancel_scope.cancel()
+
     @params(
         # (request, bytes that the caller takes a second, whether it gets all of them)
         (KEPT_REQUEST, 100_000, True),
