Send the log of libraries where that of the node goes

What callers saw: no answer to anything, as the process stood still in a write to its standard error, a pipe that nobody read, from 9 s after the shortage of descriptors began; SIGTERM did not end it in 6.5 s.

Cause: trio logs an accept without a descriptor with the module logging, each 0.1 s and with a traceback. Without a handler such records are written to the standard error, which blocks; what can't be written there fails once more in the flush at the end of the interpreter, whose status is then 120.

Change: the log of the standard library goes to the log of the node, which never blocks and drops lines.

The test failed before, with 5 KB on the standard error in one second of shortage.

--- a/src/catkinpost/log.py
+++ b/src/catkinpost/log.py
@@ -1,9 +1,11 @@
 """Log output of a node process."""
 
 import contextlib
+import logging
 import os
 
 import eliot
+from eliot.stdlib import EliotHandler
 
 __all__ = ["LogSink", "start_log"]
 
@@ -53,5 +55,10 @@
 
 
 def start_log(descriptor: int) -> None:
-    """Send the log of this process to a descriptor."""
+    """Send the log of this process to a descriptor.
+
+    That of libraries goes there as well: their default is the standard error, whose
+    writes wait for its reader.
+    """
     eliot.to_file(LogSink(descriptor))
+    logging.getLogger().addHandler(EliotHandler())
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,10 +1,20 @@
 """Tests of writing log lines to a pipe."""
 
+import contextlib
+import errno
+import io
 import json
+import logging
 import os
 import unittest
+from unittest import mock
 
-from catkinpost.log import LogSink
+import eliot
+import trio
+
+from catkinpost.log import LogSink, start_log
+from tests.clock import on_mock_clock
+from tests.log import CapturedLog
 
 LINE = '{"message_type":"node: started"}\n'
 
@@ -53,3 +63,33 @@
         os.close(other)
         sink.write(LINE)
         os.close(writer)
+
+
+class ShortListener(trio.abc.Listener):
+    """Listener that never has a descriptor for its connections."""
+
+    async def accept(self):
+        await trio.lowlevel.checkpoint()
+        raise OSError(errno.EMFILE, "no descriptor is left")
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+class TestStartLog(unittest.TestCase):
+    @on_mock_clock
+    async def test_shortage_of_descriptors_writes_nothing_to_standard_error(self):
+        """Guards against a node that waits for the reader of its standard error."""
+        errors = io.StringIO()
+        with (
+            mock.patch.object(logging.getLogger(), "handlers", []),
+            mock.patch.object(eliot, "to_file"),
+            contextlib.redirect_stderr(errors),
+            CapturedLog() as messages,
+        ):
+            start_log(1)
+            with trio.move_on_after(1.0):
+                await trio.serve_listeners(None, [ShortListener()])
+        self.assertEqual(errors.getvalue(), "")
+        texts = [item.get("message", "") for item in messages]
+        self.assertTrue(any("EMFILE" in text for text in texts), texts)
