Keep the calls of a connection when handling one message fails

Callers saw their runs broken off, and calls to one peer fail, after any exception in the handling of a message that is no call.

The exception ended the task that reads the connection: at the target with the runs of all calls on it, at the caller's node with the link, which was never opened again. It is logged, and the next message is read. No message that raises one is known; the fault is injected in the test.

test_calls_outlast_an_exception_in_a_handler failed before at both ends.

--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 import trio
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.at_most_once.once import OnceGuard
@@ -116,7 +116,11 @@
 
     async def on_peer_message(self, sender: Sender, message: Message) -> None:
         """Handle one message of a link or an accepted connection."""
-        await self.handle(message, sender)
+        try:
+            await self.handle(message, sender)
+        except Exception:
+            # An exception in one message must not end all calls of its connection.
+            write_traceback()
 
     def record_load(self, instance: str, load: Load) -> None:
         if load.notice is not None:
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -24,6 +24,7 @@
     LinkSettings,
     PeerLink,
 )
+from catkinpost.coordination.peers.peer_handler import PeerHandler
 from catkinpost.coordination.peers.peer_server import PeerServer
 from catkinpost.coordination.peers.pending import PendingRequest
 from catkinpost.protocol.message import (
@@ -36,6 +37,7 @@
     Load,
     Ping,
     PolicyFetch,
+    PolicyNotice,
     Pong,
     Refusal,
     encode_message,
@@ -196,6 +198,20 @@
     return Answer(call.id, 200, [], call.body, call.allowance, Load())
 
 
+def build_failing_handler():
+    """Return a handler of peer messages whose policy exchange always fails."""
+    exchange = mock.Mock()
+    exchange.handle_peer_version.side_effect = KeyError("fault")
+    return PeerHandler(
+        exchange=exchange,
+        stats=None,
+        notices=None,
+        replicas=None,
+        once=None,
+        crash_guard=None,
+    )
+
+
 class TestLink(unittest.TestCase):
     @params(0, 1, 2)
     def test_requests_on_connections_that_break_at_random_end(self, seed):
@@ -230,6 +246,40 @@
             self.assertEqual(setup.link.pending.requests, {})
             nursery.cancel_scope.cancel()
 
+    @params("caller", "target")
+    def test_calls_outlast_an_exception_in_a_handler(self, end):
+        """Guards against one message that ends all calls of its connection."""
+        self.check_exception_in_handler(end)
+
+    @on_mock_clock(io=True)
+    async def check_exception_in_handler(self, end):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.hold = trio.Event()
+            handler = build_failing_handler()
+            setup.events.on_peer_message = handler.on_peer_message
+            setup.server_events.on_peer_message = handler.on_peer_message
+            await setup.start()
+            results = []
+
+            async def call():
+                results.append(await setup.call())
+
+            nursery.start_soon(call)
+            await trio.sleep(0.1)
+            notice = PolicyNotice(7, b"")
+            if end == "target":
+                await setup.link.send_notification(notice)
+            else:
+                (session,) = setup.server.sessions.values()
+                await session.send_notification(notice)
+            await trio.sleep(0.1)
+            setup.hold.set()
+            await trio.sleep(0.1)
+            self.assertEqual([result.body for result in results], [b"set"])
+            self.assertEqual(setup.cancelled, 0)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_answers_reach_their_own_callers_out_of_order(self):
         async with trio.open_nursery() as nursery:
