Open a link again after an exception in its task

It is logged now, and the link is opened again. A lost connection met in the handling of a message still ends that connection. Test: test_link_is_opened_again_after_an_exception failed before; 85 tests of the module pass.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 import trio
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity, generate_nonce
@@ -224,6 +224,9 @@
                     nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except* Exception:
+            # The link must be opened again, or its peer stays unreachable.
+            write_traceback()
         finally:
             self.frames = None
             self.pending.resolve_all(failure)
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -118,6 +118,8 @@
         """Handle one message of a link or an accepted connection."""
         try:
             await self.handle(message, sender)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
         except Exception:
             # An exception in one message must not end all calls of its connection.
             write_traceback()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -246,6 +246,20 @@
             self.assertEqual(setup.link.pending.requests, {})
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_link_is_opened_again_after_an_exception(self):
+        """Guards against a peer that stays unreachable, whatever was the cause."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            with mock.patch.object(
+                setup.events, "on_link_up", mock.Mock(side_effect=[KeyError(), None])
+            ) as on_link_up:
+                await setup.start()
+                await trio.sleep(5.0)
+            self.assertEqual(on_link_up.call_count, 2)
+            self.assertIsInstance(await setup.call(), Answer)
+            nursery.cancel_scope.cancel()
+
     @params("caller", "target")
     def test_calls_outlast_an_exception_in_a_handler(self, end):
         """Guards against one message that ends all calls of its connection."""
