Play the requests that lost at a stop

The plays found little of what our soaks lost on landing: no row has a client that sends ahead and reads slowly without a relay at a SIGTERM, and requests ahead were sent at once, so that the node had read them before it closed.

The form "spread" sends a second request up to 0.8 s behind the first, as the soak's clients do. Three fixed rows join values that pairs seldom join.

The pair test is unchanged.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -26,6 +26,8 @@
 # Requests that a client sends ahead on a connection, and without an answer at a time.
 AHEAD = 12
 MOST_OPEN = 3
+# Requests that follow each other within some time, so that some meet a close.
+SPREAD, SPREAD_GAP_S = 2, 0.8
 
 
 @dataclass
@@ -195,7 +197,7 @@
         """Send one request, or some ahead, and return a connection that is kept."""
         if not self.is_usable(connection):
             connection = Connection(self.sending)
-        count = AHEAD if self.sending.form == "ahead" else 1
+        count = {"ahead": AHEAD, "spread": SPREAD}.get(self.sending.form, 1)
         fates = [self.build_fate(connection, number) for number in range(count)]
         self.fates += fates
         is_kept = False
@@ -257,6 +259,8 @@
             # A reset shows when the answer is read.
             for number, fate in enumerate(fates):
                 await slots.acquire()
+                if number and self.sending.form == "spread":
+                    await asyncio.sleep(self.random.uniform(0, SPREAD_GAP_S))
                 fate.is_begun, fate.started_at = True, time.monotonic()
                 fate.place = sum(item.end == "open" for item in fates[:number])
                 await self.send(connection, fate)
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -110,7 +110,8 @@
         """Return how the clients of the play send."""
         play = self.play
         # Clients send no unsafe request ahead.
-        form = "kept" if (play.form, play.kind) == ("ahead", "unsafe") else play.form
+        is_behind = play.form in ("ahead", "spread")
+        form = "kept" if is_behind and play.kind == "unsafe" else play.form
         size = SIZES[play.upload]
         return Sending(
             form=form,
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -6,7 +6,7 @@
 
 from allpairspy import AllPairs
 
-__all__ = ["FACTORS", "Play", "build_plays", "list_pairs"]
+__all__ = ["FACTORS", "STOP_PLAYS", "Play", "build_plays", "list_pairs"]
 
 FACTORS = {
     "work": [
@@ -25,7 +25,16 @@
         "drained without notice",
         "silent store",
     ],
-    "form": ["kept", "new", "ahead", "idle", "expect", "pieces", "split head"],
+    "form": [
+        "kept",
+        "new",
+        "ahead",
+        "spread",
+        "idle",
+        "expect",
+        "pieces",
+        "split head",
+    ],
     "kind": ["safe", "unsafe"],
     "upload": ["empty", "small", "large", "chunked"],
     "answer": ["small", "large", "chunked", "until close"],
@@ -72,9 +81,33 @@
         return ", ".join(getattr(self, field.name) for field in fields(self))
 
 
+# These lost requests on landing b84973c and need more than two values at once: answers
+# that were reset or cut by the idle time-out, and requests that waited at the stop.
+STOP_PLAYS = [
+    Play(
+        "SIGTERM at the entry",
+        "spread",
+        "safe",
+        "empty",
+        answer,
+        server,
+        place,
+        "slow",
+        queue,
+        "goes on",
+        "plain",
+    )
+    for answer, server, place, queue in [
+        ("chunked", "slow", "here", "free"),
+        ("large", "quick", "here", "free"),
+        ("chunked", "slow", "near", "full"),
+    ]
+]
+
+
 def build_plays() -> list[Play]:
-    """Return plays in which each pair of values of two factors occurs."""
-    return [Play(*row) for row in AllPairs(list(FACTORS.values()))]
+    """Return plays in which each pair of values of two factors occurs, and others."""
+    return [*(Play(*row) for row in AllPairs(list(FACTORS.values()))), *STOP_PLAYS]
 
 
 def list_pairs(play: Play) -> Iterator[tuple[tuple[str, str], tuple[str, str]]]:
--- /dev/null
+++ b/tests/end_to_end/plays/test_client.py
@@ -0,0 +1,47 @@
+"""Tests of the clients of plays."""
+
+import asyncio
+import time
+import unittest
+
+from nose2.tools import params
+
+from catkinpost_standins.plays.client import SPREAD, SPREAD_GAP_S, Client, Sending
+from catkinpost_standins.plays.server import build_body
+
+ANSWER_BYTES = 100
+# Answers come when all requests of a batch have been sent.
+ANSWER_AFTER_S = SPREAD_GAP_S + 0.1
+
+
+class TestSpread(unittest.TestCase):
+    @params(1, 2, 3)
+    def test_second_request_follows_apart_while_the_first_waits(self, seed):
+        """A request that arrives beside another may be read together with it."""
+        fates = asyncio.run(self.send_batch(seed))
+        self.assertEqual([fate.end for fate in fates], ["answered"] * SPREAD)
+        self.assertEqual([fate.place for fate in fates], list(range(SPREAD)))
+        self.assertGreater(fates[1].started_at - fates[0].sent_at, 0.001)
+        self.assertLess(fates[1].sent_at, fates[0].ended_at)
+
+    async def send_batch(self, seed):
+        listener = await asyncio.start_server(self.serve, "127.0.0.1")
+        address = listener.sockets[0].getsockname()
+        sending = Sending("spread", "GET", "/", b"", False, True, ANSWER_BYTES, 3.0)
+        client = Client(address, sending, f"{seed}", lambda: 5.0, lambda: True)
+        async with listener:
+            connection = await client.send_batch(None)
+            connection.socket.close()
+        return client.fates
+
+    async def serve(self, reader, writer):
+        attempts, until = [], time.monotonic() + ANSWER_AFTER_S
+        for _ in range(SPREAD):
+            head = await reader.readuntil(b"\r\n\r\n")
+            attempts.append(head.split(b"Attempt-Id: ")[1].split(b"\r\n")[0].decode())
+        await asyncio.sleep(until - time.monotonic())
+        for attempt in attempts:
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
+            writer.write(head.encode() + build_body(attempt, ANSWER_BYTES))
+        await writer.drain()
+        writer.close()
--- a/tests/end_to_end/plays/test_stage.py
+++ b/tests/end_to_end/plays/test_stage.py
@@ -8,7 +8,7 @@
 from nose2.tools import params
 
 from catkinpost_standins.plays.stage import run_play
-from catkinpost_standins.plays.table import Play
+from catkinpost_standins.plays.table import STOP_PLAYS, Play
 
 SEED = 1
 LIMIT_S = 90.0
@@ -53,6 +53,7 @@
         "goes on",
         "plain",
     ),
+    STOP_PLAYS[0],
 ]
 
 
