Start without a standard output, and log what nobody can catch

By reading: warnings and exceptions in destructors still go to the standard error, whose writes wait for its reader, as those of libraries did. Change: the log goes to /dev/null, which also keeps the number 1 from a socket; both kinds go to the log. Tests: both failed before (status 1; text on the standard error).

--- a/src/catkinpost/log.py
+++ b/src/catkinpost/log.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import os
+import sys
 
 import eliot
 from eliot.stdlib import EliotHandler
@@ -57,8 +58,22 @@
 def start_log(descriptor: int) -> None:
     """Send the log of this process to a descriptor.
 
-    That of libraries goes there as well: their default is the standard error, whose
-    writes wait for its reader.
+    That of libraries goes there as well, with warnings and exceptions that nobody can
+    catch: their default is the standard error, whose writes wait for its reader.
     """
     eliot.to_file(LogSink(descriptor))
     logging.getLogger().addHandler(EliotHandler())
+    logging.captureWarnings(True)
+    sys.unraisablehook = log_unraisable
+
+
+def log_unraisable(unraisable) -> None:
+    """Log an exception that nobody can catch.
+
+    :param unraisable: what :data:`sys.unraisablehook` is told.
+    """
+    eliot.log_message(
+        "log: exception ignored",
+        place=repr(unraisable.object),
+        why=repr(unraisable.exc_value),
+    )
--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -32,7 +32,7 @@
     if not path:
         print(f"{SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    start_log(sys.stdout.fileno())
+    start_log(open_output())
     settings = trio.run(load_settings, Path(path))
     if isinstance(settings, Failure):
         print(f"{path}: {settings.detail}", file=sys.stderr)
@@ -43,6 +43,16 @@
     return 0
 
 
+def open_output() -> int:
+    """Return the descriptor of the standard output, or one that takes its place.
+
+    A socket would get the number of a closed one, and the log as its data.
+    """
+    if sys.stdout is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return sys.stdout.fileno()
+
+
 async def load_settings(path: Path) -> PlatformSettings | Failure:
     """Read the settings file, and wait for some time until it can be used.
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -62,6 +62,12 @@
         """Guards against a process that ends by SIGHUP before it watches the file."""
         self.check_end_by_bad_settings(["-c", SIGNAL_DURING_IMPORT])
 
+    def test_program_starts_without_a_standard_output(self):
+        """Guards against an end at the start where nobody takes the log."""
+        command = f"exec {sys.executable} -m catkinpost.platform >&-"
+        result = self.run_program([], command=["sh", "-c", command])
+        self.assertEqual(result.returncode, 2)
+
     def test_signal_is_ignored_before_any_module_is_read(self):
         """Guards against a process that SIGHUP ends while its interpreter starts."""
         result = self.run_program([*NODE_OPTIONS, "-v", f"{PROGRAM}/__main__.py"])
@@ -78,7 +84,14 @@
         self.assertEqual(tuple(options), NODE_OPTIONS)
         self.assertEqual(program, "target/deps/catkinpost/platform/__main__.py")
 
-    def run_program(self, arguments, content=BAD_VALUE, *, has_variable=True):
+    def run_program(
+        self,
+        arguments,
+        content=BAD_VALUE,
+        *,
+        has_variable=True,
+        command=(sys.executable,),
+    ):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "local.toml"
             if content is not None:
@@ -88,7 +101,7 @@
                 "PYTHONPATH": os.pathsep.join(item for item in sys.path if item),
             }
             return subprocess.run(
-                [sys.executable, *arguments],
+                [*command, *arguments],
                 env=environment,
                 capture_output=True,
                 text=True,
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -6,7 +6,9 @@
 import json
 import logging
 import os
+import sys
 import unittest
+import warnings
 from unittest import mock
 
 import eliot
@@ -93,3 +95,29 @@
         self.assertEqual(errors.getvalue(), "")
         texts = [item.get("message", "") for item in messages]
         self.assertTrue(any("EMFILE" in text for text in texts), texts)
+
+    def test_what_nobody_can_catch_is_logged(self):
+        """Guards against a node that waits for the reader of its standard error."""
+        errors = io.StringIO()
+        with (
+            mock.patch.object(logging.getLogger(), "handlers", []),
+            mock.patch.object(sys, "unraisablehook"),
+            mock.patch.object(eliot, "to_file"),
+            warnings.catch_warnings(),
+            contextlib.redirect_stderr(errors),
+            CapturedLog() as messages,
+        ):
+            start_log(1)
+            self.addCleanup(logging.captureWarnings, False)
+            warnings.simplefilter("always")
+            warnings.warn("a warning", stacklevel=1)
+            Unraisable()
+        self.assertEqual(errors.getvalue(), "")
+        text = repr(messages)
+        self.assertIn("a warning", text)
+        self.assertIn("an exception", text)
+
+
+class Unraisable:
+    def __del__(self):
+        raise ValueError("an exception")
