Don't count a pause of the node as one of its slow callers

Cause: the check of connections compared the send queue with a look from before the answer, so that what the caller took in the pause did not show, and counted the pause as its silence. Change: after a check that comes late, callers have the whole idle time-out again. Test: test_answer_being_taken_outlasts_a_pause_of_the_process failed before (the answer was cut).

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -39,6 +39,8 @@
 LARGE_READ_BYTES = 256 * 1024
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
+# A check that is later than this shows that the process did not run.
+MAX_CHECK_DELAY_S = 0.4
 MAX_PIPELINED_REQUESTS = 32
 # A caller that has just connected, or been answered, is likely to send next.
 MIN_IDLE_S = 0.2
@@ -106,6 +108,8 @@
         self.has_stopped_reading = False
         self.refused_requests = 0
         self.closed_idle = 0
+        self.checked_at = -math.inf
+        self.resumed_at = -math.inf
         self.connections: set[Connection] = set()
         self.lingers: set[Linger] = set()
 
@@ -242,6 +246,9 @@
         A request, or the rest of one, may have arrived on a connection whose task has
         not read it yet, as the whole process was late. It was in time.
         """
+        if now - self.checked_at > CONNECTION_CHECK_INTERVAL_S + MAX_CHECK_DELAY_S:
+            self.resumed_at = now
+        self.checked_at = now
         for connection in list(self.connections):
             if self.is_overdue(connection, now):
                 if connection.is_awaiting_request and connection.has_unread_input:
@@ -276,7 +283,8 @@
         if connection.phase is Phase.IDLE:
             return elapsed_s > idle_timeout
         connection.update_taken_at(now)
-        taken_at = max(connection.progressed_at, connection.taken_at)
+        # What a caller has taken while this process did not run is not known.
+        taken_at = max(connection.progressed_at, connection.taken_at, self.resumed_at)
         return min(elapsed_s, now - taken_at) > idle_timeout
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -115,6 +115,12 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, limits)
 
 
+async def wait_for_phase(setup, phase):
+    with trio.fail_after(1.0):
+        while [item.phase for item in setup.server.connections] != [phase]:
+            await trio.lowlevel.checkpoint()
+
+
 async def receive_up_to(stream, data, size):
     while len(data) < size and (piece := await stream.receive_some(65536)):
         data += piece
@@ -711,6 +717,31 @@
             self.assertIs(data.endswith(body), is_whole)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_answer_being_taken_outlasts_a_pause_of_the_process(self):
+        """Guards against a pause that counts as one of the slow caller."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            body = LARGE_BODY * 4
+
+            async def handle(request):
+                return HttpResponse(200, [], body)
+
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await trio.sleep(1.0)
+            await stream.send_all(KEPT_REQUEST)
+            await wait_for_phase(setup, Phase.SENDING)
+            data = bytearray()
+            trio.lowlevel.current_clock().jump(3 * LIMITS.idle_timeout)
+            # The check comes before the task that sends can go on.
+            setup.server.check_connections(trio.current_time())
+            with contextlib.suppress(trio.BrokenResourceError):
+                await receive_up_to(stream, data, len(body) + 1)
+            self.assertTrue(data.endswith(body))
+            nursery.cancel_scope.cancel()
+
     @params((4.0, 1.0), (1.0, 4.0))
     def test_answer_being_taken_outlasts_a_changed_idle_timeout(
         self, earlier_s, later_s
