Take no settings file that is still being written

Found by the review: 17 of 624 beginnings of the tests' settings file are valid and give other bounds, which a node keeps for life; nested values end it with RecursionError; a change whose application fails counts as applied; a node without PYTHONPATH does not start. Change: two reads must agree at the start, the error is a reason like others, a text counts as applied after that, and the program finds its packages beside it. Tests of each failed before; that a node without listening calls isn't ready has a test now.

--- a/src/catkinpost/platform/__main__.py
+++ b/src/catkinpost/platform/__main__.py
@@ -12,6 +12,10 @@
     # SIGHUP announces a changed settings file: until the file is watched, the
     # signal must not end the process. The import below takes most of its start.
     _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    # The packages of the program lie beside it.
+    packages = __file__.rsplit("/", 3)[0]
+    if packages not in sys.path:
+        sys.path.append(packages)
     from catkinpost.platform.program import run
 
     return run()
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -210,8 +210,8 @@
             log_message("settings: not read", why=repr(error))
             return
         if text != self.settings_text:
-            self.settings_text = text
             self.apply_settings(text)
+            self.settings_text = text
 
     def apply_settings(self, text: str) -> None:
         """Apply the settings that may change while the process runs."""
--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -56,15 +56,19 @@
 async def load_settings(path: Path) -> PlatformSettings | Failure:
     """Read the settings file, and wait for some time until it can be used.
 
+    A file that is cut between two lines may be valid: two reads must agree.
+
     :return: the settings, or the reason why the file still can't be used.
     """
     ends_at = trio.current_time() + SETTINGS_TIMEOUT_S
-    settings = read_settings(path)
+    previous, settings = None, read_settings(path)
     if isinstance(settings, Failure):
         log_message("settings: wait", path=str(path), why=settings.detail)
-    while isinstance(settings, Failure) and trio.current_time() < ends_at:
+    while trio.current_time() < ends_at:
+        if isinstance(settings, PlatformSettings) and settings == previous:
+            break
         await trio.sleep(SETTINGS_POLL_S)
-        settings = read_settings(path)
+        previous, settings = settings, read_settings(path)
     return settings
 
 
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -169,6 +169,8 @@
         file = msgspec.convert(tomllib.loads(text), SettingsFile)
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         return Failure(reason=Reason.BAD_SETTINGS, detail=str(error))
+    except RecursionError:
+        return Failure(reason=Reason.BAD_SETTINGS, detail="values nest too deeply")
     first_port, last_port = file.network.internal_port_range
     if last_port <= first_port:
         detail = (
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import trio
 from nose2.tools import params
@@ -427,6 +428,35 @@
             self.assertEqual(environment.get_calling_service(), "stock")
             nursery.cancel_scope.cancel()
 
+    @with_followed_store
+    async def test_change_that_failed_once_is_applied(self, setup):
+        """Guards against a change that counts as applied although it failed."""
+        environment = setup.environment
+        apply = environment.apply_settings
+        fail_once = mock.Mock(side_effect=[ValueError(), None])
+
+        def fail_or_apply(text):
+            fail_once()
+            apply(text)
+
+        with mock.patch.object(environment, "apply_settings", fail_or_apply):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(setup.node.supervise, environment.watch_settings)
+                text = setup.path.read_text(encoding="utf-8")
+                text = text.replace('service = "orders"', 'service = "stock"')
+                setup.path.write_text(text, encoding="utf-8")
+                await trio.sleep(4.0)
+                nursery.cancel_scope.cancel()
+        self.assertEqual(environment.get_calling_service(), "stock")
+
+    @with_followed_store
+    async def test_node_that_accepts_no_callers_is_not_ready(self, setup):
+        await setup.publish()
+        setup.node.call_acceptor.is_listening = False
+        probe = HttpRequest(b"GET", b"/v1/readiness")
+        answer = await setup.environment.handle_probe(probe)
+        self.assertEqual(answer.status, 503)
+
     @with_followed_store
     async def test_readiness_address_in_use_does_not_end_the_node(self, setup):
         """Guards against a node that serves, and ends with requests in progress."""
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -4,6 +4,7 @@
 import re
 import subprocess
 import sys
+import sysconfig
 import tempfile
 import tomllib
 import unittest
@@ -16,6 +17,7 @@
 
 SLOW_LIBRARIES = ("hypercorn", "httpcore", "matplotlib", "prometheus_client", "typer")
 TIMEOUT_S = 60
+SEARCH_PATHS = os.pathsep.join(item for item in sys.path if item)
 BAD_VALUE = b"[self]\nip-address = 3\n"
 PROGRAM = Path(find_spec("catkinpost.platform").submodule_search_locations[0])
 DEPLOYMENT = Path(__file__).parents[2] / "deploy" / "system.toml"
@@ -62,6 +64,15 @@
         """Guards against a process that ends by SIGHUP before it watches the file."""
         self.check_end_by_bad_settings(["-c", SIGNAL_DURING_IMPORT])
 
+    def test_program_finds_its_packages_beside_it(self):
+        """Guards against a program that depends on how its path is set."""
+        libraries = sysconfig.get_paths()
+        paths = {libraries["purelib"], libraries["platlib"]}
+        result = self.run_program(
+            [*NODE_OPTIONS, f"{PROGRAM}/__main__.py"], paths=os.pathsep.join(paths)
+        )
+        self.assertEqual(result.returncode, 2)
+
     def test_program_starts_without_a_standard_output(self):
         """Guards against an end at the start where nobody takes the log."""
         command = f"exec {sys.executable} -m catkinpost.platform >&-"
@@ -90,6 +101,7 @@
         content=BAD_VALUE,
         *,
         has_variable=True,
+        paths=SEARCH_PATHS,
         command=(sys.executable,),
     ):
         with tempfile.TemporaryDirectory() as folder:
@@ -98,7 +110,7 @@
                 path.write_bytes(content)
             environment = os.environ | {
                 "CATKINPOST_CONFIG": str(path) if has_variable else "",
-                "PYTHONPATH": os.pathsep.join(item for item in sys.path if item),
+                "PYTHONPATH": paths,
             }
             return subprocess.run(
                 [*command, *arguments],
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -7,7 +7,11 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.platform.program import SETTINGS_TIMEOUT_S, load_settings
+from catkinpost.platform.program import (
+    SETTINGS_POLL_S,
+    SETTINGS_TIMEOUT_S,
+    load_settings,
+)
 from catkinpost.platform.settings import PlatformSettings
 from catkinpost.protocol.outcome import Failure
 from tests.clock import on_mock_clock
@@ -19,6 +23,7 @@
     ("missing", None),
     ("empty", b""),
     ("half written", GOOD[: len(GOOD) // 2]),
+    ("nested without end", b"a = " + b"[" * 20_000),
     ("no text", b"\xff\xfe"),
 )
 
@@ -50,6 +55,19 @@
         self.assertIsInstance(loaded[0], PlatformSettings)
         self.assertLess(trio.current_time(), SETTINGS_TIMEOUT_S)
 
+    @on_mock_clock
+    async def test_file_that_is_being_written_is_not_taken(self):
+        """Guards against the bounds of a file that is cut between two lines."""
+        self.write(GOOD[: GOOD.index(b"[terms")])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.write_later, GOOD)
+            settings = await load_settings(self.path)
+        self.assertEqual(settings.text.encode(), GOOD)
+
+    async def write_later(self, content):
+        await trio.sleep(SETTINGS_POLL_S / 2)
+        self.write(content)
+
     @params(*CASES, ("a folder", ...))
     def test_file_that_stays_unusable_is_given_up(self, _name, content):
         self.check_unusable_file(content)
