Keep the stop when a step or a signal of it fails

Found by the review: an exception in the handling of SIGTERM lost the stop, as the signal does not come again, and left the signal without a handler for up to 1 s; an exception beside a cancellation still ended the process; tasks that fail rarely were started again later each time. Change: the stop is requested first, the receiver stays open, sub-exceptions are split from cancellations, and delays begin anew after a longer run. A failing close of links no longer prevents that of peers; accepting tries again after times that double; a failed connect to a former address is no failure of the new one. Tests in TestLife: those of the cancellation and of the delay failed before, that of the signal did not end.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -303,14 +303,18 @@
             nursery.start_soon(self.supervise, self.executor.admission.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
+            await self.planned_stop.repeat(self.close_links)
             await self.planned_stop.repeat(self.close_peers)
             nursery.cancel_scope.cancel()
 
-    async def close_peers(self) -> None:
-        """Close the connections to and from peers."""
+    async def close_links(self) -> None:
+        """Close the connections to peers."""
         # A send to a peer that does not read would outlast the cancellation.
         await self.links.close_connections()
         log_message("node: links closed")
+
+    async def close_peers(self) -> None:
+        """Close the connections of peers."""
         self.peer_acceptor.start_end()
         await self.peer_server.close_connections(self.planned_stop.compute_close_time())
         log_message("node: peers closed")
@@ -331,7 +335,7 @@
         async def serve_guarded(stream: trio.SocketStream) -> None:
             try:
                 await serve(stream)
-            except Exception:
+            except* Exception:
                 # An exception in one connection must not end the process.
                 self.report_internal_error()
 
@@ -346,7 +350,7 @@
         async def run_guarded() -> None:
             try:
                 await function(*args)
-            except Exception:
+            except* Exception:
                 self.report_internal_error()
 
         self.nursery.start_soon(run_guarded, name=function)
@@ -360,11 +364,14 @@
         """
         delay_s = TASK_RESTART_DELAY_S
         while True:
+            started_at = trio.current_time()
             try:
                 await function()
                 return
-            except Exception:
+            except* Exception:
                 self.report_internal_error()
+            if trio.current_time() - started_at > MAX_TASK_RESTART_DELAY_S:
+                delay_s = TASK_RESTART_DELAY_S
             log_message("node: task failed", task=repr(function), again_in_s=delay_s)
             await trio.sleep(delay_s)
             delay_s = min(2 * delay_s, MAX_TASK_RESTART_DELAY_S)
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -116,7 +116,11 @@
         """Request the stop at SIGTERM or SIGINT."""
         with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
             async for _ in signals:
-                self.request()
+                try:
+                    self.request()
+                except Exception:
+                    # The signal is handled, and will not come again.
+                    self.node.report_internal_error()
                 # The receiver ends before the process, which the next signal would
                 # end with a status of its own.
                 signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
@@ -126,8 +130,9 @@
         if self.is_requested:
             return
         node = self.node
+        self.requested_at = self.signalled_at = trio.current_time()
+        self.requested.set()
         self.signalled_at = node.pause_watch.find_earliest_signal()
-        self.requested_at = trio.current_time()
         log_message(
             "node: stop asked for",
             instance=node.identity.instance,
@@ -137,7 +142,6 @@
         node.http_server.leaving = True
         node.executor.admission.set_window("stop", window)
         node.sender.ends_at = self.waits_end_at
-        self.requested.set()
 
     async def run(self) -> None:
         """Wait for the stop request, then for the notice periods and running requests.
@@ -164,7 +168,7 @@
             try:
                 await step()
                 return
-            except Exception:
+            except* Exception:
                 self.node.report_internal_error()
             if trio.current_time() >= self.ends_at:
                 return
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -17,7 +17,7 @@
 
 # An address that is in use is tried again after times that double up to the second.
 OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
-ACCEPT_RETRY_S = 0.1
+ACCEPT_RETRY_S, MAX_ACCEPT_RETRY_S = 0.1, 0.5
 
 SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
 # Time in which the tasks of closed connections release their descriptors.
@@ -105,10 +105,10 @@
         :param nursery: nursery of the tasks that serve the connections.
         :param task_status: is told when the address was tried once.
         """
-        self.is_running = True
         listeners: list[trio.SocketListener] = []
         with self.open_scope:
             listeners = await try_to_open(address)
+            self.is_running = True
             task_status.started()
             delay_s = OPEN_RETRY_S
             while not listeners:
@@ -147,15 +147,17 @@
         self, serve: Serve, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
         """Accept connections until cancelled, whatever fails meanwhile."""
+        delay_s = ACCEPT_RETRY_S
         while True:
             try:
                 # The queue of a listener stays while one of its descriptors is open.
                 copies = [trio.SocketListener(item.socket.dup()) for item in listeners]
                 sparing = [SparingListener(item, self.make_room) for item in copies]
                 await trio.serve_listeners(serve, sparing, handler_nursery=nursery)
-            except Exception:
+            except* Exception:
                 write_traceback()
-            await trio.sleep(ACCEPT_RETRY_S)
+            await trio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_ACCEPT_RETRY_S)
 
     async def accept_waiting(
         self, serve: Serve, queue: trio.SocketListener, nursery: trio.Nursery
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -175,12 +175,13 @@
         if self.last_connect_failed and self.connecting_count:
             return self.build_connect_failure("another try has not ended yet")
         self.connecting_count += 1
+        address = (self.host, self.port)
         try:
             stream = await open_connection(
                 self.host, self.port, timeout_s=CONNECT_TIMEOUT_S
             )
         except (OSError, trio.TooSlowError) as error:
-            self.last_connect_failed = True
+            self.last_connect_failed = address == (self.host, self.port)
             return self.build_connect_failure(repr(error))
         finally:
             self.connecting_count -= 1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """Tests of the assembly of a node from its parts."""
 
 import dataclasses
+import signal
 import socket
 import unittest
 from unittest import mock
@@ -243,6 +244,62 @@
 class TestLife(unittest.TestCase):
     """Guards against a process that ends by itself, and cuts all its requests."""
 
+    @on_mock_clock(io=True)
+    async def test_exception_at_a_signal_does_not_lose_the_stop(self):
+        """Guards against a node that goes on until the platform kills it."""
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
+        node = make_listening_node()
+        fail = mock.Mock(side_effect=ValueError)
+        with mock.patch.object(node.pause_watch, "find_earliest_signal", fail):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                signalled_at = trio.current_time()
+                signal.raise_signal(signal.SIGTERM)
+        fail.assert_called_once()
+        stopped_after_s = trio.current_time() - signalled_at
+        self.assertLess(stopped_after_s, node.settings.bounds.stop_timeout)
+
+    @on_mock_clock(io=True)
+    async def test_exception_beside_the_cancellation_does_not_end_it(self):
+        """Guards against a stop in order that ends with a traceback."""
+        node = make_listening_node()
+
+        async def fail_when_cancelled():
+            try:
+                await trio.sleep_forever()
+            finally:
+                raise ValueError
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_when_cancelled)
+                await trio.sleep_forever()
+
+        node.environment.run = run
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.run)
+            await trio.sleep(1.0)
+            node.planned_stop.request()
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+
+    @on_mock_clock
+    async def test_task_that_has_run_for_long_is_started_again_at_once(self):
+        node, starts, ends = make_listening_node(), [], []
+
+        async def run():
+            starts.append(trio.current_time())
+            await trio.sleep(3600.0)
+            ends.append(trio.current_time())
+            raise ValueError
+
+        with trio.move_on_after(8 * 3600.0):
+            await node.supervise(run)
+        delays = [start - end for end, start in zip(ends, starts[1:], strict=False)]
+        self.assertEqual(len(delays), 7)
+        self.assertLess(max(delays), 0.2)
+
     @params("calls", "peers")
     def test_address_in_use_is_waited_for(self, name):
         self.check_address_in_use(name)
