Play a successor that starts while its predecessor serves

No play started a node again, so an end at the start of a process was out of reach. "successor at once" sends SIGTERM to the entry's node and starts a process at the same addresses at once. The new one must be ready 5 s after the old one's end and serve, the requests of both are judged, those of another machine at the entry's server too. Clients whose machine is not ready wait for it now, where they ended; the excuse of the grace time is that of the last SIGTERM before a request's end.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -152,7 +152,7 @@
     :param sending: how it sends.
     :param seed: source of its choices.
     :param get_idle_limit: returns the idle time-out in force in seconds.
-    :param accepts: returns whether the machine gets new work.
+    :param accepts: returns whether the machine gets new work at this moment.
     """
 
     def __init__(self, address, sending: Sending, seed: str, get_idle_limit, accepts):
@@ -171,7 +171,13 @@
         """
         await asyncio.sleep(first_at - time.monotonic())
         connection = None
-        while time.monotonic() < until and self.accepts():
+        while time.monotonic() < until:
+            if not self.accepts():
+                if connection is not None:
+                    connection.socket.close()
+                    connection = None
+                await asyncio.sleep(gap_s / 2)
+                continue
             connection = await self.send_batch(connection)
             pause_s = self.random.uniform(0.2, 1.0) * gap_s
             if self.sending.form == "idle":
--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -21,6 +21,7 @@
 
 GRACE_S = 6.0
 START_TIMEOUT_S = 30.0
+RESTART_TIMEOUT_S = 5.0
 PROBE_TIMEOUT_S = 1.0
 END_S = 0.2
 PORTS = 32
@@ -195,6 +196,11 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
+        self.write_settings(machine)
+        self.start_process(machine)
+
+    def write_settings(self, machine: Machine) -> None:
+        """Write the settings file of a machine."""
         regions = {zone: region for _, zone, region in PLACES}
         zones = "\n".join(f'{zone} = "{name}"' for zone, name in regions.items())
         machine.settings.write_text(
@@ -214,6 +220,9 @@
                 zones=zones,
             )
         )
+
+    def start_process(self, machine: Machine) -> None:
+        """Start the process of a machine's node."""
         log = self.folder / f"{machine.index}.log"
         machine.process = start_node(machine.settings, log)
         self.bounds.apply(machine.process.pid)
@@ -230,6 +239,17 @@
                 return
         raise RuntimeError(f"the node at {machine.host} did not start")
 
+    async def check_restart(self, machine: Machine) -> None:
+        """Note when a node that was started again is not ready in time."""
+        try:
+            async with asyncio.timeout(RESTART_TIMEOUT_S):
+                await self.wait_until_ready(machine)
+        except TimeoutError:
+            status = machine.process.poll()
+            machine.ends.append(
+                f"START: not ready {RESTART_TIMEOUT_S:g} s later, status {status}"
+            )
+
     async def is_ready(self, machine: Machine) -> bool:
         """Ask a node as the platform does."""
         try:
@@ -258,7 +278,7 @@
                 again_s.pop(0)
                 process.send_signal(signal.SIGTERM)
             await asyncio.sleep(0.002)
-        if machine is self.machines[0]:
+        if machine is self.machines[0] and machine.process is process:
             # Clients are refused then, as they are without a relay.
             self.relays[0].listener.close()
         if process.poll() is None:
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from catkinpost_standins.plays.client import HOST, Client, Sending
+from catkinpost_standins.plays.client import HOST, Client, Fate, Sending
 from catkinpost_standins.plays.fleet import (
     FIRST_PORT,
     PLACES,
@@ -24,11 +24,16 @@
 __all__ = ["Stage", "run_play"]
 
 BEFORE_S, AFTER_S = 1.5, 4.0
+# A whole stop, a start and some requests behind it.
+AFTER_RESTART_S = 12.0
+SERVE_S = 3.0
 TOUCH_S = 3.0
 DRAIN_S = 2.5
 PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
+FORWARDED_CLIENTS = 6
+RESTARTS = ("successor at once",)
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
 PORTS_OF_A_PLAY = 64
@@ -67,7 +72,8 @@
         self.random = random.Random(self.seed)
         self.idle_limit_s, self.version = IDLE_S, 1
         self.is_accepting = True
-        self.stopped_at: float | None = None
+        self.stops: list[float] = []
+        self.ready_at: float | None = None
         self.lag_s = 0.0
         behaviour = Behaviour(
             kind=play.server,
@@ -99,15 +105,20 @@
             "service": service,
             "max-attempts": 2,
         }
+        # Requests of another machine are forwarded to the server of the entry.
+        forwarded = {"name": "r-entry", "prefix": "/entry/", "service": "here"}
         return {
             "version": self.version,
-            "routes": [route],
+            "routes": [route, route | forwarded],
             "services": [{"name": name} for name in ("here", "near", "far")],
             "limits": {"idle-timeout-s": self.idle_limit_s},
         }
 
-    def build_sending(self) -> Sending:
-        """Return how the clients of the play send."""
+    def build_sending(self, path: str = "/play/") -> Sending:
+        """Return how the clients of the play send.
+
+        :param path: prefix of their route.
+        """
         play = self.play
         # Clients send no unsafe request ahead.
         is_behind = play.form in ("ahead", "spread")
@@ -116,7 +127,7 @@
         return Sending(
             form=form,
             method="POST" if size or play.kind == "unsafe" else "GET",
-            path="/play/",
+            path=path,
             upload=bytes(self.random.randbytes(size)),
             is_chunked=play.upload == "chunked",
             is_slow_reader=play.reader == "slow",
@@ -134,8 +145,8 @@
         finally:
             await self.fleet.end()
 
-    async def perform(self) -> tuple[list[str], Verdict]:
-        self.work_at = time.monotonic() + max(BEFORE_S + 0.2, TOUCH_S)
+    def build_clients(self) -> list[Client]:
+        """Return the clients of the entry, and those whose requests it is sent."""
         # A relay reads at once, and would hide what a slow reader does to a node.
         is_direct = self.play.network == "plain"
         port = self.fleet.outbound_port if is_direct else self.fleet.client_port
@@ -151,6 +162,25 @@
             )
             for index in range(CLIENTS[self.play.queue])
         ]
+        if self.play.work in RESTARTS:
+            address = (self.fleet.machines[1].host, self.fleet.outbound_port)
+            sending = self.build_sending("/entry/")
+            clients += [
+                Client(
+                    address,
+                    sending,
+                    f"{self.seed}-other-{index}",
+                    lambda: self.idle_limit_s,
+                    lambda: True,
+                )
+                for index in range(FORWARDED_CLIENTS)
+            ]
+        return clients
+
+    async def perform(self) -> tuple[list[str], Verdict]:
+        self.work_at = time.monotonic() + max(BEFORE_S + 0.2, TOUCH_S)
+        after_s = AFTER_RESTART_S if self.play.work in RESTARTS else AFTER_S
+        clients = self.build_clients()
         first_at = self.work_at - BEFORE_S
         async with asyncio.TaskGroup() as group:
             background = [
@@ -162,7 +192,7 @@
                 group.create_task(
                     client.run(
                         first_at + self.random.uniform(0, 0.4),
-                        self.work_at + AFTER_S,
+                        self.work_at + after_s,
                         gap_s=0.2,
                     )
                 )
@@ -181,17 +211,29 @@
             fates,
             runs_by_attempt,
             self.work_at,
-            self.stopped_at,
+            self.stops,
             SHORT_TIMEOUT_S if is_short else DEADLINE_S,
             self.play.kind == "unsafe",
         )
-        lines = verdict.find()
+        lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
         for machine in self.fleet.machines:
             lines += [f"{end} ({machine.host})" for end in machine.ends]
             if machine.process.poll() not in (None, 0) and not machine.ends:
                 lines.append(f"EXIT {machine.host}: {machine.process.returncode}")
         return lines, verdict
 
+    def check_service(self, fates: list[Fate], until: float) -> list[str]:
+        """Return a line if a process that is ready again serves no request."""
+        ready_at = self.ready_at
+        if ready_at is None or ready_at > until - SERVE_S:
+            return []
+        served = sum(
+            fate.is_signed and fate.started_at >= ready_at
+            for fate in fates
+            if fate.path.startswith("/play/")
+        )
+        return [] if served else ["SERVE: no answer of a server after the start"]
+
     async def probe(self) -> None:
         """Ask the clients' machine for readiness, and take it out after two misses."""
         await asyncio.sleep(self.random.uniform(0, PROBE_S))
@@ -227,6 +269,10 @@
                 self.idle_limit_s = SHORT_IDLE_S
                 self.configure(self.play.place, DEADLINE_S)
                 await self.stop([self.entry], [])
+        elif work in RESTARTS:
+            await self.run_successor()
+            await fleet.check_restart(self.entry)
+            self.ready_at = time.monotonic()
         elif work.startswith("SIGTERM"):
             await self.run_stop(work)
         elif work == "shorter idle time-out":
@@ -260,13 +306,20 @@
             again_s = [self.random.uniform(0, 3) for _ in range(4)]
         await self.stop(machines, again_s)
 
+    async def run_successor(self) -> None:
+        """Start a process while its predecessor at the same addresses serves."""
+        stop = asyncio.create_task(self.stop([self.entry], []))
+        await asyncio.sleep(self.random.uniform(0, 0.3))
+        self.fleet.start_node(self.entry)
+        await stop
+
     async def end_pause(self) -> None:
         await asyncio.sleep(PAUSE_S)
         self.entry.process.send_signal(signal.SIGCONT)
 
     async def stop(self, machines: list[Machine], again_s: list[float]) -> None:
         if self.entry in machines:
-            self.stopped_at = time.monotonic()
+            self.stops.append(time.monotonic())
         await asyncio.gather(
             *[self.fleet.stop_node(machine, list(again_s)) for machine in machines]
         )
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -17,6 +17,7 @@
         "SIGTERM in series",
         "SIGTERM with a change",
         "SIGTERM in a pause",
+        "successor at once",
         "SIGHUP",
         "shorter idle time-out",
         "shorter route time-out",
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -26,7 +26,7 @@
     :param fates: requests as their clients saw them.
     :param runs: requests as the servers saw them.
     :param work_at: time of the planned work.
-    :param stopped_at: time of SIGTERM to the clients' machine, ``None`` without one.
+    :param stops: times of SIGTERM to the machine of the entry, one for each process.
     :param limit_s: seconds until the deadline or the time-out of the route.
     :param is_unsafe: whether a request may run once at most.
     :ivar excused: number of ends that the rules excuse, by kind and cause.
@@ -36,7 +36,7 @@
     fates: list[Fate]
     runs: dict[str, list[Run]]
     work_at: float
-    stopped_at: float | None
+    stops: list[float]
     limit_s: float
     is_unsafe: bool
     excused: Counter = field(default_factory=Counter)
@@ -115,7 +115,7 @@
             for run in runs
         )
         if was_at_work and not self.find_excuse(fate, runs):
-            yield "LOST-STOP" if self.stopped_at else "BROKEN-OFF"
+            yield "LOST-STOP" if self.stops else "BROKEN-OFF"
 
     def find_excuse(self, fate: Fate, runs: list[Run]) -> str:
         """Return why the rules excuse an end without the server's answer."""
@@ -128,13 +128,14 @@
             return TIME_IS_OVER
         if any(run.end == "broken off" for run in runs):
             return "the server broke off"
-        if self.stopped_at is None:
+        stopped_at = max((at for at in self.stops if at <= fate.ended_at), default=None)
+        if stopped_at is None:
             return ""
-        last_sixth = self.stopped_at + GRACE_S * 5 / 6
+        last_sixth = stopped_at + GRACE_S * 5 / 6
         is_at_work = any(
             run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
             for run in runs
         )
-        if is_at_work and sent_at <= self.stopped_at + LATE_SENDER_S:
+        if is_at_work and sent_at <= stopped_at + LATE_SENDER_S:
             return "at work at the end of the grace time"
         return ""
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -65,8 +65,8 @@
         (build_fate("refused"), [build_run("done", upload=8)], True, "UNASKED"),
     )
     def test_rule(self, fate, runs, was_stopped, rule):
-        stopped_at = STOPPED_AT if was_stopped else None
-        verdict = Verdict([fate], {"a-1": runs}, 100.0, stopped_at, LIMIT_S, True)
+        stops = [STOPPED_AT] if was_stopped else []
+        verdict = Verdict([fate], {"a-1": runs}, 100.0, stops, LIMIT_S, True)
         lines = verdict.find()
         self.assertEqual(len(lines), bool(rule))
         self.assertTrue(not rule or lines[0].startswith(rule))
@@ -81,5 +81,12 @@
         fate = build_fate("answered", 502, sent=100.0 + sent_s, ended=100.0 + ended_s)
         fate.started_at = fate.sent_at
         run = build_run("cut", 103.3, 100.0 + ended_s)
-        verdict = Verdict([fate], {"a-1": [run]}, 100.0, STOPPED_AT, LIMIT_S, False)
+        verdict = Verdict([fate], {"a-1": [run]}, 100.0, [STOPPED_AT], LIMIT_S, False)
         self.assertEqual(bool(verdict.find()), is_lost)
+
+    def test_grace_time_of_an_earlier_process_is_no_excuse(self):
+        fate = build_fate("closed", sent=102.0, ended=105.2)
+        fate.started_at = fate.sent_at
+        runs = {"a-1": [build_run("cut", 102.1, 105.2)]}
+        verdict = Verdict([fate], runs, 100.0, [STOPPED_AT, 103.0], LIMIT_S, False)
+        self.assertTrue(verdict.find()[0].startswith("LOST"))
