Play signals at a process that has just been started

No play sent a signal to a node before it was ready. "signals at the start" stops the entry's node, starts it again, and sends four SIGHUPs, each with changed settings, and at times SIGTERM in its first second; then a further process is started, and hung up too. An end by SIGHUP is a finding unless the interpreter was not set up when one was sent, one by SIGTERM unless the process had no handler for it, as /proc shows.

--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import resource
 import signal
 import socket
@@ -17,7 +18,15 @@
 from catkinpost_standins.plays.store import Store
 from catkinpost_standins.plays.wire import build_head, read_message
 
-__all__ = ["PLACES", "Fleet", "Machine", "NodeBounds", "Ways", "find_port_block"]
+__all__ = [
+    "PLACES",
+    "Fleet",
+    "Machine",
+    "NodeBounds",
+    "Ways",
+    "catches",
+    "find_port_block",
+]
 
 GRACE_S = 6.0
 START_TIMEOUT_S = 30.0
@@ -239,6 +248,19 @@
                 return
         raise RuntimeError(f"the node at {machine.host} did not start")
 
+    def change_settings(self, machine: Machine, memory_mb: int) -> None:
+        """Change the settings file of a machine."""
+        text = machine.settings.read_text()
+        new = re.sub("memory-mb = .*", f"memory-mb = {memory_mb}", text)
+        machine.settings.write_text(new)
+
+    async def restart(self, machine: Machine) -> None:
+        """Start the node of a machine whose process has ended."""
+        self.start_node(machine)
+        if machine is self.machines[0]:
+            self.relays[0].listener.close()
+            await self.relays[0].start()
+
     async def check_restart(self, machine: Machine) -> None:
         """Note when a node that was started again is not ready in time."""
         try:
@@ -265,10 +287,16 @@
             return False
         return answer is not None and answer.status == 200
 
-    async def stop_node(self, machine: Machine, again_s: list[float]) -> None:
+    async def stop_node(
+        self,
+        machine: Machine,
+        again_s: list[float],
+        allowed: tuple[int, ...] = (),
+    ) -> None:
         """Send SIGTERM, and SIGKILL after the grace time.
 
         :param again_s: seconds after which SIGTERM is sent again.
+        :param allowed: exit statuses besides 0 that are no finding.
         """
         process, started_at = machine.process, time.monotonic()
         process.send_signal(signal.SIGTERM)
@@ -285,7 +313,7 @@
             machine.ends.append("STAY: killed at the end of the grace time")
             process.kill()
             process.wait()
-        elif process.returncode != 0:
+        elif process.returncode not in (0, *allowed):
             machine.ends.append(f"EXIT: status {process.returncode}")
 
     async def end(self) -> None:
@@ -304,6 +332,16 @@
         await asyncio.sleep(END_S)
 
 
+def catches(process: subprocess.Popen, number: signal.Signals) -> bool:
+    """Whether a process has a handler of its own for a signal.
+
+    That of SIGINT comes with the interpreter.
+    """
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    mask = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
+
+
 def find_port_block(first: int, hosts: list[str]) -> int:
     """Return the first of ``PORTS`` ports that are free on all hosts.
 
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -14,6 +14,7 @@
     Machine,
     NodeBounds,
     Ways,
+    catches,
     find_port_block,
 )
 from catkinpost_standins.plays.relay import Link
@@ -33,7 +34,8 @@
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
 FORWARDED_CLIENTS = 6
-RESTARTS = ("successor at once",)
+RESTARTS = ("successor at once", "signals at the start")
+HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
 PORTS_OF_A_PLAY = 64
@@ -262,15 +264,17 @@
             fleet.store.is_silent = False
         elif work in ("SIGHUP", "SIGTERM with a change"):
             for machine in (self.entry, target):
-                text = machine.settings.read_text()
-                machine.settings.write_text(text.replace("= 300", "= 280"))
+                fleet.change_settings(machine, 280)
                 machine.process.send_signal(signal.SIGHUP)
             if work != "SIGHUP":
                 self.idle_limit_s = SHORT_IDLE_S
                 self.configure(self.play.place, DEADLINE_S)
                 await self.stop([self.entry], [])
         elif work in RESTARTS:
-            await self.run_successor()
+            if work == "successor at once":
+                await self.run_successor()
+            else:
+                await self.run_signals()
             await fleet.check_restart(self.entry)
             self.ready_at = time.monotonic()
         elif work.startswith("SIGTERM"):
@@ -313,6 +317,43 @@
         self.fleet.start_node(self.entry)
         await stop
 
+    async def run_signals(self) -> None:
+        """Send signals to a process in its first second."""
+        await self.stop([self.entry], [])
+        await self.fleet.restart(self.entry)
+        signals = [self.send_hangups()]
+        if self.random.random() < 0.5:
+            signals.append(self.stop_early())
+        await asyncio.gather(*signals)
+        if self.entry.process.poll() is not None:
+            await self.fleet.restart(self.entry)
+            await self.send_hangups()
+
+    async def send_hangups(self) -> None:
+        """Change the settings and send SIGHUP, several times."""
+        process, started_at = self.entry.process, time.monotonic()
+        can_end = False
+        for after_s in sorted(self.random.uniform(0, FIRST_S) for _ in range(HANGUPS)):
+            await asyncio.sleep(started_at + after_s - time.monotonic())
+            if process.poll() is not None:
+                break
+            self.fleet.change_settings(self.entry, self.random.randint(280, 300))
+            # No program can withstand it before its interpreter is set up.
+            can_end = can_end or not catches(process, signal.SIGINT)
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(END_BY_SIGNAL_S)
+        if process.poll() == -signal.SIGHUP and not can_end:
+            self.entry.ends.append("EXIT: by SIGHUP")
+
+    async def stop_early(self) -> None:
+        """Send SIGTERM to a process that may not be set up to stop in order."""
+        await asyncio.sleep(self.random.uniform(0, FIRST_S))
+        if self.entry.process.poll() is None:
+            self.stops.append(time.monotonic())
+            is_set_up = catches(self.entry.process, signal.SIGTERM)
+            allowed = () if is_set_up else (-signal.SIGTERM,)
+            await self.fleet.stop_node(self.entry, [], allowed)
+
     async def end_pause(self) -> None:
         await asyncio.sleep(PAUSE_S)
         self.entry.process.send_signal(signal.SIGCONT)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -18,6 +18,7 @@
         "SIGTERM with a change",
         "SIGTERM in a pause",
         "successor at once",
+        "signals at the start",
         "SIGHUP",
         "shorter idle time-out",
         "shorter route time-out",
