--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -270,6 +270,11 @@
                 self.idle_limit_s = SHORT_IDLE_S
                 self.configure(self.play.place, DEADLINE_S)
                 await self.stop([self.entry], [])
+        elif work == "SIGHUP in a pause":
+            self.entry.process.send_signal(signal.SIGSTOP)
+            fleet.change_settings(self.entry, 280)
+            self.entry.process.send_signal(signal.SIGHUP)
+            await self.end_pause()
         elif work in RESTARTS:
             if work == "successor at once":
                 await self.run_successor()
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -20,6 +20,7 @@
         "successor at once",
         "signals at the start",
         "SIGHUP",
+        "SIGHUP in a pause",
         "shorter idle time-out",
         "shorter route time-out",
         "route moves",
