Play a settings file that is replaced slowly at a start

The file is missing for 0.3 s from the start of the entry's node on, and half written for the next 0.3 s, cut at any byte.

--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -255,8 +255,8 @@
         machine.settings.write_text(new)
 
     async def restart(self, machine: Machine) -> None:
-        """Start the node of a machine whose process has ended."""
-        self.start_node(machine)
+        """Start the node of a machine, with the settings file as it is."""
+        self.start_process(machine)
         if machine is self.machines[0]:
             self.relays[0].listener.close()
             await self.relays[0].start()
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -34,7 +34,12 @@
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
 FORWARDED_CLIENTS = 6
-RESTARTS = ("successor at once", "signals at the start")
+RESTARTS = (
+    "successor at once",
+    "signals at the start",
+    "settings replaced slowly",
+)
+REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
@@ -276,10 +281,11 @@
             self.entry.process.send_signal(signal.SIGHUP)
             await self.end_pause()
         elif work in RESTARTS:
-            if work == "successor at once":
-                await self.run_successor()
-            else:
-                await self.run_signals()
+            await {
+                "successor at once": self.run_successor,
+                "signals at the start": self.run_signals,
+                "settings replaced slowly": self.replace_settings,
+            }[work]()
             await fleet.check_restart(self.entry)
             self.ready_at = time.monotonic()
         elif work.startswith("SIGTERM"):
@@ -334,6 +340,18 @@
             await self.fleet.restart(self.entry)
             await self.send_hangups()
 
+    async def replace_settings(self) -> None:
+        """Start a process whose settings file is missing, and then half written."""
+        await self.stop([self.entry], [])
+        path = self.entry.settings
+        text = path.read_text()
+        path.unlink()
+        await self.fleet.restart(self.entry)
+        await asyncio.sleep(REPLACE_S)
+        path.write_text(text[: self.random.randrange(len(text))])
+        await asyncio.sleep(REPLACE_S)
+        path.write_text(text)
+
     async def send_hangups(self) -> None:
         """Change the settings and send SIGHUP, several times."""
         process, started_at = self.entry.process, time.monotonic()
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -19,6 +19,7 @@
         "SIGTERM in a pause",
         "successor at once",
         "signals at the start",
+        "settings replaced slowly",
         "SIGHUP",
         "SIGHUP in a pause",
         "shorter idle time-out",
