--- a/tests/end_to_end/plays/test_stage.py
+++ b/tests/end_to_end/plays/test_stage.py
@@ -54,6 +54,19 @@
         "plain",
     ),
     STOP_PLAYS[0],
+    Play(
+        "successor at once",
+        "kept",
+        "unsafe",
+        "small",
+        "chunked",
+        "quick",
+        "here",
+        "quick",
+        "free",
+        "heeds readiness",
+        "delay",
+    ),
 ]
 
 
