--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -54,7 +54,8 @@
 
 __all__ = ["Node"]
 
-# Times that double bound the log lines of a task that fails at once each time.
+# Delays double from the first to the second, which bounds the log lines of a task that
+# fails at once each time.
 TASK_RESTART_DELAY_S, MAX_TASK_RESTART_DELAY_S = 0.1, 1.0
 MESSAGE_OVERHEAD_BYTES = 4096
 # Shares of the time for which a leaving backend server continues to serve. Runs may
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -15,7 +15,7 @@
 # A stop has a fixed end, and other tasks may run between two connections.
 END_TIMEOUT_S = 0.1
 
-# An address that is in use is tried again after times that double up to the second.
+# Delays between tries double from the first to the second.
 OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
 ACCEPT_RETRY_S, MAX_ACCEPT_RETRY_S = 0.1, 0.5
 
