--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -85,8 +85,8 @@
         return ", ".join(getattr(self, field.name) for field in fields(self))
 
 
-# These lost requests on landing b84973c and need more than two values at once: answers
-# that were reset or cut by the idle time-out, and requests that waited at the stop.
+# Pairs seldom join what these need: an answer that a reset or the idle time-out can
+# cut, and requests that wait at a stop.
 STOP_PLAYS = [
     Play(
         "SIGTERM at the entry",
