Guard tasks in one place, and drop a check that nothing reaches

Read once more: connections and background tasks had the same guard twice; all children of the platform environment are supervised, so that only its listen can raise, before the address is open, and the check for a second start was dead; the limit of descriptors was read twice for one look. Behaviour stays.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -332,29 +332,22 @@
         :param serve: serves one connection.
         :param acceptor: stopping it stops accepting; open connections continue.
         """
-
-        async def serve_guarded(stream: trio.SocketStream) -> None:
-            try:
-                await serve(stream)
-            except* Exception:
-                # An exception in one connection must not end the process.
-                self.report_internal_error()
-
         acceptor = acceptor or Acceptor()
+        guarded_serve = partial(self.guard, serve)
         await self.nursery.start(
-            acceptor.listen, parse_address(address), serve_guarded, self.nursery
+            acceptor.listen, parse_address(address), guarded_serve, self.nursery
         )
 
     def spawn(self, function: Callable[..., Awaitable[None]], *args) -> None:
         """Start a background task whose exceptions do not end the process."""
-
-        async def run_guarded() -> None:
-            try:
-                await function(*args)
-            except* Exception:
-                self.report_internal_error()
-
-        self.nursery.start_soon(run_guarded, name=function)
+        self.nursery.start_soon(self.guard, function, *args, name=function)
+
+    async def guard(self, function: Callable[..., Awaitable[None]], *args) -> None:
+        """Run a function whose exceptions must not end the process."""
+        try:
+            await function(*args)
+        except* Exception:
+            self.report_internal_error()
 
     async def supervise(self, function: Callable[[], Awaitable[None]]) -> None:
         """Run a task of the whole node, and start it again after an exception.
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -20,7 +20,6 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import parse_address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
-from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["PlatformEnvironment", "log_settings"]
@@ -47,7 +46,6 @@
             regions=settings.regions,
             lease_s=settings.lease_s,
         )
-        self.probe_acceptor = Acceptor()
         self.list_version = 0
         self.settings_text = settings.text
 
@@ -96,12 +94,9 @@
 
     async def run(self) -> None:
         """Run the watches and the readiness probe until cancelled."""
-        if not self.probe_acceptor.is_running:
-            await self.node.listen(
-                self.settings.readiness_address,
-                self.probe_server.serve_connection,
-                self.probe_acceptor,
-            )
+        await self.node.listen(
+            self.settings.readiness_address, self.probe_server.serve_connection
+        )
         async with trio.open_nursery() as nursery:
             for function in (
                 self.probe_server.watch_connections,
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -27,7 +27,7 @@
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger
 from catkinpost.transport.socket_io import (
-    has_free_descriptors,
+    has_free_descriptor,
     receive_some,
     send_all,
     split_bytes,
@@ -216,15 +216,14 @@
 
     def keep_descriptors_free(self) -> None:
         """Close connections on which nothing is due while descriptors are short."""
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if not self.reserved_descriptors or not self.connections:
             return
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if len(self.connections) < CALLERS_SHARE * limit:
             return
         descriptor = next(iter(self.connections)).stream.socket.fileno()
-        if descriptor < 0 or has_free_descriptors(
-            descriptor, self.reserved_descriptors
-        ):
+        lowest = max(0, limit - self.reserved_descriptors)
+        if descriptor < 0 or has_free_descriptor(descriptor, lowest):
             return
         if closed := self.make_room():
             log_message("http: closed for descriptors", count=closed)
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -3,7 +3,6 @@
 import errno
 import fcntl
 import os
-import resource
 import struct
 import termios
 from collections.abc import Iterator
@@ -12,7 +11,7 @@
 
 __all__ = [
     "count_unread_bytes",
-    "has_free_descriptors",
+    "has_free_descriptor",
     "open_connection",
     "read_queue_size",
     "receive_some",
@@ -45,17 +44,16 @@
     return QUEUE_SIZE.unpack(reply)[0]
 
 
-def has_free_descriptors(descriptor: int, count: int) -> bool:
-    """Return whether any of the highest descriptors of this process is free.
+def has_free_descriptor(descriptor: int, lowest: int) -> bool:
+    """Return whether a descriptor from a number on is free.
 
-    The system hands out the lowest free one, so that they are used last.
+    The system hands out the lowest free one, so that the highest are used last.
 
     :param descriptor: any open descriptor.
-    :param count: number of the highest descriptors.
+    :param lowest: number from which on descriptors count.
     """
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     try:
-        copy = fcntl.fcntl(descriptor, fcntl.F_DUPFD_CLOEXEC, max(0, limit - count))
+        copy = fcntl.fcntl(descriptor, fcntl.F_DUPFD_CLOEXEC, lowest)
     except OSError as error:
         if error.errno != errno.EMFILE:
             raise
