Look for signal handlers in one place in the stand-ins

The soak and the plays read /proc for it each on their own, the works that start a node again were listed twice, and three tests had a handler of their own for the same answer. The test of the look moves with it. No check changes.

--- a/src/catkinpost_standins/launch.py
+++ b/src/catkinpost_standins/launch.py
@@ -1,12 +1,13 @@
 """Start of a real node as the deploy file has it."""
 
 import os
+import signal
 import subprocess
 import sys
 from importlib.util import find_spec
 from pathlib import Path
 
-__all__ = ["NODE_OPTIONS", "start_node"]
+__all__ = ["NODE_OPTIONS", "catches", "start_node"]
 
 SETTINGS_VARIABLE = "CATKINPOST_CONFIG"
 NODE_OPTIONS = ("-S", "-P", "-O")
@@ -30,3 +31,13 @@
             stdout=output,
             stderr=output,
         )
+
+
+def catches(process: subprocess.Popen, number: signal.Signals) -> bool:
+    """Whether a process has a handler of its own for a signal.
+
+    That of SIGINT comes with the interpreter.
+    """
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    mask = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -18,15 +18,7 @@
 from catkinpost_standins.plays.store import Store
 from catkinpost_standins.plays.wire import build_head, read_message
 
-__all__ = [
-    "PLACES",
-    "Fleet",
-    "Machine",
-    "NodeBounds",
-    "Ways",
-    "catches",
-    "find_port_block",
-]
+__all__ = ["PLACES", "Fleet", "Machine", "NodeBounds", "Ways", "find_port_block"]
 
 GRACE_S = 6.0
 START_TIMEOUT_S = 30.0
@@ -332,16 +324,6 @@
         await asyncio.sleep(END_S)
 
 
-def catches(process: subprocess.Popen, number: signal.Signals) -> bool:
-    """Whether a process has a handler of its own for a signal.
-
-    That of SIGINT comes with the interpreter.
-    """
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    mask = next(line for line in status.splitlines() if line.startswith("SigCgt"))
-    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
-
-
 def find_port_block(first: int, hosts: list[str]) -> int:
     """Return the first of ``PORTS`` ports that are free on all hosts.
 
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -6,6 +6,7 @@
 import time
 from pathlib import Path
 
+from catkinpost_standins.launch import catches
 from catkinpost_standins.plays.client import HOST, Client, Fate, Sending
 from catkinpost_standins.plays.fleet import (
     FIRST_PORT,
@@ -14,7 +15,6 @@
     Machine,
     NodeBounds,
     Ways,
-    catches,
     find_port_block,
 )
 from catkinpost_standins.plays.relay import Link
@@ -34,11 +34,6 @@
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
 FORWARDED_CLIENTS = 6
-RESTARTS = (
-    "successor at once",
-    "signals at the start",
-    "settings replaced slowly",
-)
 REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
@@ -82,6 +77,11 @@
         self.stops: list[float] = []
         self.ready_at: float | None = None
         self.lag_s = 0.0
+        self.restarts = {
+            "successor at once": self.run_successor,
+            "signals at the start": self.run_signals,
+            "settings replaced slowly": self.replace_settings,
+        }
         behaviour = Behaviour(
             kind=play.server,
             answer=play.answer,
@@ -169,7 +169,7 @@
             )
             for index in range(CLIENTS[self.play.queue])
         ]
-        if self.play.work in RESTARTS:
+        if self.play.work in self.restarts:
             address = (self.fleet.machines[1].host, self.fleet.outbound_port)
             sending = self.build_sending("/entry/")
             clients += [
@@ -186,7 +186,7 @@
 
     async def perform(self) -> tuple[list[str], Verdict]:
         self.work_at = time.monotonic() + max(BEFORE_S + 0.2, TOUCH_S)
-        after_s = AFTER_RESTART_S if self.play.work in RESTARTS else AFTER_S
+        after_s = AFTER_RESTART_S if self.play.work in self.restarts else AFTER_S
         clients = self.build_clients()
         first_at = self.work_at - BEFORE_S
         async with asyncio.TaskGroup() as group:
@@ -280,12 +280,8 @@
             fleet.change_settings(self.entry, 280)
             self.entry.process.send_signal(signal.SIGHUP)
             await self.end_pause()
-        elif work in RESTARTS:
-            await {
-                "successor at once": self.run_successor,
-                "signals at the start": self.run_signals,
-                "settings replaced slowly": self.replace_settings,
-            }[work]()
+        elif work in self.restarts:
+            await self.restarts[work]()
             await fleet.check_restart(self.entry)
             self.ready_at = time.monotonic()
         elif work.startswith("SIGTERM"):
--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -20,7 +20,7 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.transport.http_client import BackendClient
 from catkinpost_standins.fleet import free_port
-from catkinpost_standins.launch import start_node
+from catkinpost_standins.launch import catches, start_node
 from catkinpost_standins.users_platform.server import StandInServer
 from catkinpost_standins.users_platform.store import StandInStore
 
@@ -188,9 +188,7 @@
 
     def has_interpreter(self, machine: Machine) -> bool:
         """Whether the interpreter of a node's process has been set up."""
-        status = Path(f"/proc/{machine.process.pid}/status").read_text()
-        caught = next(line for line in status.splitlines() if "SigCgt" in line)
-        return bool(int(caught.split()[1], 16) >> (signal.SIGINT - 1) & 1)
+        return catches(machine.process, signal.SIGINT)
 
     def read_log(self, machine: Machine) -> bytes:
         """Return what the last process of a machine's node has logged."""
--- a/tests/end_to_end/test_launch.py
+++ b/tests/end_to_end/test_launch.py
@@ -5,7 +5,7 @@
 import sys
 import unittest
 
-from catkinpost_standins.plays.fleet import catches
+from catkinpost_standins.launch import catches
 
 PROGRAM = """\
 import signal
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -115,6 +115,15 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, limits)
 
 
+def respond_with(body):
+    """Return a handler that answers each request with one body."""
+
+    async def handle(request):
+        return HttpResponse(200, [], body)
+
+    return handle
+
+
 async def wait_for_phase(setup, phase):
     with trio.fail_after(1.0):
         while [item.phase for item in setup.server.connections] != [phase]:
@@ -700,11 +709,7 @@
         async with trio.open_nursery() as nursery:
             setup = ServerSetup()
             body = LARGE_BODY * 4
-
-            async def handle(request):
-                return HttpResponse(200, [], body)
-
-            setup.server.handler = handle
+            setup.server.handler = respond_with(body)
             await setup.start(nursery)
             stream = await connect_slow_reader(setup)
             await stream.send_all(request)
@@ -723,11 +728,7 @@
         async with trio.open_nursery() as nursery:
             setup = ServerSetup()
             body = LARGE_BODY * 4
-
-            async def handle(request):
-                return HttpResponse(200, [], body)
-
-            setup.server.handler = handle
+            setup.server.handler = respond_with(body)
             await setup.start(nursery)
             stream = await connect_slow_reader(setup)
             await trio.sleep(1.0)
@@ -754,11 +755,7 @@
         async with trio.open_nursery() as nursery:
             setup = ServerSetup()
             body = LARGE_BODY * 4
-
-            async def handle(request):
-                return HttpResponse(200, [], body)
-
-            setup.server.handler = handle
+            setup.server.handler = respond_with(body)
             limits = dataclasses.replace(LIMITS, idle_timeout=earlier_s)
             setup.server.limits = limits
             await setup.start(nursery)
