--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -94,7 +94,6 @@
         """Return what keeps the process from ending, by kind."""
         node = self.node
         sessions = node.peer_server.sessions.values()
-        lingers = node.http_server.lingers
         tasks = node.nursery.child_tasks if node.nursery is not None else ()
         return {
             "running": node.executor.active_calls,
@@ -106,8 +105,8 @@
             "connections": Counter(
                 item.phase.value for item in node.http_server.connections
             ),
-            "lingers": len(lingers),
-            "unsent_bytes": sum(item.unsent_bytes for item in lingers),
+            "lingers": len(node.http_server.lingers),
+            **node.http_server.describe_open(),
             "links": node.links.describe_busy(),
             "tasks": Counter(task.name.rpartition(".")[2] for task in tasks),
         }
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -55,6 +55,7 @@
     :param sending: whether a response is being sent.
     :param closing: whether no further request is accepted.
     :param overdue: whether the connection is closed because it made no progress.
+    :param is_close_announced: whether a response told the caller of the close.
     :param caller_has_closed: whether the caller has closed its sending side.
     :param capacity_available: set when a response was sent, so that another pipelined
         request may start.
@@ -79,6 +80,7 @@
     sending: bool = False
     closing: bool = False
     overdue: bool = False
+    is_close_announced: bool = False
     caller_has_closed: bool = False
     capacity_available: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -133,6 +133,16 @@
         """
         return any(item.is_handling for item in self.connections)
 
+    def describe_open(self) -> dict[str, int]:
+        """Return what callers have not been sent, have not taken or have not closed."""
+        unclosed = [item for item in self.lingers if not item.caller_has_closed]
+        return {
+            "answers_due": sum(len(item.exchanges) for item in self.connections),
+            "unsent_bytes": sum(item.unsent_bytes for item in self.lingers),
+            "unclosed": len(unclosed),
+            "unclosed_announced": sum(item.is_announced for item in unclosed),
+        }
+
     def has_new_connection(self, max_age_s: float) -> bool:
         """Return whether a caller has connected and sent nothing yet.
 
@@ -300,7 +310,7 @@
                 if not self.has_stopped_reading:
                     await self.run_until_closed(connection)
                 if connection.needs_linger:
-                    await self.linger(stream)
+                    await self.linger(connection)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller closed the connection: no response can be sent.
             pass
@@ -319,9 +329,9 @@
             if self.answer_memory is not None:
                 self.answer_memory.release_all(connection)
 
-    async def linger(self, stream: trio.SocketStream) -> None:
+    async def linger(self, connection: Connection) -> None:
         """Let the caller receive what was sent before the connection is closed."""
-        linger = Linger(stream)
+        linger = Linger(connection.stream, is_announced=connection.is_close_announced)
         self.lingers.add(linger)
         try:
             await linger.run(self.limits.idle_timeout)
@@ -338,6 +348,7 @@
         data = encode_response(
             self.build_refusal(failure), keep_alive=False, head_only=False
         )
+        connection.is_close_announced = True
         with trio.move_on_after(self.limits.head_timeout):
             await connection.stream.send_all(data)
 
@@ -544,6 +555,7 @@
         head, body = encode_response_parts(
             exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
         )
+        connection.is_close_announced = not keep_alive
         if len(body) <= MAX_COPIED_BODY_BYTES:
             await send_all(connection.stream, head + body)
             return
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -28,11 +28,13 @@
     closes.
 
     :param stream: connection to close; the caller of ``run`` closes it afterwards.
+    :param is_announced: whether the last response told the caller of the close.
     :ivar scope: cancelling it ends ``run``.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, *, is_announced: bool = False):
         self.stream = stream
+        self.is_announced = is_announced
         self.caller_has_closed = False
         self.scope = trio.CancelScope()
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -45,6 +45,7 @@
     "node: keys handed over",
     "node: links closed",
     "node: peers closed",
+    "node: callers left",
     "node: stopped",
 ]
 HOST = "127.0.0.1"
@@ -596,9 +597,13 @@
             node.peer_server.sessions[1] = session
             phases = [Phase.ANSWERING, Phase.ANSWERING, Phase.SENDING]
             node.http_server.connections.update(
-                mock.Mock(phase=phase, memory_wait=None) for phase in phases
+                mock.Mock(phase=phase, memory_wait=None, exchanges=[None, None])
+                for phase in phases
             )
-            node.http_server.lingers.add(mock.Mock(unsent_bytes=7))
+            for is_announced, has_closed in [(True, False), (False, False), (1, 1)]:
+                linger = mock.Mock(unsent_bytes=7, is_announced=is_announced)
+                linger.caller_has_closed = has_closed
+                node.http_server.lingers.add(linger)
 
         with CapturedLog() as messages:
             await setup.run_node(prepare)
@@ -607,7 +612,9 @@
         self.assertEqual(held["requests"], 3)
         self.assertEqual(held["peer_calls"], {"orders-2": 1})
         self.assertEqual(held["connections"], {"answering": 2, "sending": 1})
-        self.assertEqual((held["lingers"], held["unsent_bytes"]), (1, 7))
+        self.assertEqual((held["lingers"], held["unsent_bytes"]), (3, 21))
+        self.assertEqual((held["unclosed"], held["unclosed_announced"]), (2, 1))
+        self.assertEqual(held["answers_due"], 6)
         self.assertEqual(held["tasks"]["hold"], 1)
         steps = [m["message_type"] for m in messages if m["message_type"] in END_STEPS]
         self.assertEqual(steps, END_STEPS)
