Begin nothing behind an answer that a caller has to take, at a stop

After SIGTERM the node read, passed on and ran requests of a connection for 2.5 s although the answers before them already filled what the caller could take until the end, and then closed the connection with their answers in memory. Only the last answer announced the close, as each further request put it off.

Class of fault: what the process has done (begun, run) is taken for what can still happen at the caller. The time of a leaving server is fixed, the pace of the caller and the sizes of answers aren't known, so nothing is begun behind an answer that the caller has not taken, in memory or in the send queue. If the head of the last answer due is not sent, it announces the close, and what is behind counts as not read and is sent again at once. Else the request is refused as not run. Callers that have all their answers are served as before.

Ways weighed: an estimate of each caller's pace (unknown until something waits, and worth little without the sizes of answers to come); refusing all requests behind others (takes a retry of the caller, with a wait, where an announced close takes neither).

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -158,6 +158,7 @@
             "node: calls ended",
             closed_idle=server.closed_idle,
             refused=server.refused_requests,
+            unbegun=server.unbegun_requests,
         )
         await self.repeat(self.send_key_records)
 
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -142,6 +142,16 @@
         """
         return len(self.exchanges) == 1 and self.memory_wait is None
 
+    @property
+    def has_answer_to_take(self) -> bool:
+        """Whether an answer is due, or the caller's system has not taken all of it."""
+        return bool(self.exchanges or count_unacknowledged_bytes(self.stream.socket))
+
+    @property
+    def can_announce_close(self) -> bool:
+        """Whether an answer is due whose head is not sent yet."""
+        return len(self.exchanges) > self.sending
+
     def update_taken_at(self, now: float) -> None:
         """Note whether the caller's system has taken a part since the last look."""
         unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -82,6 +82,7 @@
     :ivar is_refusing: whether requests that are read are refused.
     :ivar has_stopped_reading: whether no further request is accepted.
     :ivar refused_requests: number of requests refused as the server leaves.
+    :ivar unbegun_requests: number of requests left behind a close as the server leaves.
     :ivar closed_idle: number of idle connections closed at the end of reading.
     """
 
@@ -107,6 +108,7 @@
         self.is_refusing = False
         self.has_stopped_reading = False
         self.refused_requests = 0
+        self.unbegun_requests = 0
         self.closed_idle = 0
         self.checked_at = -math.inf
         self.resumed_at = -math.inf
@@ -379,7 +381,8 @@
                 continue
             parser.next_limits = self.limits
             failure = parser.feed(data)
-            if failure is None and connection.has_single_request:
+            is_single = failure is None and connection.has_single_request
+            if is_single and self.may_begin(connection):
                 await self.handle_single_request(connection, parser.messages.popleft())
                 if connection.has_reader_task:
                     # A reader task was started in the meantime.
@@ -441,6 +444,14 @@
         exchange = self.add_exchange(connection, request)
         await self.handle_request(connection, exchange, request)
 
+    def may_begin(self, connection: Connection) -> bool:
+        """Return whether a request that was just read may begin.
+
+        A leaving server has a fixed time left, and a caller that sends behind an
+        answer may be too slow to take another one by then.
+        """
+        return not (self.leaving and connection.has_answer_to_take)
+
     async def start_handling(
         self, connection: Connection, request: HttpRequest
     ) -> None:
@@ -450,18 +461,27 @@
             await connection.capacity_available.wait()
             if connection.closing:
                 return
-        exchange = self.add_exchange(connection, request)
+        may_begin = self.is_refusing or self.may_begin(connection)
+        if not may_begin and connection.can_announce_close:
+            # Behind an answer that closes the connection, a request counts as not read.
+            self.unbegun_requests += 1
+            connection.closing = True
+            connection.drop_unfinished_body()
+            return
+        exchange = self.add_exchange(connection, request, is_refused=not may_begin)
         connection.nursery.start_soon(
             self.handle_request, connection, exchange, request
         )
 
-    def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
+    def add_exchange(
+        self, connection: Connection, request: HttpRequest, *, is_refused: bool = False
+    ) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        exchange.is_refused = self.is_refusing
-        self.refused_requests += self.is_refusing
+        exchange.is_refused = is_refused or self.is_refusing
+        self.refused_requests += exchange.is_refused
         connection.exchanges.append(exchange)
-        if self.is_refusing or not request.keep_alive:
+        if exchange.is_refused or not request.keep_alive:
             connection.closing = True
         connection.update_phase()
         return exchange
