Stay until callers that were told of the close have closed

The node ended 3.5 s after SIGTERM, with 2 s of its time unused, once the callers' systems had acknowledged the last answers. A caller that had not read them, nor the close, sent again and met a reset. Most clients then drop what they have not read.

Class of fault: acknowledged by the caller's system is taken for received by the caller. The only sign that a caller has read an announced close is that it closes its side. The end of the process, after links and peers, now waits for that, until the time of the stop is over. Callers that close when they read the close cost nothing; connections that were closed while idle are not waited for, as their last answer is older than the stop's notice and their next request counts as not read.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -306,6 +306,7 @@
             await self.planned_stop.run()
             await self.planned_stop.repeat(self.close_links)
             await self.planned_stop.repeat(self.close_peers)
+            await self.planned_stop.repeat(self.planned_stop.wait_for_callers)
             log_message("node: callers left", **self.http_server.describe_open())
             nursery.cancel_scope.cancel()
 
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -269,6 +269,12 @@
         """Return whether any request is in progress on this node."""
         return self.is_working() or self.node.http_server.is_busy
 
+    async def wait_for_callers(self) -> None:
+        """Wait for callers to read their answers and close, as they were told to."""
+        with trio.CancelScope(deadline=self.ends_at):
+            while self.node.http_server.awaits_callers:
+                await trio.sleep(IDLE_CHECK_INTERVAL_S)
+
     async def send_key_records(self) -> None:
         """Send peers the results of the idempotency keys that this node holds.
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -135,6 +135,11 @@
         """
         return any(item.is_handling for item in self.connections)
 
+    @property
+    def awaits_callers(self) -> bool:
+        """Whether callers that were told of a close have not closed their side yet."""
+        return any(item.awaits_caller for item in self.lingers)
+
     def describe_open(self) -> dict[str, int]:
         """Return what callers have not been sent, have not taken or have not closed."""
         unclosed = [item for item in self.lingers if not item.caller_has_closed]
@@ -142,7 +147,7 @@
             "answers_due": sum(len(item.exchanges) for item in self.connections),
             "unsent_bytes": sum(item.unsent_bytes for item in self.lingers),
             "unclosed": len(unclosed),
-            "unclosed_announced": sum(item.is_announced for item in unclosed),
+            "unclosed_announced": sum(item.awaits_caller for item in unclosed),
         }
 
     def has_new_connection(self, max_age_s: float) -> bool:
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -52,6 +52,15 @@
         """Whether sent bytes are on their way or input is unread."""
         return self.unsent_bytes > 0 or self.stream.socket.is_readable()
 
+    @property
+    def awaits_caller(self) -> bool:
+        """Whether a caller that will close its side may not have read everything.
+
+        What its system has acknowledged is lost to it if it writes again after a reset,
+        as many clients then drop what they have not read.
+        """
+        return self.is_announced and not self.caller_has_closed
+
     async def run(self, delivery_timeout_s: float) -> None:
         """Close the sending side and discard input until the caller closes.
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -600,9 +600,13 @@
                 mock.Mock(phase=phase, memory_wait=None, exchanges=[None, None])
                 for phase in phases
             )
-            for is_announced, has_closed in [(True, False), (False, False), (1, 1)]:
-                linger = mock.Mock(unsent_bytes=7, is_announced=is_announced)
-                linger.caller_has_closed = has_closed
+            for is_announced, has_closed in [
+                (True, False),
+                (False, False),
+                (True, True),
+            ]:
+                linger = mock.Mock(unsent_bytes=7, caller_has_closed=has_closed)
+                linger.awaits_caller = is_announced and not has_closed
                 node.http_server.lingers.add(linger)
 
         with CapturedLog() as messages:
@@ -628,6 +632,48 @@
         self.assertEqual([kind for kind in kinds if kind in END_STEPS], END_STEPS)
         self.assertNotIn("node: still held", kinds)
 
+    @params(
+        # (seconds until a caller closes its side, duration of the stop)
+        (1.0, NOTICE_S),
+        (4.0, 4.0),
+        (math.inf, STOP_S),
+    )
+    def test_process_stays_until_callers_that_were_told_have_closed(
+        self, closes_at, stopped_at
+    ):
+        """Guards against answers that a caller has not read, destroyed by a reset."""
+        self.check_late_reader(closes_at, stopped_at)
+
+    @on_mock_clock(io=True)
+    async def check_late_reader(self, closes_at, stopped_at):
+        setup = Setup()
+        callers = []
+
+        async def call(caller):
+            await trio.sleep(0.5)
+            await caller.send_all(KEPT_REQUEST)
+            await trio.sleep(closes_at - 0.5)
+            await caller.send_all(KEPT_REQUEST)
+            self.assertEqual(len(split_answers(await read_all(caller))), 1)
+            await caller.aclose()
+
+        async def prepare():
+            (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+            port = listener.socket.getsockname()[1]
+            for _ in range(2):
+                callers.append(await trio.open_tcp_stream(HOST, port))
+                serve = setup.node.http_server.serve_connection
+                setup.node.spawn(serve, await listener.accept())
+            # The other one is told nothing, and must not hold up the stop.
+            setup.nursery.start_soon(call, callers[0])
+
+        with CapturedLog() as messages:
+            duration_s = await setup.run_node(prepare)
+        self.assertAlmostEqual(duration_s, stopped_at, delta=0.2)
+        (left,) = [m for m in messages if m["message_type"] == "node: callers left"]
+        self.assertEqual(left["unclosed_announced"], int(closes_at > STOP_S))
+        self.assertEqual(left["unclosed"], left["unclosed_announced"] + 1)
+
     @params(read_nothing, read_slowly)
     def test_request_on_its_way_to_a_slow_peer_is_answered(self, serve):
         """Guards against a request that ends with the process, without an answer."""
