--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -137,7 +137,7 @@
 
     @property
     def awaits_callers(self) -> bool:
-        """Whether callers that were told of a close have not closed their side yet."""
+        """Whether callers that may not have read their answers have to close yet."""
         return any(item.awaits_caller for item in self.lingers)
 
     def describe_open(self) -> dict[str, int]:
@@ -147,7 +147,7 @@
             "answers_due": sum(len(item.exchanges) for item in self.connections),
             "unsent_bytes": sum(item.unsent_bytes for item in self.lingers),
             "unclosed": len(unclosed),
-            "unclosed_announced": sum(item.awaits_caller for item in unclosed),
+            "unclosed_after_answer": sum(item.awaits_caller for item in unclosed),
         }
 
     def has_new_connection(self, max_age_s: float) -> bool:
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -29,6 +29,7 @@
 
     :param stream: connection to close; the caller of ``run`` closes it afterwards.
     :param is_announced: whether the last response told the caller of the close.
+    :ivar was_pending: whether sent bytes were on their way at the close.
     :ivar scope: cancelling it ends ``run``.
     """
 
@@ -36,6 +37,7 @@
         self.stream = stream
         self.is_announced = is_announced
         self.caller_has_closed = False
+        self.was_pending = False
         self.scope = trio.CancelScope()
 
     @property
@@ -54,12 +56,13 @@
 
     @property
     def awaits_caller(self) -> bool:
-        """Whether a caller that will close its side may not have read everything.
+        """Whether the caller may not have read everything.
 
         What its system has acknowledged is lost to it if it writes again after a reset,
         as many clients then drop what they have not read.
         """
-        return self.is_announced and not self.caller_has_closed
+        is_recent = self.is_announced or self.was_pending
+        return is_recent and not self.caller_has_closed
 
     async def run(self, delivery_timeout_s: float) -> None:
         """Close the sending side and discard input until the caller closes.
@@ -71,6 +74,7 @@
             nothing meanwhile.
         :raises trio.BrokenResourceError: when the caller has reset the connection.
         """
+        self.was_pending = self.unsent_bytes > 0
         await self.stream.send_eof()
         wait_s = min(LINGER_TIMEOUT_S, delivery_timeout_s)
         taken_at = trio.current_time()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -617,7 +617,7 @@
         self.assertEqual(held["peer_calls"], {"orders-2": 1})
         self.assertEqual(held["connections"], {"answering": 2, "sending": 1})
         self.assertEqual((held["lingers"], held["unsent_bytes"]), (3, 21))
-        self.assertEqual((held["unclosed"], held["unclosed_announced"]), (2, 1))
+        self.assertEqual((held["unclosed"], held["unclosed_after_answer"]), (2, 1))
         self.assertEqual(held["answers_due"], 6)
         self.assertEqual(held["tasks"]["hold"], 1)
         steps = [m["message_type"] for m in messages if m["message_type"] in END_STEPS]
@@ -671,8 +671,8 @@
             duration_s = await setup.run_node(prepare)
         self.assertAlmostEqual(duration_s, stopped_at, delta=0.2)
         (left,) = [m for m in messages if m["message_type"] == "node: callers left"]
-        self.assertEqual(left["unclosed_announced"], int(closes_at > STOP_S))
-        self.assertEqual(left["unclosed"], left["unclosed_announced"] + 1)
+        self.assertEqual(left["unclosed_after_answer"], int(closes_at > STOP_S))
+        self.assertEqual(left["unclosed"], left["unclosed_after_answer"] + 1)
 
     @params(read_nothing, read_slowly)
     def test_request_on_its_way_to_a_slow_peer_is_answered(self, serve):
