Await answers on a link on which an upload is left incomplete

A large upload was on its way to the peer when this process paused. A call is not completed after a pause, and the link closed the connection for it, with the answers to all other calls, read or not, and their runs at the peer.

Only the sending side has ended, so the connection is now set aside like that of a silent peer: the calls that were sent whole are awaited on it, new ones use a new connection. A call whose sending fails is "not run": a part of its frame was never written, and nothing else is written behind it, so its receiver never decodes it. It was "unknown" before, and is now sent elsewhere at once or refused with 503. A message that the peer does not take in time ends the sending side in the same way; the calls that can be sent again are given up then, as with a silent peer. The accepting side of a connection still closes it, as it has no other way to answer.

Ways that were weighed for the sending side: - half-close: the peer takes the end of the stream for ours and breaks off its runs; - complete the frame and send a Cancel behind it: the run may begin before the Cancel is read, as both need not arrive together, and an unsafe call is "unknown" then; - complete it with other bytes: a peer closes the connection at a message that it can't decode, and the fields that would make it refuse the call are sent already, or not part of each call; - mark the call as void in a new last field: needs both ends to know it, and uploads the rest for nothing; - leave it incomplete (chosen): any release waits for the rest. The peer would close after 16 s without input, so one byte follows every 10 s, never the last one. What it costs: calls given up on it are not cancelled before the last answer.

The new test failed before: "<Outcome.UNKNOWN: 'unknown'> is not <Outcome.NOT_RUN>" for the upload, and the two calls beside it had ended as unknown too. SilentConnection is ReplacedConnection, as its peer need not be silent.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -53,6 +54,8 @@
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
 FRAME_OVERHEAD_BYTES = 64 * 1024
+# A new connection is opened at once.
+UNSENT_RETRY_AFTER_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -131,12 +134,12 @@
         self.ping_unanswered = False
         self.failed_connects = 0
         self.is_retired = False
-        self.silent_connections: set[SilentConnection] = set()
+        self.replaced_connections: set[ReplacedConnection] = set()
 
     @property
     def is_up(self) -> bool:
-        """Whether the connection to the peer is established."""
-        return self.frames is not None
+        """Whether the connection to the peer is established and takes messages."""
+        return self.frames is not None and not self.frames.sending_ended.is_set()
 
     @property
     def is_sending(self) -> bool:
@@ -150,7 +153,7 @@
 
     def get_connections(self) -> list[FrameStream]:
         """Return the connection of the link and those that are set aside."""
-        connections = [item.frames for item in self.silent_connections]
+        connections = [item.frames for item in self.replaced_connections]
         if self.frames is not None and self.frames not in connections:
             connections.append(self.frames)
         return connections
@@ -220,6 +223,7 @@
                 self.mark_up(frames, welcome)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.monitor_liveness, frames, nursery)
+                    nursery.start_soon(self.watch_sending, frames, nursery)
                     failure = await self.read_messages(frames)
                     nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -229,6 +233,9 @@
             write_traceback()
         finally:
             self.frames = None
+            if frames.sending_ended.is_set():
+                failure = build_connection_failure("a message is incomplete")
+                self.set_aside(frames, self.split_off_sent(frames))
             self.pending.resolve_all(failure)
             if frames not in self.get_connections():
                 with trio.CancelScope(shield=True):
@@ -312,10 +319,7 @@
         self, response: Answer | Refusal | KeyReport, *, is_old: bool
     ) -> None:
         """Deliver a response, unless the promise that it makes may have expired."""
-        result = response
-        if is_old and isinstance(response, KeyReport):
-            result = build_connection_failure("this process was paused")
-        self.pending.resolve(response.id, result)
+        self.pending.resolve(response.id, check_age(response, is_old=is_old))
         self.stop_if_retired()
 
     def record_round_trip(self, pong: Pong) -> None:
@@ -340,50 +344,84 @@
                 if frames.is_silent(expected_after, self.settings.ping_timeout_s):
                     log_message("link: silent peer", peer=self.instance)
                     self.events.on_link_silent(self)
-                    self.set_aside(frames)
+                    # Its peer may only be late. The others can be sent again.
+                    lasting = self.pending.split_off(
+                        lambda item: item.outlasts_silence()
+                    )
+                    self.set_aside(frames, lasting)
                     nursery.cancel_scope.cancel()
                     return
             elif now - self.last_received_at >= self.get_ping_interval():
                 await self.send_ping(frames, now)
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
 
-    def set_aside(self, frames: FrameStream) -> None:
-        """Keep a silent connection for the requests that can't be sent again.
+    async def watch_sending(self, frames: FrameStream, nursery: trio.Nursery) -> None:
+        """End the use of a connection on which no message can be sent any more.
+
+        :param nursery: nursery of the tasks of the connection.
+        """
+        await frames.sending_ended.wait()
+        log_message(
+            "link: message left incomplete",
+            peer=self.instance,
+            awaited=len(self.pending.requests),
+        )
+        nursery.cancel_scope.cancel()
+
+    def split_off_sent(self, frames: FrameStream) -> PendingRequests:
+        """Return the requests that are awaited on a connection whose sending ended.
 
-        The peer may only be late: it then still answers them, and would break them off
-        if the connection were closed.
+        A peer that takes nothing counts as silent.
+        """
+        return self.pending.split_off(
+            lambda pending: (
+                not pending.is_being_sent
+                and (not frames.has_stalled or pending.outlasts_silence())
+            )
+        )
+
+    def set_aside(self, frames: FrameStream, waiting: PendingRequests) -> None:
+        """Keep a connection that is replaced, for the requests that await a response.
+
+        The peer still answers them, and would break them off if the connection were
+        closed.
+
+        :param waiting: these requests.
         """
-        waiting = self.pending.split_off_lasting()
         if not waiting.requests:
             return
-        connection = SilentConnection(
+        connection = ReplacedConnection(
             frames, waiting, self.spawn, withdrawals=self.welcome.withdrawals
         )
-        self.silent_connections.add(connection)
-        self.spawn(self.finish_silent, connection)
+        self.replaced_connections.add(connection)
+        self.spawn(self.finish_replaced, connection)
         # The others end here, but the open connection would keep their runs.
-        for request_id in self.pending.requests:
-            self.spawn(connection.send, Cancel(request_id))
+        for request_id, pending in self.pending.requests.items():
+            if not pending.is_being_sent:
+                self.spawn(connection.send, Cancel(request_id))
 
-    async def finish_silent(self, connection: "SilentConnection") -> None:
+    async def finish_replaced(self, connection: "ReplacedConnection") -> None:
         """Read the late responses of a connection, and close it afterwards."""
         try:
             with self.pause.watch_input(connection.frames):
-                await connection.read_responses()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(connection.send_signs_of_life)
+                    await connection.read_responses(self.pause)
+                    nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
-            self.silent_connections.discard(connection)
+            self.replaced_connections.discard(connection)
             connection.ended.set()
             connection.waiting.resolve_all(
-                build_connection_failure("the silent connection was closed")
+                build_connection_failure("the replaced connection was closed")
             )
             with trio.CancelScope(shield=True):
                 await connection.frames.close()
 
-    async def wait_for_silent(self) -> None:
+    async def wait_for_replaced(self) -> None:
         """Wait until every connection that was set aside has ended."""
-        for connection in list(self.silent_connections):
+        for connection in list(self.replaced_connections):
             await connection.ended.wait()
 
     def get_ping_interval(self) -> float:
@@ -431,15 +469,43 @@
         request_id = self.pending.add(pending)
         pending.cancel = lambda: self.cancel_request(request_id)
         pending.withdraw = lambda: self.withdraw_request(request_id)
-        pending.sent = True
+        pending.sent = pending.is_being_sent = True
         request = assign_request_id(request, request_id)
+        frames = self.frames
+        failure = build_connection_failure("the connection was lost meanwhile")
         try:
-            await self.frames.send(request)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self.pending.resolve(
-                request_id,
-                build_connection_failure("the connection broke while sending"),
+            await frames.send(request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            # The peer never acts on it, as a part was not written.
+            pending.sent = False
+            failure = Failure(
+                reason=Reason.PEER_UNREACHABLE,
+                detail=f"the request was not sent whole: {error}",
+                retry_after=UNSENT_RETRY_AFTER_S,
             )
+            self.remove_request(request_id)
+        finally:
+            pending.is_being_sent = False
+        if not self.is_awaited(request_id, frames):
+            self.pending.remove(request_id)
+            pending.resolve(failure)
+
+    def is_awaited(self, request_id: int, frames: FrameStream) -> bool:
+        """Return whether the response to a request is still read from its connection.
+
+        :param frames: connection on which the request was sent.
+        """
+        if frames is self.frames:
+            return request_id in self.pending.requests
+        return any(
+            request_id in item.waiting.requests for item in self.replaced_connections
+        )
+
+    def remove_request(self, request_id: int) -> None:
+        """Stop waiting for the response to a request that was not sent whole."""
+        self.pending.remove(request_id)
+        for connection in list(self.replaced_connections):
+            connection.remove_request(request_id)
 
     async def wait_for_request(
         self, request: Call | KeyFence, pending: PendingRequest
@@ -502,8 +568,10 @@
         return True
 
 
-class SilentConnection:
-    """Connection whose peer has gone silent, with the requests that outlast this.
+class ReplacedConnection:
+    """Connection that takes no new request, with those that await their response.
+
+    Its peer has gone silent, or a message on it is incomplete.
 
     :param frames: the connection.
     :param waiting: its requests without a response.
@@ -531,14 +599,31 @@
                 cancel = Cancel(request_id, only_waiting=True)
                 pending.withdraw = partial(spawn, self.send, cancel)
 
-    async def read_responses(self) -> None:
+    async def read_responses(self, pause: PauseWatch) -> None:
         """Deliver responses until all requests have one or the connection is lost."""
         while self.waiting.requests:
             message = await self.frames.receive()
+            pause.check_for_pause()
             if message is None or isinstance(message, Failure):
                 return
-            if isinstance(message, (Answer, Refusal)):
-                self.waiting.resolve(message.id, message)
+            if isinstance(message, (Answer, Refusal, KeyReport)):
+                response = check_age(message, is_old=self.frames.is_old)
+                self.waiting.resolve(message.id, response)
+
+    async def send_signs_of_life(self) -> None:
+        """Keep the peer from closing a connection that no message can be sent on."""
+        while True:
+            await trio.sleep(IDLE_PING_S)
+            try:
+                self.frames.send_sign_of_life()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # The task that reads the connection notices the loss.
+                return
+
+    def remove_request(self, request_id: int) -> None:
+        """Stop waiting for the response to a request, if it is one of these."""
+        self.waiting.remove(request_id)
+        self.spawn(self.close_if_unused)
 
     def cancel_request(self, request_id: int) -> None:
         self.waiting.remove(request_id)
@@ -546,15 +631,27 @@
 
     async def send(self, message: Cancel) -> None:
         """Send a message, and close the connection if nothing is awaited any more."""
-        try:
+        # The task that reads the connection notices its loss. If only the sending side
+        # has ended, the peer runs the call until the connection is closed.
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await self.frames.send(message)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The task that reads the connection notices the loss.
-            return
+        await self.close_if_unused()
+
+    async def close_if_unused(self) -> None:
+        """Close the connection if nothing is awaited any more."""
         if not self.waiting.requests:
             await self.frames.close()
 
 
+def check_age(
+    response: Answer | Refusal | KeyReport, *, is_old: bool
+) -> Answer | Refusal | KeyReport | Failure:
+    """Return a response, or a failure if the promise that it makes may have expired."""
+    if is_old and isinstance(response, KeyReport):
+        return build_connection_failure("this process was paused")
+    return response
+
+
 def assign_request_id(request: Call | KeyFence, request_id: int) -> Call | KeyFence:
     if isinstance(request, Call):
         request.id = request_id
--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -99,12 +99,12 @@
     async def run_link(self, link: PeerLink) -> None:
         """Run a link, which is known here until it has ended, also when retired.
 
-        Its silent connections may outlast it.
+        Its replaced connections may outlast it.
         """
         self.running_links.add(link)
         try:
             await link.run()
-            await link.wait_for_silent()
+            await link.wait_for_replaced()
         finally:
             self.running_links.discard(link)
 
@@ -115,7 +115,10 @@
         """
         busy: dict[str, int] = {}
         for link in self.running_links:
-            tables = [link.pending, *(item.waiting for item in link.silent_connections)]
+            tables = [
+                link.pending,
+                *(item.waiting for item in link.replaced_connections),
+            ]
             count = sum(len(table.requests) for table in tables)
             if count or link.is_sending:
                 busy[link.instance] = busy.get(link.instance, 0) + count
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -87,6 +87,9 @@
         try:
             await self.frames.send(message)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
+            if self.frames.sending_ended.is_set():
+                # The peer gets nothing more here, and must notice it.
+                await self.frames.close()
             return False
         return True
 
--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -17,12 +17,14 @@
     :param outlasts_silence: returns whether the response is awaited although the peer
         has gone silent, as the request can't be sent to another one.
 
-    ``sent`` is true when the request may have reached its target. ``withdraw`` asks the
-    target to refuse the request if it does not run yet; the response is still awaited.
+    ``sent`` is true when the request may have reached its target, and ``is_being_sent``
+    until all of it was written. ``withdraw`` asks the target to refuse the request if
+    it does not run yet; the response is still awaited.
     """
 
     __slots__ = (
         "cancel",
+        "is_being_sent",
         "on_result",
         "outlasts_silence",
         "result",
@@ -42,6 +44,7 @@
         self.withdraw: Callable[[], None] = do_nothing
         self.result: Result | None = None
         self.sent = False
+        self.is_being_sent = False
 
     def resolve(self, result: Result) -> None:
         """Deliver the result; later ones are dropped."""
@@ -85,20 +88,21 @@
         pending.resolve(result)
         return True
 
-    def split_off_lasting(self) -> "PendingRequests":
-        """Move the requests that outlast the silence of the peer to a new table."""
-        lasting = PendingRequests()
-        lasting.requests = {
-            request_id: pending
-            for request_id, pending in self.requests.items()
-            if pending.outlasts_silence()
-        }
-        for request_id in lasting.requests:
-            self.remove(request_id)
-        return lasting
+    def split_off(
+        self, is_chosen: Callable[[PendingRequest], bool]
+    ) -> "PendingRequests":
+        """Move some of the requests to a new table."""
+        chosen = PendingRequests()
+        for request_id, pending in list(self.requests.items()):
+            if is_chosen(pending):
+                chosen.requests[request_id] = self.requests.pop(request_id)
+        return chosen
 
     def resolve_all(self, failure: Failure) -> None:
-        """Deliver one failure to all pending requests."""
-        requests, self.requests = self.requests, {}
-        for pending in requests.values():
+        """Deliver one failure to all pending requests that were sent whole.
+
+        For the others, their senders know whether they were.
+        """
+        sent = self.split_off(lambda pending: not pending.is_being_sent)
+        for pending in sent.requests.values():
             pending.resolve(failure)
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -2,8 +2,9 @@
 
 import math
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import chain
 
 import trio
 
@@ -38,6 +39,8 @@
 LARGE_READ_BYTES = 256 * 1024
 SENT_PIECE_BYTES = 256 * 1024
 SEND_TIMEOUT_S = 3.0
+# Unsent bytes that are kept of an incomplete message, as later signs of life.
+KEPT_UNSENT_BYTES = 64
 # Their times count from their sending.
 TIMED_MESSAGES = (Call, FeedPage)
 # Larger bodies are written without a copy.
@@ -66,6 +69,9 @@
     took a part of a message that it could not take at once. ``received_at`` is the last
     time at which any bytes arrived. ``message_start`` is the position of the latest
     message in all input. ``resumed_at`` is the end of the latest pause of this process.
+    ``sending_ended`` is set once a message was left incomplete, so that no other can
+    follow; received messages can still be read. ``has_stalled`` is true if the peer
+    took nothing of that message in time.
     """
 
     def __init__(
@@ -80,6 +86,9 @@
         self.memory = memory
         self.buffer = bytearray()
         self.send_lock = trio.Lock()
+        self.sending_ended = trio.Event()
+        self.has_stalled = False
+        self.unsent = b""
         self.sent_bytes = 0
         self.received_bytes = 0
         self.progressed_at = -math.inf
@@ -125,10 +134,14 @@
     async def send(self, message: Message) -> None:
         """Send one message; concurrent calls are serialized.
 
+        A message whose sending raises an error is incomplete at the peer, if any of it
+        arrives: the peer never acts on it.
+
         :param message: message to send.
-        :raises trio.BrokenResourceError: when the connection is lost, or the message
-            is too old to be sent.
+        :raises trio.BrokenResourceError: when the connection is lost, its sending side
+            has ended, or the message is too old to be sent.
         """
+        self.check_sending()
         parts = encode_frame(message)
         pauses = self.pauses
         self.sent_bytes += sum(map(len, parts))
@@ -141,12 +154,13 @@
         else:
             await self.send_lock.acquire()
         # A cancelled send would leave an incomplete frame on the stream, so the rest
-        # is sent despite cancellation. The connection is closed when the peer receives
-        # nothing for SEND_TIMEOUT_S.
+        # is sent despite cancellation, while the peer takes some in SEND_TIMEOUT_S.
         is_old = False
+        pieces = split_parts(parts)
         with trio.CancelScope(shield=True) as scope:
             try:
-                for piece in split_parts(parts):
+                self.check_sending()
+                for piece in pieces:
                     if self.pauses != pauses and isinstance(message, TIMED_MESSAGES):
                         is_old = True
                         break
@@ -156,12 +170,37 @@
                     self.progressed_at = trio.current_time()
             finally:
                 self.send_lock.release()
-        if scope.cancelled_caught or is_old:
-            # Without a part of a call on it, the connection serves others; a missing
-            # page must show.
-            if has_begun or not isinstance(message, Call):
-                await self.close()
-            raise trio.BrokenResourceError("the peer takes no data in time")
+        if not scope.cancelled_caught and not is_old:
+            return
+        if has_begun:
+            self.has_stalled = not is_old
+            if is_old:
+                self.unsent = join_start(chain([piece], pieces), KEPT_UNSENT_BYTES)
+            self.sending_ended.set()
+        elif not isinstance(message, Call):
+            # A missing page must show.
+            await self.close()
+        raise trio.BrokenResourceError(
+            "the message is too old" if is_old else "the peer takes no data in time"
+        )
+
+    def check_sending(self) -> None:
+        """Raise an error if no message can be sent any more.
+
+        :raises trio.BrokenResourceError: when an earlier message is incomplete.
+        """
+        if self.sending_ended.is_set():
+            raise trio.BrokenResourceError("an earlier message is incomplete")
+
+    def send_sign_of_life(self) -> None:
+        """Send one byte more of the incomplete message, but never its last one.
+
+        :raises trio.BrokenResourceError: when the connection is lost.
+        :raises trio.ClosedResourceError: when this side has closed it.
+        """
+        if len(self.unsent) > 1:
+            written = write_some(self.stream, self.unsent[:1])
+            self.unsent = self.unsent[written:]
 
     async def receive(self) -> Message | SkippedCall | Failure | None:
         """Wait for the next message.
@@ -278,6 +317,19 @@
         yield from split_bytes(part, SENT_PIECE_BYTES)
 
 
+def join_start(pieces: Iterable[memoryview], size: int) -> bytes:
+    """Return the first bytes of consecutive pieces.
+
+    :param size: largest number of bytes.
+    """
+    start = bytearray()
+    for piece in pieces:
+        start += piece[: size - len(start)]
+        if len(start) == size:
+            break
+    return bytes(start)
+
+
 def write_parts(stream: trio.abc.Stream, parts: list[bytes]) -> list[bytes]:
     """Write what fits into the send buffer, and return what is left."""
     for index, part in enumerate(parts):
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -637,7 +637,7 @@
             else:
                 self.assertIsInstance(results[0], kind)
             await wait_all_tasks_blocked()
-            self.assertEqual(setup.link.silent_connections, set())
+            self.assertEqual(setup.link.replaced_connections, set())
             nursery.cancel_scope.cancel()
 
     @params(True, False)
@@ -657,7 +657,7 @@
             pending = PendingRequest(lambda: None, outlasts_silence=lambda: True)
             await setup.link.send_request(make_call("", 0), pending)
             await trio.sleep(2 * setup.settings.ping_timeout_s)
-            self.assertEqual(len(setup.link.silent_connections), 1)
+            self.assertEqual(len(setup.link.replaced_connections), 1)
             pending.withdraw()
             await trio.sleep(0.2)
             expected = [Cancel(1, only_waiting=True)] if understood else []
@@ -682,7 +682,7 @@
                 await setup.link.send_request(make_call("", 0), pending)
             await trio.sleep(2 * setup.settings.ping_timeout_s)
             self.assertEqual(ends, [False])
-            (connection,) = setup.link.silent_connections
+            (connection,) = setup.link.replaced_connections
             self.assertIn(connection.frames, setup.pause.inputs)
             cancels = [item for item in messages if isinstance(item, Cancel)]
             self.assertEqual(cancels, [Cancel(2)])
@@ -1309,6 +1309,79 @@
             self.assertEqual(results, [False])
             nursery.cancel_scope.cancel()
 
+    @params(0.1, 4 * IDLE_PING_S)
+    def test_calls_beside_an_upload_that_is_not_completed_are_answered(self, run_s):
+        """Guards against 502 for calls that had run, as one upload is given up."""
+        self.check_beside_upload(run_s)
+
+    @on_mock_clock(io=True)
+    async def check_beside_upload(self, run_s):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(
+                nursery, memory=RequestMemory(20 * ANSWER_BYTES, DecisionLog())
+            )
+            setup.hold = trio.Event()
+            gate = trio.Event()
+            gate.set()
+            upload = bytes(10 * ANSWER_BYTES)
+            results = {}
+
+            async def serve(stream):
+                setup.server.pause.check_for_pause()
+                await setup.server.serve_connection(GatedStream(stream, lambda: gate))
+
+            async def call(body):
+                results[body] = await setup.call(body)
+
+            nursery.start_soon(setup.pause.run)
+            await setup.start(serve)
+            await setup.events.up.wait()
+            for body in (b"a", b"b"):
+                nursery.start_soon(call, body)
+            await trio.sleep(0.1)
+            gate = trio.Event()
+            nursery.start_soon(call, upload)
+            await trio.sleep(0.1)
+            pause_process(setup.pause, suspended=False)
+            setup.pause.check_for_pause()
+            gate.set()
+            await trio.sleep(0.5)
+            self.assertIs(results[upload].outcome, Outcome.NOT_RUN)
+            # Other calls have a new connection meanwhile.
+            nursery.start_soon(call, b"new")
+            await trio.sleep(run_s)
+            self.assertEqual(setup.started, [b"a", b"b", b"new"])
+            self.assertEqual(list(results), [upload])
+            setup.hold.set()
+            await trio.sleep(0.5)
+            bodies = [results[body].body for body in (b"a", b"b", b"new")]
+            self.assertEqual(bodies, [b"a", b"b", b"new"])
+            self.assertEqual(setup.cancelled, 0)
+            self.assertEqual(setup.link.get_connections(), [setup.link.frames])
+            self.assertEqual(len(setup.server.sessions), 1)
+            nursery.cancel_scope.cancel()
+
+
+class GatedStream(trio.abc.Stream):
+    """Connection that is read only while a gate is open."""
+
+    def __init__(self, stream, get_gate):
+        self.stream = stream
+        self.get_gate = get_gate
+
+    async def receive_some(self, max_bytes=None):
+        await self.get_gate().wait()
+        return await self.stream.receive_some(max_bytes)
+
+    async def send_all(self, data):
+        await self.stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await self.stream.wait_send_all_might_not_block()
+
+    async def aclose(self):
+        await self.stream.aclose()
+
 
 def make_item(seconds):
     deadline = trio.current_time() + seconds
--- a/tests/coordination/peers/test_link_table.py
+++ b/tests/coordination/peers/test_link_table.py
@@ -174,7 +174,7 @@
             setup.sender.get_link = lambda message, instance: link
             nursery.start_soon(call, LARGE_BYTES)
             await trio.sleep(PING_TIMEOUT_S)
-            self.assertEqual(len(link.silent_connections), 1)
+            self.assertEqual(len(link.replaced_connections), 1)
             self.assertEqual(ends, [])
             await setup.table.close_stalled()
             await wait_all_tasks_blocked()
@@ -193,7 +193,7 @@
             nursery.start_soon(call, 1)
             await trio.sleep(LIVENESS_CHECK_INTERVAL_S + 2 * PING_TIMEOUT_S)
             link = setup.table.get_or_open_link(setup.instance)
-            self.assertEqual(len(link.silent_connections), 1)
+            self.assertEqual(len(link.replaced_connections), 1)
             setup.table.refresh()
             await wait_all_tasks_blocked()
             self.assertEqual(setup.table.describe_busy(), {"orders-2": 1})
