Read what a peer had sent before a ping that can't be written

Callers saw 502 for calls that a peer had run and answered: the peer (one that left, or was ended) had reset the connection, the next ping failed, and its error ended the task that reads. What had arrived and was not read was dropped, although the system still hands it out after a reset. A node that wakes up late meets both in the same step.

A ping that can't be written no longer ends the connection; the task that reads does, with the end of the stream or the error behind what has arrived. A peer from which neither comes is silent, and found so as before.

The new test failed before with three of four orders of the tasks: "['Answer', 'Failure', 'Failure'] != ['Answer', 'Answer', 'Answer']".

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -433,7 +433,9 @@
         self.ping_sent_at = now
         self.ping_unanswered = True
         self.ping_due = False
-        await frames.send(Ping(self.ping_sequence))
+        # The task that reads the connection notices its loss, after what has arrived.
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await frames.send(Ping(self.ping_sequence))
 
     async def wait_until_up(self, timeout: float) -> bool:
         """Wait until the link is up.
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -21,6 +21,7 @@
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link import (
     IDLE_PING_S,
+    LIVENESS_CHECK_INTERVAL_S,
     LinkSettings,
     PeerLink,
 )
@@ -50,6 +51,7 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import SMALL_BODY_BYTES, RequestMemory
 from catkinpost.transport.frame import LENGTH_PREFIX, SEND_TIMEOUT_S, FrameStream
+from catkinpost.transport.socket_io import write_some
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
 
@@ -66,6 +68,9 @@
 PIECES = 10
 ANSWER_BYTES = 1_000_000
 MEMORY_BYTES = 4_000_000
+UNREAD_ANSWERS = 3
+UNREAD_BYTES = 40_000
+QUEUE_BYTES = 1_000_000
 SECRET = b"shared-secret-of-the-fleet"
 
 
@@ -997,6 +1002,49 @@
             nursery.cancel_scope.cancel()
 
 
+class TestLostConnection(unittest.TestCase):
+    """What has arrived before the loss of a connection is read."""
+
+    @params(*range(4))
+    def test_answers_that_arrived_before_a_failed_write_are_delivered(self, seed):
+        """Guards against 502 for calls whose answers wait to be read."""
+        on_mock_clock(self.check_unread, io=True, seed=seed)()
+
+    async def check_unread(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, memory=RequestMemory(MEMORY_BYTES, DecisionLog()))
+            results = []
+
+            async def serve(stream):
+                frames = FrameStream(stream, max_frame_bytes=10_000)
+                await setup.server.perform_handshake(frames)
+                calls = [await frames.receive() for _ in range(UNREAD_ANSWERS)]
+                link_socket = setup.link.frames.stream.socket
+                link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, QUEUE_BYTES)
+                for call in calls:
+                    answer = Answer(call.id, 200, [], bytes(UNREAD_BYTES), 0, Load())
+                    data = encode_message(answer)
+                    write_some(stream, LENGTH_PREFIX.pack(len(data)) + data)
+                option = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                stream.setsockopt(*option)
+                stream.socket.close()
+                # The next ping is due at once, and its write fails.
+                trio.lowlevel.current_clock().jump(LIVENESS_CHECK_INTERVAL_S + TICK_S)
+
+            async def call():
+                results.append(await setup.call())
+
+            await setup.start(serve)
+            await setup.events.up.wait()
+            for _ in range(UNREAD_ANSWERS):
+                nursery.start_soon(call)
+            await trio.sleep(1.5)
+            kinds = [type(result).__name__ for result in results]
+            self.assertEqual(kinds, UNREAD_ANSWERS * ["Answer"])
+            self.assertGreater(len(setup.events.downs), 0)
+            nursery.cancel_scope.cancel()
+
+
 async def connect(nursery, kind="socket"):
     """Return a setup, its session and the peer's side of the connection."""
     setup = Setup(nursery, memory=RequestMemory(MEMORY_BYTES, DecisionLog()))
