Keep the runs of a peer that takes one answer late

A peer that took nothing of a large answer for 3 s, as its process or this one was held, lost its connection here: its runs were broken off, and its other answers dropped, while a connection on which nothing arrives is kept for 16 s. An answer now waits for as long, since its peer has no other connection for these answers, and the calls whose answers it still awaits would become unknown, with their runs broken off.

What it costs: answers for a peer that is gone without a reset are held for 16 s in place of 3, and a stop that waits for them takes up to its bound.

The new test failed before in both cases, peer held and own process held ("1 != 0" runs broken off).

--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -140,6 +140,11 @@
         """Whether any peer's call is in progress, or its response being sent."""
         return any(session.calls for session in self.sessions.values())
 
+    @property
+    def max_silence_s(self) -> float:
+        """Seconds without a sign of life after which a connection is closed."""
+        return IDLE_PING_S + 2 * self.settings.ping_timeout_s
+
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one peer until either side closes the connection.
 
@@ -149,6 +154,9 @@
             stream,
             max_frame_bytes=self.settings.max_frame_bytes,
             memory=self.memory,
+            # The peer may be held for as long as this, and has only this connection
+            # for the answers to all of its calls.
+            send_timeout_s=self.max_silence_s,
         )
         key = id(frames)
         session = None
@@ -240,10 +248,9 @@
 
     async def monitor_liveness(self, session: PeerSession) -> None:
         """Close the connection once nothing has arrived for too long."""
-        max_silence_s = IDLE_PING_S + 2 * self.settings.ping_timeout_s
         while True:
             self.pause.check_for_pause()
-            if session.frames.is_silent(-math.inf, max_silence_s):
+            if session.frames.is_silent(-math.inf, self.max_silence_s):
                 break
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
         log_message("peer: silent", peer=session.instance)
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -63,6 +63,7 @@
     :param stream: connection to the peer.
     :param max_frame_bytes: maximum size of a received frame.
     :param memory: memory for received calls, ``None`` for no common bound.
+    :param send_timeout_s: seconds in which the peer must take a part of a message.
 
     ``reservation`` belongs to the frame that is being received and, after that, to the
     call that was received last. ``progressed_at`` is the last time at which the peer
@@ -80,10 +81,12 @@
         *,
         max_frame_bytes: int,
         memory: RequestMemory | None = None,
+        send_timeout_s: float = SEND_TIMEOUT_S,
     ) -> None:
         self.stream = stream
         self.max_frame_bytes = max_frame_bytes
         self.memory = memory
+        self.send_timeout_s = send_timeout_s
         self.buffer = bytearray()
         self.send_lock = trio.Lock()
         self.sending_ended = trio.Event()
@@ -154,7 +157,7 @@
         else:
             await self.send_lock.acquire()
         # A cancelled send would leave an incomplete frame on the stream, so the rest
-        # is sent despite cancellation, while the peer takes some in SEND_TIMEOUT_S.
+        # is sent despite cancellation, while the peer takes a part of it in time.
         is_old = False
         pieces = split_parts(parts)
         with trio.CancelScope(shield=True) as scope:
@@ -164,7 +167,7 @@
                     if self.pauses != pauses and isinstance(message, TIMED_MESSAGES):
                         is_old = True
                         break
-                    scope.deadline = trio.current_time() + SEND_TIMEOUT_S
+                    scope.deadline = trio.current_time() + self.send_timeout_s
                     has_begun = True
                     await self.stream.send_all(piece)
                     self.progressed_at = trio.current_time()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1074,6 +1074,44 @@
         watch.get_suspended_time = lambda: suspended_s
 
 
+class TestSlowPeer(unittest.TestCase):
+    """A peer that takes an answer late, as its process was held."""
+
+    @params(
+        # (process that is held, seconds, whether the peer is still waited for)
+        ("peer", 2 * SEND_TIMEOUT_S, True),
+        ("own", 2 * SEND_TIMEOUT_S, True),
+        ("peer", IDLE_PING_S + 10 * SEND_TIMEOUT_S, False),
+    )
+    def test_runs_go_on_beside_an_answer_that_waits_for_a_while(self, *case):
+        """Guards against runs that are broken off since one answer is large."""
+        self.check_held_process(*case)
+
+    @on_mock_clock(io=True)
+    async def check_held_process(self, held, held_s, stays):
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await connect(nursery)
+            setup.hold = trio.Event()
+            answer = Answer(1, 200, [], bytes(20 * ANSWER_BYTES), 0, Load())
+            frames.max_frame_bytes = 2 * len(answer.body)
+            await frames.send(with_id(make_call("", 0, b"runs"), 7))
+            await trio.sleep(0.1)
+            nursery.start_soon(session.send_notification, answer)
+            await trio.sleep(0.1)
+            if held == "own":
+                trio.lowlevel.current_clock().jump(held_s)
+                await trio.sleep(0.1)
+            else:
+                await trio.sleep(held_s)
+            self.assertEqual(setup.cancelled, 0 if stays else 1)
+            self.assertEqual(len(setup.server.sessions), 1 if stays else 0)
+            setup.hold.set()
+            if stays:
+                self.assertIsInstance(await frames.receive(), Answer)
+                self.assertEqual((await frames.receive()).body, b"runs")
+            nursery.cancel_scope.cancel()
+
+
 class TestPause(unittest.TestCase):
     """Input that has arrived during a pause is of unknown age."""
 
