Don't take an own pause for a peer that takes nothing

Where a pause of this process outlasted the time in which a peer must take a part of a message, both ended in the same step, and the peer counted as stalled: the calls beside an upload that can be sent again were given up, sent once more, and failed where that was not possible, although the peer had run them. Whether this process was paused is now looked at one step later, after the task that finds pauses.

The case of 6 s in the test of the upload failed before: the two calls had ended, "[upload, b'a', b'b'] != [upload]"; each case runs in four orders of the tasks now, over a clock that jumps.

Beside it a table for calls that were not sent whole as the peer resets, closes or goes silent, and calls that wait behind them; all three cases failed on ("UNKNOWN is not NOT_RUN") and hold since.

--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -72,7 +72,7 @@
     message in all input. ``resumed_at`` is the end of the latest pause of this process.
     ``sending_ended`` is set once a message was left incomplete, so that no other can
     follow; received messages can still be read. ``has_stalled`` is true if the peer
-    took nothing of that message in time.
+    took nothing of that message in time, while this process ran.
     """
 
     def __init__(
@@ -176,10 +176,13 @@
         if not scope.cancelled_caught and not is_old:
             return
         if has_begun:
-            self.has_stalled = not is_old
+            self.sending_ended.set()
             if is_old:
                 self.unsent = join_start(chain([piece], pieces), KEPT_UNSENT_BYTES)
-            self.sending_ended.set()
+            else:
+                # A pause of this process may be found in the same step.
+                await trio.lowlevel.cancel_shielded_checkpoint()
+                self.has_stalled = self.pauses == pauses
         elif not isinstance(message, Call):
             # A missing page must show.
             await self.close()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1044,6 +1044,48 @@
             self.assertGreater(len(setup.events.downs), 0)
             nursery.cancel_scope.cancel()
 
+    @params("reset", "close", "silence")
+    def test_call_that_was_not_sent_whole_counts_as_not_run(self, loss):
+        """Guards against 502 for a call that no peer can have run."""
+        self.check_loss_while_sending(loss)
+
+    @on_mock_clock(io=True)
+    async def check_loss_while_sending(self, loss):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            results, lose = {}, trio.Event()
+            upload = bytes(20 * ANSWER_BYTES)
+
+            async def serve(stream):
+                frames = FrameStream(stream, max_frame_bytes=10_000)
+                await setup.server.perform_handshake(frames)
+                await frames.receive()
+                await lose.wait()
+                if loss == "silence":
+                    await trio.sleep_forever()
+                if loss == "reset":
+                    option = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                    stream.setsockopt(*option)
+                await frames.close()
+
+            async def call(body):
+                results[body] = await setup.call(body, outlasts_silence=True)
+
+            await setup.start(serve)
+            await setup.events.up.wait()
+            for body in (b"sent", upload, b"waits"):
+                nursery.start_soon(call, body)
+                await trio.sleep(0.05)
+            lose.set()
+            await trio.sleep(SEND_TIMEOUT_S + 1.0)
+            for body in (upload, b"waits"):
+                self.assertIs(results[body].outcome, Outcome.NOT_RUN)
+            if loss == "silence":
+                self.assertNotIn(b"sent", results)
+            else:
+                self.assertIs(results[b"sent"].outcome, Outcome.UNKNOWN)
+            nursery.cancel_scope.cancel()
+
 
 async def connect(nursery, kind="socket"):
     """Return a setup, its session and the peer's side of the connection."""
@@ -1395,13 +1437,18 @@
             self.assertEqual(results, [False])
             nursery.cancel_scope.cancel()
 
-    @params(0.1, 4 * IDLE_PING_S)
-    def test_calls_beside_an_upload_that_is_not_completed_are_answered(self, run_s):
+    @params(
+        # (seconds of the pause, seconds of the other runs after it)
+        (PAUSE_S, 0.1),
+        (PAUSE_S, 4 * IDLE_PING_S),
+        (2 * SEND_TIMEOUT_S, 0.1),
+    )
+    def test_calls_beside_an_upload_that_is_not_completed_are_answered(self, *case):
         """Guards against 502 for calls that had run, as one upload is given up."""
-        self.check_beside_upload(run_s)
+        for seed in range(4):
+            on_mock_clock(self.check_beside_upload, io=True, seed=seed)(*case)
 
-    @on_mock_clock(io=True)
-    async def check_beside_upload(self, run_s):
+    async def check_beside_upload(self, pause_s, run_s):
         async with trio.open_nursery() as nursery:
             setup = Setup(
                 nursery, memory=RequestMemory(20 * ANSWER_BYTES, DecisionLog())
@@ -1428,8 +1475,8 @@
             gate = trio.Event()
             nursery.start_soon(call, upload)
             await trio.sleep(0.1)
-            pause_process(setup.pause, suspended=False)
-            setup.pause.check_for_pause()
+            trio.lowlevel.current_clock().jump(pause_s)
+            await trio.sleep(0.1)
             gate.set()
             await trio.sleep(0.5)
             self.assertIs(results[upload].outcome, Outcome.NOT_RUN)
