Deliver answers that wait behind another at the close of a peer's connection

An answer of a finished run that waited for a slow link, behind a larger one, was dropped when the node closed its peers' connections at the end of a stop, though there was time to deliver both: the close cancels all tasks of the connection, and only the message on its way was shielded. From its response on, the task of a call is now shielded; the peer can still cancel the call, and the time of the close bounds it.

The new test failed before: the connection ended ("'NoneType' object has no attribute 'body'") in place of the second answer.

--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -296,6 +296,8 @@
                 response = self.hold_response(
                     peer_call, await self.run_or_refuse(peer_call)
                 )
+                # Nobody else can deliver it. Its peer may still cancel the call.
+                peer_call.scope.shield = True
                 await session.send_notification(response)
         finally:
             session.calls.pop(peer_call.call.id, None)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1555,6 +1555,28 @@
             self.assertLess(trio.current_time(), ends_at)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_answer_that_waits_behind_another_is_delivered_at_the_close(self):
+        """Guards against a run whose answer is dropped as the link is slow."""
+        async with trio.open_nursery() as nursery:
+            setup, session, frames = await connect(nursery)
+            answer = Answer(1, 200, [], bytes(20 * ANSWER_BYTES), 0, Load())
+            frames.max_frame_bytes = 2 * len(answer.body)
+            nursery.start_soon(session.send_notification, answer)
+            await trio.sleep(0.1)
+            await frames.send(with_id(make_call("", 0, b"ended"), 7))
+            await trio.sleep(0.1)
+            ends_at = trio.current_time() + CLOSE_S
+            nursery.start_soon(setup.server.close_connections, ends_at)
+            await trio.sleep(0.1)
+            self.assertIsInstance(await frames.receive(), Answer)
+            self.assertEqual((await frames.receive()).body, b"ended")
+            self.assertIsNone(await frames.receive())
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.sessions, {})
+            self.assertLess(trio.current_time(), ends_at)
+            nursery.cancel_scope.cancel()
+
     @params(ANSWER_BYTES, 10 * ANSWER_BYTES)
     @on_mock_clock(io=True)
     async def test_peer_that_does_not_read_is_waited_for_until_the_end(self, size):
