Log what tells a late signal from a late end at a stop

Processes were killed at the end of their grace time, and their logs did not say why: `late_by_at_most` knows pauses of half a second between two checks alone, and nothing was logged behind `node: stopped`.

`node: stop asked for` now has the time between the handler of the interpreter and the event loop (`handled_before_s`), and by how much the periodic checks were late before it. Each step of the end has its time since the signal. A last line, `process: ends`, has the time since the request, the processor time used in it, how often the process waited and was preempted, and by how much the checks were late.

--- a/src/catkinpost/coordination/pause.py
+++ b/src/catkinpost/coordination/pause.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from catkinpost.coordination.tick import sleep_until_next_tick
+from catkinpost.coordination.tick import find_next_tick, sleep_until_next_tick
 from catkinpost.state.decision_log import DecisionLog
 
 __all__ = ["PauseWatch", "SuspendAwareClock"]
@@ -58,6 +58,8 @@
     :param decisions: log of automatic decisions; every pause is logged.
     :param get_suspended_time: returns the seconds for which the machine was suspended,
         which the clock of the event loop counts.
+    :ivar most_late_s: most seconds by which a periodic check was late, since this was
+        last set to 0.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.gap_started_at = -math.inf
         self.gap_ended_at = -math.inf
         self.pauses = 0
+        self.most_late_s = 0.0
 
     @contextmanager
     def watch_input(self, connection: Input) -> Iterator[None]:
@@ -135,4 +138,7 @@
         """Check for pauses until cancelled."""
         while True:
             self.check_for_pause()
+            started_at = trio.current_time()
             await sleep_until_next_tick(CHECK_INTERVAL_S)
+            due_at = find_next_tick(started_at, CHECK_INTERVAL_S)
+            self.most_late_s = max(self.most_late_s, trio.current_time() - due_at)
--- a/src/catkinpost/coordination/tick.py
+++ b/src/catkinpost/coordination/tick.py
@@ -2,7 +2,7 @@
 
 import trio
 
-__all__ = ["sleep_until_next_tick"]
+__all__ = ["find_next_tick", "sleep_until_next_tick"]
 
 
 async def sleep_until_next_tick(interval_s: float) -> None:
@@ -13,5 +13,9 @@
 
     :param interval_s: interval, which is also the longest sleep.
     """
-    now = trio.current_time()
-    await trio.sleep_until((now // interval_s + 1) * interval_s)
+    await trio.sleep_until(find_next_tick(trio.current_time(), interval_s))
+
+
+def find_next_tick(now: float, interval_s: float) -> float:
+    """Return the next multiple of an interval."""
+    return (now // interval_s + 1) * interval_s
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -283,7 +283,11 @@
             nursery.start_soon(self.supervise, self.planned_stop.log_held)
             await self.run_until_stopped()
             nursery.cancel_scope.cancel()
-        log_message("node: stopped", instance=self.identity.instance)
+        log_message(
+            "node: stopped",
+            instance=self.identity.instance,
+            **self.planned_stop.describe_step(),
+        )
 
     async def run_until_stopped(self) -> None:
         """Run all tasks of the node, and end them after a planned stop."""
@@ -314,13 +318,13 @@
         """Close the connections to peers."""
         # A send to a peer that does not read would outlast the cancellation.
         await self.links.close_connections()
-        log_message("node: links closed")
+        log_message("node: links closed", **self.planned_stop.describe_step())
 
     async def close_peers(self) -> None:
         """Close the connections of peers."""
         self.peer_acceptor.start_end()
         await self.peer_server.close_connections(self.planned_stop.compute_close_time())
-        log_message("node: peers closed")
+        log_message("node: peers closed", **self.planned_stop.describe_step())
 
     async def listen(
         self,
--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -40,6 +40,7 @@
     log_settings("settings: read", settings)
     node = Node(settings.node, PlatformEnvironment(settings, Path(path)))
     run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
+    node.planned_stop.log_end()
     return 0
 
 
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -1,20 +1,59 @@
-"""Start of a node process, shared by all environments."""
+"""Start and end of a node process, shared by all environments."""
 
 import gc
+import resource
+import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
 from catkinpost.coordination.pause import SuspendAwareClock
 from catkinpost.transport.moderation import PollModerator
 
-__all__ = ["run_process"]
+__all__ = ["ProcessUsage", "run_process"]
 
 # Most objects of a call are short-lived; full collections only add to its tail
 # latency.
 GC_THRESHOLD_ALLOCATIONS = 20_000
 
 
+@dataclass(frozen=True, kw_only=True)
+class ProcessUsage:
+    """What the process had used at a moment.
+
+    :param read_at: the moment, in seconds of the monotonic clock.
+    :param processor_s: processor time in seconds.
+    :param switches: how often it has waited for something.
+    :param preemptions: how often it had to leave its processor to others.
+    """
+
+    read_at: float
+    processor_s: float
+    switches: int
+    preemptions: int
+
+    @classmethod
+    def read(cls) -> "ProcessUsage":
+        """Return the usage up to now."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return cls(
+            read_at=time.monotonic(),
+            processor_s=usage.ru_utime + usage.ru_stime,
+            switches=usage.ru_nvcsw,
+            preemptions=usage.ru_nivcsw,
+        )
+
+    def describe_since(self, earlier: "ProcessUsage") -> dict[str, float]:
+        """Return what was used since an earlier moment."""
+        return {
+            "seconds": round(self.read_at - earlier.read_at, 3),
+            "processor_s": round(self.processor_s - earlier.processor_s, 3),
+            "switches": self.switches - earlier.switches,
+            "preemptions": self.preemptions - earlier.preemptions,
+        }
+
+
 def run_process(start: Callable[[], Awaitable[None]], *, poll_interval: float) -> None:
     """Run the event loop of a node until the node ends.
 
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -3,7 +3,9 @@
 import math
 import signal
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from types import FrameType
 
 import trio
 from eliot import log_message
@@ -11,6 +13,7 @@
 from catkinpost.coordination.admission.admission import RunWindow
 from catkinpost.coordination.environment import NodeParts
 from catkinpost.coordination.peers.link import PeerLink
+from catkinpost.process import ProcessUsage
 from catkinpost.protocol.message import KeyRecordCopy, KeyRecords
 from catkinpost.protocol.outcome import Failure
 
@@ -45,6 +48,10 @@
 
     :param node: node to stop.
     :ivar signalled_at: earliest time at which the signal may have come.
+    :ivar handled_at: time at which the interpreter handled the signal, before the event
+        loop came to it, ``None`` until then.
+    :ivar usage: what the process had used when the stop was requested, ``None`` until
+        then.
     """
 
     def __init__(self, node: NodeParts) -> None:
@@ -52,6 +59,8 @@
         self.requested = trio.Event()
         self.requested_at = 0.0
         self.signalled_at = 0.0
+        self.handled_at: float | None = None
+        self.usage: ProcessUsage | None = None
 
     @property
     def is_requested(self) -> bool:
@@ -113,7 +122,10 @@
 
     async def watch_signals(self) -> None:
         """Request the stop at SIGTERM or SIGINT."""
-        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        with (
+            trio.open_signal_receiver(*STOP_SIGNALS) as signals,
+            call_at_signals(self.note_signal),
+        ):
             async for _ in signals:
                 try:
                     self.request()
@@ -124,6 +136,11 @@
                 # end with a status of its own.
                 signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
+    def note_signal(self) -> None:
+        """Note when a signal is handled."""
+        if self.handled_at is None:
+            self.handled_at = trio.current_time()
+
     def request(self) -> None:
         """Start the stop: close caller connections after their next response."""
         if self.is_requested:
@@ -132,15 +149,39 @@
         self.requested_at = self.signalled_at = trio.current_time()
         self.requested.set()
         self.signalled_at = node.pause_watch.find_earliest_signal()
-        log_message(
-            "node: stop asked for",
-            instance=node.identity.instance,
-            late_by_at_most=round(self.requested_at - self.signalled_at, 3),
-        )
         window = RunWindow(ends_at=self.waits_end_at)
         node.http_server.leaving = True
         node.executor.admission.set_window("stop", window)
         node.sender.ends_at = self.waits_end_at
+        self.log_request()
+
+    def log_request(self) -> None:
+        """Log the request, with what tells a late signal from a late event loop."""
+        handled_at = self.requested_at if self.handled_at is None else self.handled_at
+        watch = self.node.pause_watch
+        log_message(
+            "node: stop asked for",
+            instance=self.node.identity.instance,
+            late_by_at_most=round(self.requested_at - self.signalled_at, 3),
+            handled_before_s=round(self.requested_at - handled_at, 3),
+            checks_late_s=round(watch.most_late_s, 3),
+        )
+        watch.most_late_s = 0.0
+        self.usage = ProcessUsage.read()
+
+    def describe_step(self) -> dict[str, float]:
+        """Return when a step of the end has come."""
+        since_s = trio.current_time() - self.signalled_at
+        return {"since_signal_s": round(since_s, 3)}
+
+    def log_end(self) -> None:
+        """Log the end of the process, and what it has used since the request."""
+        if self.usage is not None:
+            log_message(
+                "process: ends",
+                checks_late_s=round(self.node.pause_watch.most_late_s, 3),
+                **ProcessUsage.read().describe_since(self.usage),
+            )
 
     async def run(self) -> None:
         """Wait for the stop request, then for the notice periods and running requests.
@@ -159,6 +200,7 @@
             closed_idle=server.closed_idle,
             refused=server.refused_requests,
             unbegun=server.unbegun_requests,
+            **self.describe_step(),
         )
         await self.repeat(self.send_key_records)
 
@@ -289,7 +331,30 @@
         with trio.CancelScope(deadline=self.compute_close_time()):
             for end in ends:
                 await end.wait()
-        log_message("node: keys handed over", count=len(copies))
+        log_message("node: keys handed over", count=len(copies), **self.describe_step())
+
+
+@contextmanager
+def call_at_signals(function: Callable[[], None]) -> Iterator[None]:
+    """Call a function as soon as the interpreter handles a signal of a stop.
+
+    The event loop may have other tasks to run before that of its signal receiver.
+
+    :param function: called before the present handlers.
+    """
+    handlers = {number: signal.getsignal(number) for number in STOP_SIGNALS}
+
+    def handle(number: int, frame: FrameType | None) -> None:
+        function()
+        handlers[number](number, frame)
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, handle)
+    try:
+        yield
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
 
 
 async def send_copies(
--- a/tests/coordination/test_pause.py
+++ b/tests/coordination/test_pause.py
@@ -8,13 +8,14 @@
 from nose2.tools import params
 
 from catkinpost.coordination.pause import (
+    CHECK_INTERVAL_S,
     MIN_PAUSE_S,
     PauseWatch,
     SuspendAwareClock,
 )
 from catkinpost.process import run_process
 from catkinpost.state.decision_log import DecisionLog
-from tests.clock import on_mock_clock
+from tests.clock import on_mock_clock, wait_all_tasks_blocked
 
 
 class TestPauseWatch(unittest.TestCase):
@@ -68,6 +69,19 @@
         signalled_s = watch.find_earliest_signal() - started_at
         self.assertAlmostEqual(signalled_s, earliest)
 
+    @on_mock_clock
+    async def test_late_checks_are_measured(self):
+        watch = PauseWatch(DecisionLog(), get_suspended_time=lambda: 0.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            await trio.sleep(10 * CHECK_INTERVAL_S)
+            self.assertAlmostEqual(watch.most_late_s, 0.0)
+            await wait_all_tasks_blocked()
+            trio.lowlevel.current_clock().jump(CHECK_INTERVAL_S + 0.3)
+            await trio.sleep(10 * CHECK_INTERVAL_S)
+            self.assertAlmostEqual(watch.most_late_s, 0.3)
+            nursery.cancel_scope.cancel()
+
 
 class TestClock(unittest.TestCase):
     @params(0.0, 30.0)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import math
+import signal
 import subprocess
 import sys
 import unittest
@@ -196,6 +197,26 @@
         process = subprocess.run([sys.executable, "-c", SIGNAL_AFTER_STOP])
         self.assertEqual(process.returncode, 0)
 
+    @on_mock_clock
+    async def test_log_tells_a_late_event_loop_from_a_late_signal(self):
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
+        setup = Setup()
+        setup.node.pause_watch.most_late_s = 0.1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(setup.node.planned_stop.watch_signals)
+            await wait_all_tasks_blocked()
+            with CapturedLog() as messages:
+                signal.raise_signal(signal.SIGTERM)
+                trio.lowlevel.current_clock().jump(0.4)
+                await setup.node.planned_stop.requested.wait()
+                setup.node.planned_stop.log_end()
+            nursery.cancel_scope.cancel()
+        request, end = messages
+        self.assertEqual(request["handled_before_s"], 0.4)
+        self.assertEqual((request["checks_late_s"], end["checks_late_s"]), (0.1, 0.0))
+        self.assertGreaterEqual(end["preemptions"], 0)
+
 
 class TestPlannedStop(unittest.TestCase):
     @params(
