End the process of a stopped node without the end of the interpreter

The platform killed processes that had logged `node: stopped` 0.4 to 0.9 s before the end of their grace time: on crowded cores the interpreter took that long to free its objects, of which nobody has a use any more.

The program now ends at once after its last log line, with status 0. Nothing is registered for the exit, and the log has no buffer in the interpreter.

Test: test_end_of_the_interpreter_takes_no_time, which failed before with "AssertionError: 'torn down' unexpectedly found in ...".

--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -12,7 +12,7 @@
 from catkinpost.platform.environment import PlatformEnvironment, log_settings
 from catkinpost.platform.names import SETTINGS_VARIABLE
 from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
-from catkinpost.process import run_process
+from catkinpost.process import end_process, run_process
 from catkinpost.protocol.outcome import Failure, Reason
 
 __all__ = ["load_settings", "run"]
@@ -24,9 +24,9 @@
 
 
 def run() -> int:
-    """Run the node until a stop is requested.
+    """Run the node until a stop is requested, and end the process.
 
-    :return: exit status of the process.
+    :return: exit status of the process if the node can't be started.
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
@@ -41,7 +41,7 @@
     node = Node(settings.node, PlatformEnvironment(settings, Path(path)))
     run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
     node.planned_stop.log_end()
-    return 0
+    end_process()
 
 
 def open_output() -> int:
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -1,17 +1,19 @@
 """Start and end of a node process, shared by all environments."""
 
 import gc
+import os
 import resource
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import NoReturn
 
 import trio
 
 from catkinpost.coordination.pause import SuspendAwareClock
 from catkinpost.transport.moderation import PollModerator
 
-__all__ = ["ProcessUsage", "run_process"]
+__all__ = ["ProcessUsage", "end_process", "run_process"]
 
 # Most objects of a call are short-lived; full collections only add to its tail
 # latency.
@@ -64,3 +66,13 @@
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS, 50, 50)
     instruments = [PollModerator(poll_interval)] if poll_interval else []
     trio.run(start, clock=SuspendAwareClock(), instruments=instruments)
+
+
+def end_process() -> NoReturn:
+    """End the process with status 0, without the end of the interpreter.
+
+    That only frees what the system frees anyway, and a crowded machine may not give it
+    the time before the process is killed. The log is written without buffers of the
+    interpreter, and nothing is registered to be done at the exit.
+    """
+    os._exit(0)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -14,6 +14,7 @@
 from nose2.tools import params
 
 from catkinpost_standins.launch import NODE_OPTIONS
+from tests.platform.test_settings import SETTINGS
 
 SLOW_LIBRARIES = ("hypercorn", "httpcore", "matplotlib", "prometheus_client", "typer")
 TIMEOUT_S = 60
@@ -34,6 +35,17 @@
 """
 
 
+# The program ends after a planned stop.
+END_OF_PROGRAM = """\
+import atexit
+from unittest import mock
+from catkinpost.platform import program
+atexit.register(print, "torn down")
+with mock.patch.object(program, "run_process"):
+    program.run()
+"""
+
+
 class TestProgram(unittest.TestCase):
     def test_libraries_of_other_programs_are_not_imported(self):
         code = "import sys, catkinpost.platform.program; print(*sys.modules)"
@@ -79,6 +91,13 @@
         result = self.run_program([], command=["sh", "-c", command])
         self.assertEqual(result.returncode, 2)
 
+    def test_end_of_the_interpreter_takes_no_time(self):
+        """Guards against a process that has stopped, and is killed meanwhile."""
+        result = self.run_program(["-c", END_OF_PROGRAM], SETTINGS.encode())
+        self.assertEqual((result.returncode, result.stderr), (0, ""))
+        self.assertIn("settings: read", result.stdout)
+        self.assertNotIn("torn down", result.stdout)
+
     def test_signal_is_ignored_before_any_module_is_read(self):
         """Guards against a process that SIGHUP ends while its interpreter starts."""
         result = self.run_program([*NODE_OPTIONS, "-v", f"{PROGRAM}/__main__.py"])
