Wait for a descriptor to reach a sound server

Cause: a connect that found no descriptor counted as one that the server refused. Its request was refused at once, and so were all others while one tried to connect, although connections to the server became idle meanwhile.

Change: a request waits for an idle connection or a descriptor, as long as a connect may take, and the shortage says nothing about the server. A connect that finds a descriptor goes the same way as before.

The test failed before: "AssertionError: 0 != 3" with a descriptor that is free after 0.15 s, and "AssertionError: True is not false" (last_connect_failed) without one.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -1,12 +1,12 @@
 """Accepting of connections at one address, and its end."""
 
-import errno
 from collections.abc import Awaitable, Callable
 
 import trio
 from eliot import log_message, write_traceback
 
 from catkinpost.protocol.settings import Address
+from catkinpost.transport.socket_io import RELEASE_TIME_S, SHORTAGE_ERRORS
 
 __all__ = ["END_TIMEOUT_S", "LISTEN_BACKLOG", "MAX_OPEN_RETRY_S", "Acceptor"]
 
@@ -19,10 +19,6 @@
 OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
 ACCEPT_RETRY_S, MAX_ACCEPT_RETRY_S = 0.1, 0.5
 
-SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
-# Time in which the tasks of closed connections release their descriptors.
-RELEASE_TIME_S = 0.01
-
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
 
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -17,7 +17,13 @@
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.transport.http_parser import ResponseParser, build_bad_answer_failure
-from catkinpost.transport.socket_io import open_connection, receive_some, send_all
+from catkinpost.transport.socket_io import (
+    RELEASE_TIME_S,
+    SHORTAGE_ERRORS,
+    open_connection,
+    receive_some,
+    send_all,
+)
 
 __all__ = ["BackendClient"]
 
@@ -124,11 +130,9 @@
             byte of the request was sent.
         """
         address = (self.host, self.port)
-        stream = self.pop_idle_connection()
-        if stream is None:
-            stream = await self.connect()
-            if isinstance(stream, Failure):
-                return stream
+        stream = await self.get_connection()
+        if isinstance(stream, Failure):
+            return stream
         expires_at = None
         try:
             result = await self.send_and_receive(stream, request)
@@ -166,14 +170,43 @@
             connection.stream.socket.close()
         return None
 
+    async def get_connection(self) -> trio.SocketStream | Failure:
+        """Return an idle connection or a new one.
+
+        A shortage of descriptors ends as soon as any other connection does, and says
+        nothing about the server.
+        """
+        gives_up_at = trio.current_time() + CONNECT_TIMEOUT_S
+        while True:
+            stream = self.pop_idle_connection()
+            if stream is not None:
+                return stream
+            try:
+                return await self.open()
+            except (OSError, trio.TooSlowError) as error:
+                is_short = is_shortage(error)
+                if not is_short or trio.current_time() >= gives_up_at:
+                    return self.build_connect_failure(repr(error))
+            await trio.sleep(RELEASE_TIME_S)
+
     async def connect(self) -> trio.SocketStream | Failure:
+        """Open a connection."""
+        try:
+            return await self.open()
+        except (OSError, trio.TooSlowError) as error:
+            return self.build_connect_failure(repr(error))
+
+    async def open(self) -> trio.SocketStream:
         """Open a connection.
 
         After a failure, only one request at a time tries to connect. The others fail
         at once instead of each waiting for the connect timeout.
+
+        :raises OSError: when it can't be established.
+        :raises trio.TooSlowError: when it was not established in time.
         """
         if self.last_connect_failed and self.connecting_count:
-            return self.build_connect_failure("another try has not ended yet")
+            raise OSError("another try has not ended yet")
         self.connecting_count += 1
         address = (self.host, self.port)
         try:
@@ -181,8 +214,9 @@
                 self.host, self.port, timeout_s=CONNECT_TIMEOUT_S
             )
         except (OSError, trio.TooSlowError) as error:
-            self.last_connect_failed = address == (self.host, self.port)
-            return self.build_connect_failure(repr(error))
+            is_current = address == (self.host, self.port)
+            self.last_connect_failed = is_current and not is_shortage(error)
+            raise
         finally:
             self.connecting_count -= 1
         self.last_connect_failed = False
@@ -287,6 +321,11 @@
         is_sent.set()
 
 
+def is_shortage(error: OSError | trio.TooSlowError) -> bool:
+    """Return whether a connection failed as this process has no descriptor left."""
+    return isinstance(error, OSError) and error.errno in SHORTAGE_ERRORS
+
+
 def get_max_idle_s(response: HttpResponse) -> float:
     """Return the seconds for which a connection may stay idle after a response."""
     value = find_header(response.headers, b"keep-alive") or b""
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -10,6 +10,8 @@
 import trio
 
 __all__ = [
+    "RELEASE_TIME_S",
+    "SHORTAGE_ERRORS",
     "count_unread_bytes",
     "has_free_descriptor",
     "open_connection",
@@ -21,6 +23,9 @@
 ]
 
 QUEUE_SIZE = struct.Struct("i")
+SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
+# Time in which the tasks of closed connections release their descriptors.
+RELEASE_TIME_S = 0.01
 
 
 def count_unread_bytes(stream: trio.abc.Stream) -> int:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -15,6 +15,7 @@
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.transport.http_client import CONNECT_TIMEOUT_S, BackendClient
 from tests.clock import on_mock_clock
+from tests.shortage import no_free_descriptors
 
 REQUEST = HttpRequest(b"POST", b"/orders", [(b"host", b"orders")], b"body")
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -215,6 +216,38 @@
         self.assertEqual(sorted(waits)[:9], [0.0] * 9)
         self.assertEqual(waits.count(CONNECT_TIMEOUT_S), 2)
 
+    @params(
+        # (seconds until a descriptor is free, requests that are answered)
+        (CONNECT_TIMEOUT_S / 2, 3),
+        (2 * CONNECT_TIMEOUT_S, 0),
+    )
+    def test_shortage_of_descriptors_is_waited_for(self, free_after_s, answered):
+        """Guards against refusals of a sound server, one at once for each caller."""
+        self.check_shortage(free_after_s, answered)
+
+    @on_mock_clock(io=True)
+    async def check_shortage(self, free_after_s, answered):
+        async with trio.open_nursery() as nursery:
+            server = ScriptedServer([GOOD] * 3)
+            client = await server.start(nursery)
+            results = []
+
+            async def send():
+                results.append(await client.send_request(REQUEST))
+
+            async with trio.open_nursery() as requests:
+                with no_free_descriptors():
+                    for _ in range(3):
+                        requests.start_soon(send)
+                    await trio.sleep(free_after_s)
+            failures = [item for item in results if not isinstance(item, HttpResponse)]
+            self.assertEqual(len(results) - len(failures), answered)
+            self.assertFalse(client.last_connect_failed)
+            for failure in failures:
+                self.assertIs(failure.reason, Reason.BACKEND_UNREACHABLE)
+                self.assertIs(failure.outcome, Outcome.NOT_RUN)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_connect_that_has_succeeded_before_a_late_wake_up_counts(self):
         """Guards against a server that counts as unreachable as its node has slept."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -4,10 +4,8 @@
 import dataclasses
 import functools
 import math
-import os
 import random
 import re
-import resource
 import socket
 import struct
 import unittest
@@ -28,6 +26,7 @@
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
+from tests.shortage import no_free_descriptors
 
 LIMITS = HttpLimits(
     max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
@@ -102,19 +101,6 @@
     return run
 
 
-@contextlib.contextmanager
-def no_free_descriptors():
-    """Lower the limit of this process to the descriptors that are open."""
-    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-    lowest_free = os.dup(0)
-    os.close(lowest_free)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-
-
 def respond_with(body):
     """Return a handler that answers each request with one body."""
 
