Expect 503 for an order that a stopping node could not send whole

The test asked for 504, the answer of "unknown", where the stop closes a link on which a large order is on its way. Since the call behind it is known not to have run, as a part of its frame was never written, so the answer is 503 and may be repeated.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -165,7 +165,8 @@
 
 async def read_slowly(frames):
     """Serve a link as a peer behind a slow network."""
-    while await frames.stream.receive_some(PIECE_BYTES):
+    while data := await frames.stream.receive_some(PIECE_BYTES):
+        frames.received_bytes += len(data)
         await trio.sleep(0.1)
 
 
@@ -704,9 +705,14 @@
     async def check_answer_during_send(self, serve):
         setup = Setup()
         responses = []
+        connections = []
+
+        async def serve_recorded(frames):
+            connections.append(frames)
+            await serve(frames)
 
         async def prepare():
-            address = await setup.start_peer("orders-2", serve)
+            address = await setup.start_peer("orders-2", serve_recorded)
             peer = dataclasses.replace(make_instance("orders-2"), peers=address)
             setup.node.on_list_changed(setup.node.view.apply_list(1, [peer], 0.0))
             setup.node.dispatcher.is_ready = lambda: True
@@ -722,7 +728,10 @@
             duration_s = await setup.run_node(prepare)
         (held,) = [m for m in messages if m["message_type"] == "node: still held"]
         self.assertEqual(held["links"], {"orders-2": 1})
-        self.assertEqual([item.status for item in responses], [504])
+        # The peer never gets all of the order, so it may be sent again.
+        self.assertEqual([item.status for item in responses], [503])
+        for frames in connections:
+            self.assertLess(frames.received_bytes, LARGE_BYTES)
         self.assertLess(duration_s, STOP_S)
 
     @on_mock_clock(io=True)
