Play callers that are slower than the answers they ask for

No client of the plays went on sending behind unread answers, and none had answers of several sizes on one connection. Form "pipeline" does both, in eight fixed rows each for readers "trickle" (8 kB in a tenth of a second) and "late" (up to 0.5 s before each answer; drops what it has not read when its own write fails with a reset). Its clients go on until a node that stops is gone, and the end of a connection is timed by their system, so that a reader that pauses does not lengthen what the node did.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -9,19 +9,18 @@
 import zlib
 from dataclasses import dataclass
 
-from catkinpost_standins.plays.server import build_body
+from catkinpost_standins.plays.server import build_body, choose_size
 from catkinpost_standins.plays.wire import build_head, encode_chunks
 
-__all__ = ["HOST", "Client", "Fate", "Sending"]
+__all__ = ["HOST", "PATIENCE_S", "READERS", "Client", "Connection", "Fate", "Sending"]
 
 HOST = "mesh.example"
 PATIENCE_S = 0.6
 PIECES = 5
 PIECE_GAP_S = 0.03
 CONTINUE_WAIT_S = 0.3
-SLOW_READ_BYTES = 4096
-SLOW_READ_GAP_S = 0.02
 READ_BYTES = 65_536
+HEAD_READ_BYTES = 256
 IDLE_SHARE = 0.78
 # Requests that a client sends ahead on a connection, and without an answer at a time.
 AHEAD = 12
@@ -30,6 +29,36 @@
 SPREAD, SPREAD_GAP_S = 2, 0.8
 
 
+@dataclass(frozen=True)
+class Reader:
+    """How a client reads.
+
+    :param buffer_bytes: buffer of its system, ``None`` for the usual one.
+    :param read_bytes: most bytes of a read.
+    :param gap_s: pause before each read.
+    :param bytes_per_s: pace of its reads, ``None`` for no bound.
+    :param pause_s: longest pause before each answer.
+    :param drops_unread: whether it drops what it has not read when its own write fails
+        with a reset, as usual client libraries do. It reads no more than one answer
+        at a time.
+    """
+
+    buffer_bytes: int | None = None
+    read_bytes: int = READ_BYTES
+    gap_s: float = 0.0
+    bytes_per_s: float | None = None
+    pause_s: float = 0.0
+    drops_unread: bool = False
+
+
+READERS = {
+    "quick": Reader(),
+    "slow": Reader(4096, read_bytes=4096, gap_s=0.02),
+    "trickle": Reader(4096, read_bytes=8192, bytes_per_s=81_920),
+    "late": Reader(4096, pause_s=0.5, drops_unread=True),
+}
+
+
 @dataclass
 class Fate:
     """What became of one request, with times of the steady clock.
@@ -39,7 +68,8 @@
     :param is_begun: whether a part of it may have been sent.
     :param sent_at: time of the last byte, ``None`` if it was not sent whole.
     :param end: ``"answered"``, ``"closed"``, ``"cut"``, ``"reset"``, ``"no answer"``
-        ``"refused"`` for a connection that could not be opened, or ``"unsent"``.
+        ``"refused"`` for a connection that could not be opened, ``"unsent"``, or
+        ``"dropped"`` if its client dropped what it had not read.
     """
 
     attempt: str
@@ -66,7 +96,8 @@
     :param form: value of the play's factor.
     :param upload: body of each request.
     :param is_chunked: whether the body is sent in chunks.
-    :param answer_bytes: size of a server's whole body.
+    :param reader: value of the play's factor.
+    :param answer_sizes: sizes of a server's whole body, of which each attempt has one.
     :param deadline_s: seconds that clients wait.
     """
 
@@ -75,8 +106,8 @@
     path: str
     upload: bytes
     is_chunked: bool
-    is_slow_reader: bool
-    answer_bytes: int
+    reader: str
+    answer_sizes: tuple[int, ...]
     deadline_s: float
 
 
@@ -85,10 +116,12 @@
 
     def __init__(self, sending: Sending) -> None:
         self.sending = sending
+        self.reader = READERS[sending.reader]
         self.socket = socket.socket()
         self.socket.setblocking(False)
-        if sending.is_slow_reader:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES)
+        buffer_bytes = self.reader.buffer_bytes
+        if buffer_bytes:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         self.data = b""
         self.answers = 0
         self.idle_since = 0.0
@@ -101,29 +134,30 @@
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self.socket, data)
 
-    async def receive(self) -> bool:
-        """Read more, and return whether the connection goes on."""
-        is_slow = self.sending.is_slow_reader
-        if is_slow:
-            await asyncio.sleep(SLOW_READ_GAP_S)
-        data = await asyncio.get_running_loop().sock_recv(
-            self.socket, SLOW_READ_BYTES if is_slow else READ_BYTES
-        )
+    async def receive(self, wanted: int | None = None) -> bool:
+        """Read more, and return whether the connection goes on.
+
+        :param wanted: bytes that are missing, ``None`` if that is not known.
+        """
+        reader = self.reader
+        if reader.gap_s:
+            await asyncio.sleep(reader.gap_s)
+        most = reader.read_bytes
+        if reader.drops_unread:
+            most = HEAD_READ_BYTES if wanted is None else min(most, wanted)
+        data = await asyncio.get_running_loop().sock_recv(self.socket, most)
         self.data += data
+        if reader.bytes_per_s:
+            await asyncio.sleep(len(data) / reader.bytes_per_s)
         return bool(data)
 
-    async def receive_until(self, is_complete) -> bool:
-        while not is_complete():
-            if not await self.receive():
-                return False
-        return True
-
     async def read_answer(self, fate: Fate) -> dict[str, str]:
         """Read one answer into a fate, and return its headers."""
         while True:
-            if not await self.receive_until(lambda: b"\r\n\r\n" in self.data):
-                fate.end = "cut" if self.data else "closed"
-                return {}
+            while b"\r\n\r\n" not in self.data:
+                if not await self.receive():
+                    fate.end = "cut" if self.data else "closed"
+                    return {}
             head, _, self.data = self.data.partition(b"\r\n\r\n")
             lines = head.decode("latin-1").split("\r\n")
             fate.status = int(lines[0].split()[1])
@@ -134,11 +168,13 @@
         fate.named = headers.get("attempt-id", "")
         fate.is_signed = "response-signature" in headers
         size = int(headers["content-length"])
-        if not await self.receive_until(lambda: len(self.data) >= size):
-            fate.end = "cut"
-            return headers
+        while len(self.data) < size:
+            if not await self.receive(size - len(self.data)):
+                fate.end = "cut"
+                return headers
         body, self.data = self.data[:size], self.data[size:]
-        expected = build_body(fate.attempt, self.sending.answer_bytes)
+        whole_bytes = choose_size(fate.attempt, self.sending.answer_sizes)
+        expected = build_body(fate.attempt, whole_bytes)
         fate.is_whole_body = body == expected
         fate.end = "answered"
         self.answers += 1
--- a/src/catkinpost_standins/plays/server.py
+++ b/src/catkinpost_standins/plays/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 import zlib
 from dataclasses import dataclass, field
@@ -14,11 +15,13 @@
     read_head,
 )
 
-__all__ = ["Behaviour", "Run", "Server"]
+__all__ = ["Behaviour", "Run", "Server", "choose_size"]
 
 IDLE_S = 0.5
 EARLY_READ_PAUSE_S = 0.2
 STREAM_BYTES = 1 << 22
+# Runs of servers of mixed work: shortest and longest, and the share of long ones.
+MIXED_S, LONG_SHARE, LONG_FACTOR = (0.045, 0.3), 0.04, 7.0
 
 
 @dataclass(frozen=True)
@@ -27,17 +30,27 @@
 
     :param kind: value of the play's factor ``server``.
     :param answer: form of the body.
-    :param size: bytes of the body.
-    :param seconds: time of a run.
+    :param sizes: sizes of the body in bytes, of which each attempt has one.
+    :param seconds: time of a run, unless the kind is ``"mixed"``.
     :param slots: runs at once.
     """
 
     kind: str
     answer: str
-    size: int
+    sizes: tuple[int, ...]
     seconds: float
     slots: int
 
+    def choose_seconds(self, attempt: str) -> float:
+        """Return the time of an attempt's run."""
+        if self.kind != "mixed":
+            return self.seconds
+        choices = random.Random(attempt)
+        seconds = choices.uniform(*MIXED_S)
+        if choices.random() < LONG_SHARE:
+            seconds *= choices.uniform(1.0, LONG_FACTOR)
+        return seconds
+
 
 @dataclass
 class Run:
@@ -183,7 +196,7 @@
             await self.send(writer, "503 Service Unavailable", attempt, b"", False)
             return not self.is_leaving
         left_s = int(request.headers.get("deadline-remaining", "5000")) / 1000
-        work = asyncio.create_task(self.work(run))
+        work = asyncio.create_task(self.work(attempt, run))
         # Nothing may come on the connection before the answer, unless a body is due.
         gone = asyncio.create_task(reader.read(1) if not is_early else asyncio.sleep(9))
         try:
@@ -202,14 +215,14 @@
                 task.cancel()
             await asyncio.wait({work, gone})
         run.end, run.ended_at = "done", time.monotonic()
-        body = build_body(attempt, self.behaviour.size)
+        body = build_body(attempt, choose_size(attempt, self.behaviour.sizes))
         await self.send(writer, "200 OK", attempt, body, True)
         return not self.is_leaving and self.behaviour.answer != "until close"
 
-    async def work(self, run: Run) -> None:
+    async def work(self, attempt: str, run: Run) -> None:
         async with self.slots:
             run.began_at, run.end = time.monotonic(), "runs"
-            await asyncio.sleep(self.behaviour.seconds)
+            await asyncio.sleep(self.behaviour.choose_seconds(attempt))
 
     async def send(
         self, writer, status: str, attempt: str, body: bytes, has_run: bool
@@ -233,6 +246,11 @@
             await writer.drain()
 
 
+def choose_size(attempt: str, sizes: tuple[int, ...]) -> int:
+    """Return the size of an attempt's answer, as its client and server know it."""
+    return sizes[zlib.crc32(attempt.encode()) % len(sizes)]
+
+
 def build_body(attempt: str, size: int) -> bytes:
     """Return the whole body of a server's answer."""
     return (attempt.encode() * (size // len(attempt) + 1))[:size]
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -10,6 +10,7 @@
 from catkinpost_standins.plays.client import HOST, Client, Fate, Sending
 from catkinpost_standins.plays.fleet import (
     FIRST_PORT,
+    GRACE_S,
     PLACES,
     Fleet,
     Machine,
@@ -17,6 +18,7 @@
     Ways,
     find_port_block,
 )
+from catkinpost_standins.plays.pipeline import PipelineClient
 from catkinpost_standins.plays.relay import Link
 from catkinpost_standins.plays.server import Behaviour
 from catkinpost_standins.plays.table import Play
@@ -25,6 +27,8 @@
 __all__ = ["Stage", "run_play"]
 
 BEFORE_S, AFTER_S = 1.5, 4.0
+# Clients that pipeline go on until a node that stops is gone.
+AFTER_PIPELINE_S = GRACE_S + 1.0
 # A whole stop, a start and some requests behind it.
 AFTER_RESTART_S = 12.0
 SERVE_S = 3.0
@@ -33,6 +37,7 @@
 PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
+PIPELINE_CLIENTS = 24
 FORWARDED_CLIENTS = 6
 REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
@@ -40,7 +45,13 @@
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
 PORTS_OF_A_PLAY = 64
 SIZES = {"empty": 0, "small": 2_000, "large": 200_000, "chunked": 30_000}
-ANSWER_SIZES = {"small": 500, "large": 300_000, "chunked": 20_000, "until close": 5_000}
+ANSWER_SIZES = {
+    "small": (500,),
+    "large": (300_000,),
+    "chunked": (20_000,),
+    "until close": (5_000,),
+    "mixed": (300, 300, 5_000, 5_000, 60_000, 300_000),
+}
 TIMES_S = {"quick": 0.01, "slow": 0.6}
 UNBOUNDED = NodeBounds()
 NETWORKS = {
@@ -85,7 +96,7 @@
         behaviour = Behaviour(
             kind=play.server,
             answer=play.answer,
-            size=ANSWER_SIZES[play.answer],
+            sizes=ANSWER_SIZES[play.answer],
             seconds=TIMES_S.get(play.server, 0.1),
             slots=2 if play.queue == "full" else 32,
         )
@@ -137,8 +148,8 @@
             path=path,
             upload=bytes(self.random.randbytes(size)),
             is_chunked=play.upload == "chunked",
-            is_slow_reader=play.reader == "slow",
-            answer_bytes=ANSWER_SIZES[play.answer],
+            reader=play.reader,
+            answer_sizes=ANSWER_SIZES[play.answer],
             deadline_s=DEADLINE_S,
         )
 
@@ -159,15 +170,19 @@
         port = self.fleet.outbound_port if is_direct else self.fleet.client_port
         address = (self.entry.host, port)
         sending = self.build_sending()
+        pipelines = self.play.form == "pipeline"
+        kind = PipelineClient if pipelines else Client
         clients = [
-            Client(
+            kind(
                 address,
                 sending,
                 f"{self.seed}-{index}",
                 lambda: self.idle_limit_s,
                 lambda: self.is_accepting or self.play.traffic == "goes on",
             )
-            for index in range(CLIENTS[self.play.queue])
+            for index in range(
+                PIPELINE_CLIENTS if pipelines else CLIENTS[self.play.queue]
+            )
         ]
         if self.play.work in self.restarts:
             address = (self.fleet.machines[1].host, self.fleet.outbound_port)
@@ -186,7 +201,11 @@
 
     async def perform(self) -> tuple[list[str], Verdict]:
         self.work_at = time.monotonic() + max(BEFORE_S + 0.2, TOUCH_S)
-        after_s = AFTER_RESTART_S if self.play.work in self.restarts else AFTER_S
+        after_s = AFTER_S
+        if self.play.work in self.restarts:
+            after_s = AFTER_RESTART_S
+        elif self.play.form == "pipeline":
+            after_s = AFTER_PIPELINE_S
         clients = self.build_clients()
         first_at = self.work_at - BEFORE_S
         async with asyncio.TaskGroup() as group:
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -6,7 +6,14 @@
 
 from allpairspy import AllPairs
 
-__all__ = ["FACTORS", "STOP_PLAYS", "Play", "build_plays", "list_pairs"]
+__all__ = [
+    "FACTORS",
+    "PIPELINE_PLAYS",
+    "STOP_PLAYS",
+    "Play",
+    "build_plays",
+    "list_pairs",
+]
 
 FACTORS = {
     "work": [
@@ -55,6 +62,11 @@
 class Play:
     """One row of the table: the value of each factor.
 
+    Values beside those of ``FACTORS`` are of fixed rows: form ``"pipeline"`` is clients
+    that go on sending behind unread answers, with reader ``"trickle"``, slower than the
+    answers that it asks for, or ``"late"``, which pauses before each; answer and server
+    ``"mixed"`` are sizes and times that differ between the requests of a play.
+
     :param work: planned work.
     :param form: how clients send, and on which connections.
     :param kind: kind of the route.
@@ -108,13 +120,45 @@
     ]
 ]
 
+PIPELINE_PLAYS = [
+    Play(
+        work,
+        "pipeline",
+        "safe",
+        "empty",
+        "mixed",
+        "mixed",
+        place,
+        reader,
+        "free",
+        "goes on",
+        "plain",
+    )
+    for reader in ("trickle", "late")
+    for work, place in [
+        ("SIGTERM at the entry", "here"),
+        ("SIGTERM at the entry", "near"),
+        ("SIGTERM in series", "here"),
+        ("SIGTERM at both", "near"),
+        ("SIGTERM at the target", "near"),
+        ("SIGTERM at the target", "far"),
+        ("shorter idle time-out", "here"),
+        ("SIGHUP", "near"),
+    ]
+]
+
 
 def build_plays() -> list[Play]:
     """Return plays in which each pair of values of two factors occurs, and others."""
-    return [*(Play(*row) for row in AllPairs(list(FACTORS.values()))), *STOP_PLAYS]
+    pairs = (Play(*row) for row in AllPairs(list(FACTORS.values())))
+    return [*pairs, *STOP_PLAYS, *PIPELINE_PLAYS]
 
 
 def list_pairs(play: Play) -> Iterator[tuple[tuple[str, str], tuple[str, str]]]:
-    """List the pairs of values that a play reaches."""
-    values = [(name, getattr(play, name)) for name in FACTORS]
+    """List the pairs of values of ``FACTORS`` that a play reaches."""
+    values = [
+        (name, getattr(play, name))
+        for name in FACTORS
+        if getattr(play, name) in FACTORS[name]
+    ]
     yield from combinations(values, 2)
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -16,7 +16,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUSES = (500, 502, 504)
 TIME_IS_OVER = "its time was over"
-BROKEN_ENDS = ("closed", "cut", "reset")
+BROKEN_ENDS = ("closed", "cut", "reset", "dropped")
 
 
 @dataclass
--- a/tests/end_to_end/plays/test_client.py
+++ b/tests/end_to_end/plays/test_client.py
@@ -27,7 +27,9 @@
     async def send_batch(self, seed):
         listener = await asyncio.start_server(self.serve, "127.0.0.1")
         address = listener.sockets[0].getsockname()
-        sending = Sending("spread", "GET", "/", b"", False, True, ANSWER_BYTES, 3.0)
+        sending = Sending(
+            "spread", "GET", "/", b"", False, "slow", (ANSWER_BYTES,), 3.0
+        )
         client = Client(address, sending, f"{seed}", lambda: 5.0, lambda: True)
         async with listener:
             connection = await client.send_batch(None)
