Hold back requests whose caller does not take the answers before them

The node runs ahead of its caller in calm times too, where the answers fill its memory and are lost to an idle time-out, a full memory or the deadline.

When the server leaves, what waits doesn't begin: the next answer announces the close, or, if it is sent already, the first one that waits is refused as not run. Callers that take their answers meet no wait: a send that fits into the send buffer does not block.

The new tests failed before: "[b'/1', b'/1', b'/2', b'/2'] != [b'/1']", and "0 not greater than 0" for the memory of a request that waits. Tests of the server: 96 passed.

--- a/src/catkinpost/coordination/routing/entry.py
+++ b/src/catkinpost/coordination/routing/entry.py
@@ -165,7 +165,7 @@
         section=section,
         tenant=tenant,
         rank=section.importance.rank if parent is None else parent.rank,
-        deadline=compute_deadline(headers, section, parent),
+        deadline=compute_deadline(headers, section, parent, request.waited_s),
         allowance=allowance,
         parent=parent,
         key=f"{service}/{tenant}/{key}" if key else "",
@@ -186,12 +186,15 @@
 
 
 def compute_deadline(
-    headers: CallHeaders, section: ClassSection, parent: RunningCall | None
+    headers: CallHeaders,
+    section: ClassSection,
+    parent: RunningCall | None,
+    waited_s: float,
 ) -> float:
     timeout = section.timeout
     if headers.timeout_ms is not None:
         timeout = min(timeout, headers.timeout_ms / 1000)
-    deadline = trio.current_time() + timeout
+    deadline = trio.current_time() - waited_s + timeout
     return deadline if parent is None else min(deadline, parent.deadline)
 
 
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -81,7 +81,7 @@
         remaining_s = parse_remaining_s(request, section)
         if isinstance(remaining_s, Failure):
             return remaining_s
-        now = trio.current_time()
+        now = trio.current_time() - request.waited_s
         objective = section.objective or section.timeout
         # Calls that servers make are never sheddable, as the work done for them would
         # be lost: every request that is not sheddable may queue until its deadline.
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -60,13 +60,17 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """One complete request; header names are in lower case."""
+    """One complete request; header names are in lower case.
+
+    :param waited_s: seconds for which it waited since it was received.
+    """
 
     method: bytes
     target: bytes
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
+    waited_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -33,14 +33,22 @@
 
     :param reservation: memory that was reserved while the body was read.
     :param is_refused: whether the request is refused without being handled.
+    :param has_begun: whether its answer does not wait for the caller to take others.
     """
 
     keep_alive: bool
     head_only: bool
     is_refused: bool = False
+    has_begun: bool = True
     reservation: Reservation | None = None
     response: HttpResponse | None = None
 
+    def release_memory(self) -> None:
+        """Release the memory that was reserved for the body, if any."""
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
 
 @dataclass(eq=False, slots=True)
 class Connection:
@@ -57,8 +65,7 @@
     :param overdue: whether the connection is closed because it made no progress.
     :param is_close_announced: whether a response told the caller of the close.
     :param caller_has_closed: whether the caller has closed its sending side.
-    :param capacity_available: set when a response was sent, so that another pipelined
-        request may start.
+    :param answer_taken: set when a response was sent, and replaced then.
     :param has_reader_task: whether the connection is read while requests are handled.
     :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
@@ -82,7 +89,7 @@
     overdue: bool = False
     is_close_announced: bool = False
     caller_has_closed: bool = False
-    capacity_available: trio.Event = field(default_factory=trio.Event)
+    answer_taken: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
     reading_ended: bool = False
     nursery: trio.Nursery | None = None
@@ -147,11 +154,6 @@
         """Whether an answer is due, or the caller's system has not taken all of it."""
         return bool(self.exchanges or count_unacknowledged_bytes(self.stream.socket))
 
-    @property
-    def can_announce_close(self) -> bool:
-        """Whether an answer is due whose head is not sent yet."""
-        return len(self.exchanges) > self.sending
-
     def update_taken_at(self, now: float) -> None:
         """Note whether the caller's system has taken a part since the last look."""
         unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
@@ -159,6 +161,11 @@
             self.taken_at = now
         self.unsent_bytes = unsent_bytes
 
+    def notify_taken(self) -> None:
+        """Wake the requests that wait for a response to be sent."""
+        self.answer_taken.set()
+        self.answer_taken = trio.Event()
+
     def give_up(self) -> bool:
         """Close the connection without the rest of its responses, unless none is due.
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -387,7 +387,7 @@
             parser.next_limits = self.limits
             failure = parser.feed(data)
             is_single = failure is None and connection.has_single_request
-            if is_single and self.may_begin(connection):
+            if is_single and not self.must_wait(connection):
                 await self.handle_single_request(connection, parser.messages.popleft())
                 if connection.has_reader_task:
                     # A reader task was started in the meantime.
@@ -449,44 +449,37 @@
         exchange = self.add_exchange(connection, request)
         await self.handle_request(connection, exchange, request)
 
-    def may_begin(self, connection: Connection) -> bool:
-        """Return whether a request that was just read may begin.
+    def must_wait(self, connection: Connection) -> bool:
+        """Return whether a request waits for its caller to take earlier answers.
 
-        A leaving server has a fixed time left, and a caller that sends behind an
-        answer may be too slow to take another one by then.
+        Its own answer would be held until then. A leaving server has a fixed time left,
+        and a caller that sends behind an answer may be too slow to take another one.
         """
-        return not (self.leaving and connection.has_answer_to_take)
+        if self.leaving:
+            return connection.has_answer_to_take
+        return connection.sending
 
     async def start_handling(
         self, connection: Connection, request: HttpRequest
     ) -> None:
         """Start a task that handles a request concurrently with others."""
         while len(connection.exchanges) >= MAX_PIPELINED_REQUESTS:
-            connection.capacity_available = trio.Event()
-            await connection.capacity_available.wait()
+            await connection.answer_taken.wait()
             if connection.closing:
                 return
-        may_begin = self.is_refusing or self.may_begin(connection)
-        if not may_begin and connection.can_announce_close:
-            # Behind an answer that closes the connection, a request counts as not read.
-            self.unbegun_requests += 1
-            connection.closing = True
-            connection.drop_unfinished_body()
-            return
-        exchange = self.add_exchange(connection, request, is_refused=not may_begin)
+        exchange = self.add_exchange(connection, request)
         connection.nursery.start_soon(
             self.handle_request, connection, exchange, request
         )
 
-    def add_exchange(
-        self, connection: Connection, request: HttpRequest, *, is_refused: bool = False
-    ) -> Exchange:
+    def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        exchange.is_refused = is_refused or self.is_refusing
-        self.refused_requests += exchange.is_refused
+        exchange.is_refused = self.is_refusing
+        exchange.has_begun = self.is_refusing or not self.must_wait(connection)
+        self.refused_requests += self.is_refusing
         connection.exchanges.append(exchange)
-        if exchange.is_refused or not request.keep_alive:
+        if self.is_refusing or not request.keep_alive:
             connection.closing = True
         connection.update_phase()
         return exchange
@@ -505,10 +498,13 @@
     async def handle_request(
         self, connection: Connection, exchange: Exchange, request: HttpRequest
     ) -> None:
+        if not exchange.has_begun and not await self.wait_for_turn(
+            connection, exchange, request
+        ):
+            return
         is_small = len(request.body) <= SMALL_BODY_BYTES
         if exchange.is_refused:
-            if exchange.reservation is not None:
-                exchange.reservation.release()
+            exchange.release_memory()
             response = self.build_refusal(LEAVING_FAILURE)
         elif self.memory is None or is_small and exchange.reservation is None:
             response = await self.handler(request)
@@ -516,6 +512,43 @@
             response = await self.hold_and_handle(self.memory, exchange, request)
         await self.send_ready_responses(connection, exchange, response)
 
+    async def wait_for_turn(
+        self, connection: Connection, exchange: Exchange, request: HttpRequest
+    ) -> bool:
+        """Wait until the caller has taken the answers before a request.
+
+        A request that waits when the server leaves is refused in its turn, unless an
+        answer before it closes the connection.
+
+        :return: whether the request is to be answered.
+        """
+        arrived_at = trio.current_time()
+        try:
+            while exchange in connection.exchanges:
+                if self.leaving and connection.exchanges[0] is exchange:
+                    exchange.is_refused = connection.closing = True
+                    self.refused_requests += 1
+                    return True
+                if not self.leaving and not connection.sending:
+                    exchange.has_begun = True
+                    request.waited_s = trio.current_time() - arrived_at
+                    return True
+                await connection.answer_taken.wait()
+            return False
+        finally:
+            if not exchange.has_begun:
+                exchange.release_memory()
+
+    def drop_waiting(self, connection: Connection) -> None:
+        """Let the first answer due close a connection, behind which requests wait.
+
+        Behind an answer that closes the connection, a request counts as not read.
+        """
+        while len(connection.exchanges) > 1 and not connection.exchanges[-1].has_begun:
+            connection.exchanges.pop()
+            connection.closing = True
+            self.unbegun_requests += 1
+
     async def hold_and_handle(
         self, memory: RequestMemory, exchange: Exchange, request: HttpRequest
     ) -> HttpResponse:
@@ -542,6 +575,8 @@
         connection.update_phase()
         while connection.exchanges and connection.exchanges[0].response is not None:
             first = connection.exchanges[0]
+            if self.leaving:
+                self.drop_waiting(connection)
             # Later requests are already running: only the last response may close
             # the connection.
             if self.leaving and connection.is_at_last_exchange:
@@ -553,7 +588,7 @@
             connection.exchanges.popleft()
             if self.answer_memory is not None:
                 self.answer_memory.release(connection, len(first.response.body))
-            connection.capacity_available.set()
+            connection.notify_taken()
             # Reading may have ended while an answer that keeps the connection was sent.
             if connection.closing and not connection.exchanges:
                 connection.enter_phase(Phase.IDLE)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -55,8 +55,12 @@
 
     @on_mock_clock
     async def check_deadline(self, sent, seconds):
-        call = self.classify(make_request((b"deadline-remaining", sent)))
-        self.assertAlmostEqual(call.deadline - trio.current_time(), seconds)
+        for waited_s in (0.0, 0.25):
+            request = make_request((b"deadline-remaining", sent))
+            request.waited_s = waited_s
+            call = self.classify(request)
+            left_s = call.deadline - trio.current_time()
+            self.assertAlmostEqual(left_s, seconds - waited_s)
 
     @params(
         (make_request(host=b"nobody.example"), 404),
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1160,6 +1160,75 @@
             self.assertEqual(setup.server.refused_requests, refused)
             nursery.cancel_scope.cancel()
 
+    @on_real_clock
+    async def test_nothing_begins_behind_an_answer_that_its_caller_does_not_take(self):
+        """Guards against runs ahead of a slow caller, lost when its connection ends."""
+        begun = []
+
+        async def handle(request):
+            begun.append(request)
+            return HttpResponse(200, [], LARGE_BODY)
+
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(2 * http_server.CONNECTION_CHECK_INTERVAL_S)
+            await stream.send_all(LATER_REQUESTS + CLOSING_REQUEST)
+            await trio.sleep(2 * http_server.CONNECTION_CHECK_INTERVAL_S)
+            self.assertEqual([request.target for request in begun], [b"/1"])
+            data = await read_slowly(stream)
+            self.assertEqual(data.count(LARGE_BODY), 4)
+            self.assertEqual(begun[0].waited_s, 0.0)
+            for request in begun[1:]:
+                self.assertGreater(
+                    request.waited_s, http_server.CONNECTION_CHECK_INTERVAL_S
+                )
+            nursery.cancel_scope.cancel()
+
+    @params("stop", "caller closes")
+    def test_request_that_waits_for_its_caller_does_not_run(self, end):
+        self.check_end_of_waiting_request(end)
+
+    @on_real_clock
+    async def check_end_of_waiting_request(self, end):
+        begun = []
+
+        async def handle(request):
+            begun.append(request.target)
+            return HttpResponse(200, [], LARGE_BODY)
+
+        memory = RequestMemory(1_000_000, DecisionLog())
+        server = HttpServer(
+            handle, limits=HttpLimits(), report_failure=[].append, memory=memory
+        )
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server = server
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(2 * http_server.CONNECTION_CHECK_INTERVAL_S)
+            await stream.send_all(WAITING_REQUEST + KEPT_REQUEST)
+            await trio.sleep(2 * http_server.CONNECTION_CHECK_INTERVAL_S)
+            self.assertGreater(memory.used_bytes, 0)
+            if end == "stop":
+                server.leaving = True
+                answers = split_answers(await read_slowly(stream))
+                statuses = [int(answer[:3]) for answer in answers]
+                self.assertEqual(statuses, [200, 503])
+                self.assertIn(b"catkinpost-outcome: not-run", answers[-1])
+                self.assertIn(b"connection: close", answers[-1])
+                self.assertEqual(server.unbegun_requests, 1)
+            await stream.aclose()
+            with trio.fail_after(1.0):
+                while server.connections or server.lingers:
+                    await trio.sleep(0.01)
+            self.assertEqual((begun, memory.used_bytes), ([b"/1"], 0))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_leaving_server_serves_callers_that_have_their_answers(self):
         async with trio.open_nursery() as nursery:
