Give callers that take their answers the rest of the grace time

The process ended them together with what it does itself, which needs time for links and peers behind it.

Callers now come last: once links and peers are closed, nothing is left but to send answers that are ready, which may use delivery_timeout beyond stop_timeout, 0.96 of the platform's grace time together. If the process is killed there, it loses no more than if it had ended.

Test: test_answer_that_is_being_taken_has_the_rest_of_the_time failed before (the caller's connection broke at the end). Answers that a caller takes more slowly than the grace time allows are still cut.

--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -52,6 +52,8 @@
 # Share of the grace period: responses must be sent before the platform kills the
 # process.
 STOP_TIMEOUT_SHARE = 0.9
+# What follows is the end of the process, which needs 0.1 s on a crowded machine.
+DELIVERY_TIMEOUT_SHARE = 0.06
 # Share of the process's memory for bodies of requests. A body is copied once more while
 # it is assembled or decoded, one at a time; the rest is for answers and the process.
 REQUEST_MEMORY_SHARE = 1 / 3
@@ -233,6 +235,7 @@
             request_memory_bytes=compute_request_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
+            delivery_timeout=bounds.grace_period_s * DELIVERY_TIMEOUT_SHARE,
             leave_notice=LEAVE_NOTICE_S,
             peer_notice=PEER_NOTICE_S,
             server_drain=bounds.drain_s,
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -150,6 +150,8 @@
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
         running requests.
+    :param delivery_timeout: seconds after ``stop_timeout`` in which callers may still
+        take answers that are ready.
     :param leave_notice: minimum time in seconds for which a graceful shutdown continues
         to serve, because callers are informed with a delay.
     :param peer_notice: seconds of ``leave_notice`` in which calls of peers are still
@@ -175,6 +177,7 @@
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
+    delivery_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
     leave_notice: Seconds = 2.0
     peer_notice: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
     server_drain: Seconds = 10.0
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -324,9 +324,14 @@
         return self.is_working() or self.node.http_server.is_busy
 
     async def wait_for_callers(self) -> None:
-        """Wait for callers to read their answers and close, as they were told to."""
-        with trio.CancelScope(deadline=self.ends_at):
-            while self.node.http_server.awaits_callers:
+        """Wait for callers to read their answers and close, as they were told to.
+
+        Nothing else is left to do, so that slow callers have the rest of the time.
+        """
+        server = self.node.http_server
+        ends_at = self.ends_at + self.node.settings.bounds.delivery_timeout
+        with trio.CancelScope(deadline=ends_at):
+            while server.is_busy or server.awaits_callers:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
 
     async def send_key_records(self) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -18,7 +18,7 @@
 from catkinpost.coordination.admission.admission import WorkItem
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
-from catkinpost.protocol.http import HttpRequest
+from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, KeyRecords, Load, PolicyFetch
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.protocol.policy import ServiceSection
@@ -716,6 +716,35 @@
         self.assertEqual(left["unclosed_after_answer"], int(closes_at > STOP_S))
         self.assertEqual(left["unclosed"], left["unclosed_after_answer"] + 1)
 
+    @on_mock_clock(io=True)
+    async def test_answer_that_is_being_taken_has_the_rest_of_the_time(self):
+        """Guards against an answer cut while its process still has time."""
+        setup = Setup(delivery_timeout=0.5)
+        received = []
+
+        async def respond(request):
+            return HttpResponse(200, [], bytes(LARGE_BYTES))
+
+        async def call(caller):
+            await trio.sleep(1.0)
+            await caller.send_all(KEPT_REQUEST)
+            await trio.sleep(STOP_S - 0.8)
+            received.append(await read_all(caller))
+            await caller.aclose()
+
+        async def prepare():
+            setup.node.http_server.handler = respond
+            (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+            port = listener.socket.getsockname()[1]
+            caller = await trio.open_tcp_stream(HOST, port)
+            serve = setup.node.http_server.serve_connection
+            setup.node.spawn(serve, await listener.accept())
+            setup.nursery.start_soon(call, caller)
+
+        duration_s = await setup.run_node(prepare)
+        self.assertEqual(len(received[0].partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+        self.assertLess(duration_s, STOP_S + 0.5)
+
     @params(read_nothing, read_slowly)
     def test_request_on_its_way_to_a_slow_peer_is_answered(self, serve):
         """Guards against a request that ends with the process, without an answer."""
