Leave descriptors for what serves the callers

Cause: connections of callers are accepted until no descriptor is left. Idle ones are closed for others, but with work on all of them nothing can be accepted, not even to refuse it, and neither the server nor peers nor the probe can be reached.

Change: a caller is accepted if it leaves 16 descriptors free. While others wait, an answer closes its connection, so that callers take turns; who has waited for 0.25 s at the front is accepted with the reserve, answered 503 (not run) with Retry-After, and closed. Connections with work stay. The number of free descriptors is now counted, as the highest ones may be in use while lower ones are free.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -276,6 +276,7 @@
             answer_memory=self.answer_memory,
         )
         self.call_acceptor.make_room = self.http_server.make_room
+        self.call_acceptor.gate = self.http_server.gate
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -1,14 +1,26 @@
 """Accepting of connections at one address, and its end."""
 
+import resource
 from collections.abc import Awaitable, Callable
 
 import trio
 from eliot import log_message, write_traceback
 
 from catkinpost.protocol.settings import Address
-from catkinpost.transport.socket_io import RELEASE_TIME_S, SHORTAGE_ERRORS
-
-__all__ = ["END_TIMEOUT_S", "LISTEN_BACKLOG", "MAX_OPEN_RETRY_S", "Acceptor"]
+from catkinpost.transport.socket_io import (
+    RELEASE_TIME_S,
+    SHORTAGE_ERRORS,
+    count_free_descriptors,
+    read_waiting_time,
+)
+
+__all__ = [
+    "END_TIMEOUT_S",
+    "LISTEN_BACKLOG",
+    "MAX_OPEN_RETRY_S",
+    "Acceptor",
+    "CallerGate",
+]
 
 # While the accept queue is full, each caller waits seconds before it connects again.
 LISTEN_BACKLOG = 1024
@@ -19,6 +31,14 @@
 OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
 ACCEPT_RETRY_S, MAX_ACCEPT_RETRY_S = 0.1, 0.5
 
+# Well below the second after which a caller takes its request to another node.
+MAX_TURN_WAIT_S = 0.25
+# With fewer connections than this share of the descriptors, it is not callers that
+# use them up.
+CALLERS_SHARE = 0.25
+# Refusals use this share of the descriptors that are else left free.
+REFUSALS_SHARE = 0.5
+
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
 
@@ -27,6 +47,107 @@
     return 0
 
 
+class CallerGate:
+    """Bound on the connections of callers, below the limit of descriptors.
+
+    The others are for what serves the callers. While callers wait, connections are to
+    be closed behind their answers, so that all callers take turns. Those that would
+    wait for too long are accepted with the others, and refused.
+
+    :param count_connections: returns the number of callers' connections.
+    :param make_room: closes connections on which nothing is due.
+    :param reserved_descriptors: descriptors to leave free, 0 for no bound.
+    :ivar is_short: whether callers wait.
+    :ivar last_came_at: earliest time at which the first of those that wait has come.
+    :ivar refused: accepted connections whose requests are to be refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        count_connections: Callable[[], int],
+        make_room: Callable[[], int],
+        reserved_descriptors: int,
+    ) -> None:
+        self.count_connections = count_connections
+        self.make_room = make_room
+        self.reserved_descriptors = reserved_descriptors
+        self.is_short = False
+        self.short_since = 0.0
+        self.last_came_at = 0.0
+        self.refused_connections = 0
+        self.refused: set[trio.SocketStream] = set()
+
+    def has_free(self, socket: trio.socket.SocketType, count: int) -> bool:
+        """Return whether descriptors are free, or not used up by callers.
+
+        :param socket: any open socket.
+        """
+        if not self.reserved_descriptors:
+            return True
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if self.count_connections() < CALLERS_SHARE * limit:
+            return True
+        return count_free_descriptors(socket.fileno(), count) >= count
+
+    def has_room(self, socket: trio.socket.SocketType) -> bool:
+        """Return whether one more connection leaves the descriptors free."""
+        return self.has_free(socket, self.reserved_descriptors + 1)
+
+    async def wait(self, socket: trio.socket.SocketType) -> bool:
+        """Wait until a caller's connection may be accepted.
+
+        :param socket: where callers wait.
+        :return: whether the requests of the next connection are to be refused.
+        """
+        if self.is_short and not socket.is_readable():
+            self.end_shortage()
+        if self.has_room(socket):
+            return False
+        await trio.lowlevel.wait_readable(socket)
+        while not self.has_room(socket):
+            now = trio.current_time()
+            if not self.is_short:
+                self.is_short, self.short_since, self.last_came_at = True, now, now
+            self.make_room()
+            refusing = max(1, int(REFUSALS_SHARE * self.reserved_descriptors))
+            is_late = now - self.last_came_at >= MAX_TURN_WAIT_S
+            if is_late and self.has_free(socket, refusing):
+                return True
+            await trio.sleep(RELEASE_TIME_S)
+        return False
+
+    def end_shortage(self) -> None:
+        """Note that no caller waits any more."""
+        log_message(
+            "accept: callers waited for descriptors",
+            seconds=round(trio.current_time() - self.short_since, 3),
+            refused=self.refused_connections,
+        )
+        self.is_short = False
+        self.refused_connections = 0
+
+    def note_accepted(self, stream: trio.SocketStream, *, is_refused: bool) -> None:
+        """Note a connection that was accepted while callers wait.
+
+        The next one has come after it.
+
+        :param is_refused: whether its requests are to be refused.
+        """
+        came_at = trio.current_time() - read_waiting_time(stream)
+        self.last_came_at = max(self.last_came_at, came_at)
+        if is_refused:
+            self.refused_connections += 1
+            self.refused.add(stream)
+
+    def is_refused(self, stream: trio.SocketStream) -> bool:
+        """Return once whether the requests of a connection are to be refused."""
+        if stream not in self.refused:
+            return False
+        self.refused.discard(stream)
+        return True
+
+
 class SparingListener(trio.abc.Listener[trio.SocketStream]):
     """Listener that closes other connections when descriptors run out.
 
@@ -34,13 +155,18 @@
 
     :param listener: listener with the queue of connections.
     :param make_room: closes connections and returns their number.
+    :param gate: bound on connections, ``None`` for none.
     """
 
     def __init__(
-        self, listener: trio.SocketListener, make_room: Callable[[], int]
+        self,
+        listener: trio.SocketListener,
+        make_room: Callable[[], int],
+        gate: CallerGate | None = None,
     ) -> None:
         self.listener = listener
         self.make_room = make_room
+        self.gate = gate
 
     async def accept(self) -> trio.SocketStream:
         """Accept a connection.
@@ -48,13 +174,18 @@
         :raises OSError: when no descriptor can be had.
         """
         while True:
+            is_refused = self.gate and await self.gate.wait(self.listener.socket)
             try:
-                return await self.listener.accept()
+                stream = await self.listener.accept()
             except OSError as error:
                 closed = self.make_room() if error.errno in SHORTAGE_ERRORS else 0
                 if not closed:
                     raise
                 log_message("accept: closed others", count=closed, why=repr(error))
+            else:
+                if self.gate is not None and self.gate.is_short:
+                    self.gate.note_accepted(stream, is_refused=is_refused)
+                return stream
             await trio.sleep(RELEASE_TIME_S)
 
     async def aclose(self) -> None:
@@ -72,12 +203,14 @@
         never stop coming.
     :ivar make_room: closes connections when descriptors run out, and returns their
         number.
+    :ivar gate: bound on connections until the end, ``None`` for none.
     :ivar is_listening: whether connections can be made.
     """
 
     def __init__(self, backlog: int = LISTEN_BACKLOG) -> None:
         self.backlog = backlog
         self.make_room: Callable[[], int] = keep_all
+        self.gate: CallerGate | None = None
         self.open_scope = trio.CancelScope()
         self.scope = trio.CancelScope()
         self.is_running = False
@@ -148,7 +281,9 @@
             try:
                 # The queue of a listener stays while one of its descriptors is open.
                 copies = [trio.SocketListener(item.socket.dup()) for item in listeners]
-                sparing = [SparingListener(item, self.make_room) for item in copies]
+                sparing = [
+                    SparingListener(item, self.make_room, self.gate) for item in copies
+                ]
                 await trio.serve_listeners(serve, sparing, handler_nursery=nursery)
             except* Exception:
                 write_traceback()
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -61,6 +61,7 @@
     :param scope: cancel scope of the tasks of the connection.
     :param exchanges: requests without a sent response, in the order of their arrival.
     :param sending: whether a response is being sent.
+    :param is_refused: whether all requests are refused without being handled.
     :param closing: whether no further request is accepted.
     :param overdue: whether the connection is closed because it made no progress.
     :param is_close_announced: whether a response told the caller of the close.
@@ -85,6 +86,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     exchanges: deque[Exchange] = field(default_factory=deque)
     sending: bool = False
+    is_refused: bool = False
     closing: bool = False
     overdue: bool = False
     is_close_announced: bool = False
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import math
-import resource
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -22,16 +21,12 @@
     RequestMemory,
     Reservation,
 )
+from catkinpost.transport.acceptor import CallerGate
 from catkinpost.transport.body_reservation import reserve_body
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger
-from catkinpost.transport.socket_io import (
-    has_free_descriptor,
-    receive_some,
-    send_all,
-    split_bytes,
-)
+from catkinpost.transport.socket_io import receive_some, send_all, split_bytes
 
 __all__ = ["HttpServer"]
 
@@ -48,12 +43,15 @@
 # Descriptors for connections that a node needs to answer its callers: to its server,
 # peers and the store, and for readiness probes.
 RESERVED_DESCRIPTORS = 16
-# With fewer connections than this share of the descriptors, it is not callers that
-# use them up.
-CALLERS_SHARE = 0.25
 LEAVING_FAILURE = build_leaving_failure(
     "the node stopped before it had read the request"
 )
+SHORTAGE_RETRY_AFTER_S = 0.5
+SHORTAGE_FAILURE = Failure(
+    reason=Reason.QUEUE_FULL,
+    detail="the node has no descriptor left for more callers",
+    retry_after=SHORTAGE_RETRY_AFTER_S,
+)
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
 MAX_COPIED_BODY_BYTES = 65536
@@ -77,7 +75,8 @@
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
-    :param reserved_descriptors: descriptors that idle connections leave free.
+    :param reserved_descriptors: descriptors that callers leave free.
+    :ivar gate: bound on connections of callers.
     :ivar leaving: whether each connection is closed after its last response.
     :ivar is_refusing: whether requests that are read are refused.
     :ivar has_stopped_reading: whether no further request is accepted.
@@ -103,7 +102,11 @@
         self.build_refusal = build_refusal
         self.memory = memory
         self.answer_memory = answer_memory
-        self.reserved_descriptors = reserved_descriptors
+        self.gate = CallerGate(
+            count_connections=self.count_connections,
+            make_room=self.make_room_gently,
+            reserved_descriptors=reserved_descriptors,
+        )
         self.leaving = False
         self.is_refusing = False
         self.has_stopped_reading = False
@@ -206,13 +209,28 @@
         if connection.is_awaiting_request:
             connection.scope.cancel()
 
-    def make_room(self) -> int:
+    def count_connections(self) -> int:
+        """Return the number of callers' connections, with those that are answered."""
+        return len(self.connections) + len(self.lingers)
+
+    def make_room_gently(self) -> int:
+        """Make room for a caller that can wait."""
+        return self.make_room(MIN_IDLE_S)
+
+    def make_room(self, min_linger_s: float = 0.0) -> int:
         """Close connections on which nothing is due, and return their number.
 
         Answered ones that await the close of their callers go first, and then those
         that have been idle for the longest time.
+
+        :param min_linger_s: seconds that callers have for their close.
         """
-        delivered = [item for item in self.lingers if not item.is_pending]
+        begun_before = trio.current_time() - min_linger_s
+        delivered = [
+            item
+            for item in self.lingers
+            if item.begun_at <= begun_before and not item.is_pending
+        ]
         for linger in delivered:
             linger.scope.cancel()
         if delivered:
@@ -233,14 +251,12 @@
 
     def keep_descriptors_free(self) -> None:
         """Close connections on which nothing is due while descriptors are short."""
-        if not self.reserved_descriptors or not self.connections:
-            return
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if len(self.connections) < CALLERS_SHARE * limit:
+        if not self.connections:
             return
-        descriptor = next(iter(self.connections)).stream.socket.fileno()
-        lowest = max(0, limit - self.reserved_descriptors)
-        if descriptor < 0 or has_free_descriptor(descriptor, lowest):
+        socket = next(iter(self.connections)).stream.socket
+        if socket.fileno() < 0 or self.gate.has_free(
+            socket, self.gate.reserved_descriptors
+        ):
             return
         if closed := self.make_room():
             log_message("http: closed for descriptors", count=closed)
@@ -309,6 +325,7 @@
         :param stream: accepted connection; closed on return.
         """
         connection = Connection(stream, RequestParser(self.limits))
+        connection.is_refused = self.gate.is_refused(stream)
         connection.idle_timeout = self.limits.idle_timeout
         connection.enter_phase(Phase.IDLE)
         try:
@@ -475,11 +492,11 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        exchange.is_refused = self.is_refusing
-        exchange.has_begun = self.is_refusing or not self.must_wait(connection)
+        exchange.is_refused = self.is_refusing or connection.is_refused
+        exchange.has_begun = exchange.is_refused or not self.must_wait(connection)
         self.refused_requests += self.is_refusing
         connection.exchanges.append(exchange)
-        if self.is_refusing or not request.keep_alive:
+        if exchange.is_refused or not request.keep_alive:
             connection.closing = True
         connection.update_phase()
         return exchange
@@ -505,7 +522,9 @@
         is_small = len(request.body) <= SMALL_BODY_BYTES
         if exchange.is_refused:
             exchange.release_memory()
-            response = self.build_refusal(LEAVING_FAILURE)
+            response = self.build_refusal(
+                LEAVING_FAILURE if self.leaving else SHORTAGE_FAILURE
+            )
         elif self.memory is None or is_small and exchange.reservation is None:
             response = await self.handler(request)
         else:
@@ -579,7 +598,8 @@
                 self.drop_waiting(connection)
             # Later requests are already running: only the last response may close
             # the connection.
-            if self.leaving and connection.is_at_last_exchange:
+            is_to_close = self.leaving or self.gate.is_short
+            if is_to_close and connection.is_at_last_exchange:
                 connection.closing = True
             is_last = connection.closing and connection.is_at_last_exchange
             keep_alive = first.keep_alive and not is_last
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -31,6 +31,7 @@
     :param is_announced: whether the last response told the caller of the close.
     :ivar was_pending: whether sent bytes were on their way at the close.
     :ivar scope: cancelling it ends ``run``.
+    :ivar begun_at: time at which the close began.
     """
 
     def __init__(self, stream: trio.SocketStream, *, is_announced: bool = False):
@@ -39,6 +40,7 @@
         self.caller_has_closed = False
         self.was_pending = False
         self.scope = trio.CancelScope()
+        self.begun_at = trio.current_time()
 
     @property
     def unsent_bytes(self) -> int:
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -2,8 +2,10 @@
 
 import errno
 import fcntl
+import math
 import os
 import struct
+import sys
 import termios
 from collections.abc import Iterator
 
@@ -12,10 +14,11 @@
 __all__ = [
     "RELEASE_TIME_S",
     "SHORTAGE_ERRORS",
+    "count_free_descriptors",
     "count_unread_bytes",
-    "has_free_descriptor",
     "open_connection",
     "read_queue_size",
+    "read_waiting_time",
     "receive_some",
     "send_all",
     "split_bytes",
@@ -23,6 +26,8 @@
 ]
 
 QUEUE_SIZE = struct.Struct("i")
+# Place of the milliseconds since the last data came, in the TCP information of Linux.
+LAST_DATA = struct.Struct("52xI")
 SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
 # Time in which the tasks of closed connections release their descriptors.
 RELEASE_TIME_S = 0.01
@@ -49,22 +54,36 @@
     return QUEUE_SIZE.unpack(reply)[0]
 
 
-def has_free_descriptor(descriptor: int, lowest: int) -> bool:
-    """Return whether a descriptor from a number on is free.
+def read_waiting_time(stream: trio.SocketStream) -> float:
+    """Return the seconds since data came, or else since a connection was made.
 
-    The system hands out the lowest free one, so that the highest are used last.
+    :return: the seconds, infinite when the system does not tell them.
+    """
+    if sys.platform != "linux":
+        return math.inf
+    data = stream.socket.getsockopt(
+        trio.socket.IPPROTO_TCP, trio.socket.TCP_INFO, LAST_DATA.size
+    )
+    return LAST_DATA.unpack(data)[0] / 1000
+
+
+def count_free_descriptors(descriptor: int, most: int) -> int:
+    """Return how many descriptors this process can still open.
 
     :param descriptor: any open descriptor.
-    :param lowest: number from which on descriptors count.
+    :param most: number at which counting ends.
     """
+    copies: list[int] = []
     try:
-        copy = fcntl.fcntl(descriptor, fcntl.F_DUPFD_CLOEXEC, lowest)
+        while len(copies) < most:
+            copies.append(fcntl.fcntl(descriptor, fcntl.F_DUPFD_CLOEXEC, 0))
     except OSError as error:
-        if error.errno != errno.EMFILE:
+        if error.errno not in SHORTAGE_ERRORS:
             raise
-        return False
-    os.close(copy)
-    return True
+    finally:
+        for copy in copies:
+            os.close(copy)
+    return len(copies)
 
 
 def split_bytes(data: bytes, size: int) -> Iterator[memoryview]:
--- a/tests/end_to_end/few_descriptors.py
+++ b/tests/end_to_end/few_descriptors.py
@@ -23,8 +23,6 @@
 
 NETWORK = 9
 DEADLINE_S = 6.0
-# A caller abandons an idempotent request that has no answer by then.
-ABANDON_S = 1.0
 ROUTE = {
     "name": "r-play",
     "host": "play.example",
@@ -47,13 +45,16 @@
 class Callers:
     """Callers whose next request follows each answer.
 
+    :param patience_s: seconds after which they abandon a request.
     :param waits: whether they wait as ``Retry-After`` says.
     """
 
-    def __init__(self, address: tuple[str, int], waits: bool) -> None:
-        self.address, self.waits = address, waits
+    def __init__(
+        self, address: tuple[str, int], patience_s: float, waits: bool
+    ) -> None:
+        self.address, self.patience_s, self.waits = address, patience_s, waits
         self.ends: Counter[str] = Counter()
-        self.times_s: list[float] = []
+        self.times_s: dict[str, list[float]] = {}
         self.served_by_caller: Counter[int] = Counter()
 
     async def run(self, number: int) -> None:
@@ -64,7 +65,7 @@
             started_at = time.monotonic()
             answer = None
             try:
-                async with asyncio.timeout(ABANDON_S):
+                async with asyncio.timeout(self.patience_s):
                     if streams is None:
                         streams = await asyncio.open_connection(*self.address)
                     answer = await self.exchange(streams, f"{number:04x}{sent:012x}")
@@ -74,9 +75,8 @@
             except (OSError, EOFError) as error:
                 end = type(error).__name__
             self.ends[end] += 1
-            if end == "200":
-                self.times_s.append(time.monotonic() - started_at)
-                self.served_by_caller[number] += 1
+            self.times_s.setdefault(end, []).append(time.monotonic() - started_at)
+            self.served_by_caller[number] += end == "200"
             if streams and (not answer or answer.headers.get("connection") == "close"):
                 streams[1].close()
                 streams = None
@@ -110,7 +110,9 @@
     try:
         await fleet.start(CONFIGURATION)
         machine = fleet.machines[0]
-        callers = Callers((machine.host, fleet.outbound_port), not options.impatient)
+        callers = Callers(
+            (machine.host, fleet.outbound_port), options.patience, not options.impatient
+        )
         is_ready: Counter[bool] = Counter()
         before = len(list(Path(f"/proc/{machine.process.pid}/fd").iterdir()))
         async with asyncio.TaskGroup() as group:
@@ -124,9 +126,10 @@
                 task.cancel()
         await fleet.stop_node(machine, [])
         print(f"descriptors in use before: {before}; ends: {dict(callers.ends)}")
-        times_s = sorted(callers.times_s) or [0.0]
-        middle_s, late_s = times_s[len(times_s) // 2], times_s[len(times_s) * 99 // 100]
-        print(f"served in {middle_s:.3f} s, 99 of 100 in {late_s:.3f} s")
+        for end, times_s in sorted(callers.times_s.items()):
+            times_s.sort()
+            middle_s, late_s = times_s[len(times_s) // 2], times_s[-1]
+            print(f"{end}: half within {middle_s:.3f} s, all within {late_s:.3f} s")
         shares = [callers.served_by_caller[item] for item in range(options.callers)]
         print(f"served of one caller: {min(shares)} to {max(shares)}")
         print(f"ready: {dict(is_ready)}; end of the process: {machine.ends or 'good'}")
@@ -140,6 +143,7 @@
     parser.add_argument("--descriptors", type=int, default=64)
     parser.add_argument("--slots", type=int, default=32)
     parser.add_argument("--run-time", type=float, default=0.1, help="seconds of a run")
+    parser.add_argument("--patience", type=float, default=1.0, help="of a caller")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--impatient", action="store_true")
     parser.add_argument("--keep", type=Path, help="folder for logs")
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -26,7 +26,7 @@
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
-from tests.shortage import no_free_descriptors
+from tests.shortage import descriptors_left, no_free_descriptors
 
 LIMITS = HttpLimits(
     max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
@@ -80,6 +80,7 @@
         nursery.start_soon(self.server.watch_connections)
         serve = self.server.serve_connection
         self.acceptor = Acceptor()
+        self.acceptor.gate = self.server.gate
         nursery.start_soon(self.acceptor.run, serve, listeners, nursery)
         self.port = listeners[0].socket.getsockname()[1]
 
@@ -683,6 +684,88 @@
             self.assertTrue((await busy.receive_some(100)).startswith(b"HTTP/1.1 200"))
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds of a run, whether each caller is served)
+        (30.0, False),
+        (0.02, True),
+    )
+    def test_callers_beyond_the_descriptors_are_answered(self, run_s, are_served):
+        """Guards against callers that nobody answers as work holds all descriptors."""
+        self.check_callers_beyond(run_s, are_served)
+
+    @on_mock_clock(io=True)
+    async def check_callers_beyond(self, run_s, are_served):
+        setup, answers, handled = ServerSetup(), [], []
+
+        async def handle(request):
+            handled.append(request)
+            await trio.sleep(run_s)
+            return HttpResponse(200, [], b"served")
+
+        async def call(stream):
+            await stream.socket.connect((HOST, setup.port))
+            await stream.send_all(KEPT_REQUEST)
+            answers.append(await stream.receive_some(1000))
+            if b"connection: close" in answers[-1]:
+                await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            setup.server.handler = handle
+            await setup.start(nursery)
+            client = BackendClient(HOST, setup.port, limits=LIMITS)
+            streams = [trio.SocketStream(trio.socket.socket()) for _ in range(60)]
+            with descriptors_left(48):
+                for stream in streams:
+                    nursery.start_soon(call, stream)
+                await trio.sleep(1.0)
+                connected = await client.connect()
+                self.assertNotIsInstance(connected, Failure)
+                await trio.aclose_forcefully(connected)
+                await trio.sleep(max(1.0, run_s))
+            self.assertEqual(len(answers), 60)
+            refused = [item for item in answers if item.startswith(b"HTTP/1.1 503")]
+            for answer in refused:
+                self.assertIn(b"connection: close", answer)
+                self.assertIn(b"retry-after", answer)
+            if are_served:
+                self.assertEqual(refused, [])
+            else:
+                self.assertEqual(len(refused), 60 - len(handled))
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_callers_that_wait_for_room_are_refused_at_a_stop(self):
+        """Guards against requests that are reset unread as the listener closes."""
+        setup, answers = ServerSetup(), []
+        setup.release = trio.Event()
+
+        async def call(stream):
+            await stream.socket.connect((HOST, setup.port))
+            await stream.send_all(KEPT_REQUEST)
+            answers.append(await stream.receive_some(1000))
+            await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            await setup.start(nursery)
+            streams = [trio.SocketStream(trio.socket.socket()) for _ in range(40)]
+            with descriptors_left(48):
+                for stream in streams:
+                    nursery.start_soon(call, stream)
+                await trio.sleep(0.1)
+                self.assertTrue(setup.server.gate.is_short)
+                setup.server.refuse_requests()
+                await setup.acceptor.stop()
+                setup.server.stop_reading()
+                await trio.sleep(1.0)
+            refused = len(answers)
+            setup.release.set()
+            await trio.sleep(1.0)
+            self.assertEqual(len(answers), 40)
+            self.assertGreater(refused, 0)
+            for answer in answers:
+                self.assertIn(b"connection: close", answer)
+            nursery.cancel_scope.cancel()
+
     @params(
         # (request, bytes that the caller takes a second, whether it gets all of them)
         (KEPT_REQUEST, 100_000, True),
