Keep a link whose page of the platform's keys is too old to be sent

A page that waited behind a large answer as this process paused was not sent, and the connection closed so that the subscriber noticed: with it went the runs and the answers of all calls of that peer. The connection now stays, and the publisher builds the page anew, after the revision of the last one that was sent.

A page that was begun still ends the connection of the accepting side, as no answer can follow an incomplete message.

--- a/src/catkinpost/coordination/feed/publisher.py
+++ b/src/catkinpost/coordination/feed/publisher.py
@@ -4,16 +4,25 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import trio
+
 from catkinpost.protocol.message import FeedPage, Message
 
 __all__ = ["FeedPublisher", "Session"]
 
+# A connection that is lost is closed meanwhile.
+UNSENT_RETRY_S = 0.1
+
 
 class Session(Protocol):
     """Connection of a subscriber."""
 
     instance: str
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the connection takes messages."""
+
     async def send_notification(self, message: Message) -> bool:
         """Send a message that gets no response."""
 
@@ -85,14 +94,22 @@
             self.spawn(self.send_pages, subscriber)
 
     async def send_pages(self, subscriber: Subscriber) -> None:
+        """Send pages while there is news.
+
+        A page that a pause of this process made too old to be sent is built anew.
+        """
         try:
             while subscriber.is_due:
                 subscriber.is_due = False
                 page = self.build_page(subscriber.revision, subscriber.era)
-                subscriber.revision = page.revision
-                if subscriber.era is not None:
-                    subscriber.era = page.era
-                if not await subscriber.session.send_notification(page):
+                if await subscriber.session.send_notification(page):
+                    subscriber.revision = page.revision
+                    if subscriber.era is not None:
+                        subscriber.era = page.era
+                    continue
+                subscriber.is_due = True
+                await trio.sleep(UNSENT_RETRY_S)
+                if not subscriber.session.is_up:
                     self.remove(subscriber.session)
                     return
         finally:
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -79,6 +79,11 @@
         """Name of the peer's instance."""
         return self.hello.instance
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the connection takes messages."""
+        return not self.closed.is_set() and not self.frames.sending_ended.is_set()
+
     async def send_notification(self, message: Message) -> bool:
         """Send a message that has no response.
 
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -183,9 +183,6 @@
                 # A pause of this process may be found in the same step.
                 await trio.lowlevel.cancel_shielded_checkpoint()
                 self.has_stalled = self.pauses == pauses
-        elif not isinstance(message, Call):
-            # A missing page must show.
-            await self.close()
         raise trio.BrokenResourceError(
             "the message is too old" if is_old else "the peer takes no data in time"
         )
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -212,6 +212,11 @@
         """Name of the subscriber."""
         return self.link.source
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the link is up."""
+        return self.link.is_up
+
     async def send_notification(self, message) -> bool:
         """Deliver a message to the subscriber."""
         await trio.sleep(LINK_LATENCY_S)
