Close the connections of all peers in the same turns at a stop

A process was killed at the end of its grace time between `calls ended` and `links closed`. Links were closed one after the other, and so were the connections of peers: each waits for a turn of the event loop, so that the end of a stop grew with the number of peers and had no bound on a busy node.

All are closed in the same few turns now.

Test: test_many_connections_are_closed_within_few_turns_of_the_event_loop, 50 connections, which failed before with "AssertionError: 49 not less than 10" (links) and "AssertionError: 98 not less than 10" (peers).

--- a/src/catkinpost/coordination/peers/link_table.py
+++ b/src/catkinpost/coordination/peers/link_table.py
@@ -14,6 +14,7 @@
 from catkinpost.protocol.settings import Address
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.transport.frame import close_all
 
 __all__ = ["LinkTable", "compute_ring_position", "find_partners"]
 
@@ -168,10 +169,11 @@
 
     async def close_connections(self) -> None:
         """Close every connection for good, also while a message is being sent."""
-        for link in list(self.running_links):
+        connections = []
+        for link in self.running_links:
             link.cancel_scope.cancel()
-            for connection in link.get_connections():
-                await connection.close()
+            connections += link.get_connections()
+        await close_all(connections)
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification over every link that is up."""
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -33,7 +33,7 @@
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory, Reservation
-from catkinpost.transport.frame import FrameStream, SkippedCall
+from catkinpost.transport.frame import FrameStream, SkippedCall, close_all
 
 __all__ = ["PeerServer", "PeerSession"]
 
@@ -368,10 +368,10 @@
         for session in sessions:
             session.scope.cancel()
         with trio.CancelScope(deadline=ends_at):
-            for session in sessions:
-                await session.closed.wait()
-        for session in sessions:
-            await session.frames.close()
+            async with trio.open_nursery() as nursery:
+                for session in sessions:
+                    nursery.start_soon(session.closed.wait)
+        await close_all(session.frames for session in sessions)
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification to every connected peer."""
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -32,7 +32,7 @@
     write_some,
 )
 
-__all__ = ["FrameStream", "SkippedCall"]
+__all__ = ["FrameStream", "SkippedCall", "close_all"]
 
 LENGTH_PREFIX = struct.Struct(">I")
 READ_BYTES = 65536
@@ -304,6 +304,16 @@
         await trio.aclose_forcefully(self.stream)
 
 
+async def close_all(connections: Iterable[FrameStream]) -> None:
+    """Close connections without waiting for the peers.
+
+    One after the other, each would take a turn of the event loop.
+    """
+    async with trio.open_nursery() as nursery:
+        for connection in connections:
+            nursery.start_soon(connection.close)
+
+
 def encode_frame(message: Message) -> list[bytes]:
     """Return the parts of the frame of a message."""
     if len(getattr(message, "body", b"")) <= MAX_COPIED_BODY_BYTES:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,7 @@
 
 HOST = "127.0.0.1"
 ANY_PORT = f"{HOST}:0"
+PEERS = 50
 POLICY = """\
 [service orders]
 owner = sales
@@ -317,6 +318,36 @@
                 await (await trio.open_tcp_stream(HOST, port)).aclose()
                 node.planned_stop.request()
 
+    @params("links", "peers")
+    def test_many_connections_are_closed_within_few_turns_of_the_event_loop(self, kind):
+        """Guards against a process that is killed, as it closes one peer at a time."""
+        self.check_turns(kind)
+
+    @on_mock_clock
+    async def check_turns(self, kind):
+        node, turns = make_listening_node(), 0
+        for number in range(PEERS):
+            frames = mock.Mock(close=trio.lowlevel.checkpoint)
+            link = mock.Mock(get_connections=mock.Mock(return_value=[frames]))
+            session = mock.Mock(frames=frames)
+            session.closed.wait = trio.lowlevel.checkpoint
+            if kind == "links":
+                node.links.running_links.add(link)
+            else:
+                node.peer_server.sessions[number] = session
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                await trio.lowlevel.checkpoint()
+                turns += 1
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_turns)
+            await (node.close_links() if kind == "links" else node.close_peers())
+            nursery.cancel_scope.cancel()
+        self.assertLess(turns, 10)
+
     @params(
         "planned_stop.watch_signals",
         "planned_stop.log_held",
