Send a safe call again after a link that was garbled

What callers saw: 502 for each safe request in progress on a link when a message of its peer could not be read, whether the request had reached a server or not, although other instances could run it.

Cause: the link ends then, and its calls end as unknown with the reason peer-bad-message, which is not among those after which a repeatable call is sent again. A lost connection and a silent peer are. Orders, which may not run twice, stay unknown.

The test failed before: "AssertionError: <Outcome.UNKNOWN: 'unknown'> != 'done'".

--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -51,6 +51,7 @@
         Reason.BACKEND_UNREACHABLE,
         Reason.PEER_CONNECTION_LOST,
         Reason.PEER_SILENT,
+        Reason.PEER_BAD_MESSAGE,
         Reason.BACKEND_CONNECTION_LOST,
         Reason.BACKEND_BAD_ANSWER,
         Reason.BACKEND_REPLACED,
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -76,6 +76,10 @@
         False,
         lambda: Failure(reason=Reason.PEER_CONNECTION_LOST, outcome=UNKNOWN),
     ),
+    "link garbled": (
+        False,
+        lambda: Failure(reason=Reason.PEER_BAD_MESSAGE, outcome=UNKNOWN),
+    ),
     "link lost after": (
         True,
         lambda: Failure(reason=Reason.PEER_CONNECTION_LOST, outcome=UNKNOWN),
@@ -480,6 +484,8 @@
         ("POST", ["silent after", "answered"], "unknown", 1),
         ("POST", ["queue full", "answered"], "done", 2),
         ("GET", ["link lost after", "answered"], "done", 2),
+        ("GET", ["link garbled", "answered"], "done", 2),
+        ("POST", ["link garbled", "answered"], "unknown", 1),
         ("GET", ["answer cut", "answered"], "done", 2),
         ("GET", ["queue full", "answered"], "not-run", 1),
         ("GET", ["link lost after", "leaving", "leaving", "leaving"], "unknown", 2),
