Announce the close before a request that waits for memory

A leaving server drops what waits behind the answer that a caller has to take, and closes the connection with that answer. While a later request of the connection waited for memory, the answer still kept the connection, as that request was to be answered. But nothing is answered once a connection closes: it was closed without an announcement, and the requests dropped with it, which their caller could take for read.

The answer before announces the close now. The request that waits for memory is answered behind it only where nothing closes the connection, as before.

test_close_is_announced_before_a_request_that_waits_for_memory failed before: self.assertEqual(data.count(b"connection: close"), 1): AssertionError: 0 != 1

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -601,7 +601,8 @@
             is_to_close = self.leaving or self.gate.is_short
             if is_to_close and connection.is_at_last_exchange:
                 connection.closing = True
-            is_last = connection.closing and connection.is_at_last_exchange
+            # What is still read behind a close is not answered.
+            is_last = connection.closing and len(connection.exchanges) == 1
             keep_alive = first.keep_alive and not is_last
             connection.idle_timeout = self.limits.idle_timeout
             await self.send_response(connection, first, keep_alive=keep_alive)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1312,6 +1312,40 @@
             self.assertEqual((begun, memory.used_bytes), ([b"/1"], 0))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_close_is_announced_before_a_request_that_waits_for_memory(self):
+        """Guards against requests dropped behind an answer that announces no close."""
+        memory = RequestMemory(100_000, DecisionLog())
+        release = trio.Event()
+
+        async def handle(request):
+            await release.wait()
+            return HttpResponse(200, [], b"")
+
+        server = HttpServer(
+            handle, limits=HttpLimits(), report_failure=[].append, memory=memory
+        )
+        held = memory.reserve_now(90_000)
+        ours, theirs = (trio.SocketStream(end) for end in trio.socket.socketpair())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.watch_connections)
+            nursery.start_soon(server.serve_connection, ours)
+            await theirs.send_all(KEPT_REQUEST)
+            await wait_all_tasks_blocked()
+            server.leaving = True
+            await theirs.send_all(KEPT_REQUEST + WAITING_REQUEST)
+            await trio.sleep(0.5)
+            release.set()
+            with trio.fail_after(0.5):
+                data = await read_all(theirs)
+            await theirs.aclose()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(data.count(b"HTTP/1.1 "), 1)
+        self.assertEqual(data.count(b"connection: close"), 1)
+        self.assertEqual(server.unbegun_requests, 1)
+        held.release()
+        self.assertEqual((memory.used_bytes, len(memory.waiters)), (0, 0))
+
     @on_mock_clock(io=True)
     async def test_leaving_server_serves_callers_that_have_their_answers(self):
         async with trio.open_nursery() as nursery:
