Don't send a request that waited past its deadline

The first sending of a call writes its message before the event loop looks at the deadline: the request was sent to a peer with no time left and cancelled in the same step, and its outcome was unknown (504), although nothing had run.

A call whose deadline has passed is not sent, and its outcome is what was known before.

test_request_that_waited_past_its_deadline_is_not_sent failed before: self.assertEqual(setup.links.attempts, 0): AssertionError: 1 != 0

--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -187,7 +187,9 @@
                 parent.child_scopes.add(scope)
                 parent.called_services.add(call.service)
             try:
-                result = await self.send_with_retries(call)
+                # Its first sending would not notice that the time is over.
+                if not scope.cancel_called:
+                    result = await self.send_with_retries(call)
             finally:
                 self.scopes.discard(scope)
                 if parent is not None:
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -561,6 +561,19 @@
             await setup.send(b"GET", catkinpost_parent="gone")
             self.assertEqual(setup.links.attempts, 1)
 
+    @on_mock_clock
+    async def test_request_that_waited_past_its_deadline_is_not_sent(self):
+        """Guards against runs and unknown outcomes of requests that nobody awaits."""
+        headers = [(b"host", b"orders")]
+        request = HttpRequest(b"POST", b"/orders", headers, b"one")
+        request.waited_s = CALL_TIMEOUT_S + 0.1
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent before"])
+            response = await setup.dispatcher.handle(request)
+        self.assertEqual(setup.links.attempts, 0)
+        self.assertEqual(outcome_of(response), NOT_RUN)
+        self.assertEqual(reason_of(response), Reason.DEADLINE_EXCEEDED)
+
     @on_mock_clock
     async def test_call_is_withdrawn_when_its_caller_leaves(self):
         async with trio.open_nursery() as nursery:
