Make room by the callers that had most time to close

Where a descriptor is needed, all answered connections that await the close of their callers were closed at once, since also every 10 ms while callers wait. That a caller's system has acknowledged an answer doesn't tell that the caller has read it: if it writes again, it meets a reset, and many clients drop what they have not read.

test_room_is_made_by_the_callers_that_had_most_time_to_close failed before: self.assertEqual(setup.server.make_room(), 1): AssertionError: 3 != 1

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -220,8 +220,9 @@
     def make_room(self, min_linger_s: float = 0.0) -> int:
         """Close connections on which nothing is due, and return their number.
 
-        Answered ones that await the close of their callers go first, and then those
-        that have been idle for the longest time.
+        Answered ones that await the close of their callers go first, and then idle
+        ones, of both those that have waited for the longest time: a caller that has
+        not read its answer may lose it.
 
         :param min_linger_s: seconds that callers have for their close.
         """
@@ -231,10 +232,11 @@
             for item in self.lingers
             if item.begun_at <= begun_before and not item.is_pending
         ]
-        for linger in delivered:
+        delivered.sort(key=lambda item: item.begun_at)
+        for linger in delivered[:MAX_CLOSED_AT_ONCE]:
             linger.scope.cancel()
         if delivered:
-            return len(delivered)
+            return len(delivered[:MAX_CLOSED_AT_ONCE])
         idle_before = trio.current_time() - MIN_IDLE_S
         idle = [
             item
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -661,6 +661,24 @@
             self.assertTrue((await busy.receive_some(100)).startswith(b"HTTP/1.1 200"))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_room_is_made_by_the_callers_that_had_most_time_to_close(self):
+        """Guards against answers cut by a reset, as all callers are closed for one."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            callers = [await setup.connect() for _ in range(3)]
+            for caller in callers:
+                await caller.send_all(CLOSING_REQUEST)
+                await trio.sleep(0.1)
+            expected = sorted(item.begun_at for item in setup.server.lingers)[1:]
+            with mock.patch.object(http_server, "MAX_CLOSED_AT_ONCE", 1):
+                self.assertEqual(setup.server.make_room(), 1)
+            await trio.sleep(0.1)
+            kept = sorted(item.begun_at for item in setup.server.lingers)
+            self.assertEqual(kept, expected)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_idle_connections_leave_descriptors_for_the_backend_server(self):
         """Guards against refusals as idle callers hold all descriptors."""
