Bound the connects to a peer that is asked for while it starts

A link that is asked for all the time, by calls or by the choice of feeds, was tried again 0.05 s after each failed connect, with a log line each: thousands of connects a second at one starting instance of a large fleet. Asked for or not, a link now waits for its backoff, up to 0.4 s and with jitter; without a request up to 2 s, as before. An outage gives one line of the loss, one of the first failed connect, and one with the number of failed connects once the link is up. A handshake that fails counts for the backoff too.

What it costs: a request to a peer that can't be reached learns it up to 0.4 s later where no other instance can be reached either, or finds the peer back.

--- a/src/catkinpost/coordination/peers/bulk.py
+++ b/src/catkinpost/coordination/peers/bulk.py
@@ -25,13 +25,14 @@
         log_message("link: up for large calls", peer=link.instance)
 
     def on_link_down(self, link: PeerLink, failure: Failure) -> None:
-        """Log the loss of a connection or a failed connect."""
-        log_message(
-            "link: down for large calls",
-            peer=link.instance,
-            reason=failure.reason,
-            why=failure.detail,
-        )
+        """Log the loss of a connection or a failed connect, once for an outage."""
+        if not link.is_repeated(failure):
+            log_message(
+                "link: down for large calls",
+                peer=link.instance,
+                reason=failure.reason,
+                why=failure.detail,
+            )
 
     def on_link_silent(self, link: PeerLink) -> None:
         """Leave the other links alone: the link logs its ping timeout."""
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -1,6 +1,7 @@
 """Connection from this node to one peer, reconnected until it is stopped."""
 
 import math
+import random
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -53,6 +54,9 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
+MIN_BACKOFF_SHARE = 0.5
+# While the link is asked for, as all nodes may ask for the same peer at once.
+MAX_REQUESTED_BACKOFF_S = 0.4
 FRAME_OVERHEAD_BYTES = 64 * 1024
 # A new connection is opened at once.
 UNSENT_RETRY_AFTER_S = 0.1
@@ -133,6 +137,7 @@
         self.ping_due = False
         self.ping_unanswered = False
         self.failed_connects = 0
+        self.ups = 0
         self.is_retired = False
         self.replaced_connections: set[ReplacedConnection] = set()
 
@@ -146,6 +151,11 @@
         """Whether a message waits for the peer to take it."""
         return any(item.send_lock.locked() for item in self.get_connections())
 
+    def is_repeated(self, failure: Failure) -> bool:
+        """Return whether a failure is a further failed connect of one outage."""
+        is_connect = failure.reason is Reason.PEER_UNREACHABLE
+        return is_connect and self.failed_connects > 1
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the latest attempt to connect failed."""
@@ -163,6 +173,7 @@
         with self.cancel_scope:
             backoff = MIN_BACKOFF_S
             while True:
+                ups = self.ups
                 failure = await self.run_connection()
                 if self.is_retired:
                     log_message(
@@ -174,18 +185,28 @@
                     break
                 if failure.reason is Reason.PEER_UNREACHABLE:
                     self.failed_connects += 1
+                if self.ups == ups:
                     backoff = min(MAX_BACKOFF_S, backoff * 2)
                 else:
                     backoff = MIN_BACKOFF_S
                 self.notify_waiters()
                 self.events.on_link_down(self, failure)
-                await trio.sleep(MIN_BACKOFF_S)
-                with trio.move_on_after(backoff - MIN_BACKOFF_S):
-                    await self.connect_requested.wait()
+                await self.wait_before_connect(backoff)
         self.failed_connects += 1
         self.notify_waiters()
         self.pending.resolve_all(build_connection_failure("the link was given up"))
 
+    async def wait_before_connect(self, backoff_s: float) -> None:
+        """Wait for the backoff, or for less while the link is asked for.
+
+        :param backoff_s: longest wait in seconds.
+        """
+        requested_s = min(backoff_s, MAX_REQUESTED_BACKOFF_S)
+        requested_s *= random.uniform(MIN_BACKOFF_SHARE, 1.0)
+        await trio.sleep(requested_s)
+        with trio.move_on_after(backoff_s - requested_s):
+            await self.connect_requested.wait()
+
     def retire(self) -> None:
         """Close the link for good once no request is pending.
 
@@ -283,6 +304,13 @@
         self.welcome = welcome
         self.last_received_at = trio.current_time()
         self.ping_unanswered = False
+        self.ups += 1
+        if self.failed_connects:
+            log_message(
+                "link: connected again",
+                peer=self.instance,
+                failed_connects=self.failed_connects,
+            )
         self.failed_connects = 0
         self.notify_waiters()
         self.events.on_link_up(self, welcome)
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -95,10 +95,14 @@
             await link.send_notification(notice)
 
     def on_link_down(self, link: PeerLink, failure: Failure) -> None:
-        """Log the loss of a link and mark the replica as down."""
-        log_message(
-            "link: down", peer=link.instance, reason=failure.reason, why=failure.detail
-        )
+        """Log the loss of a link, once for an outage; mark the replica as down."""
+        if not link.is_repeated(failure):
+            log_message(
+                "link: down",
+                peer=link.instance,
+                reason=failure.reason,
+                why=failure.detail,
+            )
         self.replicas.on_replica_lost(link.instance)
         if self.feed is not None:
             self.feed.on_link_down(link.instance)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -54,6 +54,7 @@
 from catkinpost.transport.socket_io import write_some
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.coordination.at_most_once.test_once import make_call
+from tests.log import CapturedLog
 
 HOST = "127.0.0.1"
 HANDSHAKE_S = 0.5
@@ -63,6 +64,7 @@
 CLOSE_S = 2.0
 PAUSE_S = 2.0
 PAUSES = 10
+OUTAGE_S = 8.0
 TICK_S = 0.05
 LATE_S = 1.2
 PIECES = 10
@@ -732,6 +734,45 @@
             self.assertEqual(result.outcome, Outcome.NOT_RUN)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_peer_that_is_asked_for_all_the_time_is_not_flooded(self):
+        """Guards against thousands of connects a second at a peer that starts."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            setup.events = PeerHandler(
+                exchange=mock.AsyncMock(),
+                stats=mock.Mock(),
+                notices=None,
+                replicas=mock.Mock(service="sets"),
+                once=None,
+                crash_guard=None,
+            )
+            connects = mock.AsyncMock(side_effect=OSError(errno.ECONNREFUSED, "down"))
+
+            async def ask():
+                while True:
+                    setup.link.connect_requested.set()
+                    await trio.sleep(TICK_S)
+
+            with CapturedLog() as messages:
+                with mock.patch.object(trio, "open_tcp_stream", connects):
+                    await setup.start()
+                    nursery.start_soon(ask)
+                    await trio.sleep(OUTAGE_S)
+                self.assertGreater(connects.call_count, OUTAGE_S / 0.5)
+                self.assertLess(connects.call_count, OUTAGE_S / 0.2)
+                await trio.sleep(0.5)
+            self.assertTrue(setup.link.is_up)
+            kinds = [message["message_type"] for message in messages]
+            self.assertEqual(kinds.count("link: down"), 1)
+            (line,) = [
+                item
+                for item in messages
+                if item["message_type"] == "link: connected again"
+            ]
+            self.assertEqual(line["failed_connects"], connects.call_count)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_node_without_the_secret_gets_nowhere(self):
         async with trio.open_nursery() as nursery:
