Cancel a call that a silent peer takes whole after it was given up

Since, a call that was still being sent as its peer went silent got no Cancel behind it, so that a peer that read on late ran it for nobody. It gets one again.

The new test failed before: the peer got "[2] != [2, 2]", the call without its Cancel. Tests of the peers, frames and the end of a process pass (131).

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -424,9 +424,8 @@
         self.replaced_connections.add(connection)
         self.spawn(self.finish_replaced, connection)
         # The others end here, but the open connection would keep their runs.
-        for request_id, pending in self.pending.requests.items():
-            if not pending.is_being_sent:
-                self.spawn(connection.send, Cancel(request_id))
+        for request_id in self.pending.requests:
+            self.spawn(connection.send, Cancel(request_id))
 
     async def finish_replaced(self, connection: "ReplacedConnection") -> None:
         """Read the late responses of a connection, and close it afterwards."""
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -30,6 +30,7 @@
 from catkinpost.coordination.peers.pending import PendingRequest
 from catkinpost.protocol.message import (
     Answer,
+    Call,
     Cancel,
     Challenge,
     FeedPage,
@@ -695,6 +696,40 @@
             self.assertEqual(cancels, [Cancel(2)])
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_call_sent_whole_on_a_silent_connection_is_cancelled_there(self):
+        """Guards against a run that nobody waits for, as its peer reads on late."""
+        async with trio.open_nursery() as nursery:
+            setup, messages, goes_on = Setup(nursery), [], trio.Event()
+            setup.settings = LinkSettings(ping_timeout_s=SEND_TIMEOUT_S / 3)
+            results = {}
+
+            async def serve(stream):
+                frames = FrameStream(stream, max_frame_bytes=20 * ANSWER_BYTES)
+                await setup.server.perform_handshake(frames)
+                await frames.receive()
+                await goes_on.wait()
+                while (message := await frames.receive()) is not None:
+                    messages.append(message)
+
+            async def call(body, is_lasting):
+                results[body] = await setup.call(body, outlasts_silence=is_lasting)
+
+            await setup.start(serve)
+            await setup.events.up.wait()
+            nursery.start_soon(call, b"lasts", True)
+            await trio.sleep(LIVENESS_CHECK_INTERVAL_S)
+            upload = bytes(10 * ANSWER_BYTES)
+            nursery.start_soon(call, upload, False)
+            while not setup.link.replaced_connections:
+                await trio.sleep(TICK_S)
+            goes_on.set()
+            await trio.sleep(0.5)
+            self.assertIs(results[upload].outcome, Outcome.UNKNOWN)
+            kinds = [item for item in messages if isinstance(item, (Call, Cancel))]
+            self.assertEqual([item.id for item in kinds], [2, 2])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_link_is_opened_again_after_a_message_that_the_peer_did_not_take(
         self,
