Test clients that pipeline behind unread answers, and give them mixed answers

Callers of "late" lose answers only when a node's process ends with several of them unread, which many callers and large answers delay: four callers now, and few large answers. Requests come in bursts of up to 0.3 s between two. Rows of "far" and series at a peer's server join the fixed ones, and the large answers of "trickle" are fewer, so that it takes most of its answers within its deadline while no stop is near.

--- a/src/catkinpost_standins/plays/pipeline.py
+++ b/src/catkinpost_standins/plays/pipeline.py
@@ -7,10 +7,10 @@
 
 from catkinpost_standins.plays.client import PATIENCE_S, Client, Connection, Fate
 
-__all__ = ["MOST_UNANSWERED", "PipelineClient"]
+__all__ = ["MOST_UNANSWERED", "Pipeline", "PipelineClient"]
 
 MOST_UNANSWERED = 6
-LONGEST_GAP_S = 0.3
+LONGEST_GAP_S, GAP_POWER = 0.3, 3
 WATCH_S = 0.01
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -21,6 +21,9 @@
     It sends a request at any time while fewer than ``MOST_UNANSWERED`` are unanswered,
     also when answers have arrived that it has not read, and ``Connection: close`` is in
     one of these. Requests behind the answer that announces the close end with it.
+
+    A reader that drops what it has not read does so when its next request can't be
+    sent; any other one reads on until the connection ends.
     """
 
     async def run(self, first_at: float, until: float, gap_s: float) -> None:
@@ -65,6 +68,8 @@
                 if sender.done() and not sender.result():
                     reader.cancel()
                 await asyncio.wait({reader})
+                if not reader.cancelled():
+                    reader.result()
             finally:
                 for task in tasks:
                     task.cancel()
@@ -108,7 +113,7 @@
                 return not connection.reader.drops_unread
             fate.sent_at = time.monotonic()
             while True:
-                await asyncio.sleep(self.client.random.uniform(0, LONGEST_GAP_S))
+                await asyncio.sleep(self.choose_gap())
                 if time.monotonic() >= self.until:
                     return True
                 if len(self.unanswered) < MOST_UNANSWERED:
@@ -117,6 +122,10 @@
                 return True
             fate = self.add_request()
 
+    def choose_gap(self) -> float:
+        """Return the time until the next request: several come close together."""
+        return LONGEST_GAP_S * self.client.random.uniform(0, 1) ** GAP_POWER
+
     async def read_answers(self, sender: asyncio.Task) -> None:
         """Read answers until the connection is not to be used any more."""
         pause_s = self.connection.reader.pause_s
--- a/src/catkinpost_standins/plays/server.py
+++ b/src/catkinpost_standins/plays/server.py
@@ -20,8 +20,8 @@
 IDLE_S = 0.5
 EARLY_READ_PAUSE_S = 0.2
 STREAM_BYTES = 1 << 22
-# Runs of servers of mixed work: shortest and longest, and the share of long ones.
-MIXED_S, LONG_SHARE, LONG_FACTOR = (0.045, 0.3), 0.04, 7.0
+# Shortest and longest runs of mixed work, the same of a few long ones, and their share.
+MIXED_S, LONG_S, LONG_SHARE = (0.045, 0.3), (0.3, 2.1), 0.02
 
 
 @dataclass(frozen=True)
@@ -46,10 +46,8 @@
         if self.kind != "mixed":
             return self.seconds
         choices = random.Random(attempt)
-        seconds = choices.uniform(*MIXED_S)
-        if choices.random() < LONG_SHARE:
-            seconds *= choices.uniform(1.0, LONG_FACTOR)
-        return seconds
+        is_long = choices.random() < LONG_SHARE
+        return choices.uniform(*(LONG_S if is_long else MIXED_S))
 
 
 @dataclass
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -37,7 +37,9 @@
 PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
 CLIENTS = {"free": 12, "full": 30}
-PIPELINE_CLIENTS = 24
+# A process ends when the last caller's system has its answers: only among few callers
+# have others not read theirs by then.
+PIPELINE_CLIENTS = {"trickle": 24, "late": 4}
 FORWARDED_CLIENTS = 6
 REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
@@ -50,7 +52,8 @@
     "large": (300_000,),
     "chunked": (20_000,),
     "until close": (5_000,),
-    "mixed": (300, 300, 5_000, 5_000, 60_000, 300_000),
+    "mixed": (*[300] * 6, *[5_000] * 6, *[60_000] * 4, 300_000),
+    "mostly small": (*[300] * 26, *[5_000] * 2, 60_000, 300_000),
 }
 TIMES_S = {"quick": 0.01, "slow": 0.6}
 UNBOUNDED = NodeBounds()
@@ -172,6 +175,9 @@
         sending = self.build_sending()
         pipelines = self.play.form == "pipeline"
         kind = PipelineClient if pipelines else Client
+        count = CLIENTS[self.play.queue]
+        if pipelines:
+            count = PIPELINE_CLIENTS[self.play.reader]
         clients = [
             kind(
                 address,
@@ -180,9 +186,7 @@
                 lambda: self.idle_limit_s,
                 lambda: self.is_accepting or self.play.traffic == "goes on",
             )
-            for index in range(
-                PIPELINE_CLIENTS if pipelines else CLIENTS[self.play.queue]
-            )
+            for index in range(count)
         ]
         if self.play.work in self.restarts:
             address = (self.fleet.machines[1].host, self.fleet.outbound_port)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -65,7 +65,8 @@
     Values beside those of ``FACTORS`` are of fixed rows: form ``"pipeline"`` is clients
     that go on sending behind unread answers, with reader ``"trickle"``, slower than the
     answers that it asks for, or ``"late"``, which pauses before each; answer and server
-    ``"mixed"`` are sizes and times that differ between the requests of a play.
+    ``"mixed"`` are sizes and times that differ between the requests of a play, answer
+    ``"mostly small"`` the same sizes with few large ones.
 
     :param work: planned work.
     :param form: how clients send, and on which connections.
@@ -126,7 +127,7 @@
         "pipeline",
         "safe",
         "empty",
-        "mixed",
+        answer,
         "mixed",
         place,
         reader,
@@ -134,11 +135,12 @@
         "goes on",
         "plain",
     )
-    for reader in ("trickle", "late")
+    for reader, answer in [("trickle", "mixed"), ("late", "mostly small")]
     for work, place in [
         ("SIGTERM at the entry", "here"),
         ("SIGTERM at the entry", "near"),
-        ("SIGTERM in series", "here"),
+        ("SIGTERM at the entry", "far"),
+        ("SIGTERM in series", "near"),
         ("SIGTERM at both", "near"),
         ("SIGTERM at the target", "near"),
         ("SIGTERM at the target", "far"),
