Tell all peers at once, also beside one that takes nothing

A notification of a load, a stop, a policy or a suspect went to the peers that have connected one after the other.

test_peer_that_takes_nothing_holds_up_no_notification_of_others failed before: AssertionError: Expected send_notification to have been awaited once. Awaited 0 times.

--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -375,5 +375,6 @@
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification to every connected peer."""
-        for session in list(self.sessions.values()):
-            await session.send_notification(message)
+        async with trio.open_nursery() as nursery:
+            for session in list(self.sessions.values()):
+                nursery.start_soon(session.send_notification, message)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1229,6 +1229,21 @@
                 self.assertEqual((await frames.receive()).body, b"runs")
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_peer_that_takes_nothing_holds_up_no_notification_of_others(self):
+        """Guards against peers that learn of a stop or a policy seconds late."""
+        async with trio.open_nursery() as nursery:
+            setup, session, _ = await connect(nursery)
+            answer = Answer(1, 200, [], bytes(20 * ANSWER_BYTES), 0, Load())
+            nursery.start_soon(session.send_notification, answer)
+            await wait_all_tasks_blocked()
+            other = mock.Mock(send_notification=mock.AsyncMock())
+            setup.server.sessions["other"] = other
+            nursery.start_soon(setup.server.broadcast, PolicyNotice(1, b""))
+            await wait_all_tasks_blocked()
+            other.send_notification.assert_awaited_once()
+            nursery.cancel_scope.cancel()
+
 
 class TestPause(unittest.TestCase):
     """Input that has arrived during a pause is of unknown age."""
