--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -149,7 +149,9 @@
             if holder == "listener":
                 yield server.getsockname()[1]
                 return
-            with socket.create_connection(server.getsockname()) as caller:
+            # A port that is bound is nobody else's, unlike one that a connect chooses.
+            address, source = server.getsockname(), (HOST, 0)
+            with socket.create_connection(address, source_address=source) as caller:
                 yield caller.getsockname()[1]
                 # The side that closes first would keep the port for a minute.
                 server.accept()[0].close()
