--- a/tests/end_to_end/plays/test_table.py
+++ b/tests/end_to_end/plays/test_table.py
@@ -3,7 +3,13 @@
 import itertools
 import unittest
 
-from catkinpost_standins.plays.table import FACTORS, build_plays, list_pairs
+from catkinpost_standins.plays.table import (
+    FACTORS,
+    PIPELINE_PLAYS,
+    STOP_PLAYS,
+    build_plays,
+    list_pairs,
+)
 
 
 class TestTable(unittest.TestCase):
@@ -16,3 +22,7 @@
             for other in FACTORS[second]
         }
         self.assertEqual(reached, expected)
+
+    def test_fixed_rows_are_played(self):
+        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS]
+        self.assertEqual(build_plays()[-len(fixed) :], fixed)
