Give callers some seconds to take a part of an answer

The idle time-out, 1 s after a change of the configuration, also bounded the time in which the send queue must shrink. A caller with a small receive buffer that reads small answers frees no window for a while, so that its system takes nothing although it reads.

Class of fault: what its system takes is taken for what the caller reads. The time-out of idle connections says how long a caller may send nothing, not how slowly it may read. A send without progress now ends after stall_timeout (10 s), or the idle time-out if it is longer; for memory that others need, the 2 s of the answer memory remain.

Test: test_answer_outlasts_a_short_idle_timeout, failed 2 of 4 without the bound. The limits of the other tests keep the idle time-out alone.

--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -47,6 +47,8 @@
     :param max_body_bytes: maximum size of the body after chunked decoding.
     :param head_timeout: seconds within which a started message must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
+    :param stall_timeout: seconds for which a caller may take nothing of a response,
+        unless the idle timeout is longer.
     :param unsized_answers: whether an orderly close of the connection completes a
         response that has no length.
     """
@@ -55,6 +57,7 @@
     max_body_bytes: int = 1024 * 1024
     head_timeout: float = 10.0
     idle_timeout: float = 120.0
+    stall_timeout: float = 10.0
     unsized_answers: bool = False
 
 
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -316,6 +316,8 @@
         idle_timeout = max(self.limits.idle_timeout, connection.idle_timeout)
         if connection.phase is Phase.IDLE:
             return elapsed_s > idle_timeout
+        # A caller that reads small answers makes no room for large ones for a while.
+        idle_timeout = max(idle_timeout, self.limits.stall_timeout)
         connection.update_taken_at(now)
         # What a caller has taken while this process did not run is not known.
         taken_at = max(connection.progressed_at, connection.taken_at, self.resumed_at)
@@ -360,7 +362,7 @@
         linger = Linger(connection.stream, is_announced=connection.is_close_announced)
         self.lingers.add(linger)
         try:
-            await linger.run(self.limits.idle_timeout)
+            await linger.run(max(self.limits.idle_timeout, self.limits.stall_timeout))
         finally:
             self.lingers.discard(linger)
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -29,7 +29,11 @@
 from tests.shortage import descriptors_left, no_free_descriptors
 
 LIMITS = HttpLimits(
-    max_head_bytes=512, max_body_bytes=64, head_timeout=2.0, idle_timeout=4.0
+    max_head_bytes=512,
+    max_body_bytes=64,
+    head_timeout=2.0,
+    idle_timeout=4.0,
+    stall_timeout=0.0,
 )
 HOST = "127.0.0.1"
 SENT_BEFORE_END = [
@@ -784,6 +788,38 @@
                 self.assertIn(b"connection: close", answer)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (request, seconds for which its caller takes nothing, whether it gets all)
+        (KEPT_REQUEST, 3.0, True),
+        (KEPT_REQUEST, 6.0, False),
+        (CLOSING_REQUEST, 3.0, True),
+        (CLOSING_REQUEST, 6.0, False),
+    )
+    def test_answer_outlasts_a_short_idle_timeout(self, request, seconds, is_whole):
+        """Guards against an answer cut while its caller reads small ones before it."""
+        self.check_stalled_answer(request, seconds, is_whole)
+
+    @on_mock_clock(io=True)
+    async def check_stalled_answer(self, request, seconds, is_whole):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.limits = dataclasses.replace(
+                LIMITS, idle_timeout=1.0, stall_timeout=4.0
+            )
+            setup.server.handler = respond_with(LARGE_BODY)
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(request)
+            await trio.sleep(seconds)
+            data = b""
+            with contextlib.suppress(trio.BrokenResourceError):
+                while len(data) < len(LARGE_BODY) and (
+                    piece := await stream.receive_some(65536)
+                ):
+                    data += piece
+            self.assertEqual(data.endswith(LARGE_BODY), is_whole)
+            nursery.cancel_scope.cancel()
+
     @params(
         # (request, bytes that the caller takes a second, whether it gets all of them)
         (KEPT_REQUEST, 100_000, True),
