--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -97,9 +97,9 @@
         STREAM.set(connection.stream)
         await super().handle_request(connection, exchange, request)
 
-    async def linger(self, stream: trio.SocketStream) -> None:
-        if stream not in self.broken:
-            await super().linger(stream)
+    async def linger(self, connection: Connection) -> None:
+        if connection.stream not in self.broken:
+            await super().linger(connection)
 
     async def send_response(
         self, connection: Connection, exchange: Exchange, *, keep_alive: bool
