--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -34,7 +34,9 @@
     :ivar begun_at: time at which the close began.
     """
 
-    def __init__(self, stream: trio.SocketStream, *, is_announced: bool = False):
+    def __init__(
+        self, stream: trio.SocketStream, *, is_announced: bool = False
+    ) -> None:
         self.stream = stream
         self.is_announced = is_announced
         self.caller_has_closed = False
