Read the answer of a stalled caller to its end in its test

The loop of test_answer_outlasts_a_short_idle_timeout stood beside receive_up_to, which does the same, and ended once it had as many bytes as the body alone: a last piece of less than the head would have made a whole answer look cut. It has not been seen to fail by that.

--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -811,12 +811,9 @@
             stream = await connect_slow_reader(setup)
             await stream.send_all(request)
             await trio.sleep(seconds)
-            data = b""
+            data = bytearray()
             with contextlib.suppress(trio.BrokenResourceError):
-                while len(data) < len(LARGE_BODY) and (
-                    piece := await stream.receive_some(65536)
-                ):
-                    data += piece
+                await receive_up_to(stream, data, math.inf)
             self.assertEqual(data.endswith(LARGE_BODY), is_whole)
             nursery.cancel_scope.cancel()
 
