Count each connect that ends before its handshake as failed

What callers saw: a request to a peer that accepts connections and resets them waited for a second in place of going to another instance, and each attempt, every 0.07 to 0.4 s, had a line "link: down".

Cause: a connection that is reset during the handshake counted as an established one that was lost, and only refused connects were counted. Nobody was told of the others: requests that wait for the link waited until their time to connect was over, and the router went on choosing the peer.

Change: an attempt that ends before the link is up counts as a failed connect, whatever ended it, and one whose connection is lost meanwhile as an unreachable peer, which no request was sent to.

For a peer that refuses the test is as it was.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -183,9 +183,9 @@
                         why=failure.detail,
                     )
                     break
-                if failure.reason is Reason.PEER_UNREACHABLE:
-                    self.failed_connects += 1
                 if self.ups == ups:
+                    # Whatever ended it, no request can be sent.
+                    self.failed_connects += 1
                     backoff = min(MAX_BACKOFF_S, backoff * 2)
                 else:
                     backoff = MIN_BACKOFF_S
@@ -226,7 +226,7 @@
 
     async def run_connection(self) -> Failure:
         """Connect, perform the handshake and serve the link until it is lost."""
-        failure = build_connection_failure("the connection was closed")
+        failure = build_handshake_failure(None)
         self.connect_requested = trio.Event()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -241,6 +241,7 @@
                 welcome = await self.perform_handshake(frames)
                 if isinstance(welcome, Failure):
                     return welcome
+                failure = build_connection_failure("the connection was closed")
                 self.mark_up(frames, welcome)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.monitor_liveness, frames, nursery)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -200,6 +200,13 @@
         await trio.aclose_forcefully(frames.stream)
 
 
+async def open_reset_stream(host, port):
+    """Connect to a peer that resets each connection."""
+    stream = trio.testing.memory_stream_pair()[0]
+    stream.receive_some = mock.AsyncMock(side_effect=trio.BrokenResourceError("reset"))
+    return stream
+
+
 async def respond_after_steps(rng, call):
     for _ in range(rng.randrange(30)):
         await trio.sleep(0)
@@ -769,9 +776,16 @@
             self.assertEqual(result.outcome, Outcome.NOT_RUN)
             nursery.cancel_scope.cancel()
 
+    @params("refuses", "resets")
+    def test_peer_that_is_asked_for_all_the_time_is_not_flooded(self, kind):
+        """Guards against thousands of connects a second at a peer that starts.
+
+        Its log has one line for the outage.
+        """
+        self.check_outage(kind)
+
     @on_mock_clock(io=True)
-    async def test_peer_that_is_asked_for_all_the_time_is_not_flooded(self):
-        """Guards against thousands of connects a second at a peer that starts."""
+    async def check_outage(self, kind):
         async with trio.open_nursery() as nursery:
             setup = Setup(nursery)
             setup.events = PeerHandler(
@@ -783,6 +797,8 @@
                 crash_guard=None,
             )
             connects = mock.AsyncMock(side_effect=OSError(errno.ECONNREFUSED, "down"))
+            if kind == "resets":
+                connects = mock.AsyncMock(side_effect=open_reset_stream)
 
             async def ask():
                 while True:
@@ -808,6 +824,37 @@
             self.assertEqual(line["failed_connects"], connects.call_count)
             nursery.cancel_scope.cancel()
 
+    @params("close", "reset", "silence")
+    def test_request_to_a_peer_that_introduces_itself_to_nobody_fails_at_once(
+        self, end
+    ):
+        """Guards against requests that wait where no connection comes about."""
+        self.check_failed_introduction(end)
+
+    @on_mock_clock(io=True)
+    async def check_failed_introduction(self, end):
+        async def serve(stream):
+            if end == "silence":
+                await trio.sleep_forever()
+            if end == "reset":
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            await trio.aclose_forcefully(stream)
+
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start(serve)
+            await trio.sleep(OUTAGE_S)
+            self.assertTrue(setup.link.is_unreachable)
+            failed_connects = setup.link.failed_connects
+            self.assertGreater(failed_connects, 1)
+            result = await setup.call()
+            self.assertEqual(result.reason, Reason.PEER_UNREACHABLE)
+            self.assertEqual(result.outcome, Outcome.NOT_RUN)
+            if end != "silence":
+                # It did not wait until the time to connect was over.
+                self.assertEqual(setup.link.failed_connects, failed_connects + 1)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_node_without_the_secret_gets_nowhere(self):
         async with trio.open_nursery() as nursery:
