Show failures in place of answers of silent peers

What callers saw: a link goes silent for a moment (0.8 s on the platform) and goes on. Of the safe requests on it, some are answered 502, although their servers are at work and the answers arrive.

Cause: each call decides on its own whether it can be sent again, and all of one link decide in the same step. They look at the same repeat of the retry budget, and only one of them gets it. A call also counts on instances that are listed and can't be reached.

Evidence: with 1 repeat and 5 calls, test_calls_that_go_silent_together_are_answered gets one 200 and four 502; with 3 repeats, three and two. With one other instance, which can't be reached, test_call_without_a_reachable_instance_awaits_its_answer does not await.

--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -362,6 +362,89 @@
             self.assertEqual([item.status for item in responses], [200])
             self.assertEqual(setup.links.attempts, len(faults) + (not is_awaited))
 
+    @params(
+        # (extra repeats, calls in progress)
+        (1, 2),
+        (1, 5),
+        (3, 5),
+        (5, 5),
+        (9, 5),
+    )
+    def test_calls_that_go_silent_together_are_answered(self, extra, count):
+        """Guards against failures for calls that count on the same repeat.
+
+        A link goes silent for a while with several calls in progress, and the budget
+        allows fewer repeats than that.
+        """
+        self.check_silence_of_many(extra, count)
+
+    @on_mock_clock
+    async def check_silence_of_many(self, extra, count):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"] * count)
+            budget = RetryBudget(RetryBound(ratio=0.0, window_s=10.0, extra=extra))
+            setup.dispatcher.retry_budget = setup.sender.retry_budget = budget
+            sent, responses = [], []
+            send_request = setup.links.send_request
+
+            async def record_request(call, pending):
+                sent.append(pending)
+                await send_request(call, pending)
+
+            async def send():
+                responses.append(await setup.send(b"GET"))
+
+            setup.links.send_request = record_request
+            for _ in range(count):
+                nursery.start_soon(send)
+            await trio.sleep(1.0)
+            silent = list(sent)
+            lasting = [item for item in silent if item.outlasts_silence()]
+            for pending in silent:
+                if pending not in lasting:
+                    pending.resolve(Failure(reason=Reason.PEER_SILENT, outcome=UNKNOWN))
+            await trio.sleep(1.0)
+            # The peer goes on.
+            for pending in lasting:
+                pending.resolve(FAULTS["answered"][1]())
+            await trio.sleep(1.0)
+            self.assertEqual([item.status for item in responses], [200] * count)
+            self.assertEqual(len(sent) - count, min(extra, count))
+
+    @params(
+        # (other instances that can be reached, awaited)
+        (0, True),
+        (1, False),
+    )
+    def test_call_without_a_reachable_instance_awaits_its_answer(self, *case):
+        """Guards against a failure where the other instances are still listed."""
+        self.check_unreachable(*case)
+
+    @on_mock_clock
+    async def check_unreachable(self, reachable, is_awaited):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after", *["no link"] * (1 - reachable)])
+            setup.view.apply_list(
+                2, [make_instance(f"orders-{n}") for n in range(2)], 0.0
+            )
+            router = setup.sender.router
+            router.is_reachable = lambda name: name == "orders-0" or bool(reachable)
+            responses = []
+
+            async def send():
+                responses.append(await setup.send(b"GET"))
+
+            nursery.start_soon(send)
+            await trio.sleep(1.0)
+            pending = setup.links.last_pending
+            self.assertIs(pending.outlasts_silence(), is_awaited)
+            if is_awaited:
+                pending.resolve(FAULTS["answered"][1]())
+            else:
+                pending.resolve(Failure(reason=Reason.PEER_SILENT, outcome=UNKNOWN))
+            await trio.sleep(1.0)
+            self.assertEqual([item.status for item in responses], [200])
+
 
 class TestLateWakeUp(unittest.TestCase):
     """The deadline of a call has passed when the process goes on."""
