Show an unknown outcome of a request that was never written

What callers saw: 502 for orders, and a used retry for safe requests, at a server that accepts a connection beyond its bound and resets it at once: the request can go to another server.

Cause: a write that fails counts as a lost connection, also the first one of a request, of which no byte was sent.

Evidence: test_connection_that_is_reset_before_the_request_means_not_run fails in both cases (backend-connection-lost, unknown), with the reset there before the first write.

--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -306,6 +306,39 @@
         self.assertEqual(failure.reason, Reason.BACKEND_UNREACHABLE)
         self.assertEqual(failure.outcome, Outcome.NOT_RUN)
 
+    @params(len(REQUEST.body), len(LARGE_BODY))
+    def test_connection_that_is_reset_before_the_request_means_not_run(self, size):
+        """Guards against an unknown outcome at a server with too many connections.
+
+        It accepts a connection and resets it before the request is written.
+        """
+        self.check_reset_before(size)
+
+    @on_mock_clock(io=True)
+    async def check_reset_before(self, size):
+        async def reset(stream):
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            await trio.aclose_forcefully(stream)
+
+        async def open_late(host, port, *, timeout_s):
+            stream = await trio.open_tcp_stream(host, port)
+            await trio.lowlevel.wait_readable(stream.socket)
+            return stream
+
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            nursery.start_soon(trio.serve_listeners, reset, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            client = BackendClient(HOST, port, limits=HttpLimits())
+            request = HttpRequest(b"POST", b"/", [(b"host", b"orders")], b"x" * size)
+            module = "catkinpost.transport.http_client"
+            with mock.patch(f"{module}.open_connection", open_late):
+                failure = await client.send_request(request)
+            self.assertEqual(failure.reason, Reason.BACKEND_UNREACHABLE)
+            self.assertEqual(failure.outcome, Outcome.NOT_RUN)
+            self.assertFalse(client.idle_connections)
+            nursery.cancel_scope.cancel()
+
     @params(
         (None, Reason.BACKEND_CONNECTION_LOST),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", "cut"),
