Record what the store acknowledged, and what reaches a server

Cause: the soak's judge saw requests and runs only. Whether a version or a leaving that the store acknowledged is kept could not be judged, as neither its time nor the requests that a server refuses as full were recorded.

Change: the stand-in of the store keeps every write with its time, also those that a restore loses, and every watch with the address and the revision that it continues from. The stand-in of a server keeps the time of each request that reaches it, besides those that it answers 421, and a run names its service.

Evidence: test_refused_requests_reach_it_unless_they_are_for_another fails without the record of arrivals. The test of the store's cut watches waits for the watch itself to be under way now, where it waited for the call to come in, and checks that the watch is recorded.

--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -177,6 +177,7 @@
     """One request that reached a server.
 
     :param attempt: its identity.
+    :param service: service of the server.
     :param arrived_at: time of its arrival; later times are ``None`` until they come.
     :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"deadline"``, ``"refused"``,
         ``"cut"`` by its caller, or ``"broken off"`` by the server.
@@ -188,6 +189,7 @@
     began_at: float | None = None
     ended_at: float | None = None
     end: str = "waits"
+    service: str = ""
     checksum: int | None = None
 
 
@@ -202,7 +204,10 @@
     :param outbound: returns the connection pool to its own machine's node.
     :param answer_bytes: least size of an answer's body.
     :ivar tail_share: share of requests that take ``tail_factor`` times as long.
-    :ivar history: every request that reached it.
+    :ivar host: address at which it listens.
+    :ivar history: every request that it did not refuse at once.
+    :ivar arrivals: identity and time of every request that reached it, besides those
+        for another server.
     :ivar rate_limit: requests per second that it names, ``None`` for no limit.
     :ivar leaving: whether it announces that it leaves.
     """
@@ -227,7 +232,9 @@
         self.answer_bytes = answer_bytes
         self.waiting = 0
         self.slot_free = trio.lowlevel.ParkingLot()
+        self.host = ""
         self.history: list[Run] = []
+        self.arrivals: list[tuple[bytes, float]] = []
         self.scope = trio.CancelScope()
         self.seconds = seconds
         self.outbound = outbound
@@ -248,6 +255,7 @@
 
     async def serve(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """Listen at an address."""
+        self.host = host
         listeners = await trio.open_tcp_listeners(port, host=host)
         nursery.start_soon(self.run_listeners, listeners)
 
@@ -278,11 +286,13 @@
         attempt = find_header(request.headers, ATTEMPT_ID)
         if attempt is None:
             return self.refuse(400)
+        self.arrivals.append((attempt, trio.current_time()))
         is_full = self.running >= self.slots and self.waiting >= self.queue
         if self.fault is ServerFault.SHED or is_full:
             return self.refuse(503)
         self.callers.add(find_header(request.headers, CALLING_SERVICE) or b"")
-        run = Run(attempt=attempt, arrived_at=trio.current_time())
+        now = trio.current_time()
+        run = Run(attempt=attempt, arrived_at=now, service=self.service)
         self.history.append(run)
         try:
             return await self.wait_and_run(request, run)
--- a/src/catkinpost_standins/users_platform/store.py
+++ b/src/catkinpost_standins/users_platform/store.py
@@ -13,7 +13,7 @@
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse
 from catkinpost.transport.http_server import HttpServer
 
-__all__ = ["StandInStore"]
+__all__ = ["StandInStore", "Watch", "Write"]
 
 HOST = "127.0.0.1"
 PAGE_ITEMS = 50
@@ -30,6 +30,33 @@
     revision: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class Write:
+    """Write that the store has acknowledged.
+
+    :param at: time of the runtime's clock.
+    :param value: new value, ``None`` for a removal.
+    """
+
+    at: float
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Watch:
+    """Call for later changes, by which a machine tells what it has read.
+
+    :param host: address at which the call came in.
+    :param after: last revision that the machine has read.
+    """
+
+    at: float
+    host: str
+    after: int
+
+
 class StandInStore:
     """Keys with revisions, ranges in pages, watches, and scripted faults.
 
@@ -39,6 +66,7 @@
     :ivar delay_s: seconds by which each call is slow.
     :ivar era: number of times that the store was restored from a copy, ``None`` for a
         store that names no era.
+    :ivar writes: all writes in order, also those that a restored store has lost.
     """
 
     def __init__(self) -> None:
@@ -53,6 +81,8 @@
         self.delay_s = 0.0
         self.connections: set[trio.CancelScope] = set()
         self.reads: list[str] = []
+        self.writes: list[Write] = []
+        self.watches: list[Watch] = []
         self.port = 0
         self.server = HttpServer(
             self.handle, limits=HttpLimits(), report_failure=lambda failure: None
@@ -93,6 +123,9 @@
             event["value"] = base64.b64encode(value).decode()
             self.items[key] = event
         self.history.append(event)
+        now = trio.current_time()
+        write = Write(at=now, key=key, value=value, revision=self.revision)
+        self.writes.append(write)
         self.wake()
 
     def forget_history(self) -> None:
@@ -157,6 +190,8 @@
 
     async def watch(self, query: dict[str, str]) -> HttpResponse:
         after = int(query["after"])
+        now = trio.current_time()
+        self.watches.append(Watch(at=now, host=ADDRESS.get(), after=after))
         if after < self.first_revision or after > self.revision:
             return HttpResponse(410)
         with trio.move_on_after(int(query["wait-ms"]) / 1000):
--- a/tests/end_to_end/test_server.py
+++ b/tests/end_to_end/test_server.py
@@ -6,7 +6,12 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.platform.names import ATTEMPT_ID, DEADLINE_REMAINING, NOT_EXECUTED
+from catkinpost.platform.names import (
+    ATTEMPT_ID,
+    DEADLINE_REMAINING,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+)
 from catkinpost.protocol.http import (
     HttpLimits,
     HttpRequest,
@@ -45,6 +50,16 @@
         ends = [(run.end, run.began_at is not None) for run in server.history]
         self.assertEqual(ends, [("deadline", True), ("refused", False)])
 
+    @on_mock_clock
+    async def test_refused_requests_reach_it_unless_they_are_for_another(self):
+        """Guards against a drain that seems kept as its server refuses the rest."""
+        server = StandInServer("i-1", "orders", slots=0)
+        for attempt, expected in ((b"a", b"i-1"), (b"b", b"i-2")):
+            headers = [(ATTEMPT_ID, attempt), (EXPECTED_INSTANCE, expected)]
+            await server.handle(HttpRequest(b"GET", b"/", headers))
+        self.assertEqual([attempt for attempt, _ in server.arrivals], [b"a"])
+        self.assertEqual(server.history, [])
+
     @params(
         (Trouble.NONE, "done", True),
         (Trouble.TRUNCATES, "broken off", False),
--- a/tests/end_to_end/test_store.py
+++ b/tests/end_to_end/test_store.py
@@ -19,9 +19,10 @@
 class TestStandInStore(unittest.TestCase):
     def test_trouble_of_single_machines_and_cut_watches(self):
         """Guards against a soak whose store fails for all or for none."""
-        statuses, watched = trio.run(self.call)
+        statuses, watched, noted = trio.run(self.call)
         self.assertEqual(statuses, [503, 200])
         self.assertNotIsInstance(watched, HttpResponse)
+        self.assertEqual(noted, [(HOSTS[1], 1)])
 
     async def call(self):
         store = StandInStore()
@@ -36,9 +37,10 @@
                 nursery.start_soon(self.cut, store)
                 watched = await clients[1].send_request(WATCH)
             nursery.cancel_scope.cancel()
-        return [answer.status for answer in answers], watched
+        noted = [(watch.host, watch.after) for watch in store.watches]
+        return [answer.status for answer in answers], watched, noted
 
     async def cut(self, store):
-        while len(store.reads) <= len(HOSTS):
+        while not store.watches:
             await trio.sleep(0)
         store.cut_connections()
