Let soaks show whether versions and drains are kept

Cause: versions seldom differed for any request: a move often chose the route's own service, a route that was added got no request, and a run of 25 s made one version. Servers that left went on for at most a second after drain-s, and none left by the removal of its entry alone.

Change: each version makes two changes, a move goes to another service, and versions come more often. A client at each machine sends about one request a second on routes just added or removed, and on one that never was. Three in ten servers that leave are withdrawn without `draining`, and one in three may go on for up to 6 s. Starts of nodes are noted, and the trouble of a restored store lasts until its writers are back. Entries that were withdrawn, or whose server has ended, are not written again by a restore. The soak prints the findings of the new judge and how many requests it judged; the test of the soak checks them too.

The tests of plan fail without the probes of added or of removed routes, and with a restore that writes withdrawn entries again.

--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -10,8 +10,10 @@
 import trio
 
 from catkinpost.platform.names import SERVERS_PREFIX
+from catkinpost_standins.users_platform.commitment import DRAIN_S
 from catkinpost_standins.users_platform.fleet import Machine, PlatformFleet
 from catkinpost_standins.users_platform.server import StandInServer, Trouble
+from catkinpost_standins.users_platform.traffic import Call
 from catkinpost_standins.users_platform.verdict import (
     GRACE_S,
     PROPAGATION_S,
@@ -21,10 +23,17 @@
 __all__ = ["DEPLOYMENTS", "Deployment", "Plan", "build_configuration"]
 
 HOST = "mesh.example"
-DRAIN_S = 2.5
 WARM_UP_S = 3.0
 IDLE_TIMEOUT_S = 6.0
 STOP_IN_DRAIN_SHARE = 0.3
+# Share of the servers that leave by a removal of their entry, without `draining`.
+WITHDRAWN_SHARE = 0.3
+# Each version makes two of these changes.
+CHANGES = ("move", "time", "limits", "add", "add", "remove")
+# Longest times, one by chance, that a server goes on after ``drain-s``.
+LINGERS_S = (1, 1, 6)
+# Routes last added or removed that probers ask for, besides one that never existed.
+MAX_PROBES = 4
 MAX_STOP_GAP_S = 2.0
 # Signals in series: shares of the stops, and of the starts, that meet more of them.
 SIGNALS_IN_STOP_SHARE = 0.6
@@ -136,9 +145,11 @@
     :param prepare: gives a machine's new server its shape.
     :param run_burst: lets many clients come at once.
     :param has_unplanned: whether nodes are also killed and held still.
-    :ivar timeouts_s: shortest time-out that each first route had, in seconds.
+    :ivar timeouts_s: shortest time-out that each route had, in seconds.
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
+    :ivar probes: calls on routes just added or removed, and on one that never was.
+    :ivar withdrawn: servers that leave without ``draining``.
     :ivar faults: what processes did that the platform does not expect.
     :ivar early_hangups: processes that were sent SIGHUP before their interpreter was
         set up.
@@ -154,6 +165,7 @@
     faults: list[str] = field(default_factory=list)
     early_hangups: set[subprocess.Popen] = field(default_factory=set)
     busy: set[str] = field(default_factory=set)
+    withdrawn: set[str] = field(default_factory=set)
     generation: int = 0
     has_store_trouble: bool = False
 
@@ -162,6 +174,22 @@
         self.timeouts_s = {
             route["name"]: route["timeout-s"] for route in self.configuration["routes"]
         }
+        never = self.configuration["routes"][0] | {"name": "never", "prefix": "/never/"}
+        self.probes: list[Call] = []
+        self.probe_route(never)
+
+    def probe_route(self, route: dict) -> None:
+        """Let probers ask for a route that was just added or removed."""
+        self.timeouts_s.setdefault(route["name"], route["timeout-s"])
+        call = Call(
+            route=route["name"],
+            host=HOST,
+            path=f"{route['prefix']}7",
+            unsafe=route["kind"] == "unsafe",
+            deadline_s=route["timeout-s"],
+        )
+        others = [item for item in self.probes[1:] if item != call]
+        self.probes[1:] = [*others, call][-MAX_PROBES:]
 
     async def run(self, servers: trio.Nursery, until: float) -> None:
         """Start planned work that follows and overlaps.
@@ -179,7 +207,7 @@
             *[self.stop_node] * 4,
             self.stop_service,
             self.signal_change,
-            *[self.change_configuration] * 2,
+            *[self.change_configuration] * 4,
             *[self.replace_server] * 2,
             self.run_burst,
             *[self.trouble_store] * 2,
@@ -187,7 +215,13 @@
         ]
         if self.has_unplanned:
             works += [*[self.kill_node] * 2, *[self.freeze_node] * 4]
-        first = [self.signal_change, self.stop_node, self.trouble_store]
+        first = [
+            self.change_configuration,
+            self.signal_change,
+            self.replace_server,
+            self.stop_node,
+            self.trouble_store,
+        ]
         while trio.current_time() < until:
             work = first.pop() if first else self.random.choice(works)
             nursery.start_soon(work)
@@ -247,6 +281,7 @@
     async def start_node(self, machine: Machine) -> None:
         """Start a node until it is ready, at times with signals in its first second."""
         self.fleet.start_node(machine)
+        self.note("start", machine.host, 0)
         async with trio.open_nursery() as nursery:
             if self.random.random() < SIGNALS_IN_START_SHARE:
                 nursery.start_soon(self.signal_start, machine)
@@ -337,25 +372,27 @@
                 self.send_hangup(machine)
 
     async def change_configuration(self) -> None:
-        """Move a route, change its time, or change the limits."""
+        """Write a version that moves, adds or removes routes, or changes limits."""
         if self.fleet.store.is_down:
             return
+        self.configuration["version"] += self.random.randint(1, 9)
+        changes = self.random.choices(CHANGES, k=2)
+        for change in changes:
+            self.change_route(change)
+        self.fleet.configure(copy.deepcopy(self.configuration))
+        self.note("config", "", PROPAGATION_S + 1, " ".join(changes))
+
+    def change_route(self, change: str) -> None:
         config = self.configuration
-        config["version"] += self.random.randint(1, 9)
+        services = self.deployment.services
+        safe = [name for name, service in services.items() if not service.unsafe]
         route = self.random.choice(config["routes"])
-        change = self.random.choice(["move", "time", "limits", "add", "remove"])
-        own = (
-            self.deployment.services[route["name"]]
-            if route["name"] in self.timeouts_s
-            else None
-        )
-        if change == "move" and own and not own.unsafe and not own.calls:
-            safe = [
-                name
-                for name, service in self.deployment.services.items()
-                if not service.unsafe
-            ]
-            route["service"] = self.random.choice([route["name"], *safe])
+        own = services.get(route["name"])
+        if change == "move":
+            movable = [item for item in config["routes"] if item["name"] in safe]
+            route = self.random.choice(movable)
+            others = [name for name in safe if name != route["service"]]
+            route["service"] = self.random.choice(others or safe)
         elif change == "time" and own:
             route["timeout-s"] = own.deadline_s * self.random.choice([0.8, 0.9, 1])
             shortest = min(self.timeouts_s[route["name"]], route["timeout-s"])
@@ -366,12 +403,11 @@
                 [0.25, 0.5, 1, 2]
             ) * (IDLE_TIMEOUT_S)
         elif change == "add":
-            name = f"added-{config['version']}"
+            name = f"added-{config['version']}-{len(config['routes'])}"
             config["routes"].append(route | {"name": name, "prefix": f"/{name}/"})
-        elif len(config["routes"]) > len(self.timeouts_s):
-            config["routes"].pop()
-        self.fleet.configure(copy.deepcopy(config))
-        self.note("config", "", PROPAGATION_S + 1, change)
+            self.probe_route(config["routes"][-1])
+        elif len(config["routes"]) > len(self.deployment.services):
+            self.probe_route(config["routes"].pop())
 
     async def kill_node(self) -> None:
         """End a node without notice, and start it again."""
@@ -413,7 +449,7 @@
         self.has_store_trouble = True
         kind = self.random.choice(STORE_TROUBLES)
         ends_at = trio.current_time() + self.random.uniform(0.5, MAX_STORE_TROUBLE_S)
-        self.note("store", "", ends_at - trio.current_time(), kind)
+        item = self.note("store", "", ends_at - trio.current_time(), kind)
         saved = store.copy()
         if kind == "slow":
             store.delay_s = self.random.uniform(0, MAX_STORE_DELAY_S)
@@ -435,6 +471,7 @@
             store.restore(saved)
             await trio.sleep(self.random.uniform(0, WRITERS_BACK_S))
             self.write_again()
+        item.until = trio.current_time()
         self.has_store_trouble = False
 
     async def trouble_server(self) -> None:
@@ -451,16 +488,19 @@
         """Write what a restored store has lost, as servers and operator do."""
         store = self.fleet.store
         self.fleet.configure(copy.deepcopy(self.configuration))
-        servers = {
-            SERVERS_PREFIX + item.server.instance for item in self.fleet.machines
-        }
+        present = [
+            machine
+            for machine in self.fleet.machines
+            if machine.server.instance not in self.withdrawn
+            and not machine.server.scope.cancel_called
+        ]
+        servers = {SERVERS_PREFIX + machine.server.instance for machine in present}
         for key in [key for key in store.items if key.startswith(SERVERS_PREFIX)]:
             if key not in servers:
                 store.put(key, None)
-        for machine in self.fleet.machines:
-            if not machine.server.scope.cancel_called:
-                is_leaving = machine.server.server.leaving
-                self.fleet.register(machine, "draining" if is_leaving else "ready")
+        for machine in present:
+            is_leaving = machine.server.server.leaving
+            self.fleet.register(machine, "draining" if is_leaving else "ready")
 
     async def replace_server(self) -> None:
         """Let a server leave, at times with its node, and start both anew."""
@@ -468,10 +508,15 @@
         if machine is None:
             return
         old = machine.server
-        self.fleet.register(machine, "draining")
-        old.server.leaving = True
+        if self.random.random() < WITHDRAWN_SHARE:
+            self.withdrawn.add(old.instance)
+            self.fleet.store.put(SERVERS_PREFIX + old.instance, None)
+        else:
+            self.fleet.register(machine, "draining")
+            old.server.leaving = True
         self.note("drain", machine.host, DRAIN_S + 1)
-        ends_at = trio.current_time() + DRAIN_S + self.random.uniform(0, 1)
+        linger_s = self.random.uniform(0, self.random.choice(LINGERS_S))
+        ends_at = trio.current_time() + DRAIN_S + linger_s
         if self.random.random() < STOP_IN_DRAIN_SHARE:
             await trio.sleep(self.random.uniform(0, DRAIN_S))
             await self.end_node(machine)
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -30,6 +30,7 @@
 )
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.transport.http_client import BackendClient
+from catkinpost_standins.users_platform.commitment import CommitmentVerdict
 from catkinpost_standins.users_platform.fleet import (
     Machine,
     PlatformFleet,
@@ -69,6 +70,8 @@
     Habit(name="leaving", leave_share=0.3),
     Habit(name="upload", body_bytes=300_000),
 ]
+# Asks for routes just added or removed, which shows the version in force.
+PROBER = Habit(name="prober", pause_s=1.5)
 
 
 class RecordedCalls:
@@ -122,6 +125,7 @@
     :param seed: seed of plan and traffic.
     :param seconds: length of the traffic.
     :param has_unplanned: whether nodes are also killed and held still.
+    :ivar commitments: verdict on what the store acknowledged.
     :ivar misses: failed readiness probes in a row of each machine.
     :ivar largest_lag_s: longest delay of this process, in seconds, by which its times
         may be wrong.
@@ -178,7 +182,7 @@
             call = Call(
                 route=service.calls,
                 host=HOST,
-                path="",
+                path=server.children[0].path,
                 unsafe=False,
                 deadline_s=called.deadline_s,
             )
@@ -200,23 +204,39 @@
                 for machine in self.fleet.machines:
                     for habit in HABITS:
                         self.start_client(traffic, machine, habit, self.end)
+                    self.start_client(
+                        traffic, machine, PROBER, self.end, self.plan.probes
+                    )
                 traffic.start_soon(self.plan.run, nursery, self.end - GRACE_S)
             nursery.cancel_scope.cancel()
         runs: dict[bytes, list[Run]] = defaultdict(list)
         for server in self.servers:
             for run in server.history:
                 runs[run.attempt].append(run)
-        plan = self.plan
+        plan, store = self.plan, self.fleet.store
+        self.commitments = CommitmentVerdict(
+            fates=self.fates,
+            runs=runs,
+            servers=self.servers,
+            disruptions=plan.disruptions,
+            writes=store.writes,
+            watches=store.watches,
+        )
         return Verdict(self.fates, runs, plan.disruptions, plan.timeouts_s)
 
     def start_client(
-        self, nursery: trio.Nursery, machine: Machine, habit: Habit, until: float
+        self,
+        nursery: trio.Nursery,
+        machine: Machine,
+        habit: Habit,
+        until: float,
+        calls: list[Call] | None = None,
     ) -> None:
         self.generation += 1
         client = Client(
             machine.host,
             self.fleet.outbound_port,
-            calls=self.build_calls(),
+            calls=self.build_calls() if calls is None else calls,
             habit=habit,
             seed=f"{self.seed}-{self.generation}",
             may_start=lambda: self.misses[machine.host] <= MISSES_ALLOWED,
@@ -279,9 +299,10 @@
         soak = Soak(fleet, deployment, seed, seconds, unplanned)
         plan = soak.plan
         verdict = await soak.run()
-        findings = verdict.find()
+        findings = verdict.find() + soak.commitments.find()
         lines = [item.describe(soak.start) for item in findings]
-        lines += [item.describe(soak.start) for item in verdict.excused]
+        excused = verdict.excused + soak.commitments.excused
+        lines += [item.describe(soak.start) for item in excused]
         lines += plan.faults
         for line in lines:
             typer.echo(line)
@@ -295,6 +316,7 @@
             "seed": seed,
             "broken": counts,
             "excused": dict(sorted(verdict.count_excused().items())),
+            "commitments": dict(sorted(soak.commitments.judged.items())),
             "faults": len(plan.faults),
             "requests": dict(sorted(verdict.count().items())),
             "disruptions": dict(Counter(item.kind for item in plan.disruptions)),
--- a/tests/end_to_end/test_plan.py
+++ b/tests/end_to_end/test_plan.py
@@ -11,6 +11,16 @@
 from tests.clock import on_mock_clock
 
 
+def make_plan(fleet):
+    return Plan(
+        fleet=fleet,
+        deployment=DEPLOYMENTS["dense"],
+        random=random.Random(1),
+        prepare=mock.Mock(),
+        run_burst=mock.Mock(),
+    )
+
+
 class TestEndOfProcess(unittest.TestCase):
     @params(
         # (status, log, whether the interpreter was set up at SIGHUP, whether it is
@@ -34,16 +44,48 @@
         fleet = mock.Mock()
         fleet.read_log.return_value = log
         fleet.has_interpreter.return_value = has_interpreter
-        plan = Plan(
-            fleet=fleet,
-            deployment=DEPLOYMENTS["dense"],
-            random=random.Random(1),
-            prepare=mock.Mock(),
-            run_burst=mock.Mock(),
-        )
+        plan = make_plan(fleet)
         machine = mock.Mock(host="127.0.0.21")
         machine.process.wait.return_value = status
         machine.process.poll.return_value = None
         plan.send_hangup(machine)
         plan.check_end(machine)
         self.assertEqual(len(plan.faults), is_fault)
+
+
+class TestOperator(unittest.TestCase):
+    @on_mock_clock
+    async def test_probers_ask_for_routes_just_added_or_removed(self):
+        """Guards against versions that no request can tell apart."""
+        fleet = mock.Mock()
+        fleet.store.is_down = False
+        plan = make_plan(fleet)
+        changed = set()
+        for _ in range(30):
+            before = {route["name"] for route in plan.configuration["routes"]}
+            await plan.change_configuration()
+            routes = plan.configuration["routes"]
+            names = before.symmetric_difference(route["name"] for route in routes)
+            never, *probes = [call.route for call in plan.probes]
+            self.assertEqual(never, "never")
+            self.assertLessEqual(names, set(probes))
+            changed |= names
+        self.assertGreater(len(changed), len(probes))
+
+    @on_mock_clock
+    async def test_entries_that_were_withdrawn_are_not_written_again(self):
+        """Guards against a drain that the plan itself takes back."""
+        fleet = mock.Mock()
+        for number in range(3):
+            machine = mock.Mock()
+            machine.server.instance = f"i-{number}"
+            machine.server.scope.cancel_called = number == 2
+            fleet.machines = [*(fleet.machines if number else []), machine]
+        fleet.store.items = {f"servers/i-{number}": {} for number in range(3)}
+        plan = make_plan(fleet)
+        plan.withdrawn.add("i-1")
+        plan.write_again()
+        removed = [call.args[0] for call in fleet.store.put.call_args_list]
+        self.assertEqual(removed, ["servers/i-1", "servers/i-2"])
+        registered = [call.args[0] for call in fleet.register.call_args_list]
+        self.assertEqual(registered, fleet.machines[:1])
--- a/tests/end_to_end/test_soak.py
+++ b/tests/end_to_end/test_soak.py
@@ -21,7 +21,8 @@
         """Guards against requests lost, run twice or refused untruly around stops."""
         deployment = DEPLOYMENTS[name]
         verdict, soak = trio.run(self.run_soak, deployment, seed)
-        findings = [item.describe(soak.start) for item in verdict.find()]
+        found = verdict.find() + soak.commitments.find()
+        findings = [item.describe(soak.start) for item in found]
         self.assertEqual(findings, [])
         self.assertEqual(soak.plan.faults, [])
         # The soak shows something only if its plan and its traffic took place.
