Cut one way between two machines in a play

Cause: no play had a cut of one link. Silence of a link met all of a node's connections, or none.

Change: work "link cut". The relays of one pair of machines (both ways of dialling or one) hold bytes, ends and new connections for 0.5 to 5 s, and then go on or reset the connections; the entry, the peer or neither gets SIGTERM meanwhile. Six clients use a second route, whose service stands on machines beside the pair. A request that ran at the machine behind the cut, or didn't run though its route leads there, is left out of LOST, LOST-STOP, BROKEN-OFF and DROPPED from the cut until touch-s behind it, and counted as "a link was cut". Requests that ran elsewhere count, and TWICE, REFUSED, MIXED, UNASKED, DENIED and LATE are checked as before. A relay also ends in order when an end of data meets a reset connection.

--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -134,6 +134,7 @@
         self.folder, self.ways, self.port = folder, ways, port
         self.store = Store()
         self.relays: list[Relay] = []
+        self.ways_between: dict[tuple[Machine, Machine], Relay] = {}
         self.machines: list[Machine] = []
         for index, (service, zone, region) in enumerate(PLACES):
             host = f"127.0.{network}.{11 + index}"
@@ -187,6 +188,7 @@
                 target = (other.host, other.peer_port)
                 relay = Relay(other.host, source.peer_port, target, link)
                 self.relays.append(relay)
+                self.ways_between[source, other] = relay
         for relay in self.relays:
             await relay.start()
 
--- a/src/catkinpost_standins/plays/relay.py
+++ b/src/catkinpost_standins/plays/relay.py
@@ -1,13 +1,16 @@
-"""Relays on the ways between machines: delay, and a narrow link."""
+"""Relays on the ways between machines: delay, a narrow link, and cuts."""
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass
 
 __all__ = ["Link", "Relay"]
 
 READ_BYTES = 16_384
 QUEUE_READS = 256
+RESET_AT_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 @dataclass(frozen=True)
@@ -28,6 +31,9 @@
     def __init__(self, host: str, port: int, target: tuple[str, int], link: Link):
         self.host, self.port, self.target, self.link = host, port, target, link
         self.tasks: set[asyncio.Task] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.passes = asyncio.Event()
+        self.passes.set()
 
     async def start(self) -> None:
         """Listen."""
@@ -39,17 +45,38 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def cut(self) -> None:
+        """Hold all bytes, ends and new connections."""
+        self.passes.clear()
+
+    def mend(self, *, resets: bool) -> None:
+        """Go on with what was held, or reset all connections."""
+        if resets:
+            for writer in self.writers:
+                if not writer.is_closing():
+                    writer.get_extra_info("socket").setsockopt(*RESET_AT_CLOSE)
+                    writer.transport.abort()
+            for task in list(self.tasks):
+                task.cancel()
+            self.tasks.clear()
+            self.writers.clear()
+        self.passes.set()
+
     async def serve(self, reader, writer) -> None:
         """Relay one connection."""
         self.tasks.add(task := asyncio.current_task())
+        self.writers.add(writer)
         try:
             await asyncio.sleep(self.link.delay_s)
+            await self.passes.wait()
             other_reader, other_writer = await asyncio.open_connection(*self.target)
         except OSError:
             # The target takes no connection, as a port without a listener.
             writer.transport.abort()
             self.tasks.discard(task)
+            self.writers.discard(writer)
             return
+        self.writers.add(other_writer)
         try:
             async with asyncio.TaskGroup() as group:
                 for source, sink, closes in (
@@ -61,6 +88,7 @@
                     group.create_task(self.write(queue, sink, closes))
         finally:
             self.tasks.discard(task)
+            self.writers -= {writer, other_writer}
             writer.close()
             other_writer.close()
 
@@ -77,10 +105,11 @@
 
     async def write(self, queue: asyncio.Queue, sink, source) -> None:
         loop = asyncio.get_running_loop()
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while True:
                 due_at, data = await queue.get()
                 await asyncio.sleep(due_at - loop.time())
+                await self.passes.wait()
                 if data is None:
                     sink.transport.abort()
                     return
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -22,7 +22,7 @@
 from catkinpost_standins.plays.relay import Link
 from catkinpost_standins.plays.server import Behaviour
 from catkinpost_standins.plays.table import Play
-from catkinpost_standins.plays.verdict import Verdict
+from catkinpost_standins.plays.verdict import TOUCH_S, Disruption, Verdict
 
 __all__ = ["Stage", "run_play"]
 
@@ -31,8 +31,9 @@
 AFTER_PIPELINE_S = GRACE_S + 1.0
 # A whole stop, a start and some requests behind it.
 AFTER_RESTART_S = 12.0
+# Until requests count again behind the longest cut, and some of these.
+CUT_S, AFTER_CUT_S = (0.5, 5.0), 10.0
 SERVE_S = 3.0
-TOUCH_S = 3.0
 DRAIN_S = 2.5
 PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
@@ -40,7 +41,7 @@
 # A process ends when the last caller's system has its answers: only among few callers
 # have others not read theirs by then.
 PIPELINE_CLIENTS = {"trickle": 24, "late": 4}
-FORWARDED_CLIENTS = 6
+FORWARDED_CLIENTS = SOUND_CLIENTS = 6
 REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
 DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
@@ -91,6 +92,8 @@
         self.stops: list[float] = []
         self.ready_at: float | None = None
         self.lag_s = 0.0
+        self.disruptions: list[Disruption] = []
+        self.disrupted = {"link cut": self.cut_link}
         self.restarts = {
             "successor at once": self.run_successor,
             "signals at the start": self.run_signals,
@@ -112,6 +115,10 @@
         names = {"here": 0, "near": 1, "far": 2}
         self.entry = self.fleet.machines[0]
         self.target = self.fleet.machines[names[play.place]]
+        # The machine that a disruption meets, and a service on machines beside it.
+        is_here = self.target is self.entry
+        self.peer = self.fleet.machines[1] if is_here else self.target
+        self.sound_service = "near" if play.place == "far" else "far"
 
     def build_configuration(self, service: str, timeout_s: float) -> dict:
         """Build the configuration of the operator."""
@@ -128,9 +135,10 @@
         }
         # Requests of another machine are forwarded to the server of the entry.
         forwarded = {"name": "r-entry", "prefix": "/entry/", "service": "here"}
+        sound = {"name": "r-sound", "prefix": "/sound/", "service": self.sound_service}
         return {
             "version": self.version,
-            "routes": [route, route | forwarded],
+            "routes": [route, route | forwarded, route | sound],
             "services": [{"name": name} for name in ("here", "near", "far")],
             "limits": {"idle-timeout-s": self.idle_limit_s},
         }
@@ -201,6 +209,19 @@
                 )
                 for index in range(FORWARDED_CLIENTS)
             ]
+        if self.play.work in self.disrupted:
+            address = (self.entry.host, port)
+            sending = self.build_sending("/sound/")
+            clients += [
+                Client(
+                    address,
+                    sending,
+                    f"{self.seed}-sound-{index}",
+                    lambda: self.idle_limit_s,
+                    clients[0].accepts,
+                )
+                for index in range(SOUND_CLIENTS)
+            ]
         return clients
 
     async def perform(self) -> tuple[list[str], Verdict]:
@@ -208,6 +229,8 @@
         after_s = AFTER_S
         if self.play.work in self.restarts:
             after_s = AFTER_RESTART_S
+        elif self.play.work in self.disrupted:
+            after_s = AFTER_CUT_S
         elif self.play.form == "pipeline":
             after_s = AFTER_PIPELINE_S
         clients = self.build_clients()
@@ -244,6 +267,7 @@
             self.stops,
             SHORT_TIMEOUT_S if is_short else DEADLINE_S,
             self.play.kind == "unsafe",
+            self.disruptions,
         )
         lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
         for machine in self.fleet.machines:
@@ -307,6 +331,8 @@
             await self.restarts[work]()
             await fleet.check_restart(self.entry)
             self.ready_at = time.monotonic()
+        elif work in self.disrupted:
+            await self.disrupted[work]()
         elif work.startswith("SIGTERM"):
             await self.run_stop(work)
         elif work == "shorter idle time-out":
@@ -320,6 +346,38 @@
         else:
             await self.drain(target, has_notice=work == "draining")
 
+    async def cut_link(self) -> None:
+        """Cut the way to one machine, and stop one of its ends meanwhile, or none."""
+        there, back = (self.entry, self.peer), (self.peer, self.entry)
+        choices = [[there, back], [there], [back]]
+        ways = [self.fleet.ways_between[pair] for pair in self.random.choice(choices)]
+        cut_s = self.random.uniform(*CUT_S)
+        stopped = self.random.choice([None, self.entry, self.peer])
+        stop_after_s = self.random.uniform(0, cut_s)
+        resets = self.random.random() < 0.5
+        started_at = time.monotonic()
+        for way in ways:
+            way.cut()
+        async with asyncio.TaskGroup() as group:
+            if stopped is not None:
+                group.create_task(self.stop_later(stopped, stop_after_s))
+            await asyncio.sleep(cut_s)
+            for way in ways:
+                way.mend(resets=resets)
+            self.note_disruption("a link was cut", started_at)
+
+    async def stop_later(self, machine: Machine, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self.stop([machine], [])
+
+    def note_disruption(self, cause: str, started_at: float) -> None:
+        """Note a disruption at the peer that ends now."""
+        prefixes = ("/play/",) if self.peer is self.target else ()
+        server = self.peer.server.identity
+        self.disruptions.append(
+            Disruption(cause, server, prefixes, started_at, time.monotonic())
+        )
+
     async def run_stop(self, work: str) -> None:
         if work == "SIGTERM in a pause":
             self.entry.process.send_signal(signal.SIGSTOP)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -35,6 +35,7 @@
         "draining",
         "drained without notice",
         "silent store",
+        "link cut",
     ],
     "form": [
         "kept",
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -8,10 +8,11 @@
 from catkinpost_standins.plays.fleet import GRACE_S
 from catkinpost_standins.plays.server import Run
 
-__all__ = ["Verdict"]
+__all__ = ["TOUCH_S", "Disruption", "Verdict"]
 
 LOSS_SLACK_S = 0.2
 LATE_SENDER_S = 3.0
+TOUCH_S = 3.0
 CLOCK_TOLERANCE_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUSES = (500, 502, 504)
@@ -19,6 +20,30 @@
 BROKEN_ENDS = ("closed", "cut", "reset", "dropped")
 
 
+@dataclass(frozen=True)
+class Disruption:
+    """Unplanned disruption of a machine or of a link to it.
+
+    :param cause: what it was.
+    :param server: id of the server behind it.
+    :param prefixes: prefixes of the routes to the server's service.
+    """
+
+    cause: str
+    server: str
+    prefixes: tuple[str, ...]
+    started_at: float
+    ended_at: float
+
+    def touches(self, fate: Fate, runs: list[Run]) -> bool:
+        """Whether a request may have met it, or began within touch-s behind it."""
+        if fate.ended_at < self.started_at or fate.started_at > self.ended_at + TOUCH_S:
+            return False
+        if not runs:
+            return fate.path.startswith(self.prefixes)
+        return any(run.server == self.server for run in runs)
+
+
 @dataclass
 class Verdict:
     """Judges the requests of one play.
@@ -29,6 +54,8 @@
     :param stops: times of SIGTERM to the machine of the entry, one for each process.
     :param limit_s: seconds until the deadline or the time-out of the route.
     :param is_unsafe: whether a request may run once at most.
+    :param disruptions: unplanned disruptions; the rules on losses leave out requests
+        that may have met one.
     :ivar excused: number of ends that the rules excuse, by kind and cause.
     :ivar failures: number of own failures, by kind.
     """
@@ -39,6 +66,7 @@
     stops: list[float]
     limit_s: float
     is_unsafe: bool
+    disruptions: list[Disruption] = field(default_factory=list)
     excused: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
 
@@ -103,22 +131,30 @@
         self.failures[kind] += 1
         if fate.status not in UNKNOWN_STATUSES:
             yield "DENIED"
-        is_over = self.find_excuse(fate, runs) == TIME_IS_OVER
+        excuse = self.find_excuse(fate, runs)
         has_run = any(
             run.end == "done" and run.ended_at < fate.ended_at for run in runs
         )
-        if has_run and not is_over:
+        is_disrupted = excuse in {item.cause for item in self.disruptions}
+        if has_run and excuse != TIME_IS_OVER and not is_disrupted:
             yield "DROPPED"
         was_at_work = any(
             run.began_at is not None
             and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
             for run in runs
         )
-        if was_at_work and not self.find_excuse(fate, runs):
+        if was_at_work and not excuse:
             yield "LOST-STOP" if self.stops else "BROKEN-OFF"
+        if (has_run or was_at_work) and is_disrupted:
+            self.excused[f"own {fate.status}, {excuse}"] += 1
 
     def find_excuse(self, fate: Fate, runs: list[Run]) -> str:
         """Return why the rules excuse an end without the server's answer."""
+        touching = (item.cause for item in self.disruptions if item.touches(fate, runs))
+        return self.find_usual_excuse(fate, runs) or next(touching, "")
+
+    def find_usual_excuse(self, fate: Fate, runs: list[Run]) -> str:
+        """Return an excuse that needs no disruption."""
         sent_at = fate.sent_at or fate.ended_at
         if not runs and fate.place:
             return "sent behind another"
