Begin three planned works at one node in a play

Cause: each play had one planned work, or fixed series of stops.

Change: work "three works": three of SIGHUP with changed settings, a shorter idle time-out, a moved route, a drain of the target's server and SIGTERM of the target's node begin within 3 s, in seven of ten plays with SIGTERM of the entry as the last. All are planned, so the verdict excuses nothing more.

--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -33,6 +33,9 @@
 AFTER_RESTART_S = 12.0
 # Until requests count again behind the longest cut, and some of these.
 CUT_S, AFTER_CUT_S = (0.5, 5.0), 10.0
+# Time in which several works begin, and until the last is over.
+SERIES_S, AFTER_SERIES_S = 3.0, 7.0
+STOP_SHARE = 0.7
 SERVE_S = 3.0
 DRAIN_S = 2.5
 PAUSE_S = 3.0
@@ -92,6 +95,7 @@
         self.stops: list[float] = []
         self.ready_at: float | None = None
         self.lag_s = 0.0
+        self.service = play.place
         self.disruptions: list[Disruption] = []
         self.disrupted = {"link cut": self.cut_link}
         self.restarts = {
@@ -231,6 +235,8 @@
             after_s = AFTER_RESTART_S
         elif self.play.work in self.disrupted:
             after_s = AFTER_CUT_S
+        elif self.play.work == "three works":
+            after_s = AFTER_SERIES_S
         elif self.play.form == "pipeline":
             after_s = AFTER_PIPELINE_S
         clients = self.build_clients()
@@ -240,7 +246,7 @@
                 group.create_task(self.probe()),
                 group.create_task(self.measure_lag()),
             ]
-            works = group.create_task(self.run_work())
+            works = group.create_task(self.run_work(self.play.work, self.work_at))
             runs = [
                 group.create_task(
                     client.run(
@@ -305,10 +311,10 @@
             await asyncio.sleep(0.02)
             self.lag_s = max(self.lag_s, time.monotonic() - due_at)
 
-    async def run_work(self) -> None:
-        """Do the planned work of the play."""
-        await asyncio.sleep(self.work_at - time.monotonic())
-        work, fleet, target = self.play.work, self.fleet, self.target
+    async def run_work(self, work: str, at: float) -> None:
+        """Do a planned work at a time."""
+        await asyncio.sleep(at - time.monotonic())
+        fleet, target = self.fleet, self.target
         if work == "silent store":
             fleet.store.is_silent = True
             await asyncio.sleep(self.random.uniform(0, 1))
@@ -333,16 +339,19 @@
             self.ready_at = time.monotonic()
         elif work in self.disrupted:
             await self.disrupted[work]()
+        elif work == "three works":
+            await self.run_three_works()
         elif work.startswith("SIGTERM"):
             await self.run_stop(work)
         elif work == "shorter idle time-out":
             self.idle_limit_s = SHORT_IDLE_S
-            self.configure(self.play.place, DEADLINE_S)
+            self.configure(self.service, DEADLINE_S)
         elif work == "shorter route time-out":
             self.configure(self.play.place, SHORT_TIMEOUT_S)
         elif work == "route moves":
             others = {"here": "near", "near": "far", "far": "here"}
-            self.configure(others[self.play.place], DEADLINE_S)
+            self.service = others[self.play.place]
+            self.configure(self.service, DEADLINE_S)
         else:
             await self.drain(target, has_notice=work == "draining")
 
@@ -378,6 +387,22 @@
             Disruption(cause, server, prefixes, started_at, time.monotonic())
         )
 
+    async def run_three_works(self) -> None:
+        """Begin three works within a short time, of which the last may be a stop."""
+        works = ["SIGHUP", "shorter idle time-out", "route moves", "draining"]
+        if self.target is not self.entry:
+            works.append("SIGTERM at the target")
+        works = self.random.sample(works, 3)
+        if self.random.random() < STOP_SHARE:
+            works[-1] = "SIGTERM at the entry"
+        times = sorted(self.random.uniform(0, SERIES_S) for _ in works)
+        await asyncio.gather(
+            *[
+                self.run_work(work, self.work_at + after_s)
+                for work, after_s in zip(works, times, strict=True)
+            ]
+        )
+
     async def run_stop(self, work: str) -> None:
         if work == "SIGTERM in a pause":
             self.entry.process.send_signal(signal.SIGSTOP)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -36,6 +36,7 @@
         "drained without notice",
         "silent store",
         "link cut",
+        "three works",
     ],
     "form": [
         "kept",
