Hold a peer still while the entry stops in a play

Cause: only the node that stops was paused, never its peer.

Change: work "peer held still": SIGSTOP of the target's node for 0.5 to 3 s, of another where the target is the entry, and SIGTERM of the entry from 0.5 s before to the end of the pause. The verdict leaves out of the losses the requests that ran at that machine, or didn't run though their route leads there, as it does for a cut link, and counts them as "a peer was held still".

The works "link cut", "three works" and "peer held still" have rows 18 to 23, 44, 45, 62 to 64, 67, 102 to 107 and 144 to 149.

--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -33,6 +33,7 @@
 AFTER_RESTART_S = 12.0
 # Until requests count again behind the longest cut, and some of these.
 CUT_S, AFTER_CUT_S = (0.5, 5.0), 10.0
+HELD_S, STOP_AHEAD_S = (0.5, 3.0), 0.5
 # Time in which several works begin, and until the last is over.
 SERIES_S, AFTER_SERIES_S = 3.0, 7.0
 STOP_SHARE = 0.7
@@ -97,7 +98,7 @@
         self.lag_s = 0.0
         self.service = play.place
         self.disruptions: list[Disruption] = []
-        self.disrupted = {"link cut": self.cut_link}
+        self.disrupted = {"link cut": self.cut_link, "peer held still": self.hold_peer}
         self.restarts = {
             "successor at once": self.run_successor,
             "signals at the start": self.run_signals,
@@ -375,6 +376,19 @@
                 way.mend(resets=resets)
             self.note_disruption("a link was cut", started_at)
 
+    async def hold_peer(self) -> None:
+        """Pause the peer's process, and stop the entry shortly before or meanwhile."""
+        held_s = self.random.uniform(*HELD_S)
+        stop_after_s = self.random.uniform(0, STOP_AHEAD_S + held_s)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.stop_later(self.entry, stop_after_s))
+            await asyncio.sleep(STOP_AHEAD_S)
+            started_at = time.monotonic()
+            self.peer.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(held_s)
+            self.peer.process.send_signal(signal.SIGCONT)
+            self.note_disruption("a peer was held still", started_at)
+
     async def stop_later(self, machine: Machine, after_s: float) -> None:
         await asyncio.sleep(after_s)
         await self.stop([machine], [])
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -37,6 +37,7 @@
         "silent store",
         "link cut",
         "three works",
+        "peer held still",
     ],
     "form": [
         "kept",
