Let callers take large answers slowly on kept connections in plays

Two fixed rows, 189 and 190: a caller that takes 80 kB a second asks for answers of 300 kB one after the other, over a SIGTERM to its node. The answer that is on its way at SIGTERM has promised to keep the connection, and the next request comes 2.4 s later, shortly before the end of reading.

--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -10,6 +10,7 @@
     "FACTORS",
     "PIPELINE_PLAYS",
     "STOP_PLAYS",
+    "TRICKLE_PLAYS",
     "Play",
     "build_plays",
     "list_pairs",
@@ -66,8 +67,8 @@
     """One row of the table: the value of each factor.
 
     Values beside those of ``FACTORS`` are of fixed rows: form ``"pipeline"`` is clients
-    that go on sending behind unread answers, with reader ``"trickle"``, slower than the
-    answers that it asks for, or ``"late"``, which pauses before each; answer and server
+    that go on sending behind unread answers; reader ``"trickle"`` is slower than the
+    answers that it asks for, and ``"late"`` pauses before each; answer and server
     ``"mixed"`` are sizes and times that differ between the requests of a play, answer
     ``"mostly small"`` the same sizes with few large ones.
 
@@ -152,11 +153,29 @@
     ]
 ]
 
+# An answer takes its caller longer than a node has left behind the end of reading.
+TRICKLE_PLAYS = [
+    Play(
+        "SIGTERM at the entry",
+        "kept",
+        "safe",
+        "empty",
+        "large",
+        "quick",
+        place,
+        "trickle",
+        "free",
+        "goes on",
+        "plain",
+    )
+    for place in ("here", "near")
+]
+
 
 def build_plays() -> list[Play]:
     """Return plays in which each pair of values of two factors occurs, and others."""
     pairs = (Play(*row) for row in AllPairs(list(FACTORS.values())))
-    return [*pairs, *STOP_PLAYS, *PIPELINE_PLAYS]
+    return [*pairs, *STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS]
 
 
 def list_pairs(play: Play) -> Iterator[tuple[tuple[str, str], tuple[str, str]]]:
--- a/tests/end_to_end/plays/test_table.py
+++ b/tests/end_to_end/plays/test_table.py
@@ -7,6 +7,7 @@
     FACTORS,
     PIPELINE_PLAYS,
     STOP_PLAYS,
+    TRICKLE_PLAYS,
     build_plays,
     list_pairs,
 )
@@ -24,5 +25,5 @@
         self.assertEqual(reached, expected)
 
     def test_fixed_rows_are_played(self):
-        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS]
+        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS]
         self.assertEqual(build_plays()[-len(fixed) :], fixed)
