Refuse what a slow caller would not get whole before a stop ends

What callers saw: an answer cut 5.8 s after SIGTERM, to a request that came 2.4 s after it on a kept connection and whose answer takes its caller longer than the grace time has left (LOST).

Cause: a leaving server serves what it reads until the end of reading, and looks only at whether earlier answers have been taken, not at how long that took. What it could know of the caller is lost when the answer has been sent.

Change: a connection keeps the longest time in which its caller has taken an answer; what is still in the send queue counts at the same pace. While the server leaves, a request on it is refused, as not run and to be sent again, if that time would end after the time in which callers can take answers (deliver_by, set by the stop).

Evidence: test_leaving_server_refuses_what_a_slow_caller_would_not_get_whole failed (200 for 503) and passes.

Why it works: what a caller has taken is the only word on its pace, and it is kept where the answers are sent. A refused caller loses nothing: another node can take the request at once.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -85,6 +85,11 @@
         stop_timeout = self.node.settings.bounds.stop_timeout
         return min(MAX_ANSWER_TIME_S, ANSWER_TIME_SHARE * stop_timeout)
 
+    @property
+    def deliveries_end_at(self) -> float:
+        """Time until which callers may take their answers."""
+        return self.ends_at + self.node.settings.bounds.delivery_timeout
+
     def compute_close_time(self) -> float:
         """Return the time at which connections are closed, answered or not.
 
@@ -164,6 +169,7 @@
         self.signalled_at = node.pause_watch.find_earliest_signal(self.requested_at)
         window = RunWindow(ends_at=self.waits_end_at)
         node.http_server.leaving = True
+        node.http_server.deliver_by = self.deliveries_end_at
         node.executor.admission.set_window("stop", window)
         node.sender.ends_at = self.waits_end_at
         self.log_request()
@@ -329,8 +335,7 @@
         Nothing else is left to do, so that slow callers have the rest of the time.
         """
         server = self.node.http_server
-        ends_at = self.ends_at + self.node.settings.bounds.delivery_timeout
-        with trio.CancelScope(deadline=ends_at):
+        with trio.CancelScope(deadline=self.deliveries_end_at):
             while server.is_busy or server.awaits_callers:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
 
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -17,6 +17,9 @@
 
 __all__ = ["Connection", "Exchange", "Phase"]
 
+# A stop has more time than this for each response.
+MIN_DELIVERY_S = 0.1
+
 
 class Phase(enum.Enum):
     """Phase of a connection between idle and sending a response."""
@@ -75,6 +78,7 @@
     :param progressed_at: time at which the last piece of a large response was sent.
     :param taken_at: time at which the send queue was last seen to have shrunk.
     :param unsent_bytes: bytes in the send queue when it was last looked at.
+    :param longest_delivery_s: longest time in which the caller has taken a response.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
         by the limits in force when it last got an answer.
     """
@@ -100,6 +104,7 @@
     progressed_at: float = 0.0
     taken_at: float = 0.0
     unsent_bytes: int = 0
+    longest_delivery_s: float = 0.0
     idle_timeout: float = 0.0
 
     @property
@@ -163,6 +168,21 @@
             self.taken_at = now
         self.unsent_bytes = unsent_bytes
 
+    def note_delivery(self, size: int, sending_s: float) -> None:
+        """Note how long the caller takes a response that was written.
+
+        What is left in the send queue is taken at the same pace.
+
+        :param size: size of the response, in bytes.
+        :param sending_s: time in which all of it was written.
+        """
+        if sending_s < MIN_DELIVERY_S:
+            return
+        taken_bytes = size - (count_unacknowledged_bytes(self.stream.socket) or 0)
+        if taken_bytes > 0:
+            delivery_s = sending_s * size / taken_bytes
+            self.longest_delivery_s = max(self.longest_delivery_s, delivery_s)
+
     def notify_taken(self) -> None:
         """Wake the requests that wait for a response to be sent."""
         self.answer_taken.set()
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -78,6 +78,8 @@
     :param reserved_descriptors: descriptors that callers leave free.
     :ivar gate: bound on connections of callers.
     :ivar leaving: whether each connection is closed after its last response.
+    :ivar deliver_by: time until which callers can take responses, infinite while the
+        server does not leave.
     :ivar is_refusing: whether requests that are read are refused.
     :ivar has_stopped_reading: whether no further request is accepted.
     :ivar refused_requests: number of requests refused as the server leaves.
@@ -108,6 +110,7 @@
             reserved_descriptors=reserved_descriptors,
         )
         self.leaving = False
+        self.deliver_by = math.inf
         self.is_refusing = False
         self.has_stopped_reading = False
         self.refused_requests = 0
@@ -480,6 +483,13 @@
             return connection.has_answer_to_take
         return connection.sending
 
+    def is_too_late_for(self, connection: Connection) -> bool:
+        """Return whether a caller as slow as before would not get a response whole.
+
+        Another node can take the request, which has not run.
+        """
+        return trio.current_time() + connection.longest_delivery_s > self.deliver_by
+
     async def start_handling(
         self, connection: Connection, request: HttpRequest
     ) -> None:
@@ -496,9 +506,10 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        exchange.is_refused = self.is_refusing or connection.is_refused
+        is_leaving = self.is_refusing or self.is_too_late_for(connection)
+        exchange.is_refused = is_leaving or connection.is_refused
         exchange.has_begun = exchange.is_refused or not self.must_wait(connection)
-        self.refused_requests += self.is_refusing
+        self.refused_requests += is_leaving
         connection.exchanges.append(exchange)
         if exchange.is_refused or not request.keep_alive:
             connection.closing = True
@@ -641,10 +652,13 @@
             exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
         )
         connection.is_close_announced = not keep_alive
+        started_at = trio.current_time()
         if len(body) <= MAX_COPIED_BODY_BYTES:
             await send_all(connection.stream, head + body)
-            return
-        await send_all(connection.stream, head)
-        for piece in split_bytes(body, SENT_PIECE_BYTES):
-            await send_all(connection.stream, piece)
-            connection.progressed_at = trio.current_time()
+        else:
+            await send_all(connection.stream, head)
+            for piece in split_bytes(body, SENT_PIECE_BYTES):
+                await send_all(connection.stream, piece)
+                connection.progressed_at = trio.current_time()
+        sending_s = trio.current_time() - started_at
+        connection.note_delivery(len(head) + len(body), sending_s)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -54,6 +54,8 @@
     b"POST /wait HTTP/1.1\r\nContent-Length: 80000\r\n\r\n" + b"x" * 80_000
 )
 REAL_TIME_LIMIT_S = 30.0
+PACED_BODY = b"x" * 400_000
+PACED_READ_GAP_S = 0.1
 CLOSING_REQUEST = b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n"
 KEPT_REQUEST = b"GET /1 HTTP/1.1\r\n\r\n"
 LATER_REQUESTS = b"GET /2 HTTP/1.1\r\n\r\n" * 2
@@ -1294,6 +1296,38 @@
             self.assertEqual(setup.server.refused_requests, refused)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds left in which callers may take their answers, status)
+        (1.0, 503),
+        (math.inf, 200),
+    )
+    def test_leaving_server_refuses_what_a_slow_caller_would_not_get_whole(self, *case):
+        """Guards against an answer that is cut at the end of a stop, although earlier
+        answers on its connection show how long its caller takes.
+        """
+        self.check_slow_caller(*case)
+
+    @on_mock_clock(io=True)
+    async def check_slow_caller(self, left_s, status):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = respond_with(PACED_BODY)
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            data = b""
+            while not data.endswith(PACED_BODY):
+                data += await stream.receive_some(65536)
+                await trio.sleep(PACED_READ_GAP_S)
+            setup.server.leaving = True
+            setup.server.deliver_by = trio.current_time() + left_s
+            await stream.send_all(KEPT_REQUEST)
+            answer = await read_all(stream)
+            self.assertEqual(int(answer.split()[1]), status)
+            self.assertIn(b"connection: close", answer)
+            self.assertEqual(setup.server.refused_requests, int(status == 503))
+            nursery.cancel_scope.cancel()
+
     @on_real_clock
     async def test_nothing_begins_behind_an_answer_that_its_caller_does_not_take(self):
         """Guards against runs ahead of a slow caller, lost when its connection ends."""
