Judge requests behind an announced close that were passed on

Cause: the soak named a request behind an answer with "Connection: close" "unread" and never judged it. The rule leaves out only those that were not passed on to a server.

Change: "unread" is an end without an answer, judged as the others. One that reached no server is excused as before.

Evidence: the new case "the same, passed on" of test_loss_around_planned_work failed before.

--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -19,7 +19,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 OWN_FAILURE_STATUSES = (500, 502, 504)
 KEPT_LOSSES_ALLOWED = 3
-BROKEN_ENDS = ("closed", "reset")
+BROKEN_ENDS = ("closed", "reset", "unread")
 UNPLANNED = ("kill", "freeze")
 
 
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -67,6 +67,7 @@
 OWN = ANSWER | {"status": 502, "signature": None}
 LATE = {"ended_at": 105.4}
 SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
+UNREAD = {"end": "unread", "place": 1}
 LONG_RUN = make_run(ended_at=105.4)
 
 
@@ -77,6 +78,8 @@
         ("crosses the close", {}, [], STOP, []),
         ("behind another, not passed on", LATE | {"place": 1}, [], STOP, []),
         ("behind another, passed on", {"place": 1}, [make_run()], STOP, ["LOST-STOP"]),
+        ("behind an announced close", UNREAD, [], STOP, []),
+        ("the same, passed on", UNREAD, [make_run()], STOP, ["LOST-STOP"]),
         ("other machine", {"host": "127.0.0.22", "used": 0}, [], STOP, []),
         ("server at work at the end", LATE, [LONG_RUN], STOP, []),
         ("sent late", LATE | {"sent_at": 103.5}, [LONG_RUN], STOP, ["LOST-STOP"]),
