Let a server that broke off excuse no later run of its request

Cause: both judges excused a loss once any server had broken off, also if the request was sent to another server then and that one finished, or was cut. The rule excuses the end that the server caused.

Change: the run that arrived last decides, on whichever server it was.

Evidence: five cases failed before, two in the soak's table and three in the plays'.

--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -126,7 +126,8 @@
             return "not passed on" if fate.sent_at else "not sent whole"
         if fate.ended_at - fate.started_at >= self.limit_s - CLOCK_TOLERANCE_S:
             return TIME_IS_OVER
-        if any(run.end == "broken off" for run in runs):
+        last = max(runs, key=lambda run: run.arrived_at, default=None)
+        if last is not None and last.end == "broken off":
             return "the server broke off"
         stopped_at = max((at for at in self.stops if at <= fate.ended_at), default=None)
         if stopped_at is None:
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -203,7 +203,8 @@
         limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
         if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
             return "(its time was over)"
-        if any(run.end == "broken off" for run in runs):
+        last = max(runs, key=lambda run: run.arrived_at, default=None)
+        if last is not None and last.end == "broken off":
             return "(the server broke off)"
         if self.is_disrupted(fate):
             return "(unplanned disruption)"
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -30,8 +30,11 @@
     )
 
 
-def build_run(end, began=99.5, ended=99.9, *, path="/play/a-1", upload=7):
-    return Run("i-1", "POST", path, 99.4, upload, began, ended, end)
+def build_run(end, began=99.5, ended=99.9, *, path="/play/a-1", upload=7, arrived=99.4):
+    return Run("i-1", "POST", path, arrived, upload, began, ended, end)
+
+
+BROKEN_RUN = build_run("broken off")
 
 
 class TestVerdict(unittest.TestCase):
@@ -79,6 +82,15 @@
         self.assertEqual(len(lines), bool(rule))
         self.assertTrue(not rule or lines[0].startswith(rule))
 
+    @params(
+        (build_fate("closed"), [BROKEN_RUN, build_run("done", arrived=99.6)]),
+        (build_fate("closed"), [build_run("done", arrived=99.6), BROKEN_RUN]),
+        (build_fate("answered", 502), [BROKEN_RUN, build_run("cut", arrived=99.6)]),
+    )
+    def test_server_that_broke_off_excuses_no_later_run(self, fate, runs):
+        verdict = Verdict([fate], {"a-1": runs}, 100.0, [STOPPED_AT], LIMIT_S, False)
+        self.assertTrue(verdict.find()[0].startswith("LOST"))
+
     @params(
         # (second of the send after SIGTERM, second of the run's end, whether lost)
         (2.5, 5.2, False),
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -68,7 +68,13 @@
 LATE = {"ended_at": 105.4}
 SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
 UNREAD = {"end": "unread", "place": 1}
+LOST = "LOST-STOP"
+SAFE = {"call": BROWSE}
 LONG_RUN = make_run(ended_at=105.4)
+BROKEN_THEN_DONE = [
+    make_run(101.02, 101.03, "broken off"),
+    replace(make_run(101.05), arrived_at=101.04),
+]
 
 
 class TestVerdict(unittest.TestCase):
@@ -93,6 +99,8 @@
             ["LOST-STOP"],
         ),
         ("server broke off", {}, [make_run(end="broken off")], STOP, []),
+        ("server broke off, then another ended", SAFE, BROKEN_THEN_DONE, STOP, [LOST]),
+        ("the same, listed last", SAFE, BROKEN_THEN_DONE[::-1], STOP, [LOST]),
         ("SIGHUP", {}, [make_run()], HUP, ["LOST-HUP"]),
         ("long after SIGHUP", {"sent_at": 102.6, "used": 0}, [], HUP, []),
         ("store", {"used": 0}, [make_run()], STORE, ["CUT"]),
