Count a request as sent behind another only if one was unanswered

Cause: the soak's clients numbered requests that are sent together, and the judge excuses a loss behind another that reached no server, however late. Requests that follow after a pause also had their number when all before them had been answered, so that nothing was before them.

Evidence: test_place_counts_requests_without_an_answer failed before for the request that follows an answer.

--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -82,7 +82,7 @@
 class Fate:
     """What became of one request, as its client saw it; times of the runtime's clock.
 
-    :param place: position among the requests sent together, from 0.
+    :param place: number of requests before it on its connection without an answer.
     :param behind: requests that were sent behind it at once.
     :param used: requests that its connection had before.
     :param started_at: time at which its client began to send it.
@@ -207,14 +207,14 @@
                 call=call,
                 host=self.host,
                 habit=self.habit.name,
-                place=place,
-                behind=len(calls) - place - 1,
-                used=used + place,
+                place=number,
+                behind=len(calls) - number - 1,
+                used=used + number,
                 started_at=now,
                 sent_at=now,
                 end="unsent",
             )
-            for place, (call, (attempt, _)) in enumerate(
+            for number, (call, (attempt, _)) in enumerate(
                 zip(calls, requests, strict=True)
             )
         ]
@@ -253,9 +253,10 @@
         self, stream: trio.SocketStream, requests: list[bytes], fates: list[Fate]
     ) -> None:
         """Send requests, each a moment after the one before it."""
-        for data, fate in zip(requests, fates, strict=True):
-            if fate.place and self.random.random() < SPREAD_SHARE:
+        for number, (data, fate) in enumerate(zip(requests, fates, strict=True)):
+            if number and self.random.random() < SPREAD_SHARE:
                 await trio.sleep(self.random.uniform(0, MAX_SPREAD_S))
+            fate.place = sum(item.end != "answered" for item in fates[:number])
             fate.started_at = fate.sent_at = trio.current_time()
             try:
                 await stream.send_all(data)
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -2,12 +2,15 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+import trio
 from nose2.tools import params
 
 from catkinpost_standins.users_platform.server import Run
-from catkinpost_standins.users_platform.traffic import Call, Fate
+from catkinpost_standins.users_platform.traffic import Call, Client, Fate, Habit
 from catkinpost_standins.users_platform.verdict import Disruption, Verdict
+from tests.clock import on_mock_clock
 
 HOST = "127.0.0.21"
 BODY_SUM = 5
@@ -175,3 +178,32 @@
     )
     def test_answer(self, _name, changes, runs, expected):
         self.assertEqual(judge(make_fate(**changes), runs, None), expected)
+
+
+class TestPlace(unittest.TestCase):
+    @params((0.0, [0, 1]), (0.3, [0, 0]))
+    def test_place_counts_requests_without_an_answer(self, apart_s, expected):
+        """Guards against a request sent behind nothing that counts as sent behind."""
+        self.check_places(apart_s, expected)
+
+    @on_mock_clock
+    async def check_places(self, apart_s, expected):
+        client = Client(
+            HOST,
+            1,
+            calls=[BROWSE],
+            habit=Habit(name="ahead", ahead=1),
+            seed="1",
+            may_start=lambda: True,
+            record=lambda fate: None,
+        )
+        client.random = mock.Mock()
+        client.random.random.return_value = 0.0
+        client.random.uniform.return_value = apart_s
+        fates = [make_fate(end="unsent"), make_fate(end="unsent", place=1)]
+        async with trio.open_nursery() as nursery:
+            stream = mock.AsyncMock()
+            nursery.start_soon(client.send, stream, [b"", b""], fates)
+            await trio.sleep(0.1)
+            fates[0].end = "answered"
+        self.assertEqual([fate.place for fate in fates], expected)
