Record requests that a stand-in of the soak refuses

Cause: a server of the soak kept no record of requests that it refused at once (503 as it is full, 421). The judge took them for requests that were not passed on, and excused their loss within loss-slack-s, or behind another at any time. The rule counts a request that has been passed on.

Change: they are recorded as "refused", not begun, as those whose deadline passes in the queue.

Evidence: test_refused_request_has_reached_the_server failed before, in both cases.

--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -273,17 +273,17 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request, or say why it is not run."""
         expected = find_header(request.headers, EXPECTED_INSTANCE)
-        if expected is not None and expected != self.instance.encode():
-            return self.refuse(421)
+        is_other = expected is not None and expected != self.instance.encode()
         attempt = find_header(request.headers, ATTEMPT_ID)
         if attempt is None:
-            return self.refuse(400)
-        is_full = self.running >= self.slots and self.waiting >= self.queue
-        if self.fault is ServerFault.SHED or is_full:
-            return self.refuse(503)
-        self.callers.add(find_header(request.headers, CALLING_SERVICE) or b"")
+            return self.refuse(421 if is_other else 400)
         run = Run(attempt=attempt, arrived_at=trio.current_time())
         self.history.append(run)
+        is_full = self.running >= self.slots and self.waiting >= self.queue
+        if is_other or self.fault is ServerFault.SHED or is_full:
+            run.end, run.ended_at = "refused", run.arrived_at
+            return self.refuse(421 if is_other else 503)
+        self.callers.add(find_header(request.headers, CALLING_SERVICE) or b"")
         try:
             return await self.wait_and_run(request, run)
         except trio.Cancelled:
--- a/tests/end_to_end/test_server.py
+++ b/tests/end_to_end/test_server.py
@@ -6,7 +6,12 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.platform.names import ATTEMPT_ID, DEADLINE_REMAINING, NOT_EXECUTED
+from catkinpost.platform.names import (
+    ATTEMPT_ID,
+    DEADLINE_REMAINING,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+)
 from catkinpost.protocol.http import (
     HttpLimits,
     HttpRequest,
@@ -45,6 +50,24 @@
         ends = [(run.end, run.began_at is not None) for run in server.history]
         self.assertEqual(ends, [("deadline", True), ("refused", False)])
 
+    @params(
+        # (expected instance, slots, status)
+        ("i-2", 1, 421),
+        ("i-1", 0, 503),
+    )
+    def test_refused_request_has_reached_the_server(self, expected, slots, status):
+        """Guards against a verdict that takes it for one that was not passed on."""
+        self.check_refusal(expected, slots, status)
+
+    @on_mock_clock
+    async def check_refusal(self, expected, slots, status):
+        server = StandInServer("i-1", "orders", slots=slots)
+        headers = [(ATTEMPT_ID, b"a"), (EXPECTED_INSTANCE, expected.encode())]
+        response = await server.handle(HttpRequest(b"GET", b"/", headers))
+        self.assertEqual(response.status, status)
+        ends = [(run.attempt, run.end, run.began_at) for run in server.history]
+        self.assertEqual(ends, [(b"a", "refused", None)])
+
     @params(
         (Trouble.NONE, "done", True),
         (Trouble.TRUNCATES, "broken off", False),
