Count a refusal in place of a server at work after SIGTERM as lost

Cause: both judges looked at own 500, 502 and 504 only. The rule counts any own answer in place of a request at which its server is at work, after a SIGTERM. A safe request whose run was cut and that was answered 503 passed unseen; an unsafe one was REFUSED already.

Change: own answers of any other status count too, once the machine was sent SIGTERM, unless the refusal is the last server's own.

Evidence: "own 503, safe run cut" and the first case of test_refusal_in_place_of_work failed before.

--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -97,6 +97,8 @@
                 self.excused[f"{fate.end}, {excuse}"] += 1
         elif not fate.is_signed and fate.status not in NOT_RUN_STATUSES:
             yield from self.check_own_failure(fate, runs)
+        elif not fate.is_signed:
+            yield from self.check_own_refusal(fate, runs)
 
     def check_own_failure(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         kind = f"own {fate.status}, runs {sorted({run.end for run in runs})}"
@@ -109,14 +111,19 @@
         )
         if has_run and not is_over:
             yield "DROPPED"
-        was_at_work = any(
-            run.began_at is not None
-            and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
-            for run in runs
-        )
-        if was_at_work and not self.find_excuse(fate, runs):
+        if was_at_work(fate, runs) and not self.find_excuse(fate, runs):
             yield "LOST-STOP" if self.stops else "BROKEN-OFF"
 
+    def check_own_refusal(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        """Yield the rule that a refusal in place of a server's work broke."""
+        last = find_last(runs)
+        if last is None or last.end == "shed":
+            return
+        is_stopping = any(at <= fate.ended_at for at in self.stops)
+        is_replaced = is_stopping and was_at_work(fate, runs)
+        if is_replaced and not self.find_excuse(fate, runs):
+            yield "LOST-STOP"
+
     def find_excuse(self, fate: Fate, runs: list[Run]) -> str:
         """Return why the rules excuse an end without the server's answer."""
         sent_at = fate.sent_at or fate.ended_at
@@ -126,7 +133,7 @@
             return "not passed on" if fate.sent_at else "not sent whole"
         if fate.ended_at - fate.started_at >= self.limit_s - CLOCK_TOLERANCE_S:
             return TIME_IS_OVER
-        last = max(runs, key=lambda run: run.arrived_at, default=None)
+        last = find_last(runs)
         if last is not None and last.end == "broken off":
             return "the server broke off"
         stopped_at = max((at for at in self.stops if at <= fate.ended_at), default=None)
@@ -140,3 +147,17 @@
         if is_at_work and sent_at <= stopped_at + LATE_SENDER_S:
             return "at work at the end of the grace time"
         return ""
+
+
+def find_last(runs: list[Run]) -> Run | None:
+    """Return the run that arrived last, on whichever server."""
+    return max(runs, key=lambda run: run.arrived_at, default=None)
+
+
+def was_at_work(fate: Fate, runs: list[Run]) -> bool:
+    """Whether a server was at work on a request when an answer stood in its place."""
+    return any(
+        run.began_at is not None
+        and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
+        for run in runs
+    )
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -88,6 +88,11 @@
     return f"own {fate.status}, server {'' if has_begun else 'not '}begun"
 
 
+def find_last(runs: list[Run]) -> Run | None:
+    """Return the run that arrived last, on whichever server."""
+    return max(runs, key=lambda run: run.arrived_at, default=None)
+
+
 def format_time(at: float | None, zero: float) -> str:
     return "never" if at is None else f"{at - zero:+.3f}"
 
@@ -152,32 +157,41 @@
 
     def check_loss(self, fate: Fate, runs: list[Run]) -> Finding | None:
         """Return a finding for a request that ended without its answer."""
-        is_replaced = self.is_replaced(fate, runs)
+        near = self.find_near(fate)
+        is_replaced = self.is_replaced(fate, runs, near)
         if fate.end == "no answer" or is_own_failure(fate) and not is_replaced:
             return Finding(
                 rule="FAILED",
                 fate=fate,
                 runs=runs,
-                disruption=self.find_near(fate),
+                disruption=near,
                 excuse=f"(noted only: {name_failure(fate, runs)})",
             )
         if fate.end not in BROKEN_ENDS and not is_replaced:
             return None
-        near = self.find_near(fate)
         rule = f"LOST-{near.kind.upper()}" if near else "CUT"
         if near is None and fate.used and runs:
             rule = "LOST-KEPT"
         excuse = self.find_excuse(fate, runs, near)
         return Finding(rule=rule, fate=fate, runs=runs, disruption=near, excuse=excuse)
 
-    def is_replaced(self, fate: Fate, runs: list[Run]) -> bool:
-        """Whether an own failure stands for the answer of a server at work."""
-        was_at_work = any(
+    def is_replaced(self, fate: Fate, runs: list[Run], near: Disruption | None) -> bool:
+        """Whether an own answer stands for the one of a server at work.
+
+        Away from a stop this is judged only for failures that promise nothing.
+        """
+        if fate.end != "answered" or fate.signature is not None or fate.status < 300:
+            return False
+        if not is_own_failure(fate):
+            last = find_last(runs)
+            is_refused = last is not None and last.end == "refused"
+            if near is None or near.kind != "stop" or is_refused:
+                return False
+        return any(
             run.end == "cut" or run.ended_at is None or run.ended_at > fate.ended_at
             for run in runs
             if run.began_at is not None
         )
-        return is_own_failure(fate) and was_at_work
 
     def find_near(self, fate: Fate) -> Disruption | None:
         """Return the planned work that a request's end counts to, a stop first.
@@ -203,7 +217,7 @@
         limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
         if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
             return "(its time was over)"
-        last = max(runs, key=lambda run: run.arrived_at, default=None)
+        last = find_last(runs)
         if last is not None and last.end == "broken off":
             return "(the server broke off)"
         if self.is_disrupted(fate):
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -91,6 +91,19 @@
         verdict = Verdict([fate], {"a-1": runs}, 100.0, [STOPPED_AT], LIMIT_S, False)
         self.assertTrue(verdict.find()[0].startswith("LOST"))
 
+    @params(
+        # (runs, SIGTERM, whether lost)
+        ([build_run("cut")], STOPPED_AT, True),
+        ([build_run("cut")], 102.0, False),
+        ([build_run("cut"), build_run("shed", None, arrived=99.95)], STOPPED_AT, False),
+        ([build_run("done")], STOPPED_AT, False),
+    )
+    def test_refusal_in_place_of_work(self, runs, stopped_at, is_lost):
+        fate = build_fate("answered", 503)
+        verdict = Verdict([fate], {"a-1": runs}, 100.0, [stopped_at], LIMIT_S, False)
+        found = [line.split()[0] for line in verdict.find()]
+        self.assertEqual(found, ["LOST-STOP"] * is_lost)
+
     @params(
         # (second of the send after SIGTERM, second of the run's end, whether lost)
         (2.5, 5.2, False),
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -68,12 +68,15 @@
     "checksum": BODY_SUM,
 }
 OWN = ANSWER | {"status": 502, "signature": None}
+OWN_503 = OWN | {"status": 503}
 LATE = {"ended_at": 105.4}
 SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
 UNREAD = {"end": "unread", "place": 1}
 LOST = "LOST-STOP"
 SAFE = {"call": BROWSE}
 LONG_RUN = make_run(ended_at=105.4)
+CUT_RUN = make_run(end="cut")
+REFUSED_RUN = replace(make_run(None, end="refused"), arrived_at=101.09)
 BROKEN_THEN_DONE = [
     make_run(101.02, 101.03, "broken off"),
     replace(make_run(101.05), arrived_at=101.04),
@@ -118,6 +121,9 @@
             ["LOST-STOP"],
         ),
         ("own failure after the run", OWN, [make_run()], STOP, []),
+        ("own 503, safe run cut", OWN_503 | SAFE, [CUT_RUN], STOP, ["LOST-STOP"]),
+        ("own 503 without a stop", OWN_503 | SAFE, [CUT_RUN], CONFIG, []),
+        ("server's 503", OWN_503 | SAFE, [CUT_RUN, REFUSED_RUN], STOP, []),
     )
     def test_loss_around_planned_work(self, _name, changes, runs, near, expected):
         self.assertEqual(judge(make_fate(**changes), runs, near), expected)
