Let a run whose end is unknown excuse a loss by its request's end only

Cause: both judges took a run without an end for one that was at work in the last sixth of the grace time, also if its request was cut long before that.

Change: such a run counts as at work until its request ended.

Evidence: "server whose end is not known" and the last case of test_work_at_the_end_of_the_grace_time failed before.

--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -226,7 +226,7 @@
             return ""
         last_sixth = near.at + GRACE_S * 5 / 6
         is_at_work = any(
-            run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
+            run.began_at is not None and (run.ended_at or fate.ended_at) >= last_sixth
             for run in runs
         )
         if is_at_work and fate.sent_at <= near.at + LATE_SENDER_S:
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -105,15 +105,17 @@
         self.assertEqual(found, ["LOST-STOP"] * is_lost)
 
     @params(
-        # (second of the send after SIGTERM, second of the run's end, whether lost)
-        (2.5, 5.2, False),
-        (2.5, 4.8, True),
-        (3.2, 5.2, True),
+        # (second of the send after SIGTERM, second of the end, run, whether lost)
+        (2.5, 5.2, "cut", False),
+        (2.5, 4.8, "cut", True),
+        (3.2, 5.2, "cut", True),
+        (2.5, 5.2, "runs", False),
+        (2.5, 4.8, "runs", True),
     )
-    def test_work_at_the_end_of_the_grace_time(self, sent_s, ended_s, is_lost):
+    def test_work_at_the_end_of_the_grace_time(self, sent_s, ended_s, end, is_lost):
         fate = build_fate("answered", 502, sent=100.0 + sent_s, ended=100.0 + ended_s)
         fate.started_at = fate.sent_at
-        run = build_run("cut", 103.3, 100.0 + ended_s)
+        run = build_run(end, 103.3, 100.0 + ended_s if end == "cut" else None)
         verdict = Verdict([fate], {"a-1": [run]}, 100.0, [STOPPED_AT], LIMIT_S, False)
         self.assertEqual(bool(verdict.find()), is_lost)
 
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -75,6 +75,7 @@
 LOST = "LOST-STOP"
 SAFE = {"call": BROWSE}
 LONG_RUN = make_run(ended_at=105.4)
+UNENDED_RUN = make_run(ended_at=None, end="runs")
 CUT_RUN = make_run(end="cut")
 REFUSED_RUN = replace(make_run(None, end="refused"), arrived_at=101.09)
 BROKEN_THEN_DONE = [
@@ -95,6 +96,8 @@
         ("other machine", {"host": "127.0.0.22", "used": 0}, [], STOP, []),
         ("server at work at the end", LATE, [LONG_RUN], STOP, []),
         ("sent late", LATE | {"sent_at": 103.5}, [LONG_RUN], STOP, ["LOST-STOP"]),
+        ("server whose end is not known", {}, [UNENDED_RUN], STOP, ["LOST-STOP"]),
+        ("the same, ended late", LATE, [UNENDED_RUN], STOP, []),
         ("time over", {"ended_at": 107.0}, [make_run()], STOP, []),
         ("time over, sent slowly", SLOWLY_SENT, [make_run()], STOP, []),
         (
