Judge signed failures, and successes that no server finished

Cause: the plays took a whole body for proof that a server had answered with success, and neither judge looked at failures with a signature.

Change: a success needs a run that was done, a signed failure one that ended with this status. Runs of the soak whose call failed have an end of their own, as they answer 500.

Two cases of test_answer gave a 503 a signature, which no server does. They are without one now and expect the same, and the signed 503 is a case of its own, REFUSED and MIXED.

Evidence: the new cases failed before, four in the plays' table and four in the soak's.

--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -15,6 +15,8 @@
 CLOCK_TOLERANCE_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUSES = (500, 502, 504)
+# Failure that servers sign.
+SERVER_FAILURE_STATUS = 504
 TIME_IS_OVER = "its time was over"
 BROKEN_ENDS = ("closed", "cut", "reset", "dropped")
 
@@ -78,7 +80,12 @@
             yield "REFUSED"
         if fate.named not in ("", fate.attempt):
             yield "MIXED"
-        if fate.status < 300 and not (fate.is_signed and fate.is_whole_body):
+        ends = [run.end for run in runs]
+        is_whole = fate.is_signed and fate.is_whole_body and "done" in ends
+        if fate.status < 300 and not is_whole:
+            yield "MIXED"
+        is_given = fate.status == SERVER_FAILURE_STATUS and "deadline" in ends
+        if fate.status >= 300 and fate.is_signed and not is_given:
             yield "MIXED"
 
     def check_end(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -178,8 +178,8 @@
 
     :param attempt: its identity.
     :param arrived_at: time of its arrival; later times are ``None`` until they come.
-    :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"deadline"``, ``"refused"``,
-        ``"cut"`` by its caller, or ``"broken off"`` by the server.
+    :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"call failed"``, ``"deadline"``,
+        ``"refused"``, ``"cut"`` by its caller, or ``"broken off"`` by the server.
     :param checksum: CRC-32 of the answer's body.
     """
 
@@ -322,6 +322,7 @@
                 await trio.sleep(self.choose_seconds())
                 for child in self.children:
                     if not await self.call(child, left_ms):
+                        run.end = "call failed"
                         return self.answer(500, attempt, b"a child call failed")
                 run.end = "done"
                 body = b"%b %b " % (request.method, request.body)
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -17,6 +17,8 @@
 LATE_SENDER_S = 3.0
 CLOCK_TOLERANCE_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# What a server answers with its signature, by the end of the run.
+FAILURE_STATUSES = {"call failed": 500, "deadline": 504}
 OWN_FAILURE_STATUSES = (500, 502, 504)
 KEPT_LOSSES_ALLOWED = 3
 BROKEN_ENDS = ("closed", "reset", "unread")
@@ -154,6 +156,10 @@
             sums = [run.checksum for run in runs if run.end == "done"]
             if fate.signature != b"sig." + fate.attempt or fate.checksum not in sums:
                 yield "MIXED"
+        elif fate.signature is not None:
+            given = [FAILURE_STATUSES.get(run.end) for run in runs]
+            if fate.signature != b"sig." + fate.attempt or fate.status not in given:
+                yield "MIXED"
 
     def check_loss(self, fate: Fate, runs: list[Run]) -> Finding | None:
         """Return a finding for a request that ended without its answer."""
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -42,6 +42,11 @@
         # (fate, runs, whether the clients' machine was stopped, rules)
         (build_fate("answered", 200, signed=True), [build_run("done")], True, ""),
         (build_fate("answered", 200), [build_run("done")], True, "MIXED"),
+        (build_fate("answered", 200, signed=True), [build_run("cut")], False, "MIXED"),
+        (build_fate("answered", 200, signed=True), [], False, "MIXED"),
+        (build_fate("answered", 504, signed=True), [build_run("deadline")], False, ""),
+        (build_fate("answered", 504, signed=True), [build_run("done")], False, "MIXED"),
+        (build_fate("answered", 502, signed=True), [build_run("done")], False, "MIXED"),
         (build_fate("closed"), [build_run("done")], True, "LOST"),
         (build_fate("reset"), [build_run("done")], False, "LOST"),
         (build_fate("cut", 200), [build_run("done")], True, "LOST"),
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -69,6 +69,8 @@
 }
 OWN = ANSWER | {"status": 502, "signature": None}
 OWN_503 = OWN | {"status": 503}
+OTHER_SIGNATURE = ANSWER | {"status": 500, "signature": b"sig.b"}
+SIGNED_503 = ANSWER | {"status": 503}
 LATE = {"ended_at": 105.4}
 SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
 UNREAD = {"end": "unread", "place": 1}
@@ -76,6 +78,7 @@
 SAFE = {"call": BROWSE}
 LONG_RUN = make_run(ended_at=105.4)
 UNENDED_RUN = make_run(ended_at=None, end="runs")
+FAILED_RUN = make_run(end="call failed")
 CUT_RUN = make_run(end="cut")
 REFUSED_RUN = replace(make_run(None, end="refused"), arrived_at=101.09)
 BROKEN_THEN_DONE = [
@@ -179,11 +182,16 @@
     @params(
         ("twice", ANSWER, [make_run(), make_run()], ["TWICE"]),
         ("safe twice", ANSWER | {"call": BROWSE}, [make_run(), make_run()], []),
-        ("refused", ANSWER | {"status": 503}, [make_run()], ["REFUSED"]),
-        ("refused, not run", ANSWER | {"status": 503}, [make_run(None, None)], []),
+        ("refused", OWN_503, [make_run()], ["REFUSED"]),
+        ("signed 503", SIGNED_503, [make_run()], ["REFUSED", "MIXED"]),
+        ("refused, not run", OWN_503, [make_run(None, None)], []),
         ("unsigned", ANSWER | {"signature": None}, [make_run()], ["MIXED"]),
         ("other body", ANSWER | {"checksum": 6}, [make_run()], ["MIXED"]),
         ("other answer", ANSWER | {"named": b"b"}, [make_run()], ["MIXED"]),
+        ("failure of a call", ANSWER | {"status": 500}, [FAILED_RUN], []),
+        ("other failure", ANSWER | {"status": 504}, [FAILED_RUN], ["MIXED"]),
+        ("failure for a success", ANSWER | {"status": 500}, [make_run()], ["MIXED"]),
+        ("other signature", OTHER_SIGNATURE, [FAILED_RUN], ["MIXED"]),
     )
     def test_answer(self, _name, changes, runs, expected):
         self.assertEqual(judge(make_fate(**changes), runs, None), expected)
