Excuse by the time-outs that may be in force only

Cause: the soak excused a loss once a request had lasted as long as the shortest time-out that its route ever had, before that was sent and after it was replaced too. The plays did so before their planned work shortens the time-out from 6 s to 1 s.

Change: the soak keeps all time-outs with the times of their sending; one is over once machines in touch must handle requests by the next, counted from the end of store trouble and of the machine's own kill or freeze. Requests of a play that ended before the work have its first limit.

Evidence: "not sent yet" and "replaced" of test_only_time_outs_that_may_be_in_force_excuse and the second case of test_shorter_time_out_excuses_no_loss_before_it need it; the tables pass otherwise as before.

--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -244,6 +244,7 @@
             self.stops,
             SHORT_TIMEOUT_S if is_short else DEADLINE_S,
             self.play.kind == "unsafe",
+            DEADLINE_S,
         )
         lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
         for machine in self.fleet.machines:
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -31,6 +31,7 @@
     :param stops: times of SIGTERM to the machine of the entry, one for each process.
     :param limit_s: seconds until the deadline or the time-out of the route.
     :param is_unsafe: whether a request may run once at most.
+    :param limit_before_s: the same before the planned work, if that changes it.
     :ivar excused: number of ends that the rules excuse, by kind and cause.
     :ivar failures: number of own failures, by kind.
     """
@@ -41,6 +42,7 @@
     stops: list[float]
     limit_s: float
     is_unsafe: bool
+    limit_before_s: float | None = None
     excused: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
 
@@ -138,7 +140,10 @@
             return "sent behind another"
         if not runs and fate.ended_at - sent_at <= LOSS_SLACK_S:
             return "not passed on" if fate.sent_at else "not sent whole"
-        if fate.ended_at - fate.started_at >= self.limit_s - CLOCK_TOLERANCE_S:
+        limit_s = self.limit_s
+        if fate.ended_at < self.work_at:
+            limit_s = self.limit_before_s or limit_s
+        if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
             return TIME_IS_OVER
         last = find_last(runs)
         if last is not None and last.end == "broken off":
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -1,6 +1,7 @@
 """Shape of a soak's deployment, and the planned work that is done on it."""
 
 import copy
+import math
 import random
 import signal
 import subprocess
@@ -136,7 +137,7 @@
     :param prepare: gives a machine's new server its shape.
     :param run_burst: lets many clients come at once.
     :param has_unplanned: whether nodes are also killed and held still.
-    :ivar timeouts_s: shortest time-out that each first route had, in seconds.
+    :ivar timeouts_s: time-outs of each first route, each with the time of its sending.
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
     :ivar faults: what processes did that the platform does not expect.
@@ -160,7 +161,8 @@
     def __post_init__(self) -> None:
         self.configuration = build_configuration(self.deployment)
         self.timeouts_s = {
-            route["name"]: route["timeout-s"] for route in self.configuration["routes"]
+            route["name"]: [(-math.inf, route["timeout-s"])]
+            for route in self.configuration["routes"]
         }
 
     async def run(self, servers: trio.Nursery, until: float) -> None:
@@ -358,8 +360,8 @@
             route["service"] = self.random.choice([route["name"], *safe])
         elif change == "time" and own:
             route["timeout-s"] = own.deadline_s * self.random.choice([0.8, 0.9, 1])
-            shortest = min(self.timeouts_s[route["name"]], route["timeout-s"])
-            self.timeouts_s[route["name"]] = shortest
+            timeout = (trio.current_time(), route["timeout-s"])
+            self.timeouts_s[route["name"]].append(timeout)
         elif change == "limits":
             config["limits"]["max-body-bytes"] = self.random.choice([2, 4, 64]) << 20
             config["limits"]["idle-timeout-s"] = self.random.choice(
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from catkinpost_standins.users_platform.server import Run
 from catkinpost_standins.users_platform.traffic import Fate
@@ -23,6 +24,7 @@
 KEPT_LOSSES_ALLOWED = 3
 BROKEN_ENDS = ("closed", "reset", "unread")
 UNPLANNED = ("kill", "freeze")
+OUT_OF_TOUCH = (*UNPLANNED, "store")
 
 
 @dataclass(kw_only=True)
@@ -106,13 +108,13 @@
     :param fates: requests as their clients saw them.
     :param runs: requests as the servers saw them.
     :param disruptions: what was done meanwhile.
-    :param timeouts_s: shortest time-out of each route during the soak, in seconds.
+    :param timeouts_s: time-outs of each route, each with the time of its sending.
     """
 
     fates: list[Fate]
     runs: dict[bytes, list[Run]]
     disruptions: list[Disruption]
-    timeouts_s: dict[str, float]
+    timeouts_s: dict[str, list[tuple[float, float]]]
     excused: list[Finding] = field(default_factory=list)
 
     def find(self) -> list[Finding]:
@@ -220,7 +222,7 @@
         is_late = fate.ended_at - fate.sent_at > LOSS_SLACK_S
         if not runs and (fate.place or not is_late):
             return "(not passed on)"
-        limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
+        limit_s = min(fate.call.deadline_s, *self.list_timeouts(fate))
         if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
             return "(its time was over)"
         last = find_last(runs)
@@ -239,6 +241,30 @@
             return "(the server was at work at the end of the grace time)"
         return ""
 
+    def list_timeouts(self, fate: Fate) -> Iterator[float]:
+        """List the time-outs that may be in force for a request, in seconds."""
+        timeouts = self.timeouts_s[fate.call.route]
+        next_times = [at for at, _ in timeouts[1:]]
+        for (at, timeout_s), next_at in zip_longest(timeouts, next_times):
+            is_over = next_at is not None and (
+                self.find_propagation_end(next_at, fate.host) < fate.started_at
+            )
+            if at <= fate.ended_at and not is_over:
+                yield timeout_s
+
+    def find_propagation_end(self, at: float, host: str) -> float:
+        """Return when a machine must handle requests by a configuration.
+
+        The bound holds for machines that have been in touch for ``touch-s``.
+        """
+        ends_at = at + PROPAGATION_S
+        for item in sorted(self.disruptions, key=lambda item: item.at):
+            is_out = item.kind in OUT_OF_TOUCH and item.host in ("", host)
+            in_touch_at = item.until + TOUCH_S
+            if is_out and item.at <= ends_at and in_touch_at >= at:
+                ends_at = max(ends_at, in_touch_at + PROPAGATION_S)
+        return ends_at
+
     def is_disrupted(self, fate: Fate) -> bool:
         """Whether unplanned disruption lies between ``touch-s`` before and the end.
 
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -109,6 +109,15 @@
         found = [line.split()[0] for line in verdict.find()]
         self.assertEqual(found, ["LOST-STOP"] * is_lost)
 
+    @params((100.05, ""), (99.95, "LOST"))
+    def test_shorter_time_out_excuses_no_loss_before_it(self, ended_at, rule):
+        fate = build_fate("closed", ended=ended_at)
+        runs = {"a-1": [build_run("done")]}
+        verdict = Verdict([fate], runs, 100.0, [], 1.0, False, LIMIT_S)
+        self.assertEqual(
+            [line.split()[0] for line in verdict.find()], [rule] * bool(rule)
+        )
+
     @params(
         # (second of the send after SIGTERM, second of the end, run, whether lost)
         (2.5, 5.2, "cut", False),
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -14,6 +14,7 @@
 
 HOST = "127.0.0.21"
 BODY_SUM = 5
+TIMEOUTS_S = {"order": [(0.0, 6.0)]}
 ORDER = Call(route="order", host="h", path="/", unsafe=True, deadline_s=6.0)
 BROWSE = replace(ORDER, unsafe=False)
 STOP = Disruption(kind="stop", host=HOST, at=100.0, until=107.0)
@@ -55,7 +56,7 @@
         [fate] * count,
         {b"a": runs},
         [disruption] if disruption else [],
-        {"order": 6.0},
+        TIMEOUTS_S,
     )
     return [finding.rule for finding in verdict.find()]
 
@@ -145,7 +146,7 @@
         """Guards against excuses that the rule does not give."""
         item = Disruption(kind=kind, host=host, at=at, until=at + 0.5)
         runs = {b"a": [make_run(end="cut")]}
-        verdict = Verdict([make_fate(**changes)], runs, [STOP, item], {"order": 6.0})
+        verdict = Verdict([make_fate(**changes)], runs, [STOP, item], TIMEOUTS_S)
         self.assertEqual([found.rule for found in verdict.find()], expected)
 
     @params("kill", "freeze")
@@ -153,14 +154,31 @@
         """Guards against repeats that a disruption seems to allow."""
         item = Disruption(kind=kind, host=HOST, at=100.9, until=101.5)
         runs = {b"a": [make_run(), make_run()]}
-        verdict = Verdict([make_fate(**ANSWER)], runs, [item], {"order": 6.0})
+        verdict = Verdict([make_fate(**ANSWER)], runs, [item], TIMEOUTS_S)
         self.assertEqual([found.rule for found in verdict.find()], ["TWICE"])
 
+    @params(
+        # (end of the request, store trouble, rules)
+        ("in force", 100.5, None, []),
+        ("sent meanwhile", 102.5, None, []),
+        ("not sent yet", 99.5, None, ["LOST-STOP"]),
+        ("replaced", 106.0, None, ["LOST-STOP"]),
+        ("replaced while the store is silent", 106.0, STORE, []),
+    )
+    def test_only_time_outs_that_may_be_in_force_excuse(self, _name, at, store, rules):
+        """Guards against the shortest of all time-outs as an excuse for any loss."""
+        fate = make_fate(started_at=at - 1.1, sent_at=at - 1.1, ended_at=at)
+        timeouts_s = {"order": [(0.0, 6.0), (100.0, 1.0), (102.0, 6.0)]}
+        stop = replace(STOP, at=99.0)
+        disruptions = [stop, *([store] if store else [])]
+        verdict = Verdict([fate], {b"a": [make_run()]}, disruptions, timeouts_s)
+        self.assertEqual([found.rule for found in verdict.find()], rules)
+
     def test_a_stop_is_not_excused_by_the_one_before_it(self):
         """Guards against work at the end of the time of a process that is gone."""
         next_stop = replace(STOP, at=103.0, until=110.0)
         fate = make_fate(sent_at=102.9, ended_at=105.4)
-        verdict = Verdict([fate], {b"a": [LONG_RUN]}, [STOP, next_stop], {"order": 6.0})
+        verdict = Verdict([fate], {b"a": [LONG_RUN]}, [STOP, next_stop], TIMEOUTS_S)
         self.assertEqual([item.rule for item in verdict.find()], ["LOST-STOP"])
 
     @params((3, 0), (4, 4))
@@ -174,7 +192,7 @@
         ("after its run", OWN, [make_run()], "own 502, server begun"),
     )
     def test_failure_is_noted_with_its_cause(self, _name, changes, runs, cause):
-        verdict = Verdict([make_fate(**changes)], {b"a": runs}, [], {"order": 6.0})
+        verdict = Verdict([make_fate(**changes)], {b"a": runs}, [], TIMEOUTS_S)
         self.assertEqual(verdict.find(), [])
         expected = {f"FAILED (noted only: {cause})": 1}
         self.assertEqual(verdict.count_excused(), expected)
