Judge runs that no client sent, and bodies that were read as empty

Cause: the plays judged runs of requests whose clients knew them only, and took a body of no bytes for one that an early answer had left unread. The rule counts a run whose id no client sent, or whose body was changed.

Change: each run of an unknown id is a finding; a body counts once it was read to its end, and an unread one has no checksum.

Evidence: test_run_that_no_client_sent and three new cases failed before.

--- a/src/catkinpost_standins/plays/server.py
+++ b/src/catkinpost_standins/plays/server.py
@@ -54,6 +54,7 @@
 class Run:
     """One request that reached a server, with times of the steady clock.
 
+    :param upload: CRC-32 of its body, ``None`` if that was not read to its end.
     :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"cut"``, ``"shed"``,
         ``"deadline"`` or ``"broken off"``.
     """
@@ -62,7 +63,7 @@
     method: str
     path: str
     arrived_at: float
-    upload: int = 0
+    upload: int | None = None
     began_at: float | None = None
     ended_at: float | None = None
     end: str = "waits"
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -54,6 +54,10 @@
             rules = [*self.check_runs(fate, runs), *self.check_end(fate, runs)]
             if rules:
                 lines.append(f"{' '.join(rules)} {self.describe(fate, runs)}")
+        sent = {fate.attempt for fate in self.fates}
+        for attempt in self.runs.keys() - sent:
+            course = "; ".join(run.describe(self.work_at) for run in self.runs[attempt])
+            lines.append(f"UNASKED {attempt or 'no id'}, that no client sent: {course}")
         return lines
 
     def describe(self, fate: Fate, runs: list[Run]) -> str:
@@ -74,7 +78,7 @@
             yield "TWICE"
         for run in runs:
             is_same = (run.method, run.path) == (fate.method, fate.path)
-            if not is_same or run.end == "done" and run.upload not in (0, fate.upload):
+            if not is_same or run.upload not in (None, fate.upload):
                 yield "UNASKED"
         if fate.end != "answered":
             return
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -79,6 +79,9 @@
         (build_fate("refused"), [build_run("done"), build_run("cut")], True, "TWICE"),
         (build_fate("refused"), [build_run("done", path="/x")], True, "UNASKED"),
         (build_fate("refused"), [build_run("done", upload=8)], True, "UNASKED"),
+        (build_fate("refused"), [build_run("done", upload=0)], True, "UNASKED"),
+        (build_fate("refused"), [build_run("runs", upload=8)], True, "UNASKED"),
+        (build_fate("refused"), [build_run("done", upload=None)], True, ""),
     )
     def test_rule(self, fate, runs, was_stopped, rule):
         stops = [STOPPED_AT] if was_stopped else []
@@ -109,6 +112,11 @@
         found = [line.split()[0] for line in verdict.find()]
         self.assertEqual(found, ["LOST-STOP"] * is_lost)
 
+    def test_run_that_no_client_sent(self):
+        runs = {"a-2": [build_run("done")]}
+        verdict = Verdict([], runs, 100.0, [], LIMIT_S, False)
+        self.assertEqual([line.split()[0] for line in verdict.find()], ["UNASKED"])
+
     @params((100.05, ""), (99.95, "LOST"))
     def test_shorter_time_out_excuses_no_loss_before_it(self, ended_at, rule):
         fate = build_fate("closed", ended=ended_at)
