Pass on a reset that a relay meets at the end of a connection

Cause: a sink that has been reset raises ENOTCONN from write_eof, which is an OSError but not a ConnectionError. The relay task ended with a traceback, and the other side was not reset.

Change: any OSError of the sink or the source counts as the reset of its connection.

Evidence: test_reset_before_the_end_is_passed_on failed before.

--- a/src/catkinpost_standins/plays/relay.py
+++ b/src/catkinpost_standins/plays/relay.py
@@ -72,12 +72,12 @@
                 if self.link.bytes_per_s:
                     await asyncio.sleep(len(data) / self.link.bytes_per_s)
             await queue.put((loop.time() + self.link.delay_s, b""))
-        except ConnectionError:
+        except OSError:
             await queue.put((loop.time() + self.link.delay_s, None))
 
     async def write(self, queue: asyncio.Queue, sink, source) -> None:
         loop = asyncio.get_running_loop()
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while True:
                 due_at, data = await queue.get()
                 await asyncio.sleep(due_at - loop.time())
