Count processes that end by themselves with status 0 as faults

Cause: an exit with status 0 was no fault of a soak or a play, whether the process had been sent SIGTERM or not, and with no log yet nor was an end by SIGTERM. Processes of a soak that were not stopped again after their end were not looked at, and a play that sends SIGHUP at the start took up a process that had ended with any other status.

Change: 0, and SIGTERM before the process is set up, are allowed only for processes that were sent SIGTERM. A soak looks at all processes at its end, and before it kills one.

--- a/src/catkinpost_standins/plays/fleet.py
+++ b/src/catkinpost_standins/plays/fleet.py
@@ -98,6 +98,7 @@
 
     :ivar peer_port: port for peers in the settings of this machine alone. Its node
         listens there, and dials its peers there: at their addresses a relay listens.
+    :ivar stopped: processes that were sent SIGTERM.
     """
 
     index: int
@@ -107,8 +108,21 @@
     settings: Path
     peer_port: int
     process: subprocess.Popen | None = None
+    stopped: set[subprocess.Popen] = field(default_factory=set)
     ends: list[str] = field(default_factory=list)
 
+    def check_exit(
+        self, process: subprocess.Popen, allowed: tuple[int, ...] = ()
+    ) -> None:
+        """Note the status of a process that ended otherwise than as asked.
+
+        :param allowed: statuses that are no finding, besides 0 after SIGTERM.
+        """
+        status = process.poll()
+        is_asked = status == 0 and process in self.stopped
+        if status is not None and not is_asked and status not in allowed:
+            self.ends.append(f"EXIT: status {status}")
+
 
 class Fleet:
     """All machines of one play.
@@ -291,7 +305,9 @@
         :param allowed: exit statuses besides 0 that are no finding.
         """
         process, started_at = machine.process, time.monotonic()
-        process.send_signal(signal.SIGTERM)
+        if process.poll() is None:
+            machine.stopped.add(process)
+            process.send_signal(signal.SIGTERM)
         again_s = sorted(again_s)
         while process.poll() is None and time.monotonic() - started_at < GRACE_S:
             if again_s and time.monotonic() - started_at >= again_s[0]:
@@ -305,8 +321,8 @@
             machine.ends.append("STAY: killed at the end of the grace time")
             process.kill()
             process.wait()
-        elif process.returncode not in (0, *allowed):
-            machine.ends.append(f"EXIT: status {process.returncode}")
+        else:
+            machine.check_exit(process, allowed)
 
     async def end(self) -> None:
         """End all processes, servers and relays."""
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -248,9 +248,9 @@
         )
         lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
         for machine in self.fleet.machines:
+            if not machine.ends:
+                machine.check_exit(machine.process)
             lines += [f"{end} ({machine.host})" for end in machine.ends]
-            if machine.process.poll() not in (None, 0) and not machine.ends:
-                lines.append(f"EXIT {machine.host}: {machine.process.returncode}")
         return lines, verdict
 
     def check_service(self, fates: list[Fate], until: float) -> list[str]:
@@ -385,8 +385,11 @@
             can_end = can_end or not catches(process, signal.SIGINT)
             process.send_signal(signal.SIGHUP)
         await asyncio.sleep(END_BY_SIGNAL_S)
-        if process.poll() == -signal.SIGHUP and not can_end:
-            self.entry.ends.append("EXIT: by SIGHUP")
+        if process.poll() == -signal.SIGHUP:
+            if not can_end:
+                self.entry.ends.append("EXIT: by SIGHUP")
+        elif process not in self.entry.stopped:
+            self.entry.check_exit(process)
 
     async def stop_early(self) -> None:
         """Send SIGTERM to a process that may not be set up to stop in order."""
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -143,6 +143,7 @@
     :ivar faults: what processes did that the platform does not expect.
     :ivar early_hangups: processes that were sent SIGHUP before their interpreter was
         set up.
+    :ivar stopped: processes that were sent SIGTERM.
     """
 
     fleet: PlatformFleet
@@ -154,6 +155,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     early_hangups: set[subprocess.Popen] = field(default_factory=set)
+    stopped: set[subprocess.Popen] = field(default_factory=set)
     busy: set[str] = field(default_factory=set)
     generation: int = 0
     has_store_trouble: bool = False
@@ -274,7 +276,9 @@
             await trio.sleep(self.random.uniform(0, FIRST_SECOND_S))
         self.note("stop", machine.host, GRACE_S + 1)
         stopped_at = trio.current_time()
-        process.send_signal(signal.SIGTERM)
+        if process.poll() is None:
+            self.stopped.add(process)
+            process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S):
             async with trio.open_nursery() as nursery:
                 if has_series:
@@ -291,6 +295,12 @@
             machine.process = None
         self.check_end(machine)
 
+    def check_processes(self) -> None:
+        """Note which processes have ended by themselves."""
+        for machine in self.fleet.machines:
+            if machine.process is not None and machine.process.poll() is not None:
+                self.check_end(machine)
+
     def check_end(self, machine: Machine) -> None:
         """Note the status of a process that ended otherwise than as asked.
 
@@ -303,11 +313,13 @@
         status = process.wait()
         machine.process = None
         when = "" if self.fleet.read_log(machine) else " before it was set up"
-        allowed = {0}
-        if when:
-            allowed.add(-signal.SIGTERM)
-            if process in self.early_hangups:
-                allowed.add(-signal.SIGHUP)
+        allowed = set()
+        if process in self.stopped:
+            allowed.add(0)
+            if when:
+                allowed.add(-signal.SIGTERM)
+        if when and process in self.early_hangups:
+            allowed.add(-signal.SIGHUP)
         if status not in allowed:
             self.faults.append(f"EXIT {machine.host}: status {status}{when}")
 
@@ -380,9 +392,12 @@
         machine = self.take_machine()
         if machine is None:
             return
+        if machine.process.poll() is not None:
+            self.check_end(machine)
         item = self.note("kill", machine.host, 0)
-        machine.process.kill()
-        machine.process.wait()
+        if machine.process is not None:
+            machine.process.kill()
+            machine.process.wait()
         await trio.sleep(self.random.uniform(0, 1))
         await self.start_node(machine)
         item.until = trio.current_time()
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -202,6 +202,7 @@
                         self.start_client(traffic, machine, habit, self.end)
                 traffic.start_soon(self.plan.run, nursery, self.end - GRACE_S)
             nursery.cancel_scope.cancel()
+        self.plan.check_processes()
         runs: dict[bytes, list[Run]] = defaultdict(list)
         for server in self.servers:
             for run in server.history:
