Judge the answers to calls that are none, or that name another request

Cause: the soak named every failure of a server's call other than a lost connection "unsent", malformed answers and those with another behind them too, and kept no Attempt-Id of the answers to calls. Neither was judged. The rule counts them as MIXED.

Change: only a call whose connection could not be opened is "unsent". The others are "malformed", which is MIXED, and the id in an answer to a call is judged as for other clients.

Evidence: two cases of test_call_of_a_server_is_judged_by_its_end and "no answer in the protocol" failed before.

--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -102,11 +102,14 @@
             if isinstance(result, HttpResponse):
                 fate.end, fate.status = "answered", result.status
                 fate.signature = find_header(result.headers, RESPONSE_SIGNATURE)
+                fate.named = find_header(result.headers, ATTEMPT_ID)
                 fate.checksum = zlib.crc32(result.body)
             elif result.reason is Reason.BACKEND_CONNECTION_LOST:
                 fate.end = "closed" if "cut" in result.detail else "reset"
-            else:
+            elif result.reason is Reason.BACKEND_UNREACHABLE:
                 fate.end = "unsent"
+            else:
+                fate.end = "malformed"
             return result
         finally:
             fate.ended_at = trio.current_time()
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -88,7 +88,8 @@
     :param started_at: time at which its client began to send it.
     :param sent_at: time at which all of it was sent.
     :param end: ``"answered"``, ``"closed"``, ``"reset"``, ``"unsent"``, ``"unread"``
-        behind an announced close, ``"left"`` by the client, or ``"no answer"``.
+        behind an announced close, ``"left"`` by the client, ``"no answer"``, or
+        ``"malformed"`` if the answer was none in the protocol, or had others behind it.
     :param received_bytes: bytes of an incomplete answer.
     """
 
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -148,6 +148,8 @@
         begun = [run for run in runs if run.began_at is not None]
         if fate.call.unsafe and len(begun) > 1:
             yield "TWICE"
+        if fate.end == "malformed":
+            yield "MIXED"
         if fate.end != "answered":
             return
         if fate.call.unsafe and fate.status in NOT_RUN_STATUSES and begun:
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -7,7 +7,11 @@
 import trio
 from nose2.tools import params
 
+from catkinpost.platform.names import ATTEMPT_ID
+from catkinpost.protocol.http import HttpRequest, HttpResponse
+from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost_standins.users_platform.server import Run
+from catkinpost_standins.users_platform.soak import RecordedCalls
 from catkinpost_standins.users_platform.traffic import Call, Client, Fate, Habit
 from catkinpost_standins.users_platform.verdict import Disruption, Verdict
 from tests.clock import on_mock_clock
@@ -76,6 +80,7 @@
 SLOWLY_SENT = {"sent_at": 101.2, "ended_at": 107.0}
 UNREAD = {"end": "unread", "place": 1}
 LOST = "LOST-STOP"
+LOST_CALL = Failure(reason=Reason.BACKEND_CONNECTION_LOST)
 SAFE = {"call": BROWSE}
 LONG_RUN = make_run(ended_at=105.4)
 UNENDED_RUN = make_run(ended_at=None, end="runs")
@@ -205,6 +210,7 @@
         ("refused, not run", OWN_503, [make_run(None, None)], []),
         ("unsigned", ANSWER | {"signature": None}, [make_run()], ["MIXED"]),
         ("other body", ANSWER | {"checksum": 6}, [make_run()], ["MIXED"]),
+        ("no answer in the protocol", {"end": "malformed"}, [make_run()], ["MIXED"]),
         ("other answer", ANSWER | {"named": b"b"}, [make_run()], ["MIXED"]),
         ("failure of a call", ANSWER | {"status": 500}, [FAILED_RUN], []),
         ("other failure", ANSWER | {"status": 504}, [FAILED_RUN], ["MIXED"]),
@@ -215,6 +221,30 @@
         self.assertEqual(judge(make_fate(**changes), runs, None), expected)
 
 
+class TestRecordedCalls(unittest.TestCase):
+    @params(
+        (HttpResponse(200, [(ATTEMPT_ID, b"b")]), "answered", b"b"),
+        (replace(LOST_CALL, detail="the answer was cut"), "closed", None),
+        (LOST_CALL, "reset", None),
+        (Failure(reason=Reason.BACKEND_UNREACHABLE), "unsent", None),
+        (Failure(reason=Reason.BACKEND_BAD_ANSWER), "malformed", None),
+    )
+    def test_call_of_a_server_is_judged_by_its_end(self, result, end, named):
+        """Guards against answers that pass as a call that was not sent."""
+        self.check_call(result, end, named)
+
+    @on_mock_clock
+    async def check_call(self, result, end, named):
+        client = mock.Mock(host=HOST, idle_connections=[])
+        client.send_request = mock.AsyncMock(return_value=result)
+        soak = mock.Mock(fates=[])
+        request = HttpRequest(b"GET", b"/", [(ATTEMPT_ID, b"a")])
+        await RecordedCalls(client, soak, BROWSE).send_request(request)
+        self.assertEqual(
+            [(item.end, item.named) for item in soak.fates], [(end, named)]
+        )
+
+
 class TestPlace(unittest.TestCase):
     @params((0.0, [0, 1]), (0.3, [0, 0]))
     def test_place_counts_requests_without_an_answer(self, apart_s, expected):
