Excuse ends before the deadline by the nodes' own margin only

Cause: a loss up to 50 ms before the deadline or the time-out was excused. Clients, servers and judge share one clock and the time counts from before the send, so that nothing needs this much: nodes answer 20 ms before the deadline, which is sent in whole milliseconds.

Change: 21 ms.

--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -16,7 +16,8 @@
 TOUCH_S = 3.0
 # Work at the end of the grace time excuses only requests sent until then after SIGTERM.
 LATE_SENDER_S = 3.0
-CLOCK_TOLERANCE_S = 0.05
+# Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
+DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # What a server answers with its signature, by the end of the run.
 FAILURE_STATUSES = {"call failed": 500, "deadline": 504}
@@ -225,7 +226,7 @@
         if not runs and (fate.place or not is_late):
             return "(not passed on)"
         limit_s = min(fate.call.deadline_s, *self.list_timeouts(fate))
-        if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
+        if fate.ended_at - fate.started_at >= limit_s - DEADLINE_MARGIN_S:
             return "(its time was over)"
         last = find_last(runs)
         if last is not None and last.end == "broken off":
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -61,6 +61,8 @@
         (build_fate("dropped"), [], True, "LOST"),
         (build_fate("dropped", ended=99.1), [], True, ""),
         (build_fate("dropped", ended=102.9), [build_run("done")], True, ""),
+        (build_fate("dropped", ended=102.88), [build_run("done")], True, ""),
+        (build_fate("dropped", ended=102.87), [build_run("done")], True, "LOST"),
         (build_fate("dropped", place=2), [build_run("broken off")], True, ""),
         (build_fate("closed", place=2), [build_run("done")], True, "LOST"),
         (build_fate("closed", ended=102.9), [build_run("runs")], True, ""),
