Take the last byte of a request in pieces as its time of sending

Cause: clients of plays that send in pieces paused 30 ms after the last piece too. The time from which loss-slack-s counts was late by that, and a request whose connection ended meanwhile counted as not sent whole.

Change: pauses lie between pieces only.

Evidence: test_request_counts_as_sent_at_its_last_byte failed before.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -338,8 +338,9 @@
             data = head + body
             step = len(data) // PIECES + 1
             for start in range(0, len(data), step):
+                if start:
+                    await asyncio.sleep(PIECE_GAP_S)
                 await connection.send(data[start : start + step])
-                await asyncio.sleep(PIECE_GAP_S)
         else:
             await connection.send(head + body)
 
--- a/tests/end_to_end/plays/test_client.py
+++ b/tests/end_to_end/plays/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -47,3 +48,20 @@
             writer.write(head.encode() + build_body(attempt, ANSWER_BYTES))
         await writer.drain()
         writer.close()
+
+
+class TestPieces(unittest.TestCase):
+    def test_request_counts_as_sent_at_its_last_byte(self):
+        """Guards against a loss that is excused as its request was sent later."""
+        sends, pauses = asyncio.run(self.send())
+        self.assertGreater(sends, 1)
+        self.assertEqual(pauses, sends - 1)
+
+    async def send(self):
+        sending = Sending("pieces", "GET", "/", b"", False, "quick", (0,), 3.0)
+        client = Client(("127.0.0.1", 1), sending, "1", lambda: 5.0, lambda: True)
+        connection = mock.AsyncMock(answers=0)
+        fate = client.build_fate(connection, 0)
+        with mock.patch("asyncio.sleep") as sleep:
+            await client.send(connection, fate)
+        return connection.send.await_count, sleep.await_count
