Judge requests of the soak without an answer after their time-out

Cause: a request whose client gave up a second after its deadline was noted, listed and counted, but broke no rule of the soak however many there were. The rule allows fewer than eight, or a quarter of those that last longer than their time-out.

Change: with more, each one without an answer half a second after the time-out is LATE, at machines in touch.

Evidence: three cases of test_no_answer_long_after_the_time_out failed before.

--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -23,6 +23,8 @@
 FAILURE_STATUSES = {"call failed": 500, "deadline": 504}
 OWN_FAILURE_STATUSES = (500, 502, 504)
 KEPT_LOSSES_ALLOWED = 3
+# Requests without an answer so long after their time-out, of which some are allowed.
+LATE_AFTER_S, LATE_ALLOWED = 0.5, 7
 BROKEN_ENDS = ("closed", "reset", "unread")
 UNPLANNED = ("kill", "freeze")
 OUT_OF_TOUCH = (*UNPLANNED, "store")
@@ -138,6 +140,7 @@
                 kept.append(lost)
             else:
                 findings.append(lost)
+        findings += self.find_late()
         if len(kept) > KEPT_LOSSES_ALLOWED:
             return findings + kept
         for finding in kept:
@@ -145,6 +148,34 @@
         self.excused += kept
         return findings
 
+    def find_late(self) -> list[Finding]:
+        """Return requests that had no answer long after their route's time-out.
+
+        Few are allowed, and a quarter of those that last longer than it.
+        """
+        lasting, late = 0, []
+        for fate in self.fates:
+            is_judged = fate.end in ("answered", "no answer", *BROKEN_ENDS)
+            over_s = fate.ended_at - fate.started_at - max(self.list_timeouts(fate))
+            if not is_judged or over_s < 0 or not self.is_in_touch(fate):
+                continue
+            lasting += 1
+            if over_s >= LATE_AFTER_S:
+                runs = self.runs.get(fate.attempt, [])
+                late.append(Finding(rule="LATE", fate=fate, runs=runs, disruption=None))
+        is_allowed = len(late) <= LATE_ALLOWED or len(late) <= lasting / 4
+        return [] if is_allowed else late
+
+    def is_in_touch(self, fate: Fate) -> bool:
+        """Whether a machine was in touch from a request's start to its end."""
+        return not any(
+            item.kind in (*OUT_OF_TOUCH, "stop")
+            and item.host in ("", fate.host)
+            and item.at <= fate.ended_at
+            and item.until >= fate.started_at - TOUCH_S
+            for item in self.disruptions
+        )
+
     def check_answer(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         begun = [run for run in runs if run.began_at is not None]
         if fate.call.unsafe and len(begun) > 1:
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -193,6 +193,24 @@
         found = judge(make_fate(), [make_run()], None, count)
         self.assertEqual(found, ["LOST-KEPT"] * expected)
 
+    @params(
+        # (requests without an answer, requests answered in time, disruption, findings)
+        (7, 0, None, 0),
+        (8, 0, None, 8),
+        (8, 24, None, 0),
+        (8, 23, None, 8),
+        (8, 0, STORE, 0),
+        (8, 0, replace(STOP, host="127.0.0.22"), 8),
+    )
+    def test_no_answer_long_after_the_time_out(self, late, lasting, item, expected):
+        """Guards against requests that are held and show in totals alone."""
+        fates = [make_fate(end="no answer", ended_at=107.6)] * late
+        fates += [make_fate(**ANSWER | {"ended_at": 107.1})] * lasting
+        runs = {b"a": [make_run()]}
+        verdict = Verdict(fates, runs, [item] if item else [], TIMEOUTS_S)
+        rules = [found.rule for found in verdict.find()]
+        self.assertEqual(rules, ["LATE"] * expected)
+
     @params(
         ("no answer", {"end": "no answer"}, [], "no answer"),
         ("before its run", OWN, [], "own 502, server not begun"),
