Judge what comes behind an answer while no request waits

Cause: clients of plays closed an idle connection that had something to read, and never looked at what it was. The rule counts a success with no request waiting, or bytes that are no answer.

Change: such bytes are noted with the last answer, and are MIXED. A failure of a node, as for a time-out, is none.

Evidence: test_bytes_that_nobody_asked_for_are_noted and a case of the table of rules; before, there was no such note, so that they end with an error there.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import re
 import select
 import socket
 import time
@@ -21,6 +22,7 @@
 CONTINUE_WAIT_S = 0.3
 READ_BYTES = 65_536
 HEAD_READ_BYTES = 256
+FAILURE_LINE = re.compile(rb"HTTP/1\.1 [345]")
 IDLE_SHARE = 0.78
 # Requests that a client sends ahead on a connection, and without an answer at a time.
 AHEAD = 12
@@ -70,6 +72,8 @@
     :param end: ``"answered"``, ``"closed"``, ``"cut"``, ``"reset"``, ``"no answer"``
         ``"refused"`` for a connection that could not be opened, ``"unsent"``, or
         ``"dropped"`` if its client dropped what it had not read.
+    :param is_followed: whether a success, or what is no answer, came behind its answer
+        while no request waited.
     """
 
     attempt: str
@@ -87,6 +91,7 @@
     is_signed: bool = False
     is_whole_body: bool = False
     named: str = ""
+    is_followed: bool = False
 
 
 @dataclass(frozen=True)
@@ -125,12 +130,24 @@
         self.data = b""
         self.answers = 0
         self.idle_since = 0.0
+        self.last: Fate | None = None
 
     @property
     def has_ended(self) -> bool:
         """Whether the other side has closed, or sent what nobody asked for."""
         return bool(select.select([self.socket], [], [], 0)[0])
 
+    def check_rest(self) -> None:
+        """Note bytes behind the last answer, while no request waits for one.
+
+        A failure, as for a time-out, may come then, but no success.
+        """
+        rest = self.data
+        with contextlib.suppress(OSError):
+            rest = rest or self.socket.recv(HEAD_READ_BYTES, socket.MSG_PEEK)
+        if rest and self.last is not None and not FAILURE_LINE.match(rest):
+            self.last.is_followed = True
+
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self.socket, data)
 
@@ -176,7 +193,7 @@
         whole_bytes = choose_size(fate.attempt, self.sending.answer_sizes)
         expected = build_body(fate.attempt, whole_bytes)
         fate.is_whole_body = body == expected
-        fate.end = "answered"
+        fate.end, self.last = "answered", fate
         self.answers += 1
         return headers
 
@@ -229,6 +246,7 @@
         """Whether a connection may be used again by the platform's rules."""
         if connection is None:
             return False
+        connection.check_rest()
         idle_s = time.monotonic() - connection.idle_since
         if not connection.has_ended and idle_s <= 0.8 * self.get_idle_limit():
             return True
@@ -256,6 +274,8 @@
             self.end_open(fates, "refused")
         except OSError:
             self.end_open(fates, "reset")
+        if all(fate.end == "answered" for fate in fates):
+            connection.check_rest()
         if is_kept:
             connection.idle_since = time.monotonic()
             return connection
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -85,6 +85,8 @@
             return
         if self.is_unsafe and fate.status in NOT_RUN_STATUSES and begun:
             yield "REFUSED"
+        if fate.is_followed:
+            yield "MIXED"
         if fate.named not in ("", fate.attempt):
             yield "MIXED"
         ends = [run.end for run in runs]
--- a/tests/end_to_end/plays/test_client.py
+++ b/tests/end_to_end/plays/test_client.py
@@ -11,6 +11,7 @@
 from catkinpost_standins.plays.server import build_body
 
 ANSWER_BYTES = 100
+QUIET_S = 0.1
 # Answers come when all requests of a batch have been sent.
 ANSWER_AFTER_S = SPREAD_GAP_S + 0.1
 
@@ -65,3 +66,37 @@
         with mock.patch("asyncio.sleep") as sleep:
             await client.send(connection, fate)
         return connection.send.await_count, sleep.await_count
+
+
+class TestRest(unittest.TestCase):
+    @params(
+        # (bytes behind the answer, whether they come late, whether they are noted)
+        (b"", False, False),
+        (b"HTTP/1.1 200 OK\r\n\r\n", False, True),
+        (b"HTTP/1.1 200 OK\r\n\r\n", True, True),
+        (b"extra", True, True),
+        (b"HTTP/1.1 408 Request Timeout\r\n\r\n", True, False),
+    )
+    def test_bytes_that_nobody_asked_for_are_noted(self, rest, is_late, expected):
+        """Guards against an answer on an idle connection that passes as its end."""
+        fate = asyncio.run(self.send(rest, is_late))
+        self.assertEqual((fate.end, fate.is_followed), ("answered", expected))
+
+    async def send(self, rest, is_late):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            if is_late:
+                await asyncio.sleep(QUIET_S)
+            writer.write(rest)
+            writer.close()
+
+        sending = Sending("kept", "GET", "/", b"", False, "quick", (0,), 3.0)
+        listener = await asyncio.start_server(serve, "127.0.0.1")
+        address = listener.sockets[0].getsockname()
+        client = Client(address, sending, "1", lambda: 5.0, lambda: True)
+        async with listener:
+            connection = await client.send_batch(None)
+            await asyncio.sleep(2 * QUIET_S)
+            client.is_usable(connection)
+        return client.fates[0]
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -1,6 +1,7 @@
 """Tests of the verdict on the requests of a play."""
 
 import unittest
+from dataclasses import replace
 
 from nose2.tools import params
 
@@ -47,6 +48,12 @@
         (build_fate("answered", 504, signed=True), [build_run("deadline")], False, ""),
         (build_fate("answered", 504, signed=True), [build_run("done")], False, "MIXED"),
         (build_fate("answered", 502, signed=True), [build_run("done")], False, "MIXED"),
+        (
+            replace(build_fate("answered", 200, signed=True), is_followed=True),
+            [build_run("done")],
+            False,
+            "MIXED",
+        ),
         (build_fate("closed"), [build_run("done")], True, "LOST"),
         (build_fate("reset"), [build_run("done")], False, "LOST"),
         (build_fate("cut", 200), [build_run("done")], True, "LOST"),
