Judge a request that is held behind others that were answered

Cause: the plays judged a request without any answer only if it was sent behind no other. One that was sent behind others is next once these have their answers, and its client waits the whole deadline and 0.6 s from then on; without an answer it passed unseen.

Change: it is LATE half a second after its deadline or time-out, unless one before it has no answer either.

Evidence: the new case of the table of rules failed before; a test of the client shows which requests count as blocked.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -74,6 +74,7 @@
         ``"dropped"`` if its client dropped what it had not read.
     :param is_followed: whether a success, or what is no answer, came behind its answer
         while no request waited.
+    :param is_blocked: whether one before it had no answer when its client gave up.
     """
 
     attempt: str
@@ -92,6 +93,7 @@
     is_whole_body: bool = False
     named: str = ""
     is_followed: bool = False
+    is_blocked: bool = False
 
 
 @dataclass(frozen=True)
@@ -269,6 +271,8 @@
                 )
             is_kept = await self.exchange(connection, fates)
         except TimeoutError:
+            for fate in [fate for fate in fates if fate.end == "open"][1:]:
+                fate.is_blocked = True
             self.end_open(fates, "no answer")
         except ConnectionRefusedError:
             self.end_open(fates, "refused")
--- a/src/catkinpost_standins/plays/pipeline.py
+++ b/src/catkinpost_standins/plays/pipeline.py
@@ -144,6 +144,9 @@
                     await asyncio.sleep(self.client.random.uniform(0, pause_s))
                     headers = await self.connection.read_answer(fate)
             except TimeoutError:
+                # Those behind another wait for its reader.
+                for fate in self.unanswered:
+                    fate.is_blocked = fate.place > 0
                 self.end("no answer")
                 return
             except OSError:
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -12,6 +12,7 @@
 
 LOSS_SLACK_S = 0.2
 LATE_SENDER_S = 3.0
+LATE_AFTER_S = 0.5
 # Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
 DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -103,7 +104,9 @@
             return
         if fate.end == "no answer":
             # An answer that has begun, or one behind it, waits for its reader.
-            if not fate.status and not fate.place:
+            is_over = fate.ended_at - fate.started_at >= self.limit_s + LATE_AFTER_S
+            is_due = not fate.place or is_over and not fate.is_blocked
+            if not fate.status and is_due:
                 yield "LATE"
         elif fate.end in BROKEN_ENDS:
             excuse = self.find_excuse(fate, runs)
--- a/tests/end_to_end/plays/test_client.py
+++ b/tests/end_to_end/plays/test_client.py
@@ -100,3 +100,31 @@
             await asyncio.sleep(2 * QUIET_S)
             client.is_usable(connection)
         return client.fates[0]
+
+
+class TestNoAnswer(unittest.TestCase):
+    def test_only_requests_behind_the_unanswered_one_are_blocked(self):
+        """Guards against a request that is held and passes as one that waits behind."""
+        fates = asyncio.run(self.send())
+        ends = [(fate.end, fate.is_blocked) for fate in fates]
+        expected = [("answered", False), ("no answer", False), ("no answer", True)]
+        self.assertEqual(ends[:3], expected)
+
+    async def send(self):
+        has_ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            writer.close()
+            has_ended.set()
+
+        sending = Sending("ahead", "GET", "/", b"", False, "quick", (0,), QUIET_S)
+        listener = await asyncio.start_server(serve, "127.0.0.1")
+        address = listener.sockets[0].getsockname()
+        client = Client(address, sending, "1", lambda: 5.0, lambda: True)
+        async with listener:
+            await client.send_batch(None)
+            await has_ended.wait()
+        return client.fates
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -35,6 +35,7 @@
     return Run("i-1", "POST", path, arrived, upload, began, ended, end)
 
 
+BLOCKED_FATE = replace(build_fate("no answer", place=1, ended=103.5), is_blocked=True)
 BROKEN_RUN = build_run("broken off")
 
 
@@ -76,6 +77,8 @@
         (build_fate("no answer"), [], False, "LATE"),
         (build_fate("no answer", 200), [], False, ""),
         (build_fate("no answer", place=1), [], False, ""),
+        (build_fate("no answer", place=1, ended=103.5), [], False, "LATE"),
+        (BLOCKED_FATE, [], False, ""),
         (build_fate("answered", 504, ended=102.9), [build_run("done")], False, ""),
         (build_fate("refused"), [], False, ""),
         (build_fate("answered", 503), [build_run("done")], False, "REFUSED"),
