Let a stop excuse only requests that the stopped machine took

Cause: in plays that start a node again, clients of a second machine send requests to the server of the first. Work at the end of the grace time of the first one's node excused their loss too. The rule names the SIGTERM of the machine that took the request from the client.

Change: requests on the route of the second machine have no such excuse.

Evidence: the second case of test_stop_of_another_machine_is_no_excuse failed before.

--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -22,7 +22,7 @@
 from catkinpost_standins.plays.relay import Link
 from catkinpost_standins.plays.server import Behaviour
 from catkinpost_standins.plays.table import Play
-from catkinpost_standins.plays.verdict import Verdict
+from catkinpost_standins.plays.verdict import OTHER_PATH, Verdict
 
 __all__ = ["Stage", "run_play"]
 
@@ -127,7 +127,7 @@
             "max-attempts": 2,
         }
         # Requests of another machine are forwarded to the server of the entry.
-        forwarded = {"name": "r-entry", "prefix": "/entry/", "service": "here"}
+        forwarded = {"name": "r-entry", "prefix": OTHER_PATH, "service": "here"}
         return {
             "version": self.version,
             "routes": [route, route | forwarded],
@@ -190,7 +190,7 @@
         ]
         if self.play.work in self.restarts:
             address = (self.fleet.machines[1].host, self.fleet.outbound_port)
-            sending = self.build_sending("/entry/")
+            sending = self.build_sending(OTHER_PATH)
             clients += [
                 Client(
                     address,
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -8,7 +8,7 @@
 from catkinpost_standins.plays.fleet import GRACE_S
 from catkinpost_standins.plays.server import Run
 
-__all__ = ["Verdict"]
+__all__ = ["OTHER_PATH", "Verdict"]
 
 LOSS_SLACK_S = 0.2
 LATE_SENDER_S = 3.0
@@ -19,6 +19,8 @@
 UNKNOWN_STATUSES = (500, 502, 504)
 # Failure that servers sign.
 SERVER_FAILURE_STATUS = 504
+# Route of requests that another machine takes, which is not stopped.
+OTHER_PATH = "/entry/"
 TIME_IS_OVER = "its time was over"
 BROKEN_ENDS = ("closed", "cut", "reset", "dropped")
 
@@ -159,7 +161,7 @@
         if last is not None and last.end == "broken off":
             return "the server broke off"
         stopped_at = max((at for at in self.stops if at <= fate.ended_at), default=None)
-        if stopped_at is None:
+        if stopped_at is None or fate.path.startswith(OTHER_PATH):
             return ""
         last_sixth = stopped_at + GRACE_S * 5 / 6
         is_at_work = any(
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -153,6 +153,15 @@
         verdict = Verdict([fate], {"a-1": [run]}, 100.0, [STOPPED_AT], LIMIT_S, False)
         self.assertEqual(bool(verdict.find()), is_lost)
 
+    @params(("/play/a-1", False), ("/entry/a-1", True))
+    def test_stop_of_another_machine_is_no_excuse(self, path, is_lost):
+        fate = replace(build_fate("closed", sent=102.0, ended=105.2), path=path)
+        fate.started_at = fate.sent_at
+        runs = {"a-1": [build_run("cut", 102.1, 105.2, path=path)]}
+        verdict = Verdict([fate], runs, 100.0, [STOPPED_AT], LIMIT_S, False)
+        found = [line.split()[0] for line in verdict.find()]
+        self.assertEqual(found, ["LOST"] * is_lost)
+
     def test_grace_time_of_an_earlier_process_is_no_excuse(self):
         fate = build_fate("closed", sent=102.0, ended=105.2)
         fate.started_at = fate.sent_at
