Name malformed answers in plays, and fail when a play does not run

Cause: a client of a play that met bytes that are no answer ended its play with an exception. The command printed "FAILED TO RUN" and exited with 0, as if no rule had been broken; the rule counts such bytes as MIXED.

Change: a malformed answer is the end of its request, and MIXED. Plays that did not run are counted in the last line and make the command exit with 1.

--- a/src/catkinpost_standins/plays/client.py
+++ b/src/catkinpost_standins/plays/client.py
@@ -71,7 +71,8 @@
     :param sent_at: time of the last byte, ``None`` if it was not sent whole.
     :param end: ``"answered"``, ``"closed"``, ``"cut"``, ``"reset"``, ``"no answer"``
         ``"refused"`` for a connection that could not be opened, ``"unsent"``, or
-        ``"dropped"`` if its client dropped what it had not read.
+        ``"dropped"`` if its client dropped what it had not read, or ``"malformed"`` if
+        the answer was none in the protocol.
     :param is_followed: whether a success, or what is no answer, came behind its answer
         while no request waited.
     :param is_blocked: whether one before it had no answer when its client gave up.
@@ -172,6 +173,13 @@
 
     async def read_answer(self, fate: Fate) -> dict[str, str]:
         """Read one answer into a fate, and return its headers."""
+        try:
+            return await self.parse_answer(fate)
+        except (ValueError, LookupError):
+            fate.end = "malformed"
+            return {}
+
+    async def parse_answer(self, fate: Fate) -> dict[str, str]:
         while True:
             while b"\r\n\r\n" not in self.data:
                 if not await self.receive():
@@ -179,7 +187,10 @@
                     return {}
             head, _, self.data = self.data.partition(b"\r\n\r\n")
             lines = head.decode("latin-1").split("\r\n")
-            fate.status = int(lines[0].split()[1])
+            version, status = lines[0].split(" ")[:2]
+            if version != "HTTP/1.1":
+                raise ValueError(f"an answer of version {version}")
+            fate.status = int(status)
             if fate.status >= 200:
                 break
         pairs = (line.partition(":") for line in lines[1:])
--- a/src/catkinpost_standins/plays/command.py
+++ b/src/catkinpost_standins/plays/command.py
@@ -25,7 +25,7 @@
     keep: Path | None,
     bounds: NodeBounds,
 ) -> int:
-    """Run plays, some at a time, and return how many broke a rule."""
+    """Run plays, some at a time, and return how many broke a rule or did not run."""
     slots = asyncio.Semaphore(jobs)
     totals, excused, failures = Counter(), Counter(), Counter()
     pairs = set()
@@ -72,8 +72,10 @@
     print(f"own failures: {dict(failures)}")
     print(f"pairs reached: {len(pairs)} of {len(every)}")
     print(f"late by {max(lags):.3f} s at the most")
-    print(f"{broken} of {len(plays)} plays broke a rule")
-    return broken
+    print(
+        f"{broken} of {len(plays)} plays broke a rule, {totals['not run']} did not run"
+    )
+    return broken + totals["not run"]
 
 
 app = typer.Typer(add_completion=False)
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -84,6 +84,8 @@
             is_same = (run.method, run.path) == (fate.method, fate.path)
             if not is_same or run.upload not in (None, fate.upload):
                 yield "UNASKED"
+        if fate.end == "malformed":
+            yield "MIXED"
         if fate.end != "answered":
             return
         if self.is_unsafe and fate.status in NOT_RUN_STATUSES and begun:
@@ -102,7 +104,7 @@
 
     def check_end(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         """Yield the rule that a request's end broke."""
-        if fate.end in ("refused", "unsent"):
+        if fate.end in ("refused", "unsent", "malformed"):
             return
         if fate.end == "no answer":
             # An answer that has begun, or one behind it, waits for its reader.
--- a/tests/end_to_end/plays/test_client.py
+++ b/tests/end_to_end/plays/test_client.py
@@ -7,7 +7,13 @@
 
 from nose2.tools import params
 
-from catkinpost_standins.plays.client import SPREAD, SPREAD_GAP_S, Client, Sending
+from catkinpost_standins.plays.client import (
+    SPREAD,
+    SPREAD_GAP_S,
+    Client,
+    Connection,
+    Sending,
+)
 from catkinpost_standins.plays.server import build_body
 
 ANSWER_BYTES = 100
@@ -128,3 +134,26 @@
             await client.send_batch(None)
             await has_ended.wait()
         return client.fates
+
+
+class TestMalformed(unittest.TestCase):
+    @params(
+        "HTTP/2 200 OK\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 OK\r\nContent-Length: 0\r\n",
+        "HTTP/1.1\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n",
+        "HTTP/1.1 200 OK\r\n",
+    )
+    def test_what_is_no_answer_ends_its_request(self, head):
+        """Guards against a play that ends without a finding."""
+        self.assertEqual(asyncio.run(self.read(head)), "malformed")
+
+    async def read(self, head):
+        sending = Sending("kept", "GET", "/", b"", False, "quick", (0,), 3.0)
+        client = Client(("127.0.0.1", 1), sending, "1", lambda: 5.0, lambda: True)
+        connection = Connection(sending)
+        connection.data = f"{head}\r\n".encode()
+        fate = client.build_fate(connection, 0)
+        await connection.read_answer(fate)
+        connection.socket.close()
+        return fate.end
--- a/tests/end_to_end/plays/test_verdict.py
+++ b/tests/end_to_end/plays/test_verdict.py
@@ -79,6 +79,7 @@
         (build_fate("no answer", place=1), [], False, ""),
         (build_fate("no answer", place=1, ended=103.5), [], False, "LATE"),
         (BLOCKED_FATE, [], False, ""),
+        (build_fate("malformed"), [build_run("done")], False, "MIXED"),
         (build_fate("answered", 504, ended=102.9), [build_run("done")], False, ""),
         (build_fate("refused"), [], False, ""),
         (build_fate("answered", 503), [build_run("done")], False, "REFUSED"),
