Judge runs of the soak that no client sent or that name another caller

Calls of servers were recorded at their end, so that those in progress at the judgement were not.

Change: each run of an unknown id is a finding, and so is one that names another service than that of the machine where its request began. Calls are recorded when they are sent.

Evidence: three new tests of the verdict failed before. No soak was run.

--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -181,6 +181,7 @@
     :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"call failed"``, ``"deadline"``,
         ``"refused"``, ``"cut"`` by its caller, or ``"broken off"`` by the server.
     :param checksum: CRC-32 of the answer's body.
+    :param caller: service that the request names as its caller.
     """
 
     attempt: bytes
@@ -189,6 +190,7 @@
     ended_at: float | None = None
     end: str = "waits"
     checksum: int | None = None
+    caller: str = ""
 
 
 class StandInServer:
@@ -277,13 +279,16 @@
         attempt = find_header(request.headers, ATTEMPT_ID)
         if attempt is None:
             return self.refuse(421 if is_other else 400)
-        run = Run(attempt=attempt, arrived_at=trio.current_time())
+        caller = (find_header(request.headers, CALLING_SERVICE) or b"").decode(
+            "latin-1"
+        )
+        run = Run(attempt=attempt, arrived_at=trio.current_time(), caller=caller)
         self.history.append(run)
         is_full = self.running >= self.slots and self.waiting >= self.queue
         if is_other or self.fault is ServerFault.SHED or is_full:
             run.end, run.ended_at = "refused", run.arrived_at
             return self.refuse(421 if is_other else 503)
-        self.callers.add(find_header(request.headers, CALLING_SERVICE) or b"")
+        self.callers.add(caller.encode("latin-1"))
         try:
             return await self.wait_and_run(request, run)
         except trio.Cancelled:
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -97,6 +97,8 @@
             sent_at=trio.current_time(),
             end="left",
         )
+        # A call that goes on when the soak is judged is one that was sent.
+        self.soak.fates.append(fate)
         try:
             result = await self.client.send_request(request)
             if isinstance(result, HttpResponse):
@@ -113,7 +115,6 @@
             return result
         finally:
             fate.ended_at = trio.current_time()
-            self.soak.fates.append(fate)
 
 
 @dataclass(eq=False)
@@ -211,7 +212,10 @@
             for run in server.history:
                 runs[run.attempt].append(run)
         plan = self.plan
-        return Verdict(self.fates, runs, plan.disruptions, plan.timeouts_s)
+        services = {item.host: item.server.service for item in self.fleet.machines}
+        return Verdict(
+            self.fates, runs, plan.disruptions, plan.timeouts_s, services=services
+        )
 
     def start_client(
         self, nursery: trio.Nursery, machine: Machine, habit: Habit, until: float
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -6,7 +6,7 @@
 from itertools import zip_longest
 
 from catkinpost_standins.users_platform.server import Run
-from catkinpost_standins.users_platform.traffic import Fate
+from catkinpost_standins.users_platform.traffic import Call, Fate
 
 __all__ = ["Disruption", "Finding", "Verdict"]
 
@@ -28,6 +28,7 @@
 BROKEN_ENDS = ("closed", "reset", "unread")
 UNPLANNED = ("kill", "freeze")
 OUT_OF_TOUCH = (*UNPLANNED, "store")
+UNKNOWN_CALL = Call(route="unknown", host="", path="", unsafe=False, deadline_s=0.0)
 
 
 @dataclass(kw_only=True)
@@ -112,12 +113,14 @@
     :param runs: requests as the servers saw them.
     :param disruptions: what was done meanwhile.
     :param timeouts_s: time-outs of each route, each with the time of its sending.
+    :param services: service of each machine, by host.
     """
 
     fates: list[Fate]
     runs: dict[bytes, list[Run]]
     disruptions: list[Disruption]
     timeouts_s: dict[str, list[tuple[float, float]]]
+    services: dict[str, str] = field(default_factory=dict)
     excused: list[Finding] = field(default_factory=list)
 
     def find(self) -> list[Finding]:
@@ -140,7 +143,7 @@
                 kept.append(lost)
             else:
                 findings.append(lost)
-        findings += self.find_late()
+        findings += [*self.find_late(), *self.find_unknown()]
         if len(kept) > KEPT_LOSSES_ALLOWED:
             return findings + kept
         for finding in kept:
@@ -166,6 +169,28 @@
         is_allowed = len(late) <= LATE_ALLOWED or len(late) <= lasting / 4
         return [] if is_allowed else late
 
+    def find_unknown(self) -> Iterator[Finding]:
+        """Yield a finding for each id that servers have run and no client has sent."""
+        sent = {fate.attempt for fate in self.fates}
+        for attempt, runs in self.runs.items():
+            if attempt in sent:
+                continue
+            at = runs[0].arrived_at
+            fate = Fate(
+                attempt=attempt,
+                call=UNKNOWN_CALL,
+                host="no machine",
+                habit="none",
+                place=0,
+                behind=0,
+                used=0,
+                started_at=at,
+                sent_at=at,
+                ended_at=at,
+                end="unsent",
+            )
+            yield Finding(rule="UNASKED", fate=fate, runs=runs, disruption=None)
+
     def is_in_touch(self, fate: Fate) -> bool:
         """Whether a machine was in touch from a request's start to its end."""
         return not any(
@@ -178,6 +203,9 @@
 
     def check_answer(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         begun = [run for run in runs if run.began_at is not None]
+        service = self.services.get(fate.host)
+        if any(run.caller != service for run in begun if service is not None):
+            yield "UNASKED"
         if fate.call.unsafe and len(begun) > 1:
             yield "TWICE"
         if fate.end == "malformed":
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -193,6 +193,21 @@
         found = judge(make_fate(), [make_run()], None, count)
         self.assertEqual(found, ["LOST-KEPT"] * expected)
 
+    def test_run_that_no_client_sent(self):
+        verdict = Verdict([], {b"b": [make_run()]}, [], TIMEOUTS_S)
+        findings = verdict.find()
+        self.assertEqual([found.rule for found in findings], ["UNASKED"])
+        self.assertIn("UNASKED b ", findings[0].describe(100.0))
+
+    @params(("orders", []), ("stock", ["UNASKED"]))
+    def test_run_that_names_another_caller(self, caller, rules):
+        runs = {b"a": [replace(make_run(), caller=caller)]}
+        services = {HOST: "orders"}
+        verdict = Verdict(
+            [make_fate(**ANSWER)], runs, [], TIMEOUTS_S, services=services
+        )
+        self.assertEqual([found.rule for found in verdict.find()], rules)
+
     @params(
         # (requests without an answer, requests answered in time, disruption, findings)
         (7, 0, None, 0),
