--- a/src/catkinpost_standins/plays/relay.py
+++ b/src/catkinpost_standins/plays/relay.py
@@ -100,7 +100,7 @@
                 if self.link.bytes_per_s:
                     await asyncio.sleep(len(data) / self.link.bytes_per_s)
             await queue.put((loop.time() + self.link.delay_s, b""))
-        except ConnectionError:
+        except OSError:
             await queue.put((loop.time() + self.link.delay_s, None))
 
     async def write(self, queue: asyncio.Queue, sink, source) -> None:
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -22,7 +22,12 @@
 from catkinpost_standins.plays.relay import Link
 from catkinpost_standins.plays.server import Behaviour
 from catkinpost_standins.plays.table import Play
-from catkinpost_standins.plays.verdict import TOUCH_S, Disruption, Verdict
+from catkinpost_standins.plays.verdict import (
+    OTHER_PATH,
+    TOUCH_S,
+    Disruption,
+    Verdict,
+)
 
 __all__ = ["Stage", "run_play"]
 
@@ -139,7 +144,7 @@
             "max-attempts": 2,
         }
         # Requests of another machine are forwarded to the server of the entry.
-        forwarded = {"name": "r-entry", "prefix": "/entry/", "service": "here"}
+        forwarded = {"name": "r-entry", "prefix": OTHER_PATH, "service": "here"}
         sound = {"name": "r-sound", "prefix": "/sound/", "service": self.sound_service}
         return {
             "version": self.version,
@@ -203,7 +208,7 @@
         ]
         if self.play.work in self.restarts:
             address = (self.fleet.machines[1].host, self.fleet.outbound_port)
-            sending = self.build_sending("/entry/")
+            sending = self.build_sending(OTHER_PATH)
             clients += [
                 Client(
                     address,
@@ -274,13 +279,14 @@
             self.stops,
             SHORT_TIMEOUT_S if is_short else DEADLINE_S,
             self.play.kind == "unsafe",
-            self.disruptions,
+            limit_before_s=DEADLINE_S,
+            disruptions=self.disruptions,
         )
         lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
         for machine in self.fleet.machines:
+            if not machine.ends:
+                machine.check_exit(machine.process)
             lines += [f"{end} ({machine.host})" for end in machine.ends]
-            if machine.process.poll() not in (None, 0) and not machine.ends:
-                lines.append(f"EXIT {machine.host}: {machine.process.returncode}")
         return lines, verdict
 
     def check_service(self, fates: list[Fate], until: float) -> list[str]:
@@ -481,8 +487,11 @@
             can_end = can_end or not catches(process, signal.SIGINT)
             process.send_signal(signal.SIGHUP)
         await asyncio.sleep(END_BY_SIGNAL_S)
-        if process.poll() == -signal.SIGHUP and not can_end:
-            self.entry.ends.append("EXIT: by SIGHUP")
+        if process.poll() == -signal.SIGHUP:
+            if not can_end:
+                self.entry.ends.append("EXIT: by SIGHUP")
+        elif process not in self.entry.stopped:
+            self.entry.check_exit(process)
 
     async def stop_early(self) -> None:
         """Send SIGTERM to a process that may not be set up to stop in order."""
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -8,14 +8,20 @@
 from catkinpost_standins.plays.fleet import GRACE_S
 from catkinpost_standins.plays.server import Run
 
-__all__ = ["TOUCH_S", "Disruption", "Verdict"]
+__all__ = ["OTHER_PATH", "TOUCH_S", "Disruption", "Verdict"]
 
 LOSS_SLACK_S = 0.2
 LATE_SENDER_S = 3.0
+LATE_AFTER_S = 0.5
 TOUCH_S = 3.0
-CLOCK_TOLERANCE_S = 0.05
+# Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
+DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUSES = (500, 502, 504)
+# Failure that servers sign.
+SERVER_FAILURE_STATUS = 504
+# Route of requests that another machine takes, which is not stopped.
+OTHER_PATH = "/entry/"
 TIME_IS_OVER = "its time was over"
 BROKEN_ENDS = ("closed", "cut", "reset", "dropped")
 
@@ -54,6 +60,7 @@
     :param stops: times of SIGTERM to the machine of the entry, one for each process.
     :param limit_s: seconds until the deadline or the time-out of the route.
     :param is_unsafe: whether a request may run once at most.
+    :param limit_before_s: the same before the planned work, if that changes it.
     :param disruptions: unplanned disruptions; the rules on losses leave out requests
         that may have met one.
     :ivar excused: number of ends that the rules excuse, by kind and cause.
@@ -66,6 +73,7 @@
     stops: list[float]
     limit_s: float
     is_unsafe: bool
+    limit_before_s: float | None = None
     disruptions: list[Disruption] = field(default_factory=list)
     excused: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
@@ -78,6 +86,10 @@
             rules = [*self.check_runs(fate, runs), *self.check_end(fate, runs)]
             if rules:
                 lines.append(f"{' '.join(rules)} {self.describe(fate, runs)}")
+        sent = {fate.attempt for fate in self.fates}
+        for attempt in self.runs.keys() - sent:
+            course = "; ".join(run.describe(self.work_at) for run in self.runs[attempt])
+            lines.append(f"UNASKED {attempt or 'no id'}, that no client sent: {course}")
         return lines
 
     def describe(self, fate: Fate, runs: list[Run]) -> str:
@@ -98,24 +110,35 @@
             yield "TWICE"
         for run in runs:
             is_same = (run.method, run.path) == (fate.method, fate.path)
-            if not is_same or run.end == "done" and run.upload not in (0, fate.upload):
+            if not is_same or run.upload not in (None, fate.upload):
                 yield "UNASKED"
+        if fate.end == "malformed":
+            yield "MIXED"
         if fate.end != "answered":
             return
         if self.is_unsafe and fate.status in NOT_RUN_STATUSES and begun:
             yield "REFUSED"
+        if fate.is_followed:
+            yield "MIXED"
         if fate.named not in ("", fate.attempt):
             yield "MIXED"
-        if fate.status < 300 and not (fate.is_signed and fate.is_whole_body):
+        ends = [run.end for run in runs]
+        is_whole = fate.is_signed and fate.is_whole_body and "done" in ends
+        if fate.status < 300 and not is_whole:
+            yield "MIXED"
+        is_given = fate.status == SERVER_FAILURE_STATUS and "deadline" in ends
+        if fate.status >= 300 and fate.is_signed and not is_given:
             yield "MIXED"
 
     def check_end(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         """Yield the rule that a request's end broke."""
-        if fate.end in ("refused", "unsent"):
+        if fate.end in ("refused", "unsent", "malformed"):
             return
         if fate.end == "no answer":
             # An answer that has begun, or one behind it, waits for its reader.
-            if not fate.status and not fate.place:
+            is_over = fate.ended_at - fate.started_at >= self.limit_s + LATE_AFTER_S
+            is_due = not fate.place or is_over and not fate.is_blocked
+            if not fate.status and is_due:
                 yield "LATE"
         elif fate.end in BROKEN_ENDS:
             excuse = self.find_excuse(fate, runs)
@@ -125,6 +148,8 @@
                 self.excused[f"{fate.end}, {excuse}"] += 1
         elif not fate.is_signed and fate.status not in NOT_RUN_STATUSES:
             yield from self.check_own_failure(fate, runs)
+        elif not fate.is_signed:
+            yield from self.check_own_refusal(fate, runs)
 
     def check_own_failure(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         kind = f"own {fate.status}, runs {sorted({run.end for run in runs})}"
@@ -138,16 +163,22 @@
         is_disrupted = excuse in {item.cause for item in self.disruptions}
         if has_run and excuse != TIME_IS_OVER and not is_disrupted:
             yield "DROPPED"
-        was_at_work = any(
-            run.began_at is not None
-            and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
-            for run in runs
-        )
-        if was_at_work and not excuse:
+        is_at_work = was_at_work(fate, runs)
+        if is_at_work and not excuse:
             yield "LOST-STOP" if self.stops else "BROKEN-OFF"
-        if (has_run or was_at_work) and is_disrupted:
+        if (has_run or is_at_work) and is_disrupted:
             self.excused[f"own {fate.status}, {excuse}"] += 1
 
+    def check_own_refusal(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
+        """Yield the rule that a refusal in place of a server's work broke."""
+        last = find_last(runs)
+        if last is None or last.end == "shed":
+            return
+        is_stopping = any(at <= fate.ended_at for at in self.stops)
+        is_replaced = is_stopping and was_at_work(fate, runs)
+        if is_replaced and not self.find_excuse(fate, runs):
+            yield "LOST-STOP"
+
     def find_excuse(self, fate: Fate, runs: list[Run]) -> str:
         """Return why the rules excuse an end without the server's answer."""
         touching = (item.cause for item in self.disruptions if item.touches(fate, runs))
@@ -160,18 +191,36 @@
             return "sent behind another"
         if not runs and fate.ended_at - sent_at <= LOSS_SLACK_S:
             return "not passed on" if fate.sent_at else "not sent whole"
-        if fate.ended_at - fate.started_at >= self.limit_s - CLOCK_TOLERANCE_S:
+        limit_s = self.limit_s
+        if fate.ended_at < self.work_at:
+            limit_s = self.limit_before_s or limit_s
+        if fate.ended_at - fate.started_at >= limit_s - DEADLINE_MARGIN_S:
             return TIME_IS_OVER
-        if any(run.end == "broken off" for run in runs):
+        last = find_last(runs)
+        if last is not None and last.end == "broken off":
             return "the server broke off"
         stopped_at = max((at for at in self.stops if at <= fate.ended_at), default=None)
-        if stopped_at is None:
+        if stopped_at is None or fate.path.startswith(OTHER_PATH):
             return ""
         last_sixth = stopped_at + GRACE_S * 5 / 6
         is_at_work = any(
-            run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
+            run.began_at is not None and (run.ended_at or fate.ended_at) >= last_sixth
             for run in runs
         )
         if is_at_work and sent_at <= stopped_at + LATE_SENDER_S:
             return "at work at the end of the grace time"
         return ""
+
+
+def find_last(runs: list[Run]) -> Run | None:
+    """Return the run that arrived last, on whichever server."""
+    return max(runs, key=lambda run: run.arrived_at, default=None)
+
+
+def was_at_work(fate: Fate, runs: list[Run]) -> bool:
+    """Whether a server was at work on a request when an answer stood in its place."""
+    return any(
+        run.began_at is not None
+        and (run.end == "cut" or (run.ended_at or fate.ended_at) >= fate.ended_at)
+        for run in runs
+    )
--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -1,6 +1,7 @@
 """Shape of a soak's deployment, and the planned work that is done on it."""
 
 import copy
+import math
 import random
 import signal
 import subprocess
@@ -145,7 +146,7 @@
     :param prepare: gives a machine's new server its shape.
     :param run_burst: lets many clients come at once.
     :param has_unplanned: whether nodes are also killed and held still.
-    :ivar timeouts_s: shortest time-out that each route had, in seconds.
+    :ivar timeouts_s: time-outs of each route, each with the time of its sending.
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
     :ivar probes: calls on routes just added or removed, and on one that never was.
@@ -153,6 +154,7 @@
     :ivar faults: what processes did that the platform does not expect.
     :ivar early_hangups: processes that were sent SIGHUP before their interpreter was
         set up.
+    :ivar stopped: processes that were sent SIGTERM.
     """
 
     fleet: PlatformFleet
@@ -164,6 +166,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     early_hangups: set[subprocess.Popen] = field(default_factory=set)
+    stopped: set[subprocess.Popen] = field(default_factory=set)
     busy: set[str] = field(default_factory=set)
     withdrawn: set[str] = field(default_factory=set)
     generation: int = 0
@@ -172,7 +175,8 @@
     def __post_init__(self) -> None:
         self.configuration = build_configuration(self.deployment)
         self.timeouts_s = {
-            route["name"]: route["timeout-s"] for route in self.configuration["routes"]
+            route["name"]: [(-math.inf, route["timeout-s"])]
+            for route in self.configuration["routes"]
         }
         never = self.configuration["routes"][0] | {"name": "never", "prefix": "/never/"}
         self.probes: list[Call] = []
@@ -180,7 +184,7 @@
 
     def probe_route(self, route: dict) -> None:
         """Let probers ask for a route that was just added or removed."""
-        self.timeouts_s.setdefault(route["name"], route["timeout-s"])
+        self.timeouts_s.setdefault(route["name"], [(-math.inf, route["timeout-s"])])
         call = Call(
             route=route["name"],
             host=HOST,
@@ -307,7 +311,9 @@
             await trio.sleep(self.random.uniform(0, FIRST_SECOND_S))
         self.note("stop", machine.host, GRACE_S + 1)
         stopped_at = trio.current_time()
-        process.send_signal(signal.SIGTERM)
+        if process.poll() is None:
+            self.stopped.add(process)
+            process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S):
             async with trio.open_nursery() as nursery:
                 if has_series:
@@ -324,6 +330,12 @@
             machine.process = None
         self.check_end(machine)
 
+    def check_processes(self) -> None:
+        """Note which processes have ended by themselves."""
+        for machine in self.fleet.machines:
+            if machine.process is not None and machine.process.poll() is not None:
+                self.check_end(machine)
+
     def check_end(self, machine: Machine) -> None:
         """Note the status of a process that ended otherwise than as asked.
 
@@ -336,11 +348,13 @@
         status = process.wait()
         machine.process = None
         when = "" if self.fleet.read_log(machine) else " before it was set up"
-        allowed = {0}
-        if when:
-            allowed.add(-signal.SIGTERM)
-            if process in self.early_hangups:
-                allowed.add(-signal.SIGHUP)
+        allowed = set()
+        if process in self.stopped:
+            allowed.add(0)
+            if when:
+                allowed.add(-signal.SIGTERM)
+        if when and process in self.early_hangups:
+            allowed.add(-signal.SIGHUP)
         if status not in allowed:
             self.faults.append(f"EXIT {machine.host}: status {status}{when}")
 
@@ -395,8 +409,8 @@
             route["service"] = self.random.choice(others or safe)
         elif change == "time" and own:
             route["timeout-s"] = own.deadline_s * self.random.choice([0.8, 0.9, 1])
-            shortest = min(self.timeouts_s[route["name"]], route["timeout-s"])
-            self.timeouts_s[route["name"]] = shortest
+            timeout = (trio.current_time(), route["timeout-s"])
+            self.timeouts_s[route["name"]].append(timeout)
         elif change == "limits":
             config["limits"]["max-body-bytes"] = self.random.choice([2, 4, 64]) << 20
             config["limits"]["idle-timeout-s"] = self.random.choice(
@@ -414,9 +428,12 @@
         machine = self.take_machine()
         if machine is None:
             return
+        if machine.process.poll() is not None:
+            self.check_end(machine)
         item = self.note("kill", machine.host, 0)
-        machine.process.kill()
-        machine.process.wait()
+        if machine.process is not None:
+            machine.process.kill()
+            machine.process.wait()
         await trio.sleep(self.random.uniform(0, 1))
         await self.start_node(machine)
         item.until = trio.current_time()
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -179,9 +179,10 @@
     :param attempt: its identity.
     :param service: service of the server.
     :param arrived_at: time of its arrival; later times are ``None`` until they come.
-    :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"deadline"``, ``"refused"``,
-        ``"cut"`` by its caller, or ``"broken off"`` by the server.
+    :param end: ``"waits"``, ``"runs"``, ``"done"``, ``"call failed"``, ``"deadline"``,
+        ``"refused"``, ``"cut"`` by its caller, or ``"broken off"`` by the server.
     :param checksum: CRC-32 of the answer's body.
+    :param caller: service that the request names as its caller.
     """
 
     attempt: bytes
@@ -191,6 +192,7 @@
     end: str = "waits"
     service: str = ""
     checksum: int | None = None
+    caller: str = ""
 
 
 class StandInServer:
@@ -205,7 +207,7 @@
     :param answer_bytes: least size of an answer's body.
     :ivar tail_share: share of requests that take ``tail_factor`` times as long.
     :ivar host: address at which it listens.
-    :ivar history: every request that it did not refuse at once.
+    :ivar history: every request that reached it.
     :ivar arrivals: identity and time of every request that reached it, besides those
         for another server.
     :ivar rate_limit: requests per second that it names, ``None`` for no limit.
@@ -281,19 +283,23 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request, or say why it is not run."""
         expected = find_header(request.headers, EXPECTED_INSTANCE)
-        if expected is not None and expected != self.instance.encode():
-            return self.refuse(421)
+        is_other = expected is not None and expected != self.instance.encode()
         attempt = find_header(request.headers, ATTEMPT_ID)
         if attempt is None:
-            return self.refuse(400)
-        self.arrivals.append((attempt, trio.current_time()))
-        is_full = self.running >= self.slots and self.waiting >= self.queue
-        if self.fault is ServerFault.SHED or is_full:
-            return self.refuse(503)
-        self.callers.add(find_header(request.headers, CALLING_SERVICE) or b"")
+            return self.refuse(421 if is_other else 400)
         now = trio.current_time()
-        run = Run(attempt=attempt, arrived_at=now, service=self.service)
+        if not is_other:
+            self.arrivals.append((attempt, now))
+        caller = (find_header(request.headers, CALLING_SERVICE) or b"").decode(
+            "latin-1"
+        )
+        run = Run(attempt=attempt, arrived_at=now, service=self.service, caller=caller)
         self.history.append(run)
+        is_full = self.running >= self.slots and self.waiting >= self.queue
+        if is_other or self.fault is ServerFault.SHED or is_full:
+            run.end, run.ended_at = "refused", run.arrived_at
+            return self.refuse(421 if is_other else 503)
+        self.callers.add(caller.encode("latin-1"))
         try:
             return await self.wait_and_run(request, run)
         except trio.Cancelled:
@@ -332,6 +338,7 @@
                 await trio.sleep(self.choose_seconds())
                 for child in self.children:
                     if not await self.call(child, left_ms):
+                        run.end = "call failed"
                         return self.answer(500, attempt, b"a child call failed")
                 run.end = "done"
                 body = b"%b %b " % (request.method, request.body)
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -100,20 +100,24 @@
             sent_at=trio.current_time(),
             end="left",
         )
+        # A call that goes on when the soak is judged is one that was sent.
+        self.soak.fates.append(fate)
         try:
             result = await self.client.send_request(request)
             if isinstance(result, HttpResponse):
                 fate.end, fate.status = "answered", result.status
                 fate.signature = find_header(result.headers, RESPONSE_SIGNATURE)
+                fate.named = find_header(result.headers, ATTEMPT_ID)
                 fate.checksum = zlib.crc32(result.body)
             elif result.reason is Reason.BACKEND_CONNECTION_LOST:
                 fate.end = "closed" if "cut" in result.detail else "reset"
-            else:
+            elif result.reason is Reason.BACKEND_UNREACHABLE:
                 fate.end = "unsent"
+            else:
+                fate.end = "malformed"
             return result
         finally:
             fate.ended_at = trio.current_time()
-            self.soak.fates.append(fate)
 
 
 @dataclass(eq=False)
@@ -209,6 +213,7 @@
                     )
                 traffic.start_soon(self.plan.run, nursery, self.end - GRACE_S)
             nursery.cancel_scope.cancel()
+        self.plan.check_processes()
         runs: dict[bytes, list[Run]] = defaultdict(list)
         for server in self.servers:
             for run in server.history:
@@ -222,7 +227,10 @@
             writes=store.writes,
             watches=store.watches,
         )
-        return Verdict(self.fates, runs, plan.disruptions, plan.timeouts_s)
+        services = {item.host: item.server.service for item in self.fleet.machines}
+        return Verdict(
+            self.fates, runs, plan.disruptions, plan.timeouts_s, services=services
+        )
 
     def start_client(
         self,
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -82,13 +82,14 @@
 class Fate:
     """What became of one request, as its client saw it; times of the runtime's clock.
 
-    :param place: position among the requests sent together, from 0.
+    :param place: number of requests before it on its connection without an answer.
     :param behind: requests that were sent behind it at once.
     :param used: requests that its connection had before.
     :param started_at: time at which its client began to send it.
     :param sent_at: time at which all of it was sent.
     :param end: ``"answered"``, ``"closed"``, ``"reset"``, ``"unsent"``, ``"unread"``
-        behind an announced close, ``"left"`` by the client, or ``"no answer"``.
+        behind an announced close, ``"left"`` by the client, ``"no answer"``, or
+        ``"malformed"`` if the answer was none in the protocol, or had others behind it.
     :param received_bytes: bytes of an incomplete answer.
     """
 
@@ -207,14 +208,14 @@
                 call=call,
                 host=self.host,
                 habit=self.habit.name,
-                place=place,
-                behind=len(calls) - place - 1,
-                used=used + place,
+                place=number,
+                behind=len(calls) - number - 1,
+                used=used + number,
                 started_at=now,
                 sent_at=now,
                 end="unsent",
             )
-            for place, (call, (attempt, _)) in enumerate(
+            for number, (call, (attempt, _)) in enumerate(
                 zip(calls, requests, strict=True)
             )
         ]
@@ -253,9 +254,10 @@
         self, stream: trio.SocketStream, requests: list[bytes], fates: list[Fate]
     ) -> None:
         """Send requests, each a moment after the one before it."""
-        for data, fate in zip(requests, fates, strict=True):
-            if fate.place and self.random.random() < SPREAD_SHARE:
+        for number, (data, fate) in enumerate(zip(requests, fates, strict=True)):
+            if number and self.random.random() < SPREAD_SHARE:
                 await trio.sleep(self.random.uniform(0, MAX_SPREAD_S))
+            fate.place = sum(item.end != "answered" for item in fates[:number])
             fate.started_at = fate.sent_at = trio.current_time()
             try:
                 await stream.send_all(data)
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -3,9 +3,10 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from catkinpost_standins.users_platform.server import Run
-from catkinpost_standins.users_platform.traffic import Fate
+from catkinpost_standins.users_platform.traffic import Call, Fate
 
 __all__ = ["Disruption", "Finding", "Verdict"]
 
@@ -15,12 +16,19 @@
 TOUCH_S = 3.0
 # Work at the end of the grace time excuses only requests sent until then after SIGTERM.
 LATE_SENDER_S = 3.0
-CLOCK_TOLERANCE_S = 0.05
+# Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
+DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# What a server answers with its signature, by the end of the run.
+FAILURE_STATUSES = {"call failed": 500, "deadline": 504}
 OWN_FAILURE_STATUSES = (500, 502, 504)
 KEPT_LOSSES_ALLOWED = 3
-BROKEN_ENDS = ("closed", "reset")
+# Requests without an answer so long after their time-out, of which some are allowed.
+LATE_AFTER_S, LATE_ALLOWED = 0.5, 7
+BROKEN_ENDS = ("closed", "reset", "unread")
 UNPLANNED = ("kill", "freeze")
+OUT_OF_TOUCH = (*UNPLANNED, "store")
+UNKNOWN_CALL = Call(route="unknown", host="", path="", unsafe=False, deadline_s=0.0)
 
 
 @dataclass(kw_only=True)
@@ -88,6 +96,11 @@
     return f"own {fate.status}, server {'' if has_begun else 'not '}begun"
 
 
+def find_last(runs: list[Run]) -> Run | None:
+    """Return the run that arrived last, on whichever server."""
+    return max(runs, key=lambda run: run.arrived_at, default=None)
+
+
 def format_time(at: float | None, zero: float) -> str:
     return "never" if at is None else f"{at - zero:+.3f}"
 
@@ -99,13 +112,15 @@
     :param fates: requests as their clients saw them.
     :param runs: requests as the servers saw them.
     :param disruptions: what was done meanwhile.
-    :param timeouts_s: shortest time-out of each route during the soak, in seconds.
+    :param timeouts_s: time-outs of each route, each with the time of its sending.
+    :param services: service of each machine, by host.
     """
 
     fates: list[Fate]
     runs: dict[bytes, list[Run]]
     disruptions: list[Disruption]
-    timeouts_s: dict[str, float]
+    timeouts_s: dict[str, list[tuple[float, float]]]
+    services: dict[str, str] = field(default_factory=dict)
     excused: list[Finding] = field(default_factory=list)
 
     def find(self) -> list[Finding]:
@@ -128,6 +143,7 @@
                 kept.append(lost)
             else:
                 findings.append(lost)
+        findings += [*self.find_late(), *self.find_unknown()]
         if len(kept) > KEPT_LOSSES_ALLOWED:
             return findings + kept
         for finding in kept:
@@ -135,10 +151,65 @@
         self.excused += kept
         return findings
 
+    def find_late(self) -> list[Finding]:
+        """Return requests that had no answer long after their route's time-out.
+
+        Few are allowed, and a quarter of those that last longer than it.
+        """
+        lasting, late = 0, []
+        for fate in self.fates:
+            is_judged = fate.end in ("answered", "no answer", *BROKEN_ENDS)
+            over_s = fate.ended_at - fate.started_at - max(self.list_timeouts(fate))
+            if not is_judged or over_s < 0 or not self.is_in_touch(fate):
+                continue
+            lasting += 1
+            if over_s >= LATE_AFTER_S:
+                runs = self.runs.get(fate.attempt, [])
+                late.append(Finding(rule="LATE", fate=fate, runs=runs, disruption=None))
+        is_allowed = len(late) <= LATE_ALLOWED or len(late) <= lasting / 4
+        return [] if is_allowed else late
+
+    def find_unknown(self) -> Iterator[Finding]:
+        """Yield a finding for each id that servers have run and no client has sent."""
+        sent = {fate.attempt for fate in self.fates}
+        for attempt, runs in self.runs.items():
+            if attempt in sent:
+                continue
+            at = runs[0].arrived_at
+            fate = Fate(
+                attempt=attempt,
+                call=UNKNOWN_CALL,
+                host="no machine",
+                habit="none",
+                place=0,
+                behind=0,
+                used=0,
+                started_at=at,
+                sent_at=at,
+                ended_at=at,
+                end="unsent",
+            )
+            yield Finding(rule="UNASKED", fate=fate, runs=runs, disruption=None)
+
+    def is_in_touch(self, fate: Fate) -> bool:
+        """Whether a machine was in touch from a request's start to its end."""
+        return not any(
+            item.kind in (*OUT_OF_TOUCH, "stop")
+            and item.host in ("", fate.host)
+            and item.at <= fate.ended_at
+            and item.until >= fate.started_at - TOUCH_S
+            for item in self.disruptions
+        )
+
     def check_answer(self, fate: Fate, runs: list[Run]) -> Iterator[str]:
         begun = [run for run in runs if run.began_at is not None]
+        service = self.services.get(fate.host)
+        if any(run.caller != service for run in begun if service is not None):
+            yield "UNASKED"
         if fate.call.unsafe and len(begun) > 1:
             yield "TWICE"
+        if fate.end == "malformed":
+            yield "MIXED"
         if fate.end != "answered":
             return
         if fate.call.unsafe and fate.status in NOT_RUN_STATUSES and begun:
@@ -149,35 +220,48 @@
             sums = [run.checksum for run in runs if run.end == "done"]
             if fate.signature != b"sig." + fate.attempt or fate.checksum not in sums:
                 yield "MIXED"
+        elif fate.signature is not None:
+            given = [FAILURE_STATUSES.get(run.end) for run in runs]
+            if fate.signature != b"sig." + fate.attempt or fate.status not in given:
+                yield "MIXED"
 
     def check_loss(self, fate: Fate, runs: list[Run]) -> Finding | None:
         """Return a finding for a request that ended without its answer."""
-        is_replaced = self.is_replaced(fate, runs)
+        near = self.find_near(fate)
+        is_replaced = self.is_replaced(fate, runs, near)
         if fate.end == "no answer" or is_own_failure(fate) and not is_replaced:
             return Finding(
                 rule="FAILED",
                 fate=fate,
                 runs=runs,
-                disruption=self.find_near(fate),
+                disruption=near,
                 excuse=f"(noted only: {name_failure(fate, runs)})",
             )
         if fate.end not in BROKEN_ENDS and not is_replaced:
             return None
-        near = self.find_near(fate)
         rule = f"LOST-{near.kind.upper()}" if near else "CUT"
         if near is None and fate.used and runs:
             rule = "LOST-KEPT"
         excuse = self.find_excuse(fate, runs, near)
         return Finding(rule=rule, fate=fate, runs=runs, disruption=near, excuse=excuse)
 
-    def is_replaced(self, fate: Fate, runs: list[Run]) -> bool:
-        """Whether an own failure stands for the answer of a server at work."""
-        was_at_work = any(
+    def is_replaced(self, fate: Fate, runs: list[Run], near: Disruption | None) -> bool:
+        """Whether an own answer stands for the one of a server at work.
+
+        Away from a stop this is judged only for failures that promise nothing.
+        """
+        if fate.end != "answered" or fate.signature is not None or fate.status < 300:
+            return False
+        if not is_own_failure(fate):
+            last = find_last(runs)
+            is_refused = last is not None and last.end == "refused"
+            if near is None or near.kind != "stop" or is_refused:
+                return False
+        return any(
             run.end == "cut" or run.ended_at is None or run.ended_at > fate.ended_at
             for run in runs
             if run.began_at is not None
         )
-        return is_own_failure(fate) and was_at_work
 
     def find_near(self, fate: Fate) -> Disruption | None:
         """Return the planned work that a request's end counts to, a stop first.
@@ -200,10 +284,11 @@
         is_late = fate.ended_at - fate.sent_at > LOSS_SLACK_S
         if not runs and (fate.place or not is_late):
             return "(not passed on)"
-        limit_s = min(fate.call.deadline_s, self.timeouts_s[fate.call.route])
-        if fate.ended_at - fate.started_at >= limit_s - CLOCK_TOLERANCE_S:
+        limit_s = min(fate.call.deadline_s, *self.list_timeouts(fate))
+        if fate.ended_at - fate.started_at >= limit_s - DEADLINE_MARGIN_S:
             return "(its time was over)"
-        if any(run.end == "broken off" for run in runs):
+        last = find_last(runs)
+        if last is not None and last.end == "broken off":
             return "(the server broke off)"
         if self.is_disrupted(fate):
             return "(unplanned disruption)"
@@ -211,13 +296,37 @@
             return ""
         last_sixth = near.at + GRACE_S * 5 / 6
         is_at_work = any(
-            run.began_at is not None and (run.ended_at or last_sixth) >= last_sixth
+            run.began_at is not None and (run.ended_at or fate.ended_at) >= last_sixth
             for run in runs
         )
         if is_at_work and fate.sent_at <= near.at + LATE_SENDER_S:
             return "(the server was at work at the end of the grace time)"
         return ""
 
+    def list_timeouts(self, fate: Fate) -> Iterator[float]:
+        """List the time-outs that may be in force for a request, in seconds."""
+        timeouts = self.timeouts_s[fate.call.route]
+        next_times = [at for at, _ in timeouts[1:]]
+        for (at, timeout_s), next_at in zip_longest(timeouts, next_times):
+            is_over = next_at is not None and (
+                self.find_propagation_end(next_at, fate.host) < fate.started_at
+            )
+            if at <= fate.ended_at and not is_over:
+                yield timeout_s
+
+    def find_propagation_end(self, at: float, host: str) -> float:
+        """Return when a machine must handle requests by a configuration.
+
+        The bound holds for machines that have been in touch for ``touch-s``.
+        """
+        ends_at = at + PROPAGATION_S
+        for item in sorted(self.disruptions, key=lambda item: item.at):
+            is_out = item.kind in OUT_OF_TOUCH and item.host in ("", host)
+            in_touch_at = item.until + TOUCH_S
+            if is_out and item.at <= ends_at and in_touch_at >= at:
+                ends_at = max(ends_at, in_touch_at + PROPAGATION_S)
+        return ends_at
+
     def is_disrupted(self, fate: Fate) -> bool:
         """Whether unplanned disruption lies between ``touch-s`` before and the end.
 
--- a/tests/end_to_end/test_server.py
+++ b/tests/end_to_end/test_server.py
@@ -58,7 +58,26 @@
             headers = [(ATTEMPT_ID, attempt), (EXPECTED_INSTANCE, expected)]
             await server.handle(HttpRequest(b"GET", b"/", headers))
         self.assertEqual([attempt for attempt, _ in server.arrivals], [b"a"])
-        self.assertEqual(server.history, [])
+        runs = [(run.attempt, run.end, run.began_at) for run in server.history]
+        self.assertEqual(runs, [(b"a", "refused", None), (b"b", "refused", None)])
+
+    @params(
+        # (expected instance, slots, status)
+        ("i-2", 1, 421),
+        ("i-1", 0, 503),
+    )
+    def test_refused_request_has_reached_the_server(self, expected, slots, status):
+        """Guards against a verdict that takes it for one that was not passed on."""
+        self.check_refusal(expected, slots, status)
+
+    @on_mock_clock
+    async def check_refusal(self, expected, slots, status):
+        server = StandInServer("i-1", "orders", slots=slots)
+        headers = [(ATTEMPT_ID, b"a"), (EXPECTED_INSTANCE, expected.encode())]
+        response = await server.handle(HttpRequest(b"GET", b"/", headers))
+        self.assertEqual(response.status, status)
+        ends = [(run.attempt, run.end, run.began_at) for run in server.history]
+        self.assertEqual(ends, [(b"a", "refused", None)])
 
     @params(
         (Trouble.NONE, "done", True),
