Count a caller's pace by what it has taken, behind earlier answers too

Change: what was queued before the answer is added to what the caller has taken meanwhile. The refusal says what is true of such a request, which has been read. The method is named after what it compares.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -17,7 +17,7 @@
 
 __all__ = ["Connection", "Exchange", "Phase"]
 
-# A stop has more time than this for each response.
+# Shorter deliveries end in time at any moment of a stop that still reads requests.
 MIN_DELIVERY_S = 0.1
 
 
@@ -78,7 +78,8 @@
     :param progressed_at: time at which the last piece of a large response was sent.
     :param taken_at: time at which the send queue was last seen to have shrunk.
     :param unsent_bytes: bytes in the send queue when it was last looked at.
-    :param longest_delivery_s: longest time in which the caller has taken a response.
+    :param longest_delivery_s: longest time, as estimated, in which the caller's system
+        has taken a response.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
         by the limits in force when it last got an answer.
     """
@@ -168,17 +169,19 @@
             self.taken_at = now
         self.unsent_bytes = unsent_bytes
 
-    def note_delivery(self, size: int, sending_s: float) -> None:
+    def note_delivery(self, size: int, queued_bytes: int, sending_s: float) -> None:
         """Note how long the caller takes a response that was written.
 
         What is left in the send queue is taken at the same pace.
 
         :param size: size of the response, in bytes.
+        :param queued_bytes: bytes of earlier responses in the send queue before it.
         :param sending_s: time in which all of it was written.
         """
         if sending_s < MIN_DELIVERY_S:
             return
-        taken_bytes = size - (count_unacknowledged_bytes(self.stream.socket) or 0)
+        unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
+        taken_bytes = queued_bytes + size - unsent_bytes
         if taken_bytes > 0:
             delivery_s = sending_s * size / taken_bytes
             self.longest_delivery_s = max(self.longest_delivery_s, delivery_s)
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -25,7 +25,7 @@
 from catkinpost.transport.body_reservation import reserve_body
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
-from catkinpost.transport.linger import Linger
+from catkinpost.transport.linger import Linger, count_unacknowledged_bytes
 from catkinpost.transport.socket_io import receive_some, send_all, split_bytes
 
 __all__ = ["HttpServer"]
@@ -44,7 +44,7 @@
 # peers and the store, and for readiness probes.
 RESERVED_DESCRIPTORS = 16
 LEAVING_FAILURE = build_leaving_failure(
-    "the node stopped before it had read the request"
+    "the node stops and an answer would not reach the caller in time"
 )
 SHORTAGE_RETRY_AFTER_S = 0.5
 SHORTAGE_FAILURE = Failure(
@@ -483,10 +483,10 @@
             return connection.has_answer_to_take
         return connection.sending
 
-    def is_too_late_for(self, connection: Connection) -> bool:
+    def exceeds_delivery_time(self, connection: Connection) -> bool:
         """Return whether a caller as slow as before would not get a response whole.
 
-        Another node can take the request, which has not run.
+        It can send the request again, which has not run.
         """
         return trio.current_time() + connection.longest_delivery_s > self.deliver_by
 
@@ -506,10 +506,10 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        is_leaving = self.is_refusing or self.is_too_late_for(connection)
-        exchange.is_refused = is_leaving or connection.is_refused
+        is_late = self.is_refusing or self.exceeds_delivery_time(connection)
+        exchange.is_refused = is_late or connection.is_refused
         exchange.has_begun = exchange.is_refused or not self.must_wait(connection)
-        self.refused_requests += is_leaving
+        self.refused_requests += is_late
         connection.exchanges.append(exchange)
         if exchange.is_refused or not request.keep_alive:
             connection.closing = True
@@ -652,6 +652,7 @@
             exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
         )
         connection.is_close_announced = not keep_alive
+        queued_bytes = count_unacknowledged_bytes(connection.stream.socket) or 0
         started_at = trio.current_time()
         if len(body) <= MAX_COPIED_BODY_BYTES:
             await send_all(connection.stream, head + body)
@@ -661,4 +662,4 @@
                 await send_all(connection.stream, piece)
                 connection.progressed_at = trio.current_time()
         sending_s = trio.current_time() - started_at
-        connection.note_delivery(len(head) + len(body), sending_s)
+        connection.note_delivery(len(head) + len(body), queued_bytes, sending_s)
--- a/src/catkinpost/transport/linger.py
+++ b/src/catkinpost/transport/linger.py
@@ -8,7 +8,12 @@
 
 from catkinpost.transport.socket_io import read_queue_size, receive_some
 
-__all__ = ["LINGER_TIMEOUT_S", "Linger", "has_data_in_flight"]
+__all__ = [
+    "LINGER_TIMEOUT_S",
+    "Linger",
+    "count_unacknowledged_bytes",
+    "has_data_in_flight",
+]
 
 # Time for a caller to close its side after everything sent was acknowledged.
 LINGER_TIMEOUT_S = 5.0
