Count the time for deliveries from the earliest signal

Found by the review of: the time until which callers can take answers counted from the moment at which the signal was handled, and its sender kills the process by the time at which it was sent. After a pause of the process the bound was too late by that, and answers would be begun that are cut.

Change: it counts from the earliest time at which the signal may have come, as the times of all that waits. test_callers_have_their_answers_by_the_earliest_end is new, and the first test that fails when the stop does not set the time at all; its case of a late signal fails without the change.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -86,9 +86,10 @@
         return min(MAX_ANSWER_TIME_S, ANSWER_TIME_SHARE * stop_timeout)
 
     @property
-    def deliveries_end_at(self) -> float:
-        """Time until which callers may take their answers."""
-        return self.ends_at + self.node.settings.bounds.delivery_timeout
+    def deliver_by(self) -> float:
+        """Time by which callers must have taken their answers."""
+        bounds = self.node.settings.bounds
+        return self.signalled_at + bounds.stop_timeout + bounds.delivery_timeout
 
     def compute_close_time(self) -> float:
         """Return the time at which connections are closed, answered or not.
@@ -169,7 +170,7 @@
         self.signalled_at = node.pause_watch.find_earliest_signal(self.requested_at)
         window = RunWindow(ends_at=self.waits_end_at)
         node.http_server.leaving = True
-        node.http_server.deliver_by = self.deliveries_end_at
+        node.http_server.deliver_by = self.deliver_by
         node.executor.admission.set_window("stop", window)
         node.sender.ends_at = self.waits_end_at
         self.log_request()
@@ -335,7 +336,8 @@
         Nothing else is left to do, so that slow callers have the rest of the time.
         """
         server = self.node.http_server
-        with trio.CancelScope(deadline=self.deliveries_end_at):
+        ends_at = self.ends_at + self.node.settings.bounds.delivery_timeout
+        with trio.CancelScope(deadline=ends_at):
             while server.is_busy or server.awaits_callers:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -39,6 +39,7 @@
 
 NOTICE_S = 2.5
 STOP_S = 5.0
+DELIVERY_S = 0.5
 ANSWER_TIME_S = 0.25
 STEPS_OF_AN_ANSWER = 5
 CALL_INTERVAL_S = 0.02
@@ -277,6 +278,20 @@
             self.assertAlmostEqual(await setup.run(), stopped_at, delta=0.1)
             nursery.cancel_scope.cancel()
 
+    @params(0.0, 2.0)
+    def test_callers_have_their_answers_by_the_earliest_end(self, late_s):
+        """Guards against answers begun for callers that take longer than is left."""
+        self.check_delivery_time(late_s)
+
+    @on_mock_clock
+    async def check_delivery_time(self, late_s):
+        setup = Setup(delivery_timeout=DELIVERY_S)
+        self.assertEqual(setup.node.http_server.deliver_by, math.inf)
+        setup.node.pause_watch.find_earliest_signal = lambda at: at - late_s
+        setup.node.planned_stop.request()
+        left_s = setup.node.http_server.deliver_by - trio.current_time()
+        self.assertAlmostEqual(left_s, STOP_S + DELIVERY_S - late_s)
+
     @on_mock_clock
     async def test_waiting_request_is_refused_before_the_process_ends(self):
         setup = Setup()
