--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -825,14 +825,12 @@
             nursery.cancel_scope.cancel()
 
     @params("close", "reset", "silence")
-    def test_request_to_a_peer_that_introduces_itself_to_nobody_fails_at_once(
-        self, end
-    ):
-        """Guards against requests that wait where no connection comes about."""
-        self.check_failed_introduction(end)
+    def test_request_to_a_peer_whose_handshake_fails_is_not_run(self, end):
+        """Guards against requests that wait for a link after each failed attempt."""
+        self.check_failed_handshake(end)
 
     @on_mock_clock(io=True)
-    async def check_failed_introduction(self, end):
+    async def check_failed_handshake(self, end):
         async def serve(stream):
             if end == "silence":
                 await trio.sleep_forever()
