--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -315,6 +315,19 @@
             self.assertIs(outcome_of(responses[0]), known)
 
 
+def record_requests(links):
+    """Return the list to which each request that is sent is added."""
+    sent = []
+    send_request = links.send_request
+
+    async def record_request(call, pending):
+        sent.append(pending)
+        await send_request(call, pending)
+
+    links.send_request = record_request
+    return sent
+
+
 class TestSilentPeer(unittest.TestCase):
     """A peer goes silent while its server runs a call."""
 
@@ -384,17 +397,11 @@
             setup = Setup(nursery, ["silent after"] * count)
             budget = RetryBudget(RetryBound(ratio=0.0, window_s=10.0, extra=extra))
             setup.dispatcher.retry_budget = setup.sender.retry_budget = budget
-            sent, responses = [], []
-            send_request = setup.links.send_request
-
-            async def record_request(call, pending):
-                sent.append(pending)
-                await send_request(call, pending)
+            sent, responses = record_requests(setup.links), []
 
             async def send():
                 responses.append(await setup.send(b"GET"))
 
-            setup.links.send_request = record_request
             for _ in range(count):
                 nursery.start_soon(send)
             await trio.sleep(1.0)
@@ -463,17 +470,11 @@
     async def check_late(self, late_s, fault, status, outcome):
         async with trio.open_nursery() as nursery:
             setup = Setup(nursery, ["silent after"])
-            sent, responses = [], []
-            send_request = setup.links.send_request
-
-            async def record_request(call, pending):
-                sent.append(pending)
-                await send_request(call, pending)
+            sent, responses = record_requests(setup.links), []
 
             async def send():
                 responses.append(await setup.send())
 
-            setup.links.send_request = record_request
             nursery.start_soon(send)
             await wait_all_tasks_blocked()
             trio.lowlevel.current_clock().jump(CALL_TIMEOUT_S + late_s)
