Log what the connections of callers still have to take at a stop

A caller that is slow and an answer that is not there look the same.

Change: `node: still held` and `node: callers left` give `undelivered_bytes`, at most what callers' systems have not taken of the answers on open connections, and both give the phases of the connections.

--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -128,9 +128,6 @@
             "peer_calls": {
                 item.instance: len(item.calls) for item in sessions if item.calls
             },
-            "connections": Counter(
-                item.phase.value for item in node.http_server.connections
-            ),
             "lingers": len(node.http_server.lingers),
             **node.http_server.describe_open(),
             "links": node.links.describe_busy(),
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -78,6 +78,7 @@
     :param progressed_at: time at which the last piece of a large response was sent.
     :param taken_at: time at which the send queue was last seen to have shrunk.
     :param unsent_bytes: bytes in the send queue when it was last looked at.
+    :param written_bytes: bytes written of the body of the response that is being sent.
     :param longest_delivery_s: longest time, as estimated, in which the caller's system
         has taken a response.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
@@ -105,6 +106,7 @@
     progressed_at: float = 0.0
     taken_at: float = 0.0
     unsent_bytes: int = 0
+    written_bytes: int = 0
     longest_delivery_s: float = 0.0
     idle_timeout: float = 0.0
 
@@ -162,6 +164,17 @@
         """Whether an answer is due, or the caller's system has not taken all of it."""
         return bool(self.exchanges or count_unacknowledged_bytes(self.stream.socket))
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses, at most, that its caller's system has not taken.
+
+        Those in the send queue, and those of bodies that have not been written.
+        """
+        responses = (item.response for item in self.exchanges)
+        ready_bytes = sum(len(item.body) for item in responses if item is not None)
+        queued_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
+        return ready_bytes - self.written_bytes + queued_bytes
+
     def update_taken_at(self, now: float) -> None:
         """Note whether the caller's system has taken a part since the last look."""
         unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server of the call path, with one task for each connection."""
 
 import math
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -146,11 +147,15 @@
         """Whether callers that may not have read their answers have to close yet."""
         return any(item.awaits_caller for item in self.lingers)
 
-    def describe_open(self) -> dict[str, int]:
+    def describe_open(self) -> dict[str, object]:
         """Return what callers have not been sent, have not taken or have not closed."""
         unclosed = [item for item in self.lingers if not item.caller_has_closed]
         return {
             "answers_due": sum(len(item.exchanges) for item in self.connections),
+            "undelivered_bytes": sum(
+                item.undelivered_bytes for item in self.connections
+            ),
+            "connections": dict(Counter(item.phase.value for item in self.connections)),
             "unsent_bytes": sum(item.unsent_bytes for item in self.lingers),
             "unclosed": len(unclosed),
             "unclosed_after_answer": sum(item.awaits_caller for item in unclosed),
@@ -661,5 +666,7 @@
             for piece in split_bytes(body, SENT_PIECE_BYTES):
                 await send_all(connection.stream, piece)
                 connection.progressed_at = trio.current_time()
+                connection.written_bytes += len(piece)
+            connection.written_bytes = 0
         sending_s = trio.current_time() - started_at
         connection.note_delivery(len(head) + len(body), queued_bytes, sending_s)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -654,7 +654,12 @@
             node.peer_server.sessions[1] = session
             phases = [Phase.ANSWERING, Phase.ANSWERING, Phase.SENDING]
             node.http_server.connections.update(
-                mock.Mock(phase=phase, memory_wait=None, exchanges=[None, None])
+                mock.Mock(
+                    phase=phase,
+                    memory_wait=None,
+                    exchanges=[None, None],
+                    undelivered_bytes=5,
+                )
                 for phase in phases
             )
             for is_announced, has_closed in [
@@ -675,7 +680,7 @@
         self.assertEqual(held["connections"], {"answering": 2, "sending": 1})
         self.assertEqual((held["lingers"], held["unsent_bytes"]), (3, 21))
         self.assertEqual((held["unclosed"], held["unclosed_after_answer"]), (2, 1))
-        self.assertEqual(held["answers_due"], 6)
+        self.assertEqual((held["answers_due"], held["undelivered_bytes"]), (6, 15))
         self.assertEqual(held["tasks"]["hold"], 1)
         steps = [m["message_type"] for m in messages if m["message_type"] in END_STEPS]
         self.assertEqual(steps, END_STEPS)
