Reproduce answers 504 before the deadline, and judge deadlines to the millisecond

What callers see: after a SIGTERM, with a server at work, a node answers 504 up to 20 ms before the deadline. By the words of LOST the deadline isn't reached then. The judges of plays and soaks excused 21 ms, so that they could not show it; deadlines are sent in whole milliseconds, and those of the judges are whole, so no margin is left. The judges' cases at 20 and 21 ms are replaced by one a millisecond before the deadline, which is a loss.

Reproduction: rows 191 to 198 of catkinpost-plays, whose server sends its answers slowly, many until after a deadline of 1.2 s.

--- a/src/catkinpost_standins/plays/server.py
+++ b/src/catkinpost_standins/plays/server.py
@@ -22,6 +22,8 @@
 STREAM_BYTES = 1 << 22
 # Shortest and longest runs of mixed work, the same of a few long ones, and their share.
 MIXED_S, LONG_S, LONG_SHARE = (0.045, 0.3), (0.3, 2.1), 0.02
+# Runs, answers sent slowly behind them, and the pieces of such an answer.
+OUTLASTING_RUN_S, OUTLASTING_ANSWER_S, OUTLASTING_PIECES = (0.1, 1.5), (0.2, 2.0), 6
 
 
 @dataclass(frozen=True)
@@ -31,7 +33,7 @@
     :param kind: value of the play's factor ``server``.
     :param answer: form of the body.
     :param sizes: sizes of the body in bytes, of which each attempt has one.
-    :param seconds: time of a run, unless the kind is ``"mixed"``.
+    :param seconds: time of a run, unless the kind is ``"mixed"`` or ``"outlasts"``.
     :param slots: runs at once.
     """
 
@@ -43,12 +45,21 @@
 
     def choose_seconds(self, attempt: str) -> float:
         """Return the time of an attempt's run."""
+        if self.kind == "outlasts":
+            return random.Random(attempt).uniform(*OUTLASTING_RUN_S)
         if self.kind != "mixed":
             return self.seconds
         choices = random.Random(attempt)
         is_long = choices.random() < LONG_SHARE
         return choices.uniform(*(LONG_S if is_long else MIXED_S))
 
+    def choose_pause(self, attempt: str) -> float:
+        """Return the seconds between two pieces of an attempt's answer."""
+        if self.kind != "outlasts":
+            return 0.0
+        answer_s = random.Random(f"{attempt}-answer").uniform(*OUTLASTING_ANSWER_S)
+        return answer_s / OUTLASTING_PIECES
+
 
 @dataclass
 class Run:
@@ -213,9 +224,13 @@
             for task in (work, gone):
                 task.cancel()
             await asyncio.wait({work, gone})
-        run.end, run.ended_at = "done", time.monotonic()
+        pause_s = self.behaviour.choose_pause(attempt)
+        if not pause_s:
+            run.end, run.ended_at = "done", time.monotonic()
         body = build_body(attempt, choose_size(attempt, self.behaviour.sizes))
-        await self.send(writer, "200 OK", attempt, body, True)
+        await self.send(writer, "200 OK", attempt, body, True, pause_s)
+        if pause_s:
+            run.end, run.ended_at = "done", time.monotonic()
         return not self.is_leaving and self.behaviour.answer != "until close"
 
     async def work(self, attempt: str, run: Run) -> None:
@@ -224,8 +239,18 @@
             await asyncio.sleep(self.behaviour.choose_seconds(attempt))
 
     async def send(
-        self, writer, status: str, attempt: str, body: bytes, has_run: bool
+        self,
+        writer,
+        status: str,
+        attempt: str,
+        body: bytes,
+        has_run: bool,
+        pause_s: float = 0.0,
     ) -> None:
+        """Send a response.
+
+        :param pause_s: pause before each piece of the body, 0 to send it whole.
+        """
         headers = {"Attempt-Id": attempt, "Instance-Id": self.identity}
         headers["Keep-Alive"] = "timeout=5"
         if has_run:
@@ -240,7 +265,16 @@
             headers["Content-Length"] = str(len(body))
         if self.is_leaving or form == "until close":
             headers["Connection"] = "close"
-        writer.write(build_head(f"HTTP/1.1 {status}", headers) + body)
+        head = build_head(f"HTTP/1.1 {status}", headers)
+        if pause_s:
+            writer.write(head)
+            step = len(body) // OUTLASTING_PIECES + 1
+            for start in range(0, len(body), step):
+                await asyncio.sleep(pause_s)
+                writer.write(body[start : start + step])
+                await writer.drain()
+            return
+        writer.write(head + body)
         with contextlib.suppress(ConnectionError):
             await writer.drain()
 
--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -53,7 +53,7 @@
 FORWARDED_CLIENTS = SOUND_CLIENTS = 6
 REPLACE_S = 0.3
 HANGUPS, FIRST_S, END_BY_SIGNAL_S = 4, 1.0, 0.1
-DEADLINE_S, SHORT_TIMEOUT_S = 6.0, 1.0
+DEADLINE_S, SHORT_TIMEOUT_S, OUTLASTED_S = 6.0, 1.0, 1.2
 IDLE_S, SHORT_IDLE_S = 2.0, 1.0
 PORTS_OF_A_PLAY = 64
 SIZES = {"empty": 0, "small": 2_000, "large": 200_000, "chunked": 30_000}
@@ -98,6 +98,7 @@
         self.random = random.Random(self.seed)
         self.idle_limit_s, self.version = IDLE_S, 1
         self.is_accepting = True
+        self.deadline_s = OUTLASTED_S if play.server == "outlasts" else DEADLINE_S
         self.stops: list[float] = []
         self.ready_at: float | None = None
         self.lag_s = 0.0
@@ -171,7 +172,7 @@
             is_chunked=play.upload == "chunked",
             reader=play.reader,
             answer_sizes=ANSWER_SIZES[play.answer],
-            deadline_s=DEADLINE_S,
+            deadline_s=self.deadline_s,
         )
 
     async def run(self) -> tuple[list[str], Verdict]:
@@ -277,9 +278,9 @@
             runs_by_attempt,
             self.work_at,
             self.stops,
-            SHORT_TIMEOUT_S if is_short else DEADLINE_S,
+            SHORT_TIMEOUT_S if is_short else self.deadline_s,
             self.play.kind == "unsafe",
-            limit_before_s=DEADLINE_S,
+            limit_before_s=self.deadline_s,
             disruptions=self.disruptions,
         )
         lines = verdict.find() + self.check_service(fates, self.work_at + after_s)
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "FACTORS",
+    "OUTLASTING_PLAYS",
     "PIPELINE_PLAYS",
     "STOP_PLAYS",
     "TRICKLE_PLAYS",
@@ -70,7 +71,8 @@
     that go on sending behind unread answers; reader ``"trickle"`` is slower than the
     answers that it asks for, and ``"late"`` pauses before each; answer and server
     ``"mixed"`` are sizes and times that differ between the requests of a play, answer
-    ``"mostly small"`` the same sizes with few large ones.
+    ``"mostly small"`` the same sizes with few large ones. Server ``"outlasts"`` sends
+    its answers slowly, many until after a short deadline.
 
     :param work: planned work.
     :param form: how clients send, and on which connections.
@@ -171,11 +173,41 @@
     for place in ("here", "near")
 ]
 
+# A server that has begun its answer can't answer for its deadline.
+OUTLASTING_PLAYS = [
+    Play(
+        work,
+        "kept",
+        "safe",
+        "empty",
+        answer,
+        "outlasts",
+        place,
+        "quick",
+        "free",
+        "goes on",
+        "plain",
+    )
+    for answer in ("chunked", "until close")
+    for work, place in [
+        ("SIGTERM at the entry", "here"),
+        ("SIGTERM at the entry", "near"),
+        ("SIGTERM at the entry", "far"),
+        ("SIGTERM at both", "near"),
+    ]
+]
+
 
 def build_plays() -> list[Play]:
     """Return plays in which each pair of values of two factors occurs, and others."""
     pairs = (Play(*row) for row in AllPairs(list(FACTORS.values())))
-    return [*pairs, *STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS]
+    return [
+        *pairs,
+        *STOP_PLAYS,
+        *PIPELINE_PLAYS,
+        *TRICKLE_PLAYS,
+        *OUTLASTING_PLAYS,
+    ]
 
 
 def list_pairs(play: Play) -> Iterator[tuple[tuple[str, str], tuple[str, str]]]:
--- a/src/catkinpost_standins/plays/verdict.py
+++ b/src/catkinpost_standins/plays/verdict.py
@@ -14,8 +14,6 @@
 LATE_SENDER_S = 3.0
 LATE_AFTER_S = 0.5
 TOUCH_S = 3.0
-# Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
-DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUSES = (500, 502, 504)
 # Failure that servers sign.
@@ -194,7 +192,7 @@
         limit_s = self.limit_s
         if fate.ended_at < self.work_at:
             limit_s = self.limit_before_s or limit_s
-        if fate.ended_at - fate.started_at >= limit_s - DEADLINE_MARGIN_S:
+        if fate.ended_at - fate.started_at >= limit_s:
             return TIME_IS_OVER
         last = find_last(runs)
         if last is not None and last.end == "broken off":
--- a/src/catkinpost_standins/users_platform/verdict.py
+++ b/src/catkinpost_standins/users_platform/verdict.py
@@ -16,8 +16,6 @@
 TOUCH_S = 3.0
 # Work at the end of the grace time excuses only requests sent until then after SIGTERM.
 LATE_SENDER_S = 3.0
-# Nodes answer 20 ms before a deadline, which is sent in whole milliseconds.
-DEADLINE_MARGIN_S = 0.021
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # What a server answers with its signature, by the end of the run.
 FAILURE_STATUSES = {"call failed": 500, "deadline": 504}
@@ -300,7 +298,7 @@
         if not runs and (fate.place or not is_late):
             return "(not passed on)"
         limit_s = min(fate.call.deadline_s, *self.list_timeouts(fate))
-        if fate.ended_at - fate.started_at >= limit_s - DEADLINE_MARGIN_S:
+        if fate.ended_at - fate.started_at >= limit_s:
             return "(its time was over)"
         last = find_last(runs)
         if last is not None and last.end == "broken off":
--- a/tests/end_to_end/plays/test_table.py
+++ b/tests/end_to_end/plays/test_table.py
@@ -5,6 +5,7 @@
 
 from catkinpost_standins.plays.table import (
     FACTORS,
+    OUTLASTING_PLAYS,
     PIPELINE_PLAYS,
     STOP_PLAYS,
     TRICKLE_PLAYS,
@@ -25,5 +26,5 @@
         self.assertEqual(reached, expected)
 
     def test_fixed_rows_are_played(self):
-        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS]
+        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS, *OUTLASTING_PLAYS]
         self.assertEqual(build_plays()[-len(fixed) :], fixed)
--- a/tests/end_to_end/test_verdict.py
+++ b/tests/end_to_end/test_verdict.py
@@ -109,8 +109,7 @@
         ("the same, ended late", LATE, [UNENDED_RUN], STOP, []),
         ("time over", {"ended_at": 107.0}, [make_run()], STOP, []),
         ("time over, sent slowly", SLOWLY_SENT, [make_run()], STOP, []),
-        ("margin of the deadline", {"ended_at": 106.98}, [make_run()], STOP, []),
-        ("before it", {"ended_at": 106.97}, [make_run()], STOP, ["LOST-STOP"]),
+        ("before it", {"ended_at": 106.999}, [make_run()], STOP, ["LOST-STOP"]),
         (
             "time not over",
             SLOWLY_SENT | {"ended_at": 106.7},
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -15,6 +15,7 @@
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.running import RunningCalls
 from tests.clock import on_mock_clock
+from tests.coordination.routing.test_dispatcher import Setup
 from tests.platform.test_document import CONFIG, encode_config
 
 SECTION = ServiceSection(owner="operator")
@@ -62,6 +63,23 @@
             left_s = call.deadline - trio.current_time()
             self.assertAlmostEqual(left_s, seconds - waited_s)
 
+    @params((b"600", 0.6), (b"5000", 1.2))
+    def test_server_at_work_is_awaited_until_the_deadline(self, sent, seconds):
+        """Guards against a node that answers 504 while its caller still waits."""
+        self.check_wait(sent, seconds)
+
+    @on_mock_clock
+    async def check_wait(self, sent, seconds):
+        request = make_request((b"deadline-remaining", sent))
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"])
+            setup.dispatcher.dialect = self.dialect
+            setup.dispatcher.store.policy = self.policy
+            response = await setup.dispatcher.handle(request)
+        self.assertEqual(response.status, 504)
+        self.assertAlmostEqual(trio.current_time() - started_at, seconds)
+
     @params(
         (make_request(host=b"nobody.example"), 404),
         (make_request(target=b"/elsewhere/"), 404),
