Await a request's answer until the deadline of its caller

What callers saw: 504 of a node up to 20 ms before their deadline, with the server at work.

Cause: the 20 ms that let an answer be delivered by the deadline were taken off the time of the node's own wait, not off the time that the server is told. The two then ended together, and which 504 came first, the server's or the node's, was a race; one in the midst of its answer always lost it.

Change: the node waits for the whole time that its caller does, and the server is told of 20 ms less. What a server answers at the end of its time is heard before the node ends the wait, for calls of servers, too.

The cases of test_deadline_is_the_nearer_of_caller_and_class and of test_server_learns_what_is_left_and_who_is_meant give the new times, as strictly; 0 ms is a new case.

--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -31,8 +31,9 @@
 
 __all__ = ["PlatformDialect"]
 
-# A response must reach its caller before the caller's deadline.
-RESPONSE_MARGIN_S = 0.02
+# A server that answers at the end of the time that it is told is heard before the
+# deadline, at which the node answers in its place.
+SERVER_MARGIN_S = 0.02
 DEFAULT_RETRY_AFTER_S = 0.3
 MAX_DEADLINE_MS = 3_600_000
 REPLACED_HEADERS = frozenset({EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING})
@@ -137,7 +138,8 @@
 
     def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
         """Add the remaining time and the expected server process to a call."""
-        remaining_ms = max(1, int((running.deadline - trio.current_time()) * 1000))
+        remaining_s = running.deadline - trio.current_time() - SERVER_MARGIN_S
+        remaining_ms = max(1, int(remaining_s * 1000))
         headers = [*call.headers, (DEADLINE_REMAINING, b"%d" % remaining_ms)]
         identity = call.incarnation.partition("#")[0]
         if identity:
@@ -210,8 +212,8 @@
         return build_malformed_request_failure(
             "the deadline is no number of milliseconds"
         )
-    remaining_s = min(int(value), MAX_DEADLINE_MS) / 1000 - RESPONSE_MARGIN_S
-    return max(0.0, min(section.timeout, remaining_s))
+    remaining_s = min(int(value), MAX_DEADLINE_MS) / 1000
+    return min(section.timeout, remaining_s)
 
 
 def build_malformed_request_failure(detail: str) -> Failure:
