Wait for a deadline's whole millisecond

What callers may see: a node's 504 up to 1 ms before their deadline, where that is no whole number of milliseconds, as after a first attempt. They send what is left cut to milliseconds, and on loopback a request takes less than the rest.

Change: a deadline of N ms is taken to end with that millisecond. The server is told of 20 ms less in any case.

Cases of 600 and 5 ms give the new times (0.601 s and 0.006 s; 0.6 s and 0.005 s fail).

--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -34,6 +34,8 @@
 # A server that answers at the end of the time that it is told is heard before the
 # deadline, at which the node answers in its place.
 SERVER_MARGIN_S = 0.02
+# Callers send whole milliseconds of the time that they wait.
+DEADLINE_UNIT_S = 0.001
 DEFAULT_RETRY_AFTER_S = 0.3
 MAX_DEADLINE_MS = 3_600_000
 REPLACED_HEADERS = frozenset({EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING})
@@ -212,7 +214,9 @@
         return build_malformed_request_failure(
             "the deadline is no number of milliseconds"
         )
-    remaining_s = min(int(value), MAX_DEADLINE_MS) / 1000
+    remaining_ms = min(int(value), MAX_DEADLINE_MS)
+    # What the caller cut off may be almost one unit.
+    remaining_s = (remaining_ms + 1) * DEADLINE_UNIT_S if remaining_ms else 0.0
     return min(section.timeout, remaining_s)
 
 
