Ping a peer that hears nothing else on its link

What callers saw: 502 for a call that was sent as its target closed the link. The link of a node that follows the feed of a peer was closed by that peer about every 12 s, unless calls went the same way, and the feed counted as lost until the link was up again.

Cause: a link pings when nothing has arrived for 10 s. A peer closes a connection on which nothing has arrived at its side for 11.6 s. The pages of a feed come at least about once a second, so that a link that carries nothing else the other way never pinged.

Change: a link also pings when it has sent nothing for 10 s; a frame stream notes when it sent last.

Why it works: the peer then hears something at least every 10.5 s, whatever it sends itself.

Evidence: the test fails without the change (the session is replaced within twice the peer's longest silence) and passes with it; tests of links, link tables and frames pass (107 and 22).

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -380,7 +380,7 @@
                     self.set_aside(frames, lasting)
                     nursery.cancel_scope.cancel()
                     return
-            elif now - self.last_received_at >= self.get_ping_interval():
+            elif self.is_ping_needed(frames, now):
                 await self.send_ping(frames, now)
             await sleep_until_next_tick(LIVENESS_CHECK_INTERVAL_S)
 
@@ -452,6 +452,14 @@
         for connection in list(self.replaced_connections):
             await connection.ended.wait()
 
+    def is_ping_needed(self, frames: FrameStream, now: float) -> bool:
+        """Return whether either side may take the other for silent without a ping.
+
+        A peer that only sends, such as the pages of a feed, hears nothing else.
+        """
+        is_idle = now - frames.sent_at >= IDLE_PING_S
+        return is_idle or now - self.last_received_at >= self.get_ping_interval()
+
     def get_ping_interval(self) -> float:
         busy = self.pending.requests or self.ping_due
         return LIVENESS_CHECK_INTERVAL_S if busy else IDLE_PING_S
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -67,8 +67,9 @@
 
     ``reservation`` belongs to the frame that is being received and, after that, to the
     call that was received last. ``progressed_at`` is the last time at which the peer
-    took a part of a message that it could not take at once. ``received_at`` is the last
-    time at which any bytes arrived. ``message_start`` is the position of the latest
+    took a part of a message that it could not take at once. ``sent_at`` is the time at
+    which the latest message was to be sent, and ``received_at`` the last time at which
+    any bytes arrived. ``message_start`` is the position of the latest
     message in all input. ``resumed_at`` is the end of the latest pause of this process.
     ``sending_ended`` is set once a message was left incomplete, so that no other can
     follow; received messages can still be read. ``has_stalled`` is true if the peer
@@ -95,6 +96,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.progressed_at = -math.inf
+        self.sent_at = -math.inf
         self.received_at = -math.inf
         self.message_start = 0
         self.old_bytes = 0
@@ -146,6 +148,7 @@
         """
         self.check_sending()
         parts = encode_frame(message)
+        self.sent_at = trio.current_time()
         pauses = self.pauses
         self.sent_bytes += sum(map(len, parts))
         has_begun = not self.send_lock.locked()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -1043,6 +1043,22 @@
                 self.assertGreater(duration_s, 3 * setup.settings.ping_timeout_s)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_peer_that_only_receives_is_not_taken_for_silent(self):
+        """Guards against an end of feeds and calls on a link that only brings news."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await setup.link.wait_until_up(1.0)
+            (session,) = setup.server.sessions.values()
+            max_silence_s = IDLE_PING_S + 2 * setup.settings.ping_timeout_s
+            for _ in range(int(2 * max_silence_s)):
+                await session.send_notification(PolicyNotice(1, b""))
+                await trio.sleep(1.0)
+            self.assertEqual(list(setup.server.sessions.values()), [session])
+            self.assertEqual(setup.events.downs, [])
+            nursery.cancel_scope.cancel()
+
     @params(False, True)
     def test_call_that_is_arriving_is_a_sign_of_life(self, is_cut):
         self.check_slow_call(is_cut)
