Count the run before an answer to a slow caller at a stop

What callers saw: a caller that takes its answers slowly, and is known for it on its kept connection, sent a request late in a planned stop.

Cause: the HTTP server knows how long a caller takes an answer and compares that alone with the time that is left. The time of the run is known only to the sender of attempts, which compares it with the end of the node, for all callers alike. Nobody adds the two.

Change: each request carries the time by which its answer must be ready for its caller (HttpRequest.answer_by, from the state of the connection). The sender takes the nearer of this and the end of the node, minus the typical time of the class, as the latest start. A call that is later is refused as leaving (not run, 503 with Retry-After) before any server gets it; one that waits at a peer is withdrawn, and waits there no longer.

A run that takes much longer than is typical for its class can still be late.

Evidence: test_call_that_would_end_too_late_is_not_begun:3 and :4 and test_call_that_waits_at_a_peer_is_withdrawn_before_the_end:2 fail with the sender's old bound and pass now.

Not covered: a request that was read before the SIGTERM has no such bound, as the time of the end is not known when it begins.

--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -65,7 +65,7 @@
     :param is_withdrawn: whether the target was asked to refuse the call if it waits.
     """
 
-    call_class: str
+    call: EntryCall
     target: Target
     pending: PendingRequest
     reserved_retries: int
@@ -110,7 +110,7 @@
     active_attempts: set[Attempt] = field(default_factory=set)
 
     def choose_instance(self, call: EntryCall, exclude: set[str]) -> Target | Failure:
-        if trio.current_time() >= self.get_latest_start(call.call_class):
+        if trio.current_time() >= self.get_latest_start(call):
             return build_leaving_failure(
                 "this node stops and a run would not end in time"
             )
@@ -121,17 +121,21 @@
             repeatable=call.is_repeatable,
         )
 
-    def get_latest_start(self, call_class: str) -> float:
-        """Return the time after which a run would not end before the node."""
-        if self.ends_at == math.inf:
+    def get_latest_start(self, call: EntryCall) -> float:
+        """Return the time after which a run would end too late for the caller.
+
+        Its answer must leave before the node ends, and in time for a slow caller.
+        """
+        ends_at = min(self.ends_at, call.answer_by)
+        if ends_at == math.inf:
             return math.inf
-        return self.ends_at - self.router.stats.class_times.get_typical_time(call_class)
+        return ends_at - self.router.stats.class_times.get_typical_time(call.call_class)
 
     def withdraw_late_attempts(self) -> None:
         """Withdraw the attempts that wait at peers and would not end in time."""
         now = trio.current_time()
         for attempt in self.active_attempts:
-            if attempt.is_withdrawn or now < self.get_latest_start(attempt.call_class):
+            if attempt.is_withdrawn or now < self.get_latest_start(attempt.call):
                 continue
             attempt.is_withdrawn = True
             attempt.pending.withdraw()
@@ -218,7 +222,7 @@
         )
         reserved_retries = call.allowance.reserve_for_attempt()
         now = trio.current_time()
-        attempt = Attempt(call.call_class, target, pending, reserved_retries, now)
+        attempt = Attempt(call, target, pending, reserved_retries, now)
         attempts.append(attempt)
         self.active_attempts.add(attempt)
         message = Call(
@@ -290,7 +294,7 @@
 
     def compute_useful_us(self, call: EntryCall, now: float) -> int:
         """Return the microseconds for which a call may wait, 0 for no own bound."""
-        useful_until = self.get_latest_start(call.call_class)
+        useful_until = self.get_latest_start(call)
         if call.useful_until is not None:
             useful_until = min(useful_until, call.useful_until)
         if useful_until == math.inf:
--- a/src/catkinpost/coordination/routing/entry.py
+++ b/src/catkinpost/coordination/routing/entry.py
@@ -1,5 +1,6 @@
 """Classification of the requests that callers send to this node."""
 
+import math
 from dataclasses import dataclass, field
 
 import trio
@@ -54,6 +55,8 @@
     :param arrivals: attempts that may have reached a backend server.
     :param useful_until: time until which it is worth waiting for a slot, the
         deadline when ``None``.
+    :param answer_by: time by which the response must be ready for the caller to take
+        all of it.
     :param request_id: id of the request in the caller's headers and in the log.
     :param attempt_ends: ends of the attempts so far.
     """
@@ -73,6 +76,7 @@
     moves_left: int = 0
     arrivals: int = 0
     useful_until: float | None = None
+    answer_by: float = math.inf
     request_id: str = ""
     attempt_ends: list[AttemptEnd] = field(default_factory=list)
 
@@ -172,6 +176,7 @@
         caller_attempt=attempt,
         outcome=get_earlier_outcome(key, attempt),
         moves_left=section.moves,
+        answer_by=request.answer_by,
         request_id=headers.idempotency_key or "",
     )
 
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -101,6 +101,7 @@
             outcome=Outcome.NOT_RUN,
             moves_left=section.moves,
             useful_until=None if may_outlast_objective else now + objective,
+            answer_by=request.answer_by,
             request_id=self.get_request_id(request.headers),
         )
 
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -1,6 +1,7 @@
 """Complete HTTP messages with bounded bodies, as used on the call path."""
 
 import http
+import math
 from dataclasses import dataclass, field
 
 __all__ = [
@@ -66,6 +67,8 @@
     """One complete request; header names are in lower case.
 
     :param waited_s: seconds for which it waited since it was received.
+    :param answer_by: time by which its response must be ready for the caller to take
+        all of it, infinite while the server does not leave.
     """
 
     method: bytes
@@ -74,6 +77,7 @@
     body: bytes = b""
     keep_alive: bool = True
     waited_s: float = 0.0
+    answer_by: float = math.inf
 
 
 @dataclass(slots=True)
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -483,12 +483,12 @@
             return connection.has_answer_to_take
         return connection.sending
 
-    def exceeds_delivery_time(self, connection: Connection) -> bool:
-        """Return whether a caller as slow as before would not get a response whole.
+    def compute_answer_time(self, connection: Connection) -> float:
+        """Return the time by which a response must be ready for its caller.
 
-        It can send the request again, which has not run.
+        A caller as slow as before would not get a later one whole.
         """
-        return trio.current_time() + connection.longest_delivery_s > self.deliver_by
+        return self.deliver_by - connection.longest_delivery_s
 
     async def start_handling(
         self, connection: Connection, request: HttpRequest
@@ -506,7 +506,9 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
-        is_late = self.is_refusing or self.exceeds_delivery_time(connection)
+        request.answer_by = self.compute_answer_time(connection)
+        # The caller can send the request again, which has not run.
+        is_late = self.is_refusing or trio.current_time() > request.answer_by
         exchange.is_refused = is_late or connection.is_refused
         exchange.has_begun = exchange.is_refused or not self.must_wait(connection)
         self.refused_requests += is_late
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -198,11 +198,12 @@
             decisions=self.decisions,
         )
 
-    async def send(self, method=b"POST", body=b"one", **headers):
+    async def send(self, method=b"POST", body=b"one", answer_by=math.inf, **headers):
         pairs = [(b"host", b"orders")]
         for name, value in headers.items():
             pairs.append((name.replace("_", "-").encode(), str(value).encode()))
         request = HttpRequest(method, b"/orders", pairs, body)
+        request.answer_by = answer_by
         return await self.dispatcher.handle(request)
 
 
@@ -258,30 +259,52 @@
             self.assertEqual(setup.links.useful_us[0], 0)
             self.assertAlmostEqual(setup.links.useful_us[1], useful_us, delta=1)
 
+    @params(
+        # (seconds left to the node, seconds left for an answer)
+        (0.5, math.inf),
+        (0.5, 1.5),
+        (5.0, 0.5),
+        (math.inf, 0.5),
+    )
+    def test_call_that_would_end_too_late_is_not_begun(self, *left):
+        """Guards against an answer that a slow caller gets too late to take it whole,
+        as the run before it took most of the time that was left.
+        """
+        self.check_late_call(*left)
+
     @on_mock_clock
-    async def test_call_that_would_outlast_the_node_is_not_begun(self):
+    async def check_late_call(self, node_s, answer_s):
         async with trio.open_nursery() as nursery:
             setup = Setup(nursery, [])
             setup.stats.class_times.record_time("place-order", 1.0)
-            setup.sender.ends_at = trio.current_time() + 0.5
-            response = await setup.send()
+            now = trio.current_time()
+            setup.sender.ends_at = now + node_s
+            response = await setup.send(answer_by=now + answer_s)
             self.assertEqual((reason_of(response), response.status), ("leaving", 503))
             self.assertIs(outcome_of(response), NOT_RUN)
+            self.assertTrue(find_header(response.headers, b"retry-after"))
             self.assertEqual(setup.links.attempts, 0)
+            response = await setup.send(b"GET", answer_by=now + answer_s)
+            self.assertEqual(response.status, 200)
+
+    @params((2.0, math.inf), (5.0, 2.1))
+    def test_call_that_waits_at_a_peer_is_withdrawn_before_the_end(self, *left):
+        self.check_withdrawn(*left)
 
     @on_mock_clock
-    async def test_call_that_waits_at_a_peer_is_withdrawn_before_the_end(self):
+    async def check_withdrawn(self, node_s, answer_s):
         async with trio.open_nursery() as nursery:
             setup = Setup(nursery, ["silent before"])
             setup.stats.class_times.record_time("place-order", 1.0)
             responses = []
 
             async def send():
-                responses.append(await setup.send())
+                answer_by = trio.current_time() + answer_s
+                responses.append(await setup.send(answer_by=answer_by))
 
             nursery.start_soon(send)
             await trio.sleep(0.1)
-            setup.sender.ends_at = trio.current_time() + 2.0
+            setup.sender.ends_at = trio.current_time() + node_s
             await trio.sleep(0.5)
             setup.sender.withdraw_late_attempts()
             self.assertEqual(setup.links.asked_to_refuse, 0)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -57,10 +57,11 @@
     async def check_deadline(self, sent, seconds):
         for waited_s in (0.0, 0.25):
             request = make_request((b"deadline-remaining", sent))
-            request.waited_s = waited_s
+            request.waited_s, request.answer_by = waited_s, 3.0
             call = self.classify(request)
             left_s = call.deadline - trio.current_time()
             self.assertAlmostEqual(left_s, seconds - waited_s)
+            self.assertEqual(call.answer_by, 3.0)
 
     @params(
         (make_request(host=b"nobody.example"), 404),
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1309,9 +1309,15 @@
 
     @on_mock_clock(io=True)
     async def check_slow_caller(self, left_s, status):
+        answer_times = []
+
+        async def handle(request):
+            answer_times.append(request.answer_by)
+            return HttpResponse(200, [], PACED_BODY)
+
         async with trio.open_nursery() as nursery:
             setup = ServerSetup()
-            setup.server.handler = respond_with(PACED_BODY)
+            setup.server.handler = handle
             await setup.start(nursery)
             stream = await connect_slow_reader(setup)
             await stream.send_all(KEPT_REQUEST)
@@ -1326,6 +1332,11 @@
             self.assertEqual(int(answer.split()[1]), status)
             self.assertIn(b"connection: close", answer)
             self.assertEqual(setup.server.refused_requests, int(status == 503))
+            self.assertEqual(answer_times.pop(0), math.inf)
+            for answer_by in answer_times:
+                delivery_s = setup.server.deliver_by - answer_by
+                self.assertGreater(delivery_s, 1.0)
+            self.assertEqual(len(answer_times), int(status == 200))
             nursery.cancel_scope.cancel()
 
     @on_real_clock
