Report an order as not run if no byte of it was written

Callers of orders got 502 (unknown) from a server that accepts a connection and resets it before the request, such as one with too many connections, and could not repeat them.

The cause: a lost connection was one error, whether the system took none of the request or some of it. write_some now raises NothingWrittenError, a BrokenResourceError, where the write itself fails. That request is BACKEND_UNREACHABLE with the outcome "not run", like one whose connect fails: it moves to another instance, or is refused with 503. It causes no check for a crash, as it can't be what the server crashed on. A write that took any byte leaves the outcome unknown, and so does a connection that can't be told (no socket, or a full send buffer before the first byte).

A new table covers what no test did: resets behind the first byte of a request, and behind the head of a large one.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -20,6 +20,7 @@
 from catkinpost.transport.socket_io import (
     RELEASE_TIME_S,
     SHORTAGE_ERRORS,
+    NothingWrittenError,
     open_connection,
     receive_some,
     send_all,
@@ -237,6 +238,12 @@
                 return await self.send_while_receiving(stream, request, parser)
             await send_all(stream, encode_request(request))
             return await self.receive_response(stream, request, parser)
+        except NothingWrittenError as error:
+            # Only the write that begins the request ends up here.
+            return Failure(
+                reason=Reason.BACKEND_UNREACHABLE,
+                detail=f"the connection was closed before the request: {error}",
+            )
         except trio.BrokenResourceError as error:
             return build_connection_lost_failure(str(error))
         finally:
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -12,6 +12,7 @@
 import trio
 
 __all__ = [
+    "NothingWrittenError",
     "RELEASE_TIME_S",
     "SHORTAGE_ERRORS",
     "count_free_descriptors",
@@ -33,6 +34,10 @@
 RELEASE_TIME_S = 0.01
 
 
+class NothingWrittenError(trio.BrokenResourceError):
+    """The connection was lost before the system took any byte of the data."""
+
+
 def count_unread_bytes(stream: trio.abc.Stream) -> int:
     """Return the number of bytes that have arrived and were not read.
 
@@ -126,7 +131,7 @@
     :param stream: connection; nothing is written if it is not a socket.
     :param data: bytes to write.
     :return: number of bytes written.
-    :raises trio.BrokenResourceError: when the connection is lost.
+    :raises NothingWrittenError: when the connection is lost.
     :raises trio.ClosedResourceError: when this side has closed it.
     """
     socket = getattr(stream, "socket", None)
@@ -140,7 +145,8 @@
     except BlockingIOError:
         return 0
     except OSError as error:
-        raise trio.BrokenResourceError(str(error)) from error
+        # The system reports an error only if it took nothing, else the number of bytes.
+        raise NothingWrittenError(str(error)) from error
 
 
 async def send_all(stream: trio.abc.Stream, data: bytes) -> None:
@@ -151,7 +157,8 @@
 
     :param stream: connection.
     :param data: bytes to send.
-    :raises trio.BrokenResourceError: when the connection is lost.
+    :raises NothingWrittenError: when the first write shows that the connection is lost.
+    :raises trio.BrokenResourceError: when it is lost later.
     """
     sent = write_some(stream, data)
     if sent < len(data):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -14,6 +14,7 @@
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse, find_header
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.transport.http_client import CONNECT_TIMEOUT_S, BackendClient
+from catkinpost.transport.socket_io import write_some
 from tests.clock import on_mock_clock
 from tests.shortage import no_free_descriptors
 
@@ -339,6 +340,42 @@
             self.assertFalse(client.idle_connections)
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (bytes of the body, bytes that the first write takes at most)
+        (len(REQUEST.body), 1),
+        (len(LARGE_BODY), 1),
+        (len(LARGE_BODY), 1000),
+    )
+    def test_connection_that_is_reset_within_the_request_is_unknown(self, *case):
+        """Guards against the promise that a request whose start was written is not run.
+
+        The next write fails; in the last case it is the first one of the body.
+        """
+        self.check_reset_within(*case)
+
+    @on_mock_clock(io=True)
+    async def check_reset_within(self, size, first_bytes):
+        with socket.create_server((HOST, 0)) as listener:
+
+            def write_and_reset(stream, data):
+                mocked.side_effect = write_some
+                written = write_some(stream, data[:first_bytes])
+                connection, _ = listener.accept()
+                linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                connection.setsockopt(*linger)
+                connection.close()
+                return written
+
+            client = BackendClient(*listener.getsockname(), limits=HttpLimits())
+            request = HttpRequest(b"POST", b"/", [(b"host", b"orders")], b"x" * size)
+            module = "catkinpost.transport.socket_io"
+            with mock.patch(
+                f"{module}.write_some", side_effect=write_and_reset
+            ) as mocked:
+                failure = await client.send_request(request)
+            self.assertEqual(failure.reason, Reason.BACKEND_CONNECTION_LOST)
+            self.assertEqual(failure.outcome, Outcome.UNKNOWN)
+
     @params(
         (None, Reason.BACKEND_CONNECTION_LOST),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", "cut"),
