Give calls of a silent link up only for repeats of their own

Callers saw 502 for safe requests on a peer link that went silent for a while, though their servers worked and answered when it went on: 2 of 5 calls where the budget had 3 repeats (test_dispatcher).

Each call of the link asked whether the retry budget had a repeat, and all found the same one. And an instance counted as another place to send to though the latest connect to it had failed.

RetryBudget now keeps the holders of reserved repeats, beside the requests and repeats of its window: what a call has reserved is taken for all others. A call is given up on a silent link only once it has reserved one. It gives that back when it is sent again (checked anew at that time, so that each arrival is within the bound as before), moves without having arrived, or ends in any way. Router.has_instance counts only what can be reached. A call held up by a rate limit asks it too: it no longer leaves its server for one that can't be reached.

Calls beyond the budget now await their answer, on a link that stays silent until their deadline. Clients retry safe requests after any failure, so that here the wait costs them that retry. A peer whose process has ended is no such case: its connection is lost, which fails the calls at once.

New tests: a reserved repeat is kept from others and released (an answer, a move, a deadline), and is checked again; the machine of the bound reserves as well.

--- a/src/catkinpost/coordination/peers/pending.py
+++ b/src/catkinpost/coordination/peers/pending.py
@@ -15,7 +15,8 @@
 
     :param on_result: called once, when the result is available.
     :param outlasts_silence: returns whether the response is awaited although the peer
-        has gone silent, as the request can't be sent to another one.
+        has gone silent, as the request can't be sent to another one; called only if
+        the request fails otherwise.
 
     ``sent`` is true when the request may have reached its target, and ``is_being_sent``
     until all of it was written. ``withdraw`` asks the target to refuse the request if
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -214,7 +214,7 @@
         exclude.add(target.instance.name)
         pending = PendingRequest(
             attempt_ended.set,
-            outlasts_silence=partial(self.is_last_sending, call, exclude),
+            outlasts_silence=partial(self.outlasts_silence, call, exclude),
         )
         reserved_retries = call.allowance.reserve_for_attempt()
         now = trio.current_time()
@@ -251,20 +251,20 @@
             link = self.get_link(message, target.instance)
             await link.send_request(message, pending)
 
-    def is_last_sending(self, call: EntryCall, exclude: set[str]) -> bool:
-        """Return whether a call that may have arrived can't be sent again.
+    def outlasts_silence(self, call: EntryCall, exclude: set[str]) -> bool:
+        """Return whether a call is awaited although its peer has gone silent.
 
+        Otherwise it can be sent again, and the repeat is reserved for it.
         While the node stops, another attempt may find no instance that ends in time.
         """
         if not call.is_repeatable or call.allowance.remaining < 1:
             return True
         if self.ends_at != math.inf:
             return True
+        if not self.router.has_instance(call.service, exclude=exclude):
+            return True
         now = trio.current_time()
-        return not (
-            self.retry_budget.has_repeat(call.service, now)
-            and self.router.has_instance(call.service, exclude=exclude)
-        )
+        return not self.retry_budget.reserve_repeat(call.service, call, now)
 
     def get_link(self, message: Call, instance: Instance) -> PeerLink:
         """Return the link for a call, by the size of its body."""
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -192,6 +192,7 @@
                     result = await self.send_with_retries(call)
             finally:
                 self.scopes.discard(scope)
+                self.retry_budget.release_repeat(call.service, call)
                 if parent is not None:
                     parent.child_scopes.discard(scope)
                     parent.allowance.release_unused(
@@ -253,7 +254,9 @@
                 is_move = False
             else:
                 return self.build_final_failure(call, result)
-            if call.arrivals and not self.acquire_repeat(call):
+            if not call.arrivals:
+                self.retry_budget.release_repeat(call.service, call)
+            elif not self.acquire_repeat(call):
                 return self.build_final_failure(call, result)
             next_target = self.sender.choose_instance(call, exclude)
             if isinstance(next_target, Failure):
@@ -265,7 +268,8 @@
 
     def acquire_repeat(self, call: EntryCall) -> bool:
         """Acquire one repeated arrival from the service's retry budget."""
-        if self.retry_budget.acquire_repeat(call.service, trio.current_time()):
+        now = trio.current_time()
+        if self.retry_budget.acquire_repeat(call.service, now, holder=call):
             return True
         self.decisions.add(
             "retries",
--- a/src/catkinpost/coordination/routing/router.py
+++ b/src/catkinpost/coordination/routing/router.py
@@ -198,8 +198,11 @@
         )
 
     def has_instance(self, service: str, *, exclude: set[str]) -> bool:
-        """Return whether another instance of a service takes new work."""
-        return next(self.find_candidates(service, exclude), None) is not None
+        """Return whether another instance takes new work and can be reached."""
+        return any(
+            self.is_reachable(item.name)
+            for item in self.find_candidates(service, exclude)
+        )
 
     def is_in_routing(self, item: Instance, now: float) -> bool:
         stat = self.stats.get_or_create(item.name)
--- a/src/catkinpost/state/retry_budget.py
+++ b/src/catkinpost/state/retry_budget.py
@@ -1,6 +1,7 @@
 """Retry budget: bound on repeated requests to a service, without coordination."""
 
 from collections import deque
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 from catkinpost.protocol.settings import BoundsSection
@@ -38,10 +39,14 @@
 
 @dataclass(slots=True)
 class ServiceWindow:
-    """Times of the requests and repeats of one service in the last window."""
+    """Times of the requests and repeats of one service in the last window.
+
+    :param holders: holders of the repeats that are reserved.
+    """
 
     requests: deque[float] = field(default_factory=deque)
     repeats: deque[float] = field(default_factory=deque)
+    holders: set[Hashable] = field(default_factory=set)
 
 
 class RetryBudget:
@@ -65,12 +70,38 @@
         if self.bound is not None:
             self.get_window(service, now).requests.append(now)
 
-    def acquire_repeat(self, service: str, now: float) -> bool:
+    def reserve_repeat(self, service: str, holder: Hashable, now: float) -> bool:
+        """Reserve one repeat if the bound allows it; a holder has one at most.
+
+        :param service: service to which the repeat would be sent.
+        :param holder: holder, which acquires or releases the repeat later.
+        :param now: time on the node's clock.
+        """
+        self.release_repeat(service, holder)
+        if not self.has_repeat(service, now):
+            return False
+        if self.bound is not None:
+            self.get_window(service, now).holders.add(holder)
+        return True
+
+    def release_repeat(self, service: str, holder: Hashable) -> None:
+        """Release the repeat that is reserved for a holder, if there is one."""
+        window = self.windows.get(service)
+        if window is not None:
+            window.holders.discard(holder)
+
+    def acquire_repeat(
+        self, service: str, now: float, holder: Hashable | None = None
+    ) -> bool:
         """Acquire one repeat if the bound allows it.
 
+        A reserved repeat is checked again, as requests may have left the window since.
+
         :param service: service to which the repeat would be sent.
         :param now: time on the node's clock.
+        :param holder: holder whose reserved repeat is acquired, if there is one.
         """
+        self.release_repeat(service, holder)
         if not self.has_repeat(service, now):
             return False
         if self.bound is not None:
@@ -84,7 +115,7 @@
         window = self.get_window(service, now)
         allowed = self.bound.ratio * len(window.requests)
         allowed += self.bound.extra / max(1, self.node_count)
-        return len(window.repeats) + 1 <= allowed
+        return len(window.repeats) + len(window.holders) + 1 <= allowed
 
     def get_window(self, service: str, now: float) -> ServiceWindow:
         window = self.windows.get_or_create(service, ServiceWindow)
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -418,6 +418,37 @@
             self.assertEqual([item.status for item in responses], [200] * count)
             self.assertEqual(len(sent) - count, min(extra, count))
 
+    @params(
+        # (fault of the attempt after which its call has no use for a repeat)
+        "answered",
+        "no link",
+        "silent after",
+    )
+    def test_reserved_repeat_that_is_not_used_is_released(self, fault):
+        """Guards against a budget that shrinks with each call that goes silent."""
+        self.check_release(fault)
+
+    @on_mock_clock
+    async def check_release(self, fault):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["silent after"] * 3)
+            budget = RetryBudget(RetryBound(ratio=0.0, window_s=60.0, extra=1))
+            setup.dispatcher.retry_budget = setup.sender.retry_budget = budget
+            sent = record_requests(setup.links)
+            nursery.start_soon(setup.send, b"GET")
+            await trio.sleep(1.0)
+            self.assertFalse(sent[0].outlasts_silence())
+            result = FAULTS[fault][1]()
+            if result is not None:
+                sent[0].resolve(result)
+            else:
+                await trio.sleep(CALL_TIMEOUT_S)
+            await trio.sleep(1.0)
+            nursery.start_soon(setup.send, b"GET")
+            await trio.sleep(1.0)
+            self.assertFalse(sent[-1].outlasts_silence())
+            nursery.cancel_scope.cancel()
+
     @params(
         # (other instances that can be reached, awaited)
         (0, True),
--- a/tests/state/test_retry_budget.py
+++ b/tests/state/test_retry_budget.py
@@ -36,6 +36,27 @@
         self.assertFalse(budget.acquire_repeat("orders", 10.0))
         self.assertTrue(budget.acquire_repeat("orders", 10.1))
 
+    def test_reserved_repeat_is_kept_until_it_is_released(self):
+        budget = RetryBudget(BOUND)
+        budget.node_count = NODES
+        for _ in range(2):
+            self.assertTrue(budget.reserve_repeat("orders", "first", 0.0))
+        self.assertTrue(budget.reserve_repeat("orders", "second", 0.0))
+        self.assertFalse(budget.reserve_repeat("orders", "third", 11.0))
+        self.assertFalse(budget.acquire_repeat("orders", 11.0))
+        budget.release_repeat("orders", "first")
+        self.assertTrue(budget.acquire_repeat("orders", 11.0))
+        self.assertTrue(budget.acquire_repeat("orders", 11.0, holder="second"))
+        self.assertFalse(budget.acquire_repeat("orders", 21.0))
+
+    def test_reserved_repeat_is_checked_again(self):
+        """Guards against repeats that requests of an earlier window allowed."""
+        budget = RetryBudget(RetryBound(ratio=0.1, window_s=10.0, extra=0.0))
+        for _ in range(10):
+            budget.record_request("orders", 0.0)
+        self.assertTrue(budget.reserve_repeat("orders", "first", 9.0))
+        self.assertFalse(budget.acquire_repeat("orders", 11.0, holder="first"))
+
     def test_without_a_bound_all_is_allowed(self):
         budget = RetryBudget()
         self.assertTrue(all(budget.acquire_repeat("orders", 0.0) for _ in range(1000)))
@@ -69,6 +90,15 @@
             if self.nodes[node].acquire_repeat("orders", self.now):
                 self.repeats.append(self.now)
 
+    @rule(node=st.integers(0, NODES - 1), holder=st.integers(0, 5))
+    def reserve(self, node, holder):
+        self.nodes[node].reserve_repeat("orders", holder, self.now)
+
+    @rule(node=st.integers(0, NODES - 1), holder=st.integers(0, 5))
+    def repeat_reserved(self, node, holder):
+        if self.nodes[node].acquire_repeat("orders", self.now, holder):
+            self.repeats.append(self.now)
+
     @rule(seconds=st.floats(0.1, 12.0))
     def wait(self, seconds):
         self.now += seconds
