Let an upload end under the header time-out it began under

What callers saw: an upload that takes longer than a new, shorter header-timeout-s was refused with 408 (slow sender) as soon as a configuration or SIGHUP brought that limit, although it was within the limit under which it had begun.

Cause: HttpServer.is_overdue compared with the limits in force at the check. The size limits already hold as of the begin of a request, in the parser, and so is the rule in the doc comment of the server.

Change: the limit for a request being read is the longer one of the current limit and of the limit in the parser, which are the limits as of the begin of the request. The refusal names the limit that was applied.

Evidence: of the three cases of test_shorter_head_timeout_spares_an_ upload_that_has_begun, the first (2.0 s, then 0.5 s) got 408 instead of 200 without the change; all hold with it. tests.transport.test_http_server: 110 tests, OK.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -69,8 +69,8 @@
 
     :param handler: handles one request; it is cancelled when the caller disconnects.
     :param limits: limits on each message; changes apply to requests that begin later,
-        and a shorter ``idle_timeout`` to answers that are sent later and to connections
-        that become idle behind them.
+        but a longer ``head_timeout`` to all, and a shorter ``idle_timeout`` to answers
+        that are sent later and to connections that become idle behind them.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
@@ -310,10 +310,18 @@
             connection.has_reader_task = True
             connection.nursery.start_soon(self.read_requests, connection)
 
+    def get_head_timeout(self, connection: Connection) -> float:
+        """Return the seconds within which the request being read must be complete.
+
+        Its caller may have begun it under a longer time-out than the current one.
+        """
+        began_under = connection.parser.limits
+        return max(self.limits.head_timeout, began_under.head_timeout)
+
     def is_overdue(self, connection: Connection, now: float) -> bool:
         elapsed_s = now - connection.phase_started_at
         if connection.phase is Phase.READING:
-            return elapsed_s > self.limits.head_timeout
+            return elapsed_s > self.get_head_timeout(connection)
         if connection.phase is Phase.ANSWERING:
             return False
         idle_timeout = max(self.limits.idle_timeout, connection.idle_timeout)
@@ -370,9 +378,10 @@
             self.lingers.discard(linger)
 
     async def refuse_slow_sender(self, connection: Connection) -> None:
+        head_timeout = self.get_head_timeout(connection)
         failure = Failure(
             reason=Reason.SLOW_SENDER,
-            detail=f"the request made no progress for {self.limits.head_timeout} s",
+            detail=f"the request made no progress for {head_timeout} s",
         )
         self.report_failure(failure)
         connection.drop_unfinished_body()
@@ -380,7 +389,7 @@
             self.build_refusal(failure), keep_alive=False, head_only=False
         )
         connection.is_close_announced = True
-        with trio.move_on_after(self.limits.head_timeout):
+        with trio.move_on_after(head_timeout):
             await connection.stream.send_all(data)
 
     async def run_connection(self, connection: Connection) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -286,6 +286,40 @@
             self.assertEqual(statuses, [b"200", b"%d" % status])
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (time-out when the request begins, soon after it, whether it is kept)
+        (2.0, 0.5, True),
+        (0.5, 2.0, True),
+        (0.5, 0.5, False),
+    )
+    def test_shorter_head_timeout_spares_an_upload_that_has_begun(self, *case):
+        """Guards against uploads refused in time, as the settings were changed."""
+        self.check_changed_head_timeout(*case)
+
+    @on_mock_clock(io=True)
+    async def check_changed_head_timeout(self, earlier_s, later_s, is_kept):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.limits = dataclasses.replace(LIMITS, head_timeout=earlier_s)
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(KEPT_REQUEST)
+            self.assertIn(b"200", await stream.receive_some(1000))
+            await stream.send_all(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nha")
+            await trio.sleep(0.1)
+            setup.server.limits = dataclasses.replace(LIMITS, head_timeout=later_s)
+            await trio.sleep(1.0)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"lf")
+            answer = await stream.receive_some(1000)
+            self.assertEqual(int(answer.split()[1]), 200 if is_kept else 408)
+            # A request that begins later has the current time-out only.
+            if is_kept and later_s < earlier_s:
+                await stream.send_all(b"GET / HT")
+                await trio.sleep(later_s + 0.5)
+                self.assertIn(b"408", await stream.receive_some(1000))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_slow_drip_does_not_extend_the_time_for_a_message(self):
         async with trio.open_nursery() as nursery:
