Ask for an expected body behind earlier answers

What callers saw: a request with Expect: 100-continue that came while an earlier request of its connection was open got no interim response, also not after the earlier answers. A caller that waits for it held its body back until it was refused with 408 at header-timeout-s, or until its own time-out.

Cause: the reader of a connection asked once, at the arrival of the head, and only if no answer was due then. Nothing asked again later.

Change: the connection notes at the end of each read that its caller waits for the interim response. It is sent when no exchange is open: by the reader as before, or by the task that sends the answers, right after the last one that is due. Bytes that arrive in the meantime clear the note.

Why it works: the note is set only after all requests that were read before have their exchange and the memory for the body is reserved, so the interim response never comes ahead of an earlier answer. The sending task keeps its turn (sending) while it writes it, so that no other bytes come between. An answer that closes the connection is followed by none.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -69,6 +69,8 @@
     :param overdue: whether the connection is closed because it made no progress.
     :param is_close_announced: whether a response told the caller of the close.
     :param caller_has_closed: whether the caller has closed its sending side.
+    :param awaits_continue: whether the caller waits for an interim response before it
+        sends the body of the request that is being read.
     :param answer_taken: set when a response was sent, and replaced then.
     :param has_reader_task: whether the connection is read while requests are handled.
     :param reading_ended: whether the first task that reads the connection has ended.
@@ -96,6 +98,7 @@
     overdue: bool = False
     is_close_announced: bool = False
     caller_has_closed: bool = False
+    awaits_continue: bool = False
     answer_taken: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
     reading_ended: bool = False
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -52,6 +52,7 @@
     detail="the node has no descriptor left for more callers",
     retry_after=SHORTAGE_RETRY_AFTER_S,
 )
+EXPECT_CONTINUE = (b"expect", b"100-continue")
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
 MAX_COPIED_BODY_BYTES = 65536
@@ -417,6 +418,7 @@
             if connection.closing:
                 # Input after an announced close is discarded as unread.
                 continue
+            connection.awaits_continue = False
             parser.next_limits = self.limits
             failure = parser.feed(data)
             is_single = failure is None and connection.has_single_request
@@ -445,6 +447,9 @@
             if self.has_stopped_reading:
                 self.end_reading(connection)
             elif parser.in_message and parser.head_complete:
+                connection.awaits_continue = (
+                    parser.body_bytes == 0 and EXPECT_CONTINUE in parser.headers
+                )
                 await self.send_continue(connection)
 
     async def reserve_memory(self, connection: Connection) -> Failure | None:
@@ -526,14 +531,14 @@
         return exchange
 
     async def send_continue(self, connection: Connection) -> None:
-        parser = connection.parser
-        expect_continue = (b"expect", b"100-continue")
+        """Ask for a body that the caller holds back, once no earlier answer is due."""
         if (
-            parser.body_bytes == 0
+            connection.awaits_continue
             and not connection.exchanges
-            and expect_continue in parser.headers
+            and not connection.closing
         ):
-            parser.headers.remove(expect_continue)
+            connection.awaits_continue = False
+            connection.parser.headers.remove(EXPECT_CONTINUE)
             await connection.stream.send_all(CONTINUE_LINE)
 
     async def handle_request(
@@ -633,6 +638,7 @@
             connection.exchanges.popleft()
             if self.answer_memory is not None:
                 self.answer_memory.release(connection, len(first.response.body))
+            await self.send_continue(connection)
             connection.notify_taken()
             # Reading may have ended while an answer that keeps the connection was sent.
             if connection.closing and not connection.exchanges:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1211,6 +1211,55 @@
             self.assertIn(b"200 OK", await stream.receive_some(1000))
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (earlier requests, bytes of each of their answers, whether the server leaves)
+        (1, 1, False),
+        (1, len(LARGE_BODY), False),
+        (3, len(LARGE_BODY), False),
+        (http_server.MAX_PIPELINED_REQUESTS + 1, 1, False),
+        (1, 1, True),
+    )
+    def test_expected_continue_is_sent_behind_earlier_answers(self, *case):
+        """Guards against callers that wait with a body until they are refused as slow,
+        and against interim responses inside or ahead of earlier answers.
+        """
+        self.check_continue_behind(*case)
+
+    @on_mock_clock(io=True)
+    async def check_continue_behind(self, count, size, leaving):
+        release = trio.Event()
+
+        async def handle(request):
+            await release.wait()
+            return HttpResponse(200, [], b"x" * size)
+
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            head = (
+                b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+            )
+            await stream.send_all(KEPT_REQUEST * count + head)
+            with trio.move_on_after(0.5):
+                self.fail(await stream.receive_some(1))
+            setup.server.leaving = leaving
+            release.set()
+            data = b""
+            with trio.move_on_after(LIMITS.head_timeout / 2):
+                while piece := await stream.receive_some(65536):
+                    data += piece
+            *answers, last = split_answers(data)
+            if leaving:
+                self.assertIn(b"connection: close", last)
+            else:
+                self.assertEqual(last, b"100 Continue\r\n\r\n")
+                self.assertEqual([item[:3] for item in answers], [b"200"] * count)
+                await stream.send_all(b"x")
+                self.assertIn(b"200 OK", await stream.receive_some(1000))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_requests_behind_each_other_run_side_by_side(self):
         async with trio.open_nursery() as nursery:
