Count the idle time of a caller from when it has taken its answer

What callers saw: a caller that takes its answer slowly found its kept connection closed early. Its next request crossed the close although it came within four fifths of idle-timeout-s from its reading of the answer, and was discarded unread.

Cause: the idle phase began when the last byte of the answer was in the send queue of the system, which may hold it for as long as the caller or the network is slow.

Change: after each answer the connection notes what is left in the send queue. While something is left, the connection counts as one that is sending (time-outs from the last progress that was seen); the idle time counts from when the queue was seen empty. Only connections with a rest are looked at again, at the periodic check. What a caller's system has taken and the caller has not read can't be seen and still counts as read.

It now shifts all times of a connection by the same span, so that the test of an answer on its way at the close checks the same as before; with the code before this change it holds as well.

Evidence: without the change the case (0.8, 0.8) of test_idle_timeout_counts_from_when_the_answer_was_taken gets the close instead of the answer; all cases hold with it. tests.transport. test_http_server and test_http_connection: 124 tests, OK.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -173,7 +173,7 @@
         self.unsent_bytes = unsent_bytes
 
     def note_delivery(self, size: int, queued_bytes: int, sending_s: float) -> None:
-        """Note how long the caller takes a response that was written.
+        """Note what is left of a response that was written, and how long it takes.
 
         What is left in the send queue is taken at the same pace.
 
@@ -181,10 +181,10 @@
         :param queued_bytes: bytes of earlier responses in the send queue before it.
         :param sending_s: time in which all of it was written.
         """
+        self.unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
         if sending_s < MIN_DELIVERY_S:
             return
-        unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
-        taken_bytes = queued_bytes + size - unsent_bytes
+        taken_bytes = queued_bytes + size - self.unsent_bytes
         if taken_bytes > 0:
             delivery_s = sending_s * size / taken_bytes
             self.longest_delivery_s = max(self.longest_delivery_s, delivery_s)
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -326,8 +326,9 @@
         if connection.phase is Phase.ANSWERING:
             return False
         idle_timeout = max(self.limits.idle_timeout, connection.idle_timeout)
-        if connection.phase is Phase.IDLE:
-            return elapsed_s > idle_timeout
+        if connection.phase is Phase.IDLE and not connection.unsent_bytes:
+            # The caller is idle from when its system has taken the whole answer.
+            return min(elapsed_s, now - connection.taken_at) > idle_timeout
         # A caller that reads small answers makes no room for large ones for a while.
         idle_timeout = max(idle_timeout, self.limits.stall_timeout)
         connection.update_taken_at(now)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -172,8 +172,13 @@
 
 
 def expire_connections(server):
+    """Let more than the idle time-out pass, in which callers take and send nothing."""
+    passed_s = LIMITS.idle_timeout + 1.0
+    server.check_connections(trio.current_time())
+    server.resumed_at -= passed_s
     for connection in server.connections:
-        connection.phase_started_at -= LIMITS.idle_timeout + 1.0
+        connection.phase_started_at -= passed_s
+        connection.taken_at -= passed_s
     server.check_connections(trio.current_time())
 
 
@@ -397,6 +402,39 @@
             self.assertEqual(await receive_or_nothing(unused), b"")
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds until the answer is read, and from then to the next request, whether
+        # that is answered)
+        (0.0, 0.8, True),
+        (0.8, 0.8, True),
+        (0.8, 1.2, False),
+    )
+    def test_idle_timeout_counts_from_when_the_answer_was_taken(self, *case):
+        """Guards against a close under the next request of a slow caller.
+
+        :param case: times as shares of the idle time-out.
+        """
+        self.check_idle_after_slow_read(*case)
+
+    @on_mock_clock(io=True)
+    async def check_idle_after_slow_read(self, read_after, sent_after, is_kept):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = respond_with(SLOWLY_READ_BODY)
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(read_after * LIMITS.idle_timeout)
+            data = b""
+            while not data.endswith(SLOWLY_READ_BODY):
+                data += await stream.receive_some(65536)
+            await trio.sleep(sent_after * LIMITS.idle_timeout)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(KEPT_REQUEST)
+            answer = await receive_or_nothing(stream)
+            self.assertEqual(answer[:12], b"HTTP/1.1 200" if is_kept else b"")
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_request_that_arrives_when_its_connection_expires_is_whole(self):
         """Guards against a request that is started and then cut by the idle timeout.
