Ignore a late notice of a server that the list has replaced

What callers saw: if the last answers of a server that had announced its leaving were handled after the list named its successor at the same address, the node drained for the successor and refused all work until the list changed again. Peers that got such an answer late forgot what the successor had said itself, also that it leaves, and sent it requests.

Cause: ServerNotices keeps one notice an instance and took the latest one to arrive as the latest one in time. The server monitor calls on_leaving for any notice that differs, of whichever incarnation.

Change: the notices know which incarnation the list named before the present one; a notice of that one is late and does not count, neither at the monitor nor at peers. Also the rate limit in it is not applied.

Why it works: a notice of an incarnation that was not listed yet still counts, as before, since the list may be behind the server. If the list goes back, the order of the two is turned round with it. An entry that is removed and listed again is covered as well.

Evidence: without the change the two new cases of a late answer in test_backend_server_that_announces_its_leaving fail (the node leaves), and so does the test of the notices with is_late off.

--- a/src/catkinpost/coordination/admission/server_monitor.py
+++ b/src/catkinpost/coordination/admission/server_monitor.py
@@ -97,6 +97,12 @@
 
     def record_notice(self, notice: ServerNotice) -> None:
         """Apply a notice of the server, and log one that differs."""
+        if self.notices.is_late(self.instance, notice):
+            if notice.leaving:
+                log_message(
+                    "server: late notice ignored", incarnation=notice.incarnation
+                )
+            return
         is_first = self.get_notice() is None
         # The ends of local calls record notices as well, and may record older ones.
         self.admission.set_rate_limit(notice.rate_limit)
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -416,6 +416,8 @@
             self.stats.remove(instance.name)
         for name in change.restarted:
             self.stats.remove(name)
+        for name in (*change.added, *change.restarted):
+            self.notices.record_listed(name, self.view.instances[name].incarnation)
         self.retry_budget.node_count = len(self.view.instances)
         region = self.settings.node.region
         self.nodes_in_region = sum(
--- a/src/catkinpost/state/server_notice.py
+++ b/src/catkinpost/state/server_notice.py
@@ -23,11 +23,30 @@
     """Latest notice of each backend server that this node has heard of.
 
     A notice holds for one incarnation of its server. An instance that is removed from
-    the list keeps its notice, since a list that lags may name it again.
+    the list keeps its notice, since a list that lags may name it again. A notice of the
+    incarnation that was listed before is late and does not count.
+
+    :ivar listed: incarnation that was listed last and, if another was listed before,
+        that one, by instance.
     """
 
     def __init__(self) -> None:
         self.notices: BoundedDict[str, ServerNotice] = BoundedDict(MAX_INSTANCES)
+        self.listed: BoundedDict[str, tuple[str, str | None]] = BoundedDict(
+            MAX_INSTANCES
+        )
+
+    def record_listed(self, name: str, incarnation: str) -> None:
+        """Record the incarnation of a server that the list names from now on."""
+        latest, earlier = self.listed.pop(name, (incarnation, None))
+        if latest != incarnation:
+            earlier = latest
+        self.listed.get_or_create(name, lambda: (incarnation, earlier))
+
+    def is_late(self, name: str, notice: ServerNotice) -> bool:
+        """Return whether a notice is of a server that the list has replaced."""
+        _, earlier = self.listed.get(name, ("", None))
+        return notice.incarnation == earlier
 
     def record(self, name: str, notice: ServerNotice) -> bool:
         """Record the latest notice of a server.
@@ -37,8 +56,10 @@
 
         :param name: name of its instance.
         :param notice: the notice.
-        :return: whether it differs from the one before.
+        :return: whether it counts and differs from the one before.
         """
+        if self.is_late(name, notice):
+            return False
         previous = self.notices.get(name)
         is_same_server = previous and previous.incarnation == notice.incarnation
         if is_same_server and previous.leaving:
--- a/tests/state/test_server_notice.py
+++ b/tests/state/test_server_notice.py
@@ -20,6 +20,16 @@
         self.assertEqual(notices.get("sets-1", "i-1#1"), notice)
         self.assertIsNone(notices.get("sets-1", "i-1#2"))
 
+    def test_late_notice_of_a_predecessor_does_not_count(self):
+        """Guards against requests to a server whose announced leaving is forgotten."""
+        notices = ServerNotices()
+        notices.record_listed("sets-1", "i-1#1")
+        notices.record_listed("sets-1", "i-1#2")
+        left = ServerNotice("i-1#2", 3.0, True)
+        self.assertTrue(notices.record("sets-1", left))
+        self.assertFalse(notices.record("sets-1", ServerNotice("i-1#1", 9.0)))
+        self.assertEqual(notices.get("sets-1", "i-1#2"), left)
+
     @params(
         # (notices of the server, listed incarnation and state, whether it leaves)
         ([], "i-1#1", InstanceState.LIVE, False),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,6 +186,10 @@
         (["0"], [], True),
         (["0"], ["a"], True),
         (["0"], ["a", "b"], False),
+        # The answer of a predecessor came late.
+        (["a", "b"], [], False),
+        (["a", None, "b"], [], False),
+        (["a", "b", "a"], [], True),
     )
     def test_backend_server_that_announces_its_leaving(self, before, after, refused):
         self.check_announced(before, after, refused)
@@ -204,9 +208,11 @@
             nursery.cancel_scope.cancel()
 
     def list_own_instance(self, node, incarnation):
+        """List the instance, or an empty list if it has no incarnation."""
         own = dataclasses.replace(make_instance("orders-1"), incarnation=incarnation)
+        listed = [] if incarnation is None else [own]
         version = node.view.version + 1
-        node.on_list_changed(node.view.apply_list(version, [own], 0.0))
+        node.on_list_changed(node.view.apply_list(version, listed, 0.0))
 
     @params("a", "b")
     def test_instance_that_is_listed_again_takes_work(self, incarnation):
