--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -69,6 +69,8 @@
     :param overdue: whether the connection is closed because it made no progress.
     :param is_close_announced: whether a response told the caller of the close.
     :param caller_has_closed: whether the caller has closed its sending side.
+    :param awaits_continue: whether the caller waits for an interim response before it
+        sends the body of the request that is being read.
     :param answer_taken: set when a response was sent, and replaced then.
     :param has_reader_task: whether the connection is read while requests are handled.
     :param reading_ended: whether the first task that reads the connection has ended.
@@ -97,6 +99,7 @@
     overdue: bool = False
     is_close_announced: bool = False
     caller_has_closed: bool = False
+    awaits_continue: bool = False
     answer_taken: trio.Event = field(default_factory=trio.Event)
     has_reader_task: bool = False
     reading_ended: bool = False
@@ -183,7 +186,7 @@
         self.unsent_bytes = unsent_bytes
 
     def note_delivery(self, size: int, queued_bytes: int, sending_s: float) -> None:
-        """Note how long the caller takes a response that was written.
+        """Note what is left of a response that was written, and how long it takes.
 
         What is left in the send queue is taken at the same pace.
 
@@ -191,10 +194,10 @@
         :param queued_bytes: bytes of earlier responses in the send queue before it.
         :param sending_s: time in which all of it was written.
         """
+        self.unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
         if sending_s < MIN_DELIVERY_S:
             return
-        unsent_bytes = count_unacknowledged_bytes(self.stream.socket) or 0
-        taken_bytes = queued_bytes + size - unsent_bytes
+        taken_bytes = queued_bytes + size - self.unsent_bytes
         if taken_bytes > 0:
             delivery_s = sending_s * size / taken_bytes
             self.longest_delivery_s = max(self.longest_delivery_s, delivery_s)
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -53,6 +53,7 @@
     detail="the node has no descriptor left for more callers",
     retry_after=SHORTAGE_RETRY_AFTER_S,
 )
+EXPECT_CONTINUE = (b"expect", b"100-continue")
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
 MAX_COPIED_BODY_BYTES = 65536
@@ -70,8 +71,8 @@
 
     :param handler: handles one request; it is cancelled when the caller disconnects.
     :param limits: limits on each message; changes apply to requests that begin later,
-        and a shorter ``idle_timeout`` to answers that are sent later and to connections
-        that become idle behind them.
+        but a longer ``head_timeout`` to all, and a shorter ``idle_timeout`` to answers
+        that are sent later and to connections that become idle behind them.
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
@@ -315,15 +316,24 @@
             connection.has_reader_task = True
             connection.nursery.start_soon(self.read_requests, connection)
 
+    def get_head_timeout(self, connection: Connection) -> float:
+        """Return the seconds within which the request being read must be complete.
+
+        Its caller may have begun it under a longer time-out than the current one.
+        """
+        began_under = connection.parser.limits
+        return max(self.limits.head_timeout, began_under.head_timeout)
+
     def is_overdue(self, connection: Connection, now: float) -> bool:
         elapsed_s = now - connection.phase_started_at
         if connection.phase is Phase.READING:
-            return elapsed_s > self.limits.head_timeout
+            return elapsed_s > self.get_head_timeout(connection)
         if connection.phase is Phase.ANSWERING:
             return False
         idle_timeout = max(self.limits.idle_timeout, connection.idle_timeout)
-        if connection.phase is Phase.IDLE:
-            return elapsed_s > idle_timeout
+        if connection.phase is Phase.IDLE and not connection.unsent_bytes:
+            # The caller is idle from when its system has taken the whole answer.
+            return min(elapsed_s, now - connection.taken_at) > idle_timeout
         # A caller that reads small answers makes no room for large ones for a while.
         idle_timeout = max(idle_timeout, self.limits.stall_timeout)
         connection.update_taken_at(now)
@@ -375,9 +385,10 @@
             self.lingers.discard(linger)
 
     async def refuse_slow_sender(self, connection: Connection) -> None:
+        head_timeout = self.get_head_timeout(connection)
         failure = Failure(
             reason=Reason.SLOW_SENDER,
-            detail=f"the request made no progress for {self.limits.head_timeout} s",
+            detail=f"the request made no progress for {head_timeout} s",
         )
         self.report_failure(failure)
         connection.drop_unfinished_body()
@@ -385,7 +396,7 @@
             self.build_refusal(failure), keep_alive=False, head_only=False
         )
         connection.is_close_announced = True
-        with trio.move_on_after(self.limits.head_timeout):
+        with trio.move_on_after(head_timeout):
             await connection.stream.send_all(data)
 
     async def run_connection(self, connection: Connection) -> None:
@@ -413,6 +424,7 @@
             if connection.closing:
                 # Input after an announced close is discarded as unread.
                 continue
+            connection.awaits_continue = False
             parser.next_limits = self.limits
             failure = parser.feed(data)
             is_single = failure is None and connection.has_single_request
@@ -441,6 +453,9 @@
             if self.has_stopped_reading:
                 self.end_reading(connection)
             elif parser.in_message and parser.head_complete:
+                connection.awaits_continue = (
+                    parser.body_bytes == 0 and EXPECT_CONTINUE in parser.headers
+                )
                 await self.send_continue(connection)
 
     async def reserve_memory(self, connection: Connection) -> Failure | None:
@@ -524,14 +539,14 @@
         return exchange
 
     async def send_continue(self, connection: Connection) -> None:
-        parser = connection.parser
-        expect_continue = (b"expect", b"100-continue")
+        """Ask for a body that the caller holds back, once no earlier answer is due."""
         if (
-            parser.body_bytes == 0
+            connection.awaits_continue
             and not connection.exchanges
-            and expect_continue in parser.headers
+            and not connection.closing
         ):
-            parser.headers.remove(expect_continue)
+            connection.awaits_continue = False
+            connection.parser.headers.remove(EXPECT_CONTINUE)
             await connection.stream.send_all(CONTINUE_LINE)
 
     async def handle_request(
@@ -631,6 +646,7 @@
             connection.exchanges.popleft()
             if self.answer_memory is not None:
                 self.answer_memory.release(connection, len(first.response.body))
+            await self.send_continue(connection)
             connection.notify_taken()
             # Reading may have ended while an answer that keeps the connection was sent.
             if connection.closing and not connection.exchanges:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -172,8 +172,13 @@
 
 
 def expire_connections(server):
+    """Let more than the idle time-out pass, in which callers take and send nothing."""
+    passed_s = LIMITS.idle_timeout + 1.0
+    server.check_connections(trio.current_time())
+    server.resumed_at -= passed_s
     for connection in server.connections:
-        connection.phase_started_at -= LIMITS.idle_timeout + 1.0
+        connection.phase_started_at -= passed_s
+        connection.taken_at -= passed_s
     server.check_connections(trio.current_time())
 
 
@@ -286,6 +291,40 @@
             self.assertEqual(statuses, [b"200", b"%d" % status])
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (time-out when the request begins, soon after it, whether it is kept)
+        (2.0, 0.5, True),
+        (0.5, 2.0, True),
+        (0.5, 0.5, False),
+    )
+    def test_shorter_head_timeout_spares_an_upload_that_has_begun(self, *case):
+        """Guards against uploads refused in time, as the settings were changed."""
+        self.check_changed_head_timeout(*case)
+
+    @on_mock_clock(io=True)
+    async def check_changed_head_timeout(self, earlier_s, later_s, is_kept):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.limits = dataclasses.replace(LIMITS, head_timeout=earlier_s)
+            await setup.start(nursery)
+            stream = await setup.connect()
+            await stream.send_all(KEPT_REQUEST)
+            self.assertIn(b"200", await stream.receive_some(1000))
+            await stream.send_all(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nha")
+            await trio.sleep(0.1)
+            setup.server.limits = dataclasses.replace(LIMITS, head_timeout=later_s)
+            await trio.sleep(1.0)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"lf")
+            answer = await stream.receive_some(1000)
+            self.assertEqual(int(answer.split()[1]), 200 if is_kept else 408)
+            # A request that begins later has the current time-out only.
+            if is_kept and later_s < earlier_s:
+                await stream.send_all(b"GET / HT")
+                await trio.sleep(later_s + 0.5)
+                self.assertIn(b"408", await stream.receive_some(1000))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_slow_drip_does_not_extend_the_time_for_a_message(self):
         async with trio.open_nursery() as nursery:
@@ -363,6 +402,39 @@
             self.assertEqual(await receive_or_nothing(unused), b"")
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (seconds until the answer is read, and from then to the next request, whether
+        # that is answered)
+        (0.0, 0.8, True),
+        (0.8, 0.8, True),
+        (0.8, 1.2, False),
+    )
+    def test_idle_timeout_counts_from_when_the_answer_was_taken(self, *case):
+        """Guards against a close under the next request of a slow caller.
+
+        :param case: times as shares of the idle time-out.
+        """
+        self.check_idle_after_slow_read(*case)
+
+    @on_mock_clock(io=True)
+    async def check_idle_after_slow_read(self, read_after, sent_after, is_kept):
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = respond_with(SLOWLY_READ_BODY)
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            await stream.send_all(KEPT_REQUEST)
+            await trio.sleep(read_after * LIMITS.idle_timeout)
+            data = b""
+            while not data.endswith(SLOWLY_READ_BODY):
+                data += await stream.receive_some(65536)
+            await trio.sleep(sent_after * LIMITS.idle_timeout)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(KEPT_REQUEST)
+            answer = await receive_or_nothing(stream)
+            self.assertEqual(answer[:12], b"HTTP/1.1 200" if is_kept else b"")
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_request_that_arrives_when_its_connection_expires_is_whole(self):
         """Guards against a request that is started and then cut by the idle timeout.
@@ -1177,6 +1249,55 @@
             self.assertIn(b"200 OK", await stream.receive_some(1000))
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (earlier requests, bytes of each of their answers, whether the server leaves)
+        (1, 1, False),
+        (1, len(LARGE_BODY), False),
+        (3, len(LARGE_BODY), False),
+        (http_server.MAX_PIPELINED_REQUESTS + 1, 1, False),
+        (1, 1, True),
+    )
+    def test_expected_continue_is_sent_behind_earlier_answers(self, *case):
+        """Guards against callers that wait with a body until they are refused as slow,
+        and against interim responses inside or ahead of earlier answers.
+        """
+        self.check_continue_behind(*case)
+
+    @on_mock_clock(io=True)
+    async def check_continue_behind(self, count, size, leaving):
+        release = trio.Event()
+
+        async def handle(request):
+            await release.wait()
+            return HttpResponse(200, [], b"x" * size)
+
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = handle
+            await setup.start(nursery)
+            stream = await connect_slow_reader(setup)
+            head = (
+                b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+            )
+            await stream.send_all(KEPT_REQUEST * count + head)
+            with trio.move_on_after(0.5):
+                self.fail(await stream.receive_some(1))
+            setup.server.leaving = leaving
+            release.set()
+            data = b""
+            with trio.move_on_after(LIMITS.head_timeout / 2):
+                while piece := await stream.receive_some(65536):
+                    data += piece
+            *answers, last = split_answers(data)
+            if leaving:
+                self.assertIn(b"connection: close", last)
+            else:
+                self.assertEqual(last, b"100 Continue\r\n\r\n")
+                self.assertEqual([item[:3] for item in answers], [b"200"] * count)
+                await stream.send_all(b"x")
+                self.assertIn(b"200 OK", await stream.receive_some(1000))
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_requests_behind_each_other_run_side_by_side(self):
         async with trio.open_nursery() as nursery:
