Keep the end of the server's time apart from the caller's deadline

What callers would see: a request with 20 ms left or less was handed to a server with 1 ms, and answered 504, where it was refused as not run before; admission compared the time of a run with the caller's deadline, of which the server doesn't get the last 20 ms; and a request that a server dropped unrun at the end of its time was sent on to another one with 1 ms.

Cause: the margin was taken off in the header of the request alone, while all decisions of the executor counted on the whole deadline.

Change: the executor takes 20 ms off the budget of a call once. Admission, the queue and the server have what is left; the wait for a run that has begun ends these 20 ms later. The native dialect has the same margin now, in which the server's time and the wait ended together as well.

--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -39,6 +39,9 @@
 __all__ = ["Executor"]
 
 CRASH_SETTLE_S = 0.02
+# A server that answers at the end of its time is heard before the caller's deadline, at
+# which the caller's node answers in its place.
+ANSWER_MARGIN_S = 0.02
 SILENT_CONNECTION_FACTOR = 5.0
 
 
@@ -196,7 +199,8 @@
             self.active_calls -= 1
 
     async def check_and_run(self, call: Call) -> Answer | Refusal:
-        deadline = trio.current_time() + call.budget_us / 1e6
+        # The backend server and the wait for it must leave time for the answer.
+        deadline = trio.current_time() + call.budget_us / 1e6 - ANSWER_MARGIN_S
         if call.notice is not None:
             self.monitor.adopt_notice(call.notice)
         failure = self.check_call(call)
@@ -311,7 +315,7 @@
         self.crash_guard.record_start(fingerprint)
         result: HttpResponse | Failure | None = None
         try:
-            with trio.CancelScope(deadline=running.deadline) as scope:
+            with trio.CancelScope(deadline=running.deadline + ANSWER_MARGIN_S) as scope:
                 request = self.dialect.build_request(call, running)
                 self.monitor.record_send()
                 response = await self.client.send_request(request)
--- a/src/catkinpost/coordination/admission/work.py
+++ b/src/catkinpost/coordination/admission/work.py
@@ -41,7 +41,7 @@
     """Request to run.
 
     :param rank: rank of importance; 0 is shed last.
-    :param deadline: time after which the response is useless.
+    :param deadline: time at which the backend server must have answered.
     :param useful_until: time until which the request may wait for a slot.
     :param call_class: request class.
     :param path: path of the request without its query.
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -31,9 +31,6 @@
 
 __all__ = ["PlatformDialect"]
 
-# A server that answers at the end of the time that it is told is heard before the
-# deadline, at which the node answers in its place.
-SERVER_MARGIN_S = 0.02
 # Callers send whole milliseconds of the time that they wait.
 DEADLINE_UNIT_S = 0.001
 DEFAULT_RETRY_AFTER_S = 0.3
@@ -141,8 +138,7 @@
 
     def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
         """Add the remaining time and the expected server process to a call."""
-        remaining_s = running.deadline - trio.current_time() - SERVER_MARGIN_S
-        remaining_ms = max(1, int(remaining_s * 1000))
+        remaining_ms = max(1, int((running.deadline - trio.current_time()) * 1000))
         headers = [*call.headers, (DEADLINE_REMAINING, b"%d" % remaining_ms)]
         identity = call.incarnation.partition("#")[0]
         if identity:
--- a/src/catkinpost/state/running.py
+++ b/src/catkinpost/state/running.py
@@ -21,7 +21,7 @@
     :param call_class: request class.
     :param tenant: tenant.
     :param rank: rank of importance that child calls inherit.
-    :param deadline: time on the node's clock after which the response is of no use.
+    :param deadline: time on the node's clock until which the backend server works.
     :param allowance: retries left for the child calls.
     :param fingerprint: digest of the request.
     :param started_at: time at which the request was sent to the backend server.
