Count a repeat only if an instance is found for it

The repeat is now reserved before the choice and acquired behind it, at the same time and with no wait between, so that the bound holds for what is sent; the end of the call releases it otherwise.

The new test gets 502 in its second call without this.

--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -254,22 +254,25 @@
                 is_move = False
             else:
                 return self.build_final_failure(call, result)
+            now = trio.current_time()
             if not call.arrivals:
                 self.retry_budget.release_repeat(call.service, call)
-            elif not self.acquire_repeat(call):
+            elif not self.reserve_repeat(call, now):
                 return self.build_final_failure(call, result)
             next_target = self.sender.choose_instance(call, exclude)
             if isinstance(next_target, Failure):
                 return self.build_final_failure(call, result)
+            if call.arrivals:
+                # Reserved at the same time, so that it can't fail.
+                self.retry_budget.acquire_repeat(call.service, now, holder=call)
             if not is_move:
                 call.allowance.consume_retry()
                 self.metrics.counters["retries"] += 1
             target = next_target
 
-    def acquire_repeat(self, call: EntryCall) -> bool:
-        """Acquire one repeated arrival from the service's retry budget."""
-        now = trio.current_time()
-        if self.retry_budget.acquire_repeat(call.service, now, holder=call):
+    def reserve_repeat(self, call: EntryCall, now: float) -> bool:
+        """Reserve one repeated arrival in the service's retry budget."""
+        if self.retry_budget.reserve_repeat(call.service, call, now):
             return True
         self.decisions.add(
             "retries",
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -588,6 +588,20 @@
             await setup.send(b"GET")
             self.assertEqual(setup.links.attempts, attempts)
 
+    @on_mock_clock
+    async def test_repeat_without_an_instance_is_not_counted(self):
+        """Guards against a budget that shrinks with each call that is not repeated."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, ["backend crashed"] * 2)
+            bound = RetryBound(ratio=0.0, window_s=60.0, extra=1)
+            setup.dispatcher.retry_budget = RetryBudget(bound)
+            instances = [make_instance(f"orders-{n}") for n in range(2)]
+            setup.view.apply_list(2, instances[:1], 0.0)
+            self.assertEqual((await setup.send(b"GET")).status, 502)
+            setup.view.apply_list(3, instances, 0.0)
+            self.assertEqual((await setup.send(b"GET")).status, 200)
+            self.assertEqual(setup.links.attempts, 3)
+
 
 class TestDispatcher(unittest.TestCase):
     @params(
