Let peers that are taking an answer have the delivery time of a stop

What callers saw: a large answer that a stopping node began to send to a peer late in the stop was cut on the link at stop_timeout; the entry gave its caller a 502 in its place, although the server had answered.

Cause: close_peers ended at the end of the stop in any case. Answers to the node's own callers have delivery_timeout beyond that, those that take the way over a peer had nothing of it.

Change: a connection of a peer is closed at the end of the stop as before unless its peer goes on taking what is sent: then it has until the end of the delivery time, the same bound as callers, and is closed as soon as the peer has taken nothing for 0.25 s. What is closed undelivered is logged.

Why it works: progress is seen from the send queue of the system and from the parts that were written, sampled every 50 ms. Peers that take nothing hold the process no longer than before.

--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -33,12 +33,15 @@
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory, Reservation
-from catkinpost.transport.frame import FrameStream, SkippedCall, close_all
+from catkinpost.transport.frame import FrameStream, SkippedCall
 
 __all__ = ["PeerServer", "PeerSession"]
 
 LIVENESS_CHECK_INTERVAL_S = 0.5
 MEMORY_RETRY_AFTER_S = 0.5
+DELIVERY_CHECK_INTERVAL_S = 0.05
+# A peer that is about to take the rest of a response takes some of it within this.
+MAX_DELIVERY_STALL_S = 0.25
 
 CallHandler = Callable[[Call], Awaitable[Answer | Refusal]]
 
@@ -358,23 +361,54 @@
             self.get_load(),
         )
 
-    async def close_connections(self, ends_at: float = -math.inf) -> None:
+    async def close_connections(
+        self, ends_at: float = -math.inf, deliver_by: float = -math.inf
+    ) -> None:
         """Read no further messages, and close each connection once all is delivered.
 
         :param ends_at: time at which the rest is closed, also while a message is
             being sent.
+        :param deliver_by: later time until which peers that go on taking a message
+            have the rest of it.
         """
         sessions = list(self.sessions.values())
         for session in sessions:
             session.scope.cancel()
-        with trio.CancelScope(deadline=ends_at):
-            async with trio.open_nursery() as nursery:
-                for session in sessions:
-                    nursery.start_soon(session.closed.wait)
-        await close_all(session.frames for session in sessions)
+        async with trio.open_nursery() as nursery:
+            for session in sessions:
+                nursery.start_soon(finish_session, session, ends_at, deliver_by)
 
     async def broadcast(self, message: Message) -> None:
         """Send a notification to every connected peer."""
         async with trio.open_nursery() as nursery:
             for session in list(self.sessions.values()):
                 nursery.start_soon(session.send_notification, message)
+
+
+async def finish_session(
+    session: PeerSession, ends_at: float, deliver_by: float
+) -> None:
+    """Wait until a connection has ended, and close it if it does not end in time.
+
+    :param ends_at: time at which it is closed if the peer takes nothing.
+    :param deliver_by: time at which it is closed if the peer takes something.
+    """
+    taken_at = -math.inf
+    unsent = session.frames.describe_unsent()
+    while (now := trio.current_time()) < ends_at or (
+        now < deliver_by and now - taken_at < MAX_DELIVERY_STALL_S
+    ):
+        bound = ends_at if now < ends_at else deliver_by
+        with trio.move_on_at(min(now + DELIVERY_CHECK_INTERVAL_S, bound)):
+            await session.closed.wait()
+            return
+        previous, unsent = unsent, session.frames.describe_unsent()
+        if unsent != previous:
+            taken_at = trio.current_time()
+    if session.calls:
+        log_message(
+            "peer: closed with answers undelivered",
+            peer=session.instance,
+            calls=len(session.calls),
+        )
+    await session.frames.close()
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -328,7 +328,9 @@
     async def close_peers(self) -> None:
         """Close the connections of peers."""
         self.peer_acceptor.start_end()
-        await self.peer_server.close_connections(self.planned_stop.compute_step_end())
+        await self.peer_server.close_connections(
+            self.planned_stop.compute_step_end(), self.planned_stop.delivery_ends_at
+        )
         log_message("node: peers closed", **self.planned_stop.describe_step())
 
     async def listen(
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -91,6 +91,11 @@
         bounds = self.node.settings.bounds
         return self.signalled_at + bounds.stop_timeout + bounds.delivery_timeout
 
+    @property
+    def delivery_ends_at(self) -> float:
+        """Time until which those that go on taking an answer have the rest of it."""
+        return self.ends_at + self.node.settings.bounds.delivery_timeout
+
     def compute_close_time(self) -> float:
         """Return the time at which connections are closed, answered or not.
 
@@ -336,8 +341,7 @@
         Nothing else is left to do, so that slow callers have the rest of the time.
         """
         server = self.node.http_server
-        ends_at = self.ends_at + self.node.settings.bounds.delivery_timeout
-        with trio.CancelScope(deadline=ends_at):
+        with trio.CancelScope(deadline=self.delivery_ends_at):
             while server.is_busy or server.awaits_callers:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
 
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -24,7 +24,7 @@
     RequestMemory,
     Reservation,
 )
-from catkinpost.transport.linger import Linger
+from catkinpost.transport.linger import Linger, count_unacknowledged_bytes
 from catkinpost.transport.socket_io import (
     count_unread_bytes,
     receive_some,
@@ -134,6 +134,12 @@
         is_overdue = trio.current_time() - alive_at >= seconds
         return is_overdue and not count_unread_bytes(self.stream)
 
+    def describe_unsent(self) -> tuple[float, int]:
+        """Return values that change when the peer takes a part of what is sent."""
+        socket = getattr(self.stream, "socket", None)
+        queued_bytes = 0 if socket is None else count_unacknowledged_bytes(socket) or 0
+        return self.progressed_at, queued_bytes
+
     async def send(self, message: Message) -> None:
         """Send one message; concurrent calls are serialized.
 
