Don't wait for a peer to take a reply before reading on

Seen in the test, not in a run of nodes: a call and an answer of one link stand still for 1.5 s and more. By reading, the time-out of the send then ends the use of the connection, and calls in flight may end as unknown.

Cause: handlers of peer messages send their replies (policy notices, fetches and contents, reports on keys) in the loop that reads the connection. A reply waits for the lock of the connection while a large answer or call is being sent, and that one waits until the peer reads. If both ends have a reply behind a large message, neither reads, until the time-out of the send ends the use of the connection.

Change: handlers of a link or a session start the sending of a reply as a task of its own (ReplySender) and return to reading. A session starts it in its own nursery, so that it ends with the connection.

Why it works: the reading loop waits for nothing that depends on the peer's reading. Messages are still handled in the loop, in their order and before the end of the connection is seen; the order of replies does not matter, as reports have an id and policies a version. (A queue with a task that handles the messages was tried first and dropped: what is queued when the peer closes, such as the keys of a stopping node, would be lost.)

--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -37,6 +37,24 @@
 Sender = PeerLink | PeerSession
 
 
+class ReplySender:
+    """Sender of replies that the handler of a message does not wait for.
+
+    The peer may take them only after this end has read on.
+
+    :param sender: connection to the peer.
+    """
+
+    def __init__(self, sender: Sender) -> None:
+        self.sender = sender
+        self.instance = sender.instance
+
+    async def send_notification(self, message: Message) -> bool:
+        """Start to send a message that gets no response."""
+        self.sender.spawn(self.sender.send_notification, message)
+        return True
+
+
 class PeerHandler:
     """Receiver of the events of links and accepted connections.
 
@@ -142,28 +160,30 @@
     async def handle_pong(self, message: Pong, sender: Sender) -> None:
         self.record_load(sender.instance, message.load)
         await self.exchange.handle_peer_version(
-            sender, message.policy_version, message.policy_digest
+            ReplySender(sender), message.policy_version, message.policy_digest
         )
 
     @handle.register
     async def handle_notice(self, message: PolicyNotice, sender: Sender) -> None:
         await self.exchange.handle_peer_version(
-            sender, message.policy_version, message.policy_digest
+            ReplySender(sender), message.policy_version, message.policy_digest
         )
 
     @handle.register
     async def handle_fetch(self, message: PolicyFetch, sender: Sender) -> None:
         store = self.exchange.store
         if store.has_policy:
-            await sender.send_notification(store.build_content_since(message.since))
+            await ReplySender(sender).send_notification(
+                store.build_content_since(message.since)
+            )
 
     @handle.register
     async def handle_content(self, message: PolicyContent, sender: Sender) -> None:
-        await self.exchange.apply_content(sender, message)
+        await self.exchange.apply_content(ReplySender(sender), message)
 
     @handle.register
     async def handle_fence(self, message: KeyFence, sender: Sender) -> None:
-        await sender.send_notification(self.once.handle_key_fence(message))
+        await ReplySender(sender).send_notification(self.once.handle_key_fence(message))
 
     @handle.register
     async def handle_records(self, message: KeyRecords, sender: Sender) -> None:
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -76,6 +76,7 @@
         self.calls: dict[int, PeerCall] = {}
         self.scope = trio.CancelScope()
         self.closed = trio.Event()
+        self.nursery: trio.Nursery | None = None
 
     @property
     def instance(self) -> str:
@@ -87,6 +88,10 @@
         """Whether the connection takes messages."""
         return not self.closed.is_set() and not self.frames.sending_ended.is_set()
 
+    def spawn(self, function: Callable[..., Awaitable[object]], *args) -> None:
+        """Start a task that ends with the connection."""
+        self.nursery.start_soon(function, *args)
+
     async def send_notification(self, message: Message) -> bool:
         """Send a message that has no response.
 
@@ -223,6 +228,7 @@
         return Failure(reason=Reason.PEER_SILENT, detail="no introduction in time")
 
     async def read_messages(self, session: PeerSession, nursery: trio.Nursery) -> None:
+        session.nursery = nursery
         nursery.start_soon(self.monitor_liveness, session)
         while True:
             message = await session.frames.receive()
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -227,6 +227,21 @@
     )
 
 
+def build_replying_handler():
+    """Return a handler of peer messages that replies to questions."""
+    exchange, once = mock.Mock(), mock.Mock()
+    exchange.store.build_content_since.return_value = PolicyNotice(1, b"")
+    once.handle_key_fence.return_value = KeyReport(0, True, "", 0.0)
+    return PeerHandler(
+        exchange=exchange,
+        stats=mock.Mock(),
+        notices=mock.Mock(),
+        replicas=None,
+        once=once,
+        crash_guard=None,
+    )
+
+
 class TestLink(unittest.TestCase):
     @params(0, 1, 2)
     def test_requests_on_connections_that_break_at_random_end(self, seed):
@@ -1290,6 +1305,37 @@
                 self.assertEqual((await frames.receive()).body, b"runs")
             nursery.cancel_scope.cancel()
 
+    @params("policy", "key")
+    def test_replies_behind_large_messages_stop_neither_end_from_reading(self, kind):
+        """Guards against two ends that each wait until the other one reads."""
+        self.check_replies(kind)
+
+    @on_mock_clock(io=True)
+    async def check_replies(self, kind):
+        async with trio.open_nursery() as nursery:
+            memory = RequestMemory(100 * ANSWER_BYTES, DecisionLog())
+            setup = Setup(nursery, memory=memory)
+            for events in (setup.events, setup.server_events):
+                events.on_peer_message = build_replying_handler().on_peer_message
+            await setup.start()
+            await setup.events.up.wait()
+            body, ends = bytes(40 * ANSWER_BYTES), []
+            answer = Answer(0, 200, [], body, 0, Load())
+
+            async def call():
+                ends.append(len((await setup.call(body)).body))
+
+            (session,) = setup.server.sessions.values()
+            ask = PolicyFetch(0) if kind == "policy" else KeyFence(0, "k", "")
+            await setup.link.send_notification(ask)
+            await session.send_notification(PolicyFetch(0))
+            nursery.start_soon(session.send_notification, answer)
+            nursery.start_soon(call)
+            await trio.sleep(SEND_TIMEOUT_S / 2)
+            self.assertEqual(ends, [len(body)])
+            self.assertEqual(setup.events.downs, [])
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_peer_that_takes_nothing_holds_up_no_notification_of_others(self):
         """Guards against peers that learn of a stop or a policy seconds late."""
