Log how many callers wait when accepting ends

A caller whose connection is in the accept queue at the end of a stop looked in the log like none at all. 'accept: ended' gives how many waited, were accepted and were left, from the length of the queue that Linux tells for a listener.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -11,6 +11,7 @@
     RELEASE_TIME_S,
     SHORTAGE_ERRORS,
     count_free_descriptors,
+    count_waiting_callers,
     read_waiting_time,
 )
 
@@ -295,6 +296,7 @@
     ) -> None:
         ends_at = trio.current_time() + END_TIMEOUT_S
         listener = SparingListener(queue, self.make_room)
+        waiting, accepted = count_waiting_callers(queue.socket), 0
         for _ in range(self.backlog):
             if not queue.socket.is_readable() or trio.current_time() >= ends_at:
                 break
@@ -304,6 +306,14 @@
                 log_message("accept: connections left in the queue", why=repr(error))
                 break
             nursery.start_soon(serve, stream)
+            accepted += 1
+        log_message(
+            "accept: ended",
+            port=queue.socket.getsockname()[1],
+            waiting=waiting,
+            accepted=accepted,
+            left=count_waiting_callers(queue.socket),
+        )
         queue.socket.close()
 
     def start_end(self) -> None:
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -17,6 +17,7 @@
     "SHORTAGE_ERRORS",
     "count_free_descriptors",
     "count_unread_bytes",
+    "count_waiting_callers",
     "open_connection",
     "read_queue_size",
     "read_waiting_time",
@@ -29,6 +30,8 @@
 QUEUE_SIZE = struct.Struct("i")
 # Place of the milliseconds since the last data came, in the TCP information of Linux.
 LAST_DATA = struct.Struct("52xI")
+# Place of the length of a listener's accept queue there.
+QUEUE_LENGTH = struct.Struct("24xI")
 SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
 # Time in which the tasks of closed connections release their descriptors.
 RELEASE_TIME_S = 0.01
@@ -72,6 +75,19 @@
     return LAST_DATA.unpack(data)[0] / 1000
 
 
+def count_waiting_callers(listener: trio.socket.SocketType) -> int | None:
+    """Return the number of connections that wait to be accepted.
+
+    :return: the number, ``None`` when the system does not tell it.
+    """
+    if sys.platform != "linux":
+        return None
+    data = listener.getsockopt(
+        trio.socket.IPPROTO_TCP, trio.socket.TCP_INFO, QUEUE_LENGTH.size
+    )
+    return QUEUE_LENGTH.unpack(data)[0]
+
+
 def count_free_descriptors(descriptor: int, most: int) -> int:
     """Return how many descriptors this process can still open.
 
