Close an overdue idle connection in the step that decides it

What callers saw: on nodes that lack processor time, kept connections closed 0.26 s after a request had been sent on them, without an answer, with no stop near.

Cause: an overdue connection is found by one task and closed by its own, a turn of the event loop later. In a busy node the turn lasts long enough for a request to arrive, which is then discarded, and to count as read. The end of reading at a stop closes the sending side at once for this reason; the time-out and the room made for descriptors did not.

Test: two of its three cases failed before (the caller met no close in that step).

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -302,6 +302,9 @@
 
     def close_overdue(self, connection: Connection) -> None:
         """Close a connection that makes no progress."""
+        if connection.phase is Phase.IDLE:
+            # A request that arrives before its task runs would be discarded.
+            connection.end_sending()
         connection.overdue = True
         connection.closing = True
         connection.scope.cancel()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -23,7 +23,7 @@
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_connection import Phase
-from catkinpost.transport.http_server import HttpServer
+from catkinpost.transport.http_server import MIN_IDLE_S, HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.shortage import descriptors_left, no_free_descriptors
@@ -1070,15 +1070,24 @@
             self.assertIn(b"connection: close", answer)
             nursery.cancel_scope.cancel()
 
-    @on_mock_clock(io=True)
-    async def test_idle_connection_is_closed_in_the_step_in_which_reading_stops(self):
+    @params(
+        stop_reading,
+        expire_connections,
+        HttpServer.make_room,
+    )
+    def test_idle_connection_is_closed_in_the_step_that_decides_it(self, close):
         """Guards against a request that arrives before the task of the close runs."""
+        self.check_close_in_step(close)
+
+    @on_mock_clock(io=True)
+    async def check_close_in_step(self, close):
         async with trio.open_nursery() as nursery:
             setup = ServerSetup()
             await setup.start(nursery)
             caller = await setup.connect()
+            await trio.sleep(MIN_IDLE_S + 0.1)
             await wait_all_tasks_blocked()
-            setup.server.stop_reading()
+            close(setup.server)
             self.assertTrue(caller.socket.is_readable())
             self.assertEqual(await caller.receive_some(1), b"")
             nursery.cancel_scope.cancel()
