Play a stop of a node with more callers than it has time for

Rows 199 to 201 of catkinpost-plays: 160 clients, each request on a connection of its own, and SIGTERM at the entry or at both ends. Judge, callers and servers share no code with the product.

--- a/src/catkinpost_standins/plays/stage.py
+++ b/src/catkinpost_standins/plays/stage.py
@@ -46,7 +46,7 @@
 DRAIN_S = 2.5
 PAUSE_S = 3.0
 PROBE_S, MISSES = 1.0, 2
-CLIENTS = {"free": 12, "full": 30}
+CLIENTS = {"free": 12, "full": 30, "crowd": 160}
 # A process ends when the last caller's system has its answers: only among few callers
 # have others not read theirs by then.
 PIPELINE_CLIENTS = {"trickle": 24, "late": 4}
--- a/src/catkinpost_standins/plays/table.py
+++ b/src/catkinpost_standins/plays/table.py
@@ -7,6 +7,7 @@
 from allpairspy import AllPairs
 
 __all__ = [
+    "CROWD_PLAYS",
     "FACTORS",
     "OUTLASTING_PLAYS",
     "PIPELINE_PLAYS",
@@ -72,7 +73,8 @@
     answers that it asks for, and ``"late"`` pauses before each; answer and server
     ``"mixed"`` are sizes and times that differ between the requests of a play, answer
     ``"mostly small"`` the same sizes with few large ones. Server ``"outlasts"`` sends
-    its answers slowly, many until after a short deadline.
+    its answers slowly, many until after a short deadline. Queue ``"crowd"`` is more
+    clients than the node has processor time for.
 
     :param work: planned work.
     :param form: how clients send, and on which connections.
@@ -198,6 +200,29 @@
 ]
 
 
+# More callers than a node has time for, each with a connection of its own.
+CROWD_PLAYS = [
+    Play(
+        work,
+        "new",
+        "safe",
+        "empty",
+        "small",
+        "quick",
+        place,
+        "quick",
+        "crowd",
+        "goes on",
+        "plain",
+    )
+    for work, place in [
+        ("SIGTERM at the entry", "here"),
+        ("SIGTERM at the entry", "near"),
+        ("SIGTERM at both", "near"),
+    ]
+]
+
+
 def build_plays() -> list[Play]:
     """Return plays in which each pair of values of two factors occurs, and others."""
     pairs = (Play(*row) for row in AllPairs(list(FACTORS.values())))
@@ -207,6 +232,7 @@
         *PIPELINE_PLAYS,
         *TRICKLE_PLAYS,
         *OUTLASTING_PLAYS,
+        *CROWD_PLAYS,
     ]
 
 
--- a/tests/end_to_end/plays/test_table.py
+++ b/tests/end_to_end/plays/test_table.py
@@ -4,6 +4,7 @@
 import unittest
 
 from catkinpost_standins.plays.table import (
+    CROWD_PLAYS,
     FACTORS,
     OUTLASTING_PLAYS,
     PIPELINE_PLAYS,
@@ -26,5 +27,11 @@
         self.assertEqual(reached, expected)
 
     def test_fixed_rows_are_played(self):
-        fixed = [*STOP_PLAYS, *PIPELINE_PLAYS, *TRICKLE_PLAYS, *OUTLASTING_PLAYS]
+        fixed = [
+            *STOP_PLAYS,
+            *PIPELINE_PLAYS,
+            *TRICKLE_PLAYS,
+            *OUTLASTING_PLAYS,
+            *CROWD_PLAYS,
+        ]
         self.assertEqual(build_plays()[-len(fixed) :], fixed)
