Let no failure to accept end a stop

What callers would see: all requests of a node cut, as its process ends in a stop.

Cause: raises errors of accepting that are not a shortage of descriptors to the task of the listener, and duplicates the listener's descriptor at the end, which can fail as well.

Change: such an error is logged as 'accept: failed', and tried again or, at the end, taken as the end of the queue. The queue uses the listener's own descriptor.

Test: its first case failed before (ENOMEM, raised through the stop); the second, with no descriptor left, passed, as the end of accepting released one.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -1,7 +1,6 @@
 """Accepting of connections at one address, and its end."""
 
 import contextlib
-import os
 import resource
 import socket
 from collections.abc import Awaitable, Callable
@@ -163,19 +162,19 @@
 class AcceptQueue:
     """Connections of a listener that wait to be accepted.
 
-    :param listener: listener, which the queue outlives.
+    :param listener: open listener; the queue needs no descriptor of its own.
     """
 
     def __init__(self, listener: trio.SocketListener) -> None:
         self.waiting = listener.socket
-        self.socket = socket.socket(fileno=os.dup(listener.socket.fileno()))
+        self.socket = socket.socket(fileno=listener.socket.fileno())
         self.socket.setblocking(False)
 
     def accept(self) -> trio.SocketStream | None:
         """Accept a connection that waits, in the current step of the event loop.
 
         :return: the connection, ``None`` if none waits.
-        :raises OSError: when no descriptor can be had.
+        :raises OSError: when none can be accepted now.
         """
         try:
             connection, _ = self.socket.accept()
@@ -184,8 +183,8 @@
         return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
 
     def close(self) -> None:
-        """Close the queue, which ends it if its listener is closed."""
-        self.socket.close()
+        """Leave the descriptor to the listener."""
+        self.socket.detach()
 
 
 class Acceptor:
@@ -331,14 +330,12 @@
             await trio.aclose_forcefully(stream)
 
     def make_room_after(self, error: OSError) -> bool:
-        """Close connections as no descriptor is left, and return whether any was.
-
-        :raises OSError: when the error is another one.
-        """
-        if error.errno not in SHORTAGE_ERRORS:
-            raise error
-        closed = self.make_room()
-        log_message("accept: closed others", count=closed, why=repr(error))
+        """Close connections if no descriptor is left, and return whether any was."""
+        closed = self.make_room() if error.errno in SHORTAGE_ERRORS else 0
+        if closed:
+            log_message("accept: closed others", count=closed, why=repr(error))
+        else:
+            log_message("accept: failed", why=repr(error))
         return closed > 0
 
     async def accept_waiting(
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -17,6 +17,7 @@
     AcceptQueue,
 )
 from tests.clock import on_mock_clock
+from tests.shortage import no_free_descriptors
 
 HOST = "127.0.0.1"
 BACKLOG = 30
@@ -119,6 +120,34 @@
             caller.close()
             nursery.cancel_scope.cancel()
 
+    @params(
+        # (error of each accept, whether the process has no descriptor left)
+        (OSError(errno.ENOMEM, "no memory is left"), False),
+        (None, True),
+    )
+    def test_failure_to_accept_does_not_fail_the_end(self, *case):
+        """Guards against a stop that ends the process with its requests."""
+        self.check_failing_end(*case)
+
+    @on_mock_clock(io=True)
+    async def check_failing_end(self, error, is_short):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await trio.sleep(0.1)
+            caller = setup.connect_now()
+            with contextlib.ExitStack() as stack:
+                if is_short:
+                    stack.enter_context(no_free_descriptors())
+                else:
+                    fail = mock.patch.object(AcceptQueue, "accept", side_effect=error)
+                    stack.enter_context(fail)
+                await setup.acceptor.stop()
+            self.assertFalse(setup.acceptor.is_listening)
+            self.assertEqual(setup.accepted, [])
+            caller.close()
+            nursery.cancel_scope.cancel()
+
     @params("listener", "outgoing connection")
     def test_address_in_use_is_waited_for(self, holder):
         """Guards against a process that ends as its predecessor is still there."""
