Close idle connections without a linger again

What callers would see: with descriptors short, idle connections that were closed to make room kept theirs for up to 5 s, so that other requests were refused.

Cause: closes the sending side first; the end of the stream then counts as data in flight until the caller's system has acknowledged it, which it may do 40 ms later.

Change: what is in flight is looked at before the sending side is closed; afterwards only input that has arrived.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -85,6 +85,8 @@
         has taken a response.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
         by the limits in force when it last got an answer.
+    :param had_data_in_flight: whether a close could destroy data when the sending side
+        was closed; true until then.
     """
 
     stream: trio.SocketStream
@@ -112,6 +114,7 @@
     written_bytes: int = 0
     longest_delivery_s: float = 0.0
     idle_timeout: float = 0.0
+    had_data_in_flight: bool = True
 
     @property
     def has_single_request(self) -> bool:
@@ -146,7 +149,10 @@
         if self.caller_has_closed:
             return False
         is_expired = self.overdue and self.phase is Phase.IDLE
-        return not is_expired or has_data_in_flight(self.stream.socket)
+        if not is_expired or self.had_data_in_flight:
+            return True
+        socket = self.stream.socket
+        return socket.fileno() >= 0 and socket.is_readable()
 
     @property
     def needs_reader_task(self) -> bool:
@@ -220,6 +226,8 @@
 
     def end_sending(self) -> None:
         """Close the sending side at once, before any other task runs."""
+        # The end of the stream is in flight itself from now on.
+        self.had_data_in_flight = has_data_in_flight(self.stream.socket)
         try:
             self.stream.socket.shutdown(trio.socket.SHUT_WR)
         except OSError as error:
