Keep a failing test of calls sent as their link falls silent

Cause, by the logs of both nodes: a link that is found silent keeps the calls that must not be sent again, and ends a turn of the event loop later; in a busy process that was 0.35 s, and calls that were sent in between ended with the link.

--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -615,6 +615,31 @@
             self.assertIsInstance(result, Answer)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_call_as_its_link_falls_silent_is_not_lost(self):
+        """Guards against an unknown outcome in a busy process, whose turns are long."""
+        accepted, results = [], []
+
+        async def serve(stream):
+            accepted.append(stream)
+            if len(accepted) > 1:
+                await setup.server.serve_connection(stream)
+            else:
+                await serve_until_silent(setup, stream)
+
+        async def call():
+            results.append(await setup.call(outlasts_silence=True))
+
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start(serve)
+            setup.events.on_link_silent = lambda link: nursery.start_soon(call)
+            with trio.move_on_after(2 * setup.settings.ping_timeout_s):
+                await setup.call(outlasts_silence=True)
+            await trio.sleep(setup.settings.ping_timeout_s)
+            self.assertIsInstance(results[0], Answer)
+            nursery.cancel_scope.cancel()
+
     @params(
         # (what a silent peer does with a call that must not be sent again, its result)
         ("answers late", Answer),
