Take no further call on a link that was found silent

Cause: the link counted as up until its tasks had ended, a turn of the event loop later, and calls sent by then ended with it.

Change: the link has no connection from the moment of that decision.

--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -372,6 +372,8 @@
                 expected_after = max(self.ping_sent_at, frames.progressed_at)
                 if frames.is_silent(expected_after, self.settings.ping_timeout_s):
                     log_message("link: silent peer", peer=self.instance)
+                    # A call that is sent before this task has ended would end with it.
+                    self.frames = None
                     self.events.on_link_silent(self)
                     # Its peer may only be late. The others can be sent again.
                     lasting = self.pending.split_off(
