Test real nodes before crowds whose requests are legal and costly

What the users saw: a process ended as it ran out of memory, before clients that sent heads of very many short lines, or read long answers slowly.

Checked: the processes live, their peak of resident memory is within the memory of their machine, descriptors are given back, an ordinary request is answered beside and after them. Crowd and bounds are fixed here, before any change of the product.

--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -30,6 +30,7 @@
 START_TIMEOUT_S = 40.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+DEFAULT_MEMORY_MB = 300
 SETTINGS = """\
 [self]
 node-name = "sidecar-{host}"
@@ -81,7 +82,7 @@
     server: StandInServer
     callers: BackendClient
     process: subprocess.Popen | None = None
-    memory_mb: int = 300
+    memory_mb: int = DEFAULT_MEMORY_MB
     log_start: int = 0
 
 
@@ -228,16 +229,23 @@
 
 @contextlib.asynccontextmanager
 async def open_platform_fleet(
-    services: list[str], zones: dict[str, str], configuration: dict
+    services: list[str],
+    zones: dict[str, str],
+    configuration: dict,
+    *,
+    memory_mb: int = DEFAULT_MEMORY_MB,
 ) -> AsyncIterator[PlatformFleet]:
     """Run a deployment for the time of a ``with`` block.
 
     :param services: service of each machine.
     :param zones: region of each data centre.
     :param configuration: first configuration of the operator.
+    :param memory_mb: memory of each machine, in MB.
     """
     with tempfile.TemporaryDirectory(prefix="catkinpost-") as folder:
         fleet = PlatformFleet(services, zones, Path(folder))
+        for machine in fleet.machines:
+            machine.memory_mb = memory_mb
         async with trio.open_nursery() as nursery:
             try:
                 await fleet.start(nursery, configuration)
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -212,6 +212,7 @@
         for another server.
     :ivar rate_limit: requests per second that it names, ``None`` for no limit.
     :ivar leaving: whether it announces that it leaves.
+    :ivar more_headers: further headers of its answers.
     """
 
     def __init__(
@@ -242,6 +243,7 @@
         self.outbound = outbound
         self.children: list[ChildCall] = []
         self.fault = ServerFault.NONE
+        self.more_headers: Headers = []
         self.rate_limit: float | None = None
         self.leaving = False
         self.running = 0
@@ -374,7 +376,7 @@
         if self.fault is ServerFault.UNPROMISED_503:
             return HttpResponse(503, [(ATTEMPT_ID, attempt)], b"")
         named = b"another" if self.fault is ServerFault.OTHER_ID else attempt
-        headers = [(ATTEMPT_ID, named), *self.build_notices()]
+        headers = [(ATTEMPT_ID, named), *self.build_notices(), *self.more_headers]
         if self.fault is not ServerFault.UNSIGNED:
             headers.append((RESPONSE_SIGNATURE, b"sig." + attempt))
         if self.fault is ServerFault.ENCODED:
--- /dev/null
+++ b/tests/end_to_end/crowd.py
@@ -0,0 +1,138 @@
+"""Crowds of clients that send what is legal and costs much, or read hardly anything."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+__all__ = [
+    "HEAD_BYTES",
+    "Crowd",
+    "Form",
+    "build_head",
+    "build_lines",
+    "count_descriptors",
+    "read_memory",
+]
+
+# Size of the largest heads, as the pages of the users have it.
+HEAD_BYTES = 16_384
+# Time for what a node takes at all; a client that waits longer is held by the node.
+PATIENCE_S = 3.0
+READ_BYTES = 1024
+HOST = "crowd.example"
+
+
+def build_head(start: str, lines: bytes, *, attempt: str = "", end: bool = True):
+    """Build the head of a request.
+
+    :param start: method and target.
+    :param lines: further header lines, each with its end.
+    :param attempt: id of the attempt, empty for none.
+    :param end: whether the head is complete.
+    """
+    head = f"{start} HTTP/1.1\r\nhost: {HOST}\r\ndeadline-remaining: 60000\r\n"
+    if attempt:
+        head += f"attempt-id: {attempt}\r\n"
+    return head.encode() + lines + (b"\r\n" if end else b"")
+
+
+def build_lines(make_line: Callable[[int], bytes], size: int) -> bytes:
+    """Build header lines up to a size in bytes.
+
+    :param make_line: returns the line with a number, without its end.
+    """
+    lines, total, number = [], 0, 0
+    while True:
+        line = make_line(number) + b"\r\n"
+        total += len(line)
+        if total > size:
+            return b"".join(lines)
+        lines.append(line)
+        number += 1
+
+
+@dataclass(frozen=True, kw_only=True)
+class Form:
+    """What each client of a crowd does.
+
+    :param build: returns the pieces that the client with a number sends.
+    :param reads: bytes that it reads afterwards, ``None`` for all until the end.
+    """
+
+    build: Callable[[int], Iterable[bytes]]
+    reads: int | None = None
+
+
+@dataclass(kw_only=True)
+class Crowd:
+    """Clients that connect together and stay until they are told to leave.
+
+    :param form: what each of them does.
+    :param address: host and port that they connect to.
+    :param size: number of clients.
+    """
+
+    form: Form
+    address: tuple[str, int]
+    size: int
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    ready: int = 0
+    all_ready: trio.Event = field(default_factory=trio.Event)
+    received: dict[int, bytes] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Run all clients until the crowd is cancelled."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                for number in range(self.size):
+                    nursery.start_soon(self.run_client, number)
+                await trio.sleep_forever()
+
+    async def run_client(self, number: int) -> None:
+        try:
+            stream = await trio.open_tcp_stream(*self.address)
+        except OSError:
+            self.note_ready()
+            return
+        async with stream:
+            try:
+                with trio.move_on_after(PATIENCE_S):
+                    for piece in self.form.build(number):
+                        await stream.send_all(piece)
+                self.note_ready()
+                await self.read(number, stream)
+            except trio.BrokenResourceError:
+                # The node may close the connection of such a client.
+                self.note_ready()
+
+    async def read(self, number: int, stream: trio.SocketStream) -> None:
+        left = self.form.reads
+        while left is None or left > 0:
+            data = await stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            self.received[number] = self.received.get(number, b"")[:READ_BYTES] + data
+            left = None if left is None else left - len(data)
+        await trio.sleep_forever()
+
+    def note_ready(self) -> None:
+        self.ready += 1
+        if self.ready >= self.size:
+            self.all_ready.set()
+
+
+def read_memory(pid: int, name: str) -> int:
+    """Return a size of a process in bytes.
+
+    :param name: ``VmHWM`` for the peak of resident memory, ``VmRSS`` for its size now.
+    """
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    line = next(item for item in lines if item.startswith(name + ":"))
+    return int(line.split()[1]) * 1024
+
+
+def count_descriptors(pid: int) -> int:
+    """Return the number of open descriptors of a process."""
+    return len(list(Path(f"/proc/{pid}/fd").iterdir()))
