Bound the memory that heads and small messages of callers take

What the users saw: a process ended before clients whose heads were of legal size and made of very many short lines; what closed connections held was not given back.

Cause: a line of 4 bytes takes some 120 once it is parsed (a pair, two strings), and nothing counted heads, small bodies, small answers and requests that were read ahead on a connection. A connection's parser and that of the library refer to each other, so all that was parsed stayed until a full collection, which is made rare; a kept connection held the headers of its last request while idle. The size of a head that comes in one piece was counted without the framing of its lines.

Change: `HeadMemory` counts the requests of each connection as parsed. Each connection has 16 KiB of its own; beyond the bound, the connection that holds most and has sent no complete request is closed with 503, or else the new request is refused with 503 as not run. The parser drops all it holds at the end of its connection, without the collector. `AnswerMemory` counts heads, and small answers of one reader together; peers' answers count by session, and heads of peers' calls with their frames. Fewer bytes are read and parsed in one step.

Tests changed, none weaker: sizes of answers now have their head, so the bounds of TestAnswerMemory name it, and the row for answers that aren't counted is that of the new constant, with a test that small answers of one reader add up.

--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -20,6 +20,7 @@
 from catkinpost.protocol.settings import NodeSettings
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
@@ -53,6 +54,7 @@
     stats: PeerStats
     pause_watch: PauseWatch
     request_memory: RequestMemory
+    head_memory: HeadMemory
     answer_memory: AnswerMemory
     links: LinkTable
     exchange: PolicyExchange
--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -214,6 +214,7 @@
             ("limit", self.status.limit),
             ("queued", self.status.queued),
             ("request_bytes", self.status.request_bytes),
+            ("head_bytes", self.status.head_bytes),
             ("answer_bytes", self.status.answer_bytes),
             ("policy_version", self.status.policy.version),
         ):
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -16,6 +16,7 @@
 )
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.protocol.header import MAX_RETRY_ALLOWANCE
+from catkinpost.protocol.http import compute_head_bytes
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
     Answer,
@@ -55,13 +56,9 @@
     is_old: bool = False
     has_begun: bool = False
     is_withdrawn: bool = False
-    progressed_at: float = 0.0
+    answer_bytes: int = 0
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
-    def give_up(self) -> bool:
-        """Keep the response: a link that takes nothing is closed by its own timeout."""
-        return False
-
 
 def ignore_withdrawal(call: Call) -> None:
     """Let a call run to its end."""
@@ -77,6 +74,11 @@
         self.scope = trio.CancelScope()
         self.closed = trio.Event()
         self.nursery: trio.Nursery | None = None
+        self.progressed_at = 0.0
+
+    def give_up(self) -> bool:
+        """Keep them: a link that takes nothing is closed by its own timeout."""
+        return False
 
     @property
     def instance(self) -> str:
@@ -308,7 +310,7 @@
                 if peer_call.scope.cancel_called:
                     return
                 response = self.hold_response(
-                    peer_call, await self.run_or_refuse(peer_call)
+                    session, peer_call, await self.run_or_refuse(peer_call)
                 )
                 # Nobody else can deliver it. Its peer may still cancel the call.
                 peer_call.scope.shield = True
@@ -316,7 +318,7 @@
         finally:
             session.calls.pop(peer_call.call.id, None)
             if self.answer_memory is not None:
-                self.answer_memory.release_all(peer_call)
+                self.answer_memory.release(session, peer_call.answer_bytes)
             if peer_call.reservation is not None:
                 peer_call.reservation.release()
 
@@ -335,7 +337,7 @@
         return await self.run_call(peer_call.call)
 
     def hold_response(
-        self, peer_call: PeerCall, response: Answer | Refusal
+        self, session: PeerSession, peer_call: PeerCall, response: Answer | Refusal
     ) -> Answer | Refusal:
         """Count a response until it is sent, or replace one that can't be held.
 
@@ -343,8 +345,10 @@
         """
         if self.answer_memory is None or isinstance(response, Refusal):
             return response
-        failure = self.answer_memory.hold(peer_call, len(response.body))
+        size = compute_head_bytes(response.headers) + len(response.body)
+        failure = self.answer_memory.hold(session, size)
         if failure is None:
+            peer_call.answer_bytes = size
             return response
         return Refusal(
             response.id,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -39,6 +39,7 @@
 )
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.instance_view import InstanceView, ListChange
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
@@ -112,6 +113,7 @@
             self.decisions,
             largest_bytes=bounds.max_body_bytes + compute_overhead(bounds),
         )
+        self.head_memory = HeadMemory(bounds.head_memory_bytes, self.decisions)
         self.answer_memory = AnswerMemory(bounds.answer_memory_bytes, self.decisions)
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
 
@@ -273,6 +275,7 @@
             report_failure=self.report_bad_request,
             build_refusal=self.environment.dialect.build_failure_response,
             memory=self.request_memory,
+            head_memory=self.head_memory,
             answer_memory=self.answer_memory,
         )
         self.call_acceptor.make_room = self.http_server.make_room
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -73,6 +73,7 @@
             self.handle_probe,
             limits=self.settings.node.http_limits,
             report_failure=node.report_bad_request,
+            head_memory=node.head_memory,
             reserved_descriptors=0,
         )
 
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -59,10 +59,13 @@
 REQUEST_MEMORY_SHARE = 1 / 3
 # Answers that wait for slow callers; a peer's answer exists twice while it is decoded.
 ANSWER_MEMORY_SHARE = 1 / 6
+# Heads as parsed, of which each connection has some room besides.
+HEAD_MEMORY_SHARE = 1 / 8
 MEGABYTE = 1_000_000
 # Room for one body of the largest size.
 DEFAULT_REQUEST_MEMORY_BYTES = 80 * 1024 * 1024
 DEFAULT_ANSWER_MEMORY_BYTES = 40 * 1024 * 1024
+DEFAULT_HEAD_MEMORY_BYTES = 30 * 1024 * 1024
 
 
 class LimitsTable(PlatformModel):
@@ -204,6 +207,13 @@
     return int(limits.memory_mb * MEGABYTE * REQUEST_MEMORY_SHARE)
 
 
+def compute_head_memory(limits: LimitsTable) -> int:
+    """Return the bytes for heads of requests as parsed."""
+    if limits.memory_mb is None:
+        return DEFAULT_HEAD_MEMORY_BYTES
+    return int(limits.memory_mb * MEGABYTE * HEAD_MEMORY_SHARE)
+
+
 def compute_answer_memory(limits: LimitsTable) -> int:
     """Return the bytes for bodies of answers that callers have not taken."""
     if limits.memory_mb is None:
@@ -233,6 +243,7 @@
         bounds=BoundsSection(
             max_body_bytes=64 * 1024 * 1024,
             request_memory_bytes=compute_request_memory(process.limits),
+            head_memory_bytes=compute_head_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             delivery_timeout=bounds.grace_period_s * DELIVERY_TIMEOUT_SHARE,
--- a/src/catkinpost/protocol/http.py
+++ b/src/catkinpost/protocol/http.py
@@ -11,6 +11,7 @@
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
+    "compute_head_bytes",
     "encode_request",
     "encode_request_head",
     "encode_response",
@@ -34,6 +35,11 @@
 )
 # Lowest status code that reports a server error.
 MIN_SERVER_ERROR_STATUS = 500
+# Memory of a parsed message besides its header lines and its body.
+MESSAGE_BYTES = 1024
+# Memory of a parsed header line besides its bytes: the pair, two short strings, and
+# places in the lists of the message and of what is sent on.
+HEADER_LINE_BYTES = 192
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {
     status.value: status.phrase.encode("ascii") for status in http.HTTPStatus
@@ -69,6 +75,7 @@
     :param waited_s: seconds for which it waited since it was received.
     :param answer_by: time by which its response must be ready for the caller to take
         all of it, infinite while the server does not leave.
+    :param held_bytes: bytes of memory that it takes, without a large body.
     """
 
     method: bytes
@@ -78,6 +85,7 @@
     keep_alive: bool = True
     waited_s: float = 0.0
     answer_by: float = math.inf
+    held_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -103,6 +111,12 @@
     return None
 
 
+def compute_head_bytes(headers: Headers) -> int:
+    """Return the bytes of memory that parsed headers take, with their message."""
+    size = sum(len(name) + len(value) for name, value in headers)
+    return MESSAGE_BYTES + HEADER_LINE_BYTES * len(headers) + size
+
+
 def append_encoded_headers(parts: list[bytes], headers: Headers) -> None:
     for name, value in headers:
         if name not in HOP_BY_HOP_HEADERS:
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -66,7 +66,10 @@
     """State of one node.
 
     :param request_bytes: bytes reserved for the bodies of requests.
-    :param answer_bytes: bytes of the bodies of answers that callers have not taken.
+    :param head_bytes: bytes of requests as parsed, without large bodies, of connections
+        that hold more than their own room.
+    :param answer_bytes: bytes of the answers that callers have not taken, of those that
+        hold more than their own room.
     """
 
     instance: str
@@ -84,6 +87,7 @@
     queued: int
     entry_calls: int
     request_bytes: int
+    head_bytes: int
     answer_bytes: int
     backend_reachable: bool
     backend_reported_in_flight: int
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -143,9 +143,13 @@
     :param request_memory_bytes: maximum size of the bodies of all requests that the
         node holds together; bodies of up to 8 KiB are not counted. A body above it is
         refused with 503, as another node may have more memory.
-    :param answer_memory_bytes: maximum size of the bodies of all answers that callers
-        have not taken yet; bodies of up to 8 KiB are not counted. Beyond it callers
-        that take nothing are closed, and then further answers are replaced by 502.
+    :param head_memory_bytes: maximum memory for the heads of all requests as parsed,
+        with bodies of up to 8 KiB; 16 KiB of each connection are not counted. Beyond it
+        incomplete requests are dropped, the largest first, or the new one is refused,
+        both with 503.
+    :param answer_memory_bytes: maximum memory for all answers that callers have not
+        taken yet; 16 KiB of each caller are not counted. Beyond it callers that take
+        nothing are closed, and then further answers are replaced by 502.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
@@ -173,6 +177,7 @@
     max_head_bytes: SizeBytes = 32 * 1024
     max_body_bytes: SizeBytes = 1024 * 1024
     request_memory_bytes: MemoryBytes = 64 * 1024 * 1024
+    head_memory_bytes: MemoryBytes = 24 * 1024 * 1024
     answer_memory_bytes: MemoryBytes = 32 * 1024 * 1024
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
--- a/src/catkinpost/transport/frame.py
+++ b/src/catkinpost/transport/frame.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from catkinpost.protocol.http import compute_head_bytes
 from catkinpost.protocol.message import (
     CALL_HEAD_BYTES,
     Call,
@@ -257,8 +258,30 @@
         with memoryview(self.buffer) as view, view[LENGTH_PREFIX.size : end] as frame:
             message = decode_message(frame)
         del self.buffer[:end]
+        if isinstance(message, Call) and not self.reserve_head(message, length):
+            return SkippedCall(message.id)
         return message
 
+    def reserve_head(self, call: Call, length: int) -> bool:
+        """Reserve memory for the head of a call, which takes more than its frame.
+
+        :param length: size of its frame, which is reserved already if it is large.
+        :return: whether the call is to be kept.
+        """
+        head_bytes = compute_head_bytes(call.headers)
+        if head_bytes <= SMALL_BODY_BYTES or self.memory is None:
+            return True
+        if self.reservation is None:
+            self.reservation = self.memory.reserve_now(head_bytes)
+            is_kept = self.reservation is not None
+        else:
+            is_kept = self.reservation.grow(length + head_bytes)
+        if not is_kept:
+            self.memory.refuse()
+            if reservation := self.take_reservation():
+                reservation.release()
+        return is_kept
+
     def reserve_memory(self, length: int) -> bool:
         """Reserve memory for a frame if it is a call.
 
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -11,6 +11,7 @@
     HttpLimits,
     HttpRequest,
     HttpResponse,
+    compute_head_bytes,
     encode_request,
     encode_request_head,
     find_header,
@@ -78,7 +79,7 @@
 
         :return: the failure if this response must be given up.
         """
-        size = parser.body_bytes
+        size = parser.body_bytes + compute_head_bytes(parser.headers)
         self.used_bytes += size - self.sizes.get(parser, 0)
         self.sizes[parser] = size
         is_large = size * len(self.sizes) >= self.max_bytes
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from catkinpost.protocol.http import HttpResponse
+from catkinpost.protocol.outcome import Failure
 from catkinpost.state.request_memory import Reservation
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import (
@@ -37,12 +38,17 @@
     :param reservation: memory that was reserved while the body was read.
     :param is_refused: whether the request is refused without being handled.
     :param has_begun: whether its answer does not wait for the caller to take others.
+    :param held_bytes: bytes of memory that it takes, without large bodies, until it was
+        handled.
+    :param answer_bytes: bytes for which its response is counted.
     """
 
     keep_alive: bool
     head_only: bool
     is_refused: bool = False
     has_begun: bool = True
+    held_bytes: int = 0
+    answer_bytes: int = 0
     reservation: Reservation | None = None
     response: HttpResponse | None = None
 
@@ -85,6 +91,9 @@
         has taken a response.
     :param idle_timeout: seconds for which the caller may take the connection as kept,
         by the limits in force when it last got an answer.
+    :param refusal: what the caller is told of a request that was dropped before it was
+        read whole.
+    :param exchange_bytes: bytes of memory that the requests being handled take.
     :param had_data_in_flight: whether a close could destroy data when the sending side
         was closed; true until then.
     """
@@ -114,8 +123,23 @@
     written_bytes: int = 0
     longest_delivery_s: float = 0.0
     idle_timeout: float = 0.0
+    refusal: Failure | None = None
+    exchange_bytes: int = 0
     had_data_in_flight: bool = True
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that its requests take, without large bodies."""
+        parser = self.parser
+        unfinished_bytes = parser.held_bytes if parser.in_message else 0
+        return parser.ready_bytes + unfinished_bytes + self.exchange_bytes
+
+    @property
+    def is_unread(self) -> bool:
+        """Whether it holds nothing but an incomplete request that can be dropped."""
+        is_reading = self.phase is Phase.READING and self.memory_wait is None
+        return is_reading and not self.closing
+
     @property
     def has_single_request(self) -> bool:
         """Whether exactly one request was received and none is in progress."""
@@ -233,6 +257,17 @@
         except OSError as error:
             log_message("http: closed by its caller before", why=repr(error))
 
+    def drop_unread(self, failure: Failure) -> None:
+        """Drop the incomplete request and close the connection.
+
+        :param failure: what the caller is told.
+        """
+        self.refusal = failure
+        self.closing = True
+        self.drop_unfinished_body()
+        self.parser.drop_requests()
+        self.scope.cancel()
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
         self.parser.body_parts.clear()
--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -5,12 +5,16 @@
 import httptools
 
 from catkinpost.protocol.http import (
+    HEADER_LINE_BYTES,
+    MESSAGE_BYTES,
+    Headers,
     HttpLimits,
     HttpRequest,
     HttpResponse,
     find_header,
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.state.request_memory import SMALL_BODY_BYTES
 
 __all__ = ["RequestParser", "ResponseParser"]
 
@@ -18,6 +22,8 @@
 # has 5 bytes of framing for 1 byte of body, the shortest header line 3 bytes for 1.
 FRAMING_PER_BODY_BYTE = 8
 FRAMING_PER_HEAD_BYTE = 4
+# A header line has at least a colon and its end besides its name and value.
+MIN_LINE_FRAMING_BYTES = 3
 HEAD_END = b"\r\n\r\n"
 HEAD_END_OVERLAP_BYTES = len(HEAD_END) - 1
 
@@ -28,6 +34,8 @@
     def __init__(self, limits: HttpLimits) -> None:
         self.limits = limits
         self.messages: deque = deque()
+        # Memory of the requests in `messages`, without large bodies.
+        self.ready_bytes = 0
         self.failure: Failure | None = None
         self.in_message = False
         self.unfinished_head_bytes = 0
@@ -43,6 +51,28 @@
         self.head_bytes = 0
         self.head_complete = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that the message in progress takes, without a large body."""
+        lines = len(self.headers)
+        body_bytes = self.body_bytes if self.body_bytes <= SMALL_BODY_BYTES else 0
+        return MESSAGE_BYTES + HEADER_LINE_BYTES * lines + self.head_bytes + body_bytes
+
+    def drop_requests(self) -> None:
+        """Drop all that was parsed."""
+        self.messages.clear()
+        self.ready_bytes = 0
+        self.reset_message()
+
+    def close(self) -> None:
+        """Drop all that was parsed; nothing can be parsed any more.
+
+        The parser of the library refers to this one, and the two would be kept until
+        the next full collection, with all that they hold.
+        """
+        self.parser = None
+        self.drop_requests()
+
     def on_message_begin(self) -> None:
         self.in_message = True
         self.reset_message()
@@ -56,7 +86,7 @@
             # A trailer is no header: it could forge one that was checked already.
             return
         self.headers.append((name.lower(), value))
-        self.head_bytes += len(name) + len(value)
+        self.head_bytes += len(name) + len(value) + MIN_LINE_FRAMING_BYTES
 
     def on_headers_complete(self) -> None:
         self.head_complete = True
@@ -88,6 +118,11 @@
         parts, self.body_parts = self.body_parts, []
         return b"".join(parts)
 
+    def take_headers(self) -> Headers:
+        """Return the headers, and drop them: a kept connection may be idle next."""
+        headers, self.headers = self.headers, []
+        return headers
+
     def on_message_complete(self) -> None:
         self.in_message = False
         self.is_message_complete = True
@@ -159,12 +194,15 @@
             super().on_message_complete()
 
     def build_message(self) -> HttpRequest:
+        held_bytes = self.held_bytes
+        self.ready_bytes += held_bytes
         return HttpRequest(
             method=self.parser.get_method(),
             target=self.target,
-            headers=self.headers,
+            headers=self.take_headers(),
             body=self.take_body(),
             keep_alive=self.parser.should_keep_alive(),
+            held_bytes=held_bytes,
         )
 
     def feed(self, data: bytes) -> Failure | None:
@@ -289,7 +327,7 @@
     def build_message(self) -> HttpResponse:
         return HttpResponse(
             status=self.parser.get_status_code(),
-            headers=self.headers,
+            headers=self.take_headers(),
             body=self.take_body(),
             keep_alive=self.parser.should_keep_alive(),
         )
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -12,11 +12,13 @@
     HttpLimits,
     HttpRequest,
     HttpResponse,
+    compute_head_bytes,
     encode_response,
     encode_response_parts,
 )
 from catkinpost.protocol.outcome import Failure, Reason, build_leaving_failure
 from catkinpost.state.answer_memory import AnswerMemory
+from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.request_memory import (
     SMALL_BODY_BYTES,
     RequestMemory,
@@ -31,13 +33,16 @@
 
 __all__ = ["HttpServer"]
 
-READ_BYTES = 65536
+# What is parsed in one step is counted after it.
+READ_BYTES = 16 * 1024
 LARGE_READ_BYTES = 256 * 1024
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 # A check that is later than this shows that the process did not run.
 MAX_CHECK_DELAY_S = 0.4
 MAX_PIPELINED_REQUESTS = 32
+# Memory of the task of a request that is handled, and of what it refers to.
+EXCHANGE_BYTES = 4096
 # A caller that has just connected, or been answered, is likely to send next.
 MIN_IDLE_S = 0.2
 MAX_CLOSED_AT_ONCE = 16
@@ -76,6 +81,7 @@
     :param report_failure: called with each failure for which a connection is closed.
     :param build_refusal: builds the response for such a failure.
     :param memory: memory for the bodies of requests, ``None`` for no common bound.
+    :param head_memory: memory for requests without large bodies, ``None`` for no bound.
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
     :param reserved_descriptors: descriptors that callers leave free.
     :ivar gate: bound on connections of callers.
@@ -97,6 +103,7 @@
         report_failure: FailureReporter,
         build_refusal: Callable[[Failure], HttpResponse] = build_failure_response,
         memory: RequestMemory | None = None,
+        head_memory: HeadMemory | None = None,
         answer_memory: AnswerMemory | None = None,
         reserved_descriptors: int = RESERVED_DESCRIPTORS,
     ) -> None:
@@ -105,6 +112,7 @@
         self.report_failure = report_failure
         self.build_refusal = build_refusal
         self.memory = memory
+        self.head_memory = head_memory
         self.answer_memory = answer_memory
         self.gate = CallerGate(
             count_connections=self.count_connections,
@@ -371,10 +379,15 @@
             with connection.scope:
                 await self.run_connection(connection)
             if connection.phase is Phase.READING and connection.overdue:
-                await self.refuse_slow_sender(connection)
+                connection.refusal = self.build_slow_sender_failure(connection)
+            if connection.refusal is not None:
+                await self.refuse_unread(connection, connection.refusal)
         finally:
             self.connections.discard(connection)
             connection.drop_unfinished_body()
+            connection.parser.close()
+            if self.head_memory is not None:
+                self.head_memory.remove(connection)
             if self.answer_memory is not None:
                 self.answer_memory.release_all(connection)
 
@@ -387,19 +400,22 @@
         finally:
             self.lingers.discard(linger)
 
-    async def refuse_slow_sender(self, connection: Connection) -> None:
+    def build_slow_sender_failure(self, connection: Connection) -> Failure:
         head_timeout = self.get_head_timeout(connection)
-        failure = Failure(
+        return Failure(
             reason=Reason.SLOW_SENDER,
             detail=f"the request made no progress for {head_timeout} s",
         )
+
+    async def refuse_unread(self, connection: Connection, failure: Failure) -> None:
+        """Tell a caller why its request, which was not read whole, is dropped."""
         self.report_failure(failure)
         connection.drop_unfinished_body()
         data = encode_response(
             self.build_refusal(failure), keep_alive=False, head_only=False
         )
         connection.is_close_announced = True
-        with trio.move_on_after(head_timeout):
+        with trio.move_on_after(self.get_head_timeout(connection)):
             await connection.stream.send_all(data)
 
     async def run_connection(self, connection: Connection) -> None:
@@ -430,6 +446,9 @@
             connection.awaits_continue = False
             parser.next_limits = self.limits
             failure = parser.feed(data)
+            head_only = bool(parser.messages) and parser.messages[0].method == b"HEAD"
+            if failure is None:
+                failure = self.count_requests(connection)
             is_single = failure is None and connection.has_single_request
             if is_single and not self.must_wait(connection):
                 await self.handle_single_request(connection, parser.messages.popleft())
@@ -447,7 +466,9 @@
                 self.report_failure(failure)
                 connection.closing = True
                 connection.drop_unfinished_body()
-                exchange = Exchange(keep_alive=False, head_only=False, is_refused=True)
+                exchange = Exchange(
+                    keep_alive=False, head_only=head_only, is_refused=True
+                )
                 connection.exchanges.append(exchange)
                 await self.send_ready_responses(
                     connection, exchange, self.build_refusal(failure)
@@ -461,6 +482,30 @@
                 )
                 await self.send_continue(connection)
 
+    def count_requests(self, connection: Connection) -> Failure | None:
+        """Count what was read of the requests of a connection.
+
+        Without room for them, those that were read last are dropped. The refusal of the
+        first of them closes the connection, so the others count as not read.
+        """
+        if self.head_memory is None:
+            return None
+        failure = self.head_memory.update(connection, connection.held_bytes)
+        if failure is not None:
+            connection.parser.drop_requests()
+            self.head_memory.update(connection, connection.held_bytes)
+        return failure
+
+    def drop_request(
+        self, connection: Connection, exchange: Exchange, request: HttpRequest
+    ) -> None:
+        """Stop holding a request that was handled; its answer may be due for longer."""
+        request.headers = []
+        connection.exchange_bytes -= exchange.held_bytes
+        exchange.held_bytes = 0
+        if self.head_memory is not None:
+            self.head_memory.update(connection, connection.held_bytes)
+
     async def reserve_memory(self, connection: Connection) -> Failure | None:
         """Reserve memory for the incomplete request of a connection.
 
@@ -529,6 +574,9 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
+        connection.parser.ready_bytes -= request.held_bytes
+        exchange.held_bytes = request.held_bytes + EXCHANGE_BYTES
+        connection.exchange_bytes += exchange.held_bytes
         request.answer_by = self.compute_answer_time(connection)
         # The caller can send the request again, which has not run.
         is_late = self.is_refusing or trio.current_time() > request.answer_by
@@ -555,21 +603,29 @@
     async def handle_request(
         self, connection: Connection, exchange: Exchange, request: HttpRequest
     ) -> None:
-        if not exchange.has_begun and not await self.wait_for_turn(
-            connection, exchange, request
-        ):
-            return
+        try:
+            if not exchange.has_begun and not await self.wait_for_turn(
+                connection, exchange, request
+            ):
+                return
+            response = await self.build_response(exchange, request)
+        finally:
+            self.drop_request(connection, exchange, request)
+        await self.send_ready_responses(connection, exchange, response)
+
+    async def build_response(
+        self, exchange: Exchange, request: HttpRequest
+    ) -> HttpResponse:
+        """Handle or refuse a request."""
         is_small = len(request.body) <= SMALL_BODY_BYTES
         if exchange.is_refused:
             exchange.release_memory()
-            response = self.build_refusal(
+            return self.build_refusal(
                 LEAVING_FAILURE if self.leaving else SHORTAGE_FAILURE
             )
-        elif self.memory is None or is_small and exchange.reservation is None:
-            response = await self.handler(request)
-        else:
-            response = await self.hold_and_handle(self.memory, exchange, request)
-        await self.send_ready_responses(connection, exchange, response)
+        if self.memory is None or is_small and exchange.reservation is None:
+            return await self.handler(request)
+        return await self.hold_and_handle(self.memory, exchange, request)
 
     async def wait_for_turn(
         self, connection: Connection, exchange: Exchange, request: HttpRequest
@@ -627,7 +683,7 @@
         self, connection: Connection, exchange: Exchange, response: HttpResponse
     ) -> None:
         """Store a response and send every response whose turn has come."""
-        exchange.response = self.hold_response(connection, response)
+        exchange.response = self.hold_response(connection, exchange, response)
         if connection.sending:
             return
         connection.sending = True
@@ -648,7 +704,7 @@
             await self.send_response(connection, first, keep_alive=keep_alive)
             connection.exchanges.popleft()
             if self.answer_memory is not None:
-                self.answer_memory.release(connection, len(first.response.body))
+                self.answer_memory.release(connection, first.answer_bytes)
             await self.send_continue(connection)
             connection.notify_taken()
             # Reading may have ended while an answer that keeps the connection was sent.
@@ -660,13 +716,15 @@
         connection.update_phase()
 
     def hold_response(
-        self, connection: Connection, response: HttpResponse
+        self, connection: Connection, exchange: Exchange, response: HttpResponse
     ) -> HttpResponse:
         """Count a response until it is sent, or replace one that can't be held."""
         if self.answer_memory is None:
             return response
-        failure = self.answer_memory.hold(connection, len(response.body))
+        size = compute_head_bytes(response.headers) + len(response.body)
+        failure = self.answer_memory.hold(connection, size)
         if failure is None:
+            exchange.answer_bytes = size
             return response
         self.report_failure(failure)
         return self.build_refusal(failure)
--- a/tests/state/test_answer_memory.py
+++ b/tests/state/test_answer_memory.py
@@ -7,9 +7,8 @@
 from nose2.tools import params
 
 from catkinpost.protocol.outcome import Outcome, Reason
-from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
+from catkinpost.state.answer_memory import FREE_BYTES, STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
-from catkinpost.state.request_memory import SMALL_BODY_BYTES
 from tests.clock import on_mock_clock
 
 MAX_BYTES = 1_000_000
@@ -80,8 +79,8 @@
         self.assertIsNotNone(self.hold(1))
         self.assertEqual(self.memory.used_bytes, MAX_BYTES)
 
-    @params((SMALL_BODY_BYTES, True), (SMALL_BODY_BYTES + 1, False))
-    def test_small_answers_are_not_counted(self, size, is_held):
+    @params((FREE_BYTES, True), (FREE_BYTES + 1, False))
+    def test_answers_within_the_room_of_a_reader_are_not_counted(self, size, is_held):
         self.check_small_answer(size, is_held)
 
     @on_mock_clock
@@ -91,6 +90,19 @@
         self.memory.release(self.readers[1], size)
         self.assertEqual(self.memory.used_bytes, MAX_BYTES)
 
+    @on_mock_clock
+    async def test_small_answers_of_one_reader_add_up(self):
+        """Guards against many small answers for each of many slow readers."""
+        self.hold(0, MAX_BYTES)
+        size = FREE_BYTES // 4
+        for _ in range(4):
+            self.assertIsNone(self.hold(1, size))
+        self.assertIsNotNone(self.hold(1, size))
+        self.memory.release(self.readers[1], size)
+        self.assertIsNone(self.hold(1, size))
+        self.memory.release_all(self.readers[1])
+        self.assertEqual(self.memory.used_bytes, MAX_BYTES)
+
     @on_mock_clock
     async def test_only_answer_may_exceed_the_bound(self):
         self.assertIsNone(self.hold(0, 2 * MAX_BYTES))
@@ -107,4 +119,4 @@
         self.memory.release_all(self.readers[0])
         self.memory.release(self.readers[0], THIRD)
         self.memory.release_all(self.readers[0])
-        self.assertEqual((self.memory.used_bytes, self.memory.sizes), (0, {}))
+        self.assertEqual((self.memory.used_bytes, self.memory.held), (0, {}))
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -14,7 +14,7 @@
 import trio
 from nose2.tools import params
 
-from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.protocol.http import HttpLimits, HttpResponse, compute_head_bytes
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
@@ -50,6 +50,7 @@
 SMALL_RECEIVE_BUFFER_BYTES = 4096
 # Exceeds the socket buffers, so that it is sent only while the caller reads.
 LARGE_BODY = b"x" * 1_000_000
+LARGE_ANSWER_BYTES = len(LARGE_BODY) + compute_head_bytes([])
 WAITING_REQUEST = (
     b"POST /wait HTTP/1.1\r\nContent-Length: 80000\r\n\r\n" + b"x" * 80_000
 )
@@ -1595,7 +1596,7 @@
         :param count: number of answers of which the server may hold all.
         """
         setup = ServerSetup()
-        self.memory = AnswerMemory(count * len(LARGE_BODY), DecisionLog())
+        self.memory = AnswerMemory(count * LARGE_ANSWER_BYTES, DecisionLog())
         setup.server.answer_memory = self.memory
         setup.server.handler = self.handle
         await setup.start(nursery)
@@ -1648,7 +1649,7 @@
         """Guards against a run that is broken off, as if its caller took nothing."""
         async with trio.open_nursery() as nursery:
             await self.start(nursery, 0)
-            self.memory.max_bytes = len(LARGE_BODY)
+            self.memory.max_bytes = LARGE_ANSWER_BYTES
             release = trio.Event()
 
             async def handle(request):
@@ -1680,7 +1681,7 @@
     async def check_release(self, end):
         async with trio.open_nursery() as nursery:
             (stream,) = await self.start(nursery, 1)
-            self.assertEqual(self.memory.used_bytes, len(LARGE_BODY))
+            self.assertEqual(self.memory.used_bytes, LARGE_ANSWER_BYTES)
             if end == "reset":
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             if end == "stop":
@@ -1689,5 +1690,5 @@
             else:
                 await trio.aclose_forcefully(stream)
             await trio.sleep(0.5)
-            self.assertEqual((self.memory.used_bytes, self.memory.sizes), (0, {}))
+            self.assertEqual((self.memory.used_bytes, self.memory.held), (0, {}))
             nursery.cancel_scope.cancel()
