--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -41,6 +41,8 @@
 LIVENESS_CHECK_INTERVAL_S = 0.5
 MEMORY_RETRY_AFTER_S = 0.5
 DELIVERY_CHECK_INTERVAL_S = 0.05
+# A stranger must not make the node hold a frame of the largest size.
+MAX_INTRODUCTION_BYTES = 4096
 # A peer that is about to take the rest of a response takes some of it within this.
 MAX_DELIVERY_STALL_S = 0.25
 
@@ -167,7 +169,7 @@
         """
         frames = FrameStream(
             stream,
-            max_frame_bytes=self.settings.max_frame_bytes,
+            max_frame_bytes=min(MAX_INTRODUCTION_BYTES, self.settings.max_frame_bytes),
             memory=self.memory,
             # The peer may be held for as long as this, and has only this connection
             # for the answers to all of its calls.
@@ -183,6 +185,7 @@
                         "peer: refused", reason=session.reason, why=session.detail
                     )
                     return
+                frames.max_frame_bytes = self.settings.max_frame_bytes
                 self.sessions[key] = session
                 await self.events.on_session_up(session)
                 with session.scope:
--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -249,6 +249,7 @@
             return build_connection_lost_failure(str(error))
         finally:
             self.buffer.remove(parser)
+            parser.close()
 
     async def send_while_receiving(
         self, stream: trio.SocketStream, request: HttpRequest, parser: ResponseParser
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -26,7 +26,10 @@
     PeerLink,
 )
 from catkinpost.coordination.peers.peer_handler import PeerHandler
-from catkinpost.coordination.peers.peer_server import PeerServer
+from catkinpost.coordination.peers.peer_server import (
+    MAX_INTRODUCTION_BYTES,
+    PeerServer,
+)
 from catkinpost.coordination.peers.pending import PendingRequest
 from catkinpost.protocol.message import (
     Answer,
@@ -640,6 +643,30 @@
             self.assertIsInstance(results[0], Answer)
             nursery.cancel_scope.cancel()
 
+    @params(MAX_INTRODUCTION_BYTES + 1, 3_000_000)
+    def test_stranger_can_not_send_a_large_frame(self, size):
+        """Guards against memory that is used up before a peer is known."""
+        self.check_stranger(size)
+
+    @on_mock_clock(io=True)
+    async def check_stranger(self, size):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, memory=RequestMemory(MEMORY_BYTES, DecisionLog()))
+            await setup.start()
+            port = setup.link.address.port
+            stream = await trio.open_tcp_stream(HOST, port)
+            await stream.send_all(LENGTH_PREFIX.pack(size) + b"x" * 100)
+            received = 0
+            with trio.move_on_after(HANDSHAKE_S) as patience:
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while data := await stream.receive_some(65536):
+                        received += len(data)
+            self.assertFalse(patience.cancelled_caught)
+            # Only the challenge was sent.
+            self.assertLess(received, 200)
+            await setup.call()
+            nursery.cancel_scope.cancel()
+
     @params(
         # (what a silent peer does with a call that must not be sent again, its result)
         ("answers late", Answer),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -78,6 +78,12 @@
         largest_bytes = bounds.request_memory_bytes * 7 / 8
         self.assertLessEqual(bounds.max_body_bytes, largest_bytes)
 
+    @params((80, 10_000_000), (None, 31_457_280))
+    def test_heads_get_a_share_of_the_memory(self, memory_mb, head_bytes):
+        limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
+        bounds = parse_platform_settings(SETTINGS + limits).node.bounds
+        self.assertEqual(bounds.head_memory_bytes, head_bytes)
+
     def test_repeats_at_the_end_of_a_chain_stay_within_the_ratio(self):
         ratio = parse_platform_settings(SETTINGS).node.bounds.repeat_ratio
         arrivals = 1.0
--- a/tests/transport/test_frame.py
+++ b/tests/transport/test_frame.py
@@ -74,6 +74,26 @@
         self.assertEqual(self.memory.used_bytes, BODY_BYTES)
         held.release()
 
+    @params(
+        # (bytes of the body, lines of the head, kinds of what is received); large
+        # ones have seven eighths of the memory.
+        (8, 20, ["Call"] * 8),
+        (8, 4000, ["Call"] * 4 + ["SkippedCall"] * 4),
+        (LARGE_BODY_BYTES, 4000, ["Call"] * 3 + ["SkippedCall"] * 5),
+    )
+    @on_mock_clock
+    async def test_heads_of_calls_count_as_parsed(self, size, lines, kinds):
+        """Guards against a node that is killed over calls with very many lines."""
+        received = []
+        for call_id in range(8):
+            call = build_call(call_id, size)
+            call.headers = [(b"a", b"")] * lines
+            self.connect()
+            await self.sender.send(call)
+            received.append(type(await self.receiver.receive()).__name__)
+        self.assertEqual(received, kinds)
+        self.assertLessEqual(self.memory.used_bytes, MAX_BYTES)
+
     @on_mock_clock
     async def test_calls_of_all_connections_share_the_memory(self):
         results = []
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -13,7 +13,12 @@
 
 from catkinpost.protocol.http import HttpLimits, HttpRequest, HttpResponse, find_header
 from catkinpost.protocol.outcome import Outcome, Reason
-from catkinpost.transport.http_client import CONNECT_TIMEOUT_S, BackendClient
+from catkinpost.transport.http_client import (
+    CONNECT_TIMEOUT_S,
+    BackendClient,
+    ResponseBuffer,
+)
+from catkinpost.transport.http_parser import ResponseParser
 from catkinpost.transport.socket_io import write_some
 from tests.clock import on_mock_clock
 from tests.shortage import no_free_descriptors
@@ -517,6 +522,20 @@
             self.assertEqual(client.buffer.used_bytes, 0)
             nursery.cancel_scope.cancel()
 
+    def test_heads_of_unfinished_answers_count_as_parsed(self):
+        """Guards against a node that is killed over answers with very many lines."""
+        buffer = ResponseBuffer(2_000_000)
+        parsers = [ResponseParser(HttpLimits(), head_only=False) for _ in range(3)]
+        results = []
+        for parser in parsers:
+            parser.feed(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 4000)
+            results.append(buffer.update(parser))
+        self.assertEqual(results[:2], [None, None])
+        self.assertIs(results[2].reason, Reason.BACKEND_BAD_ANSWER)
+        for parser in parsers:
+            buffer.remove(parser)
+        self.assertEqual(buffer.used_bytes, 0)
+
     @on_mock_clock(io=True)
     async def test_answers_without_end_share_one_bound(self):
         async with trio.open_nursery() as nursery:
