Leave descriptors to servers and callers beside clients that hold theirs

What callers saw in tests of two nodes with 128 descriptors and 200 clients: beside unfinished requests an ordinary one was answered only once their time-out was over, and beside idle connections at the readiness address none was, nor was the node ready. Callers whose request does not come, or who take nothing of their answer, made no room; nothing bounded the connections at the readiness address.

Change: while descriptors are short, connections go whose request has not come whole for 1 s, with 503 as not run, and then those whose callers have taken nothing for 2 s. The readiness address has 32 connections at most; idle and unfinished ones make room.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -20,11 +20,14 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import parse_address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
+from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["PlatformEnvironment", "log_settings"]
 
 EXPIRY_CHECK_INTERVAL_S = 0.25
+# The platform probes once a second, mostly on a new connection.
+MAX_PROBE_CONNECTIONS = 32
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
@@ -75,7 +78,11 @@
             report_failure=node.report_bad_request,
             head_memory=node.head_memory,
             reserved_descriptors=0,
+            max_connections=MAX_PROBE_CONNECTIONS,
         )
+        self.probe_acceptor = Acceptor()
+        self.probe_acceptor.make_room = self.probe_server.make_room
+        self.probe_acceptor.gate = self.probe_server.gate
 
     def get_calling_service(self) -> str:
         """Return the service of the server on this machine."""
@@ -96,7 +103,9 @@
     async def run(self) -> None:
         """Run the watches and the readiness probe until cancelled."""
         await self.node.listen(
-            self.settings.readiness_address, self.probe_server.serve_connection
+            self.settings.readiness_address,
+            self.probe_server.serve_connection,
+            self.probe_acceptor,
         )
         async with trio.open_nursery() as nursery:
             for function in (
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -62,6 +62,7 @@
     :param count_connections: returns the number of callers' connections.
     :param make_room: closes connections on which nothing is due.
     :param reserved_descriptors: descriptors to leave free, 0 for no bound.
+    :param max_connections: most connections at once, ``None`` for no such bound.
     :ivar is_short: whether callers wait.
     :ivar last_came_at: earliest time at which the first of those that wait has come.
     :ivar refused: accepted connections whose requests are to be refused.
@@ -74,10 +75,12 @@
         count_connections: Callable[[], int],
         make_room: Callable[[], int],
         reserved_descriptors: int,
+        max_connections: int | None = None,
     ) -> None:
         self.count_connections = count_connections
         self.make_room = make_room
         self.reserved_descriptors = reserved_descriptors
+        self.max_connections = max_connections
         self.is_short = False
         self.short_since = 0.0
         self.last_came_at = 0.0
@@ -98,8 +101,17 @@
             return True
         return count_free_descriptors(socket.fileno(), count) >= count
 
+    @property
+    def is_full(self) -> bool:
+        """Whether there are as many connections as there may be."""
+        if self.max_connections is None:
+            return False
+        return self.count_connections() + len(self.unserved) >= self.max_connections
+
     def has_room(self, socket: trio.socket.SocketType) -> bool:
-        """Return whether one more connection leaves the descriptors free."""
+        """Return whether there may be one more connection."""
+        if self.is_full:
+            return False
         return self.has_free(socket, self.reserved_descriptors + 1)
 
     async def wait(self, socket: trio.socket.SocketType) -> bool:
@@ -120,7 +132,8 @@
             self.make_room()
             refusing = max(1, int(REFUSALS_SHARE * self.reserved_descriptors))
             is_late = now - self.last_came_at >= MAX_TURN_WAIT_S
-            if is_late and self.has_free(socket, refusing):
+            may_refuse = not self.is_full and self.has_free(socket, refusing)
+            if is_late and may_refuse:
                 return True
             await trio.sleep(RELEASE_TIME_S)
         return False
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -164,6 +164,11 @@
         is_open = not self.closing and socket.fileno() >= 0
         return is_open and socket.is_readable()
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it is closed already, or will be read in the next step."""
+        return self.closing or self.has_unread_input
+
     @property
     def needs_linger(self) -> bool:
         """Whether a close by this side could destroy sent bytes.
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -17,7 +17,7 @@
     encode_response_parts,
 )
 from catkinpost.protocol.outcome import Failure, Reason, build_leaving_failure
-from catkinpost.state.answer_memory import AnswerMemory
+from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.request_memory import (
     SMALL_BODY_BYTES,
@@ -46,6 +46,9 @@
 # A caller that has just connected, or been answered, is likely to send next.
 MIN_IDLE_S = 0.2
 MAX_CLOSED_AT_ONCE = 16
+# Time in which the head of a request comes whole, unless packets are lost or its caller
+# lets others wait.
+MIN_UNREAD_S = 1.0
 # Descriptors for connections that a node needs to answer its callers: to its server,
 # peers and the store, and for readiness probes.
 RESERVED_DESCRIPTORS = 16
@@ -84,6 +87,7 @@
     :param head_memory: memory for requests without large bodies, ``None`` for no bound.
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
     :param reserved_descriptors: descriptors that callers leave free.
+    :param max_connections: most connections of callers, ``None`` for no such bound.
     :ivar gate: bound on connections of callers.
     :ivar leaving: whether each connection is closed after its last response.
     :ivar deliver_by: time until which callers can take responses, infinite while the
@@ -106,6 +110,7 @@
         head_memory: HeadMemory | None = None,
         answer_memory: AnswerMemory | None = None,
         reserved_descriptors: int = RESERVED_DESCRIPTORS,
+        max_connections: int | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -118,6 +123,7 @@
             count_connections=self.count_connections,
             make_room=self.make_room_gently,
             reserved_descriptors=reserved_descriptors,
+            max_connections=max_connections,
         )
         self.leaving = False
         self.deliver_by = math.inf
@@ -235,15 +241,17 @@
         return self.make_room(MIN_IDLE_S)
 
     def make_room(self, min_linger_s: float = 0.0) -> int:
-        """Close connections on which nothing is due, and return their number.
+        """Close connections whose callers hold them up, and return their number.
 
-        Answered ones that await the close of their callers go first, and then idle
-        ones, of both those that have waited for the longest time: a caller that has
-        not read its answer may lose it.
+        Those go first on which nothing is due: answered ones that await the close of
+        their callers, and then idle ones. Those follow whose request has not come for
+        some time, which are told so, and those whose caller takes nothing. Of each kind
+        those go first that have waited for the longest time.
 
         :param min_linger_s: seconds that callers have for their close.
         """
-        begun_before = trio.current_time() - min_linger_s
+        now = trio.current_time()
+        begun_before = now - min_linger_s
         delivered = [
             item
             for item in self.lingers
@@ -254,19 +262,44 @@
             linger.scope.cancel()
         if delivered:
             return len(delivered[:MAX_CLOSED_AT_ONCE])
-        idle_before = trio.current_time() - MIN_IDLE_S
-        idle = [
+        if idle := self.find_oldest(Phase.IDLE, now - MIN_IDLE_S):
+            for connection in idle:
+                self.close_overdue(connection)
+            return len(idle)
+        unread = self.find_oldest(Phase.READING, now - MIN_UNREAD_S)
+        unread = [item for item in unread if item.is_unread]
+        for connection in unread:
+            connection.drop_unread(SHORTAGE_FAILURE)
+        if unread:
+            return len(unread)
+        stalled = [
+            item
+            for item in self.find_oldest(Phase.SENDING, now - STALL_TIMEOUT_S)
+            if self.is_stalled(item, now)
+        ]
+        return sum(item.give_up() for item in stalled)
+
+    def find_oldest(self, phase: Phase, since: float) -> list[Connection]:
+        """Return some of the connections that have been in a phase for longest.
+
+        :param phase: phase in which their callers hold them up.
+        :param since: time before which the phase has begun.
+        """
+        found = [
             item
             for item in self.connections
-            if item.phase is Phase.IDLE
-            and item.phase_started_at < idle_before
-            and not item.closing
-            and not item.has_unread_input
+            if item.phase is phase
+            and item.phase_started_at < since
+            and not (item.is_awaiting_request and item.is_ending)
         ]
-        idle.sort(key=lambda item: item.phase_started_at)
-        for connection in idle[:MAX_CLOSED_AT_ONCE]:
-            self.close_overdue(connection)
-        return len(idle[:MAX_CLOSED_AT_ONCE])
+        found.sort(key=lambda item: item.phase_started_at)
+        return found[:MAX_CLOSED_AT_ONCE]
+
+    def is_stalled(self, connection: Connection, now: float) -> bool:
+        """Return whether a caller has taken nothing of an answer for some time."""
+        connection.update_taken_at(now)
+        taken_at = max(connection.progressed_at, connection.taken_at, self.resumed_at)
+        return now - taken_at > STALL_TIMEOUT_S
 
     def keep_descriptors_free(self) -> None:
         """Close connections on which nothing is due while descriptors are short."""
--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -30,6 +30,7 @@
 START_TIMEOUT_S = 40.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+PROBE_TIMEOUT_S = 5.0
 DEFAULT_MEMORY_MB = 300
 SETTINGS = """\
 [self]
@@ -212,6 +213,16 @@
         log = self.log_path(machine).read_text(errors="replace")
         raise RuntimeError(f"the node at {machine.host} did not start:\n{log}")
 
+    async def is_ready(self, machine: Machine) -> bool:
+        """Ask a node once whether it is ready, as the platform does."""
+        probe = BackendClient(machine.host, self.ready_port, limits=HttpLimits())
+        request = HttpRequest(b"GET", READINESS_PATH, [(b"host", b"ready")])
+        answer: HttpResponse | Failure | None = None
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            answer = await probe.send_request(request)
+        probe.close_idle_connections()
+        return isinstance(answer, HttpResponse) and answer.status == 200
+
     async def call(
         self, machine: Machine, request: HttpRequest
     ) -> HttpResponse | Failure:
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import resource
 import unittest
 
 import trio
@@ -25,6 +26,8 @@
 )
 
 LIMIT_S = 180
+# A caller abandons a request that is not answered.
+CALL_PATIENCE_S = 5.0
 MEMORY_MB = 80
 MEGABYTE = 1_000_000
 CROWD = 200
@@ -33,6 +36,9 @@
 MORE_DESCRIPTORS = 40
 # Bytes that the lines of a head may have besides those that each request needs.
 LINES_BYTES = HEAD_BYTES - 200
+DESCRIPTORS = 128
+# Resident memory is read in pages, and a process logs meanwhile.
+TOLERANCE = 0.02
 SMALL_BODY = b"x" * 8000
 CONFIGURATION = {
     "version": 1,
@@ -54,8 +60,8 @@
     "limits": {
         "max-header-bytes": HEAD_BYTES,
         "max-body-bytes": 2_000_000,
-        "header-timeout-s": 30.0,
-        "idle-timeout-s": 30.0,
+        "header-timeout-s": 600.0,
+        "idle-timeout-s": 600.0,
     },
 }
 TOKEN_BYTES = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
@@ -130,6 +136,14 @@
         yield build_head("GET /there/1", b"", attempt=f"r-{number}-{index}")
 
 
+def build_few_lines(number):
+    yield build_head("GET /here/1", b"a: b\r\n" * 5, end=False)
+
+
+def build_nothing(number):
+    return []
+
+
 def build_frames(number):
     # The length of a large frame, and what no peer would begin with.
     yield b"\x00\x80\x00\x00" + b"\x93\x01\xc4" * 20_000
@@ -152,8 +166,11 @@
     return run
 
 
-async def call_until_served(fleet, machine, place, attempt):
-    """Send an ordinary request, again as often as a refusal asks for it."""
+async def call_until_served(fleet, machine, place, attempt, *, is_kept=True):
+    """Send an ordinary request, again as often as a refusal asks for it.
+
+    :param is_kept: whether the caller has a kept connection.
+    """
     sent = 0
     while True:
         sent += 1
@@ -163,7 +180,11 @@
             (b"deadline-remaining", b"30000"),
         ]
         request = HttpRequest(b"GET", f"/{place}/1".encode(), headers)
-        answer = await fleet.call(machine, request)
+        answer = None
+        if not is_kept:
+            machine.callers.close_idle_connections()
+        with trio.move_on_after(CALL_PATIENCE_S):
+            answer = await fleet.call(machine, request)
         if isinstance(answer, HttpResponse) and answer.status == 200:
             return
         wait_s = 0.1
@@ -175,7 +196,9 @@
 class TestCrowds(unittest.TestCase):
     """Each crowd comes three times, and an ordinary caller beside it."""
 
-    async def check(self, fleet, form, port, *, size=CROWD, rounds=ROUNDS):
+    async def check(
+        self, fleet, form, port, *, size=CROWD, rounds=ROUNDS, is_kept=True
+    ):
         entry = fleet.machines[0]
         pids = [item.process.pid for item in fleet.machines]
         for place in ("here", "there"):
@@ -187,7 +210,8 @@
                 nursery.start_soon(crowd.run)
                 await crowd.all_ready.wait()
                 for place in ("here", "there"):
-                    await call_until_served(fleet, entry, place, f"beside-{number}")
+                    name = f"beside-{number}"
+                    await call_until_served(fleet, entry, place, name, is_kept=is_kept)
                 crowd.scope.cancel()
         for place in ("here", "there"):
             await call_until_served(fleet, entry, place, "after")
@@ -267,6 +291,45 @@
         form = Form(build=functools.partial(build_plain, 8), reads=0)
         await self.check(fleet, form, fleet.outbound_port)
 
+    @params(
+        # (what they send, the address that they connect to)
+        ("unended heads", build_few_lines, "outbound_port"),
+        ("nothing", build_nothing, "outbound_port"),
+        ("unended heads", build_few_lines, "ready_port"),
+        ("nothing", build_nothing, "ready_port"),
+        ("nothing", build_nothing, "peer_port"),
+    )
+    def test_more_connections_than_descriptors(self, name, build, port):
+        self.check_descriptors(build, port)
+
+    @on_small_machines
+    async def check_descriptors(self, fleet, build, port):
+        await self.check_with_few_descriptors(fleet, Form(build=build), port)
+
+    @on_small_machines
+    async def test_answers_that_nobody_reads_with_few_descriptors(self, fleet):
+        fleet.machines[1].server.slots = 1000
+        fleet.machines[1].server.answer_bytes = 1_000_000
+        form = Form(build=functools.partial(build_plain, 1), reads=0)
+        await self.check_with_few_descriptors(fleet, form, "outbound_port")
+
+    async def check_with_few_descriptors(self, fleet, form, port):
+        limits = (DESCRIPTORS, DESCRIPTORS)
+        for machine in fleet.machines:
+            pid = machine.process.pid
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        await self.check(fleet, form, getattr(fleet, port), is_kept=False)
+        self.assertTrue(await fleet.is_ready(fleet.machines[0]))
+
+    @on_small_machines
+    async def test_ten_rounds_hold_no_more_than_two(self, fleet):
+        build = functools.partial(build_unended, make_distinct_line)
+        pid = fleet.machines[0].process.pid
+        await self.check(fleet, Form(build=build), fleet.outbound_port, rounds=2)
+        held = read_memory(pid, "VmRSS")
+        await self.check(fleet, Form(build=build), fleet.outbound_port, rounds=8)
+        self.assertLessEqual(read_memory(pid, "VmRSS"), held * (1 + TOLERANCE))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -23,7 +23,7 @@
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_connection import Phase
-from catkinpost.transport.http_server import MIN_IDLE_S, HttpServer
+from catkinpost.transport.http_server import MIN_IDLE_S, MIN_UNREAD_S, HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.shortage import descriptors_left, no_free_descriptors
@@ -758,6 +758,66 @@
             self.assertEqual(kept, expected)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_room_is_made_by_requests_that_do_not_come(self):
+        """Guards against callers that nobody answers beside unfinished requests."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            await setup.start(nursery)
+            slow, recent = await setup.connect(), await setup.connect()
+            await slow.send_all(KEPT_REQUEST[:-2])
+            await trio.sleep(MIN_UNREAD_S + 0.1)
+            await recent.send_all(KEPT_REQUEST[:-2])
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.make_room(), 1)
+            self.assertEqual(setup.server.make_room(), 0)
+            refusal = await read_all(slow)
+            self.assertTrue(refusal.startswith(b"HTTP/1.1 503"), refusal)
+            self.assertIn(b"catkinpost-outcome: not-run", refusal)
+            await recent.send_all(b"\r\n")
+            answer = await recent.receive_some(100)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_room_is_made_by_callers_that_take_nothing(self):
+        """Guards against callers that nobody answers beside unread answers."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.handler = respond_with(LARGE_BODY)
+            await setup.start(nursery)
+            stalled = await connect_slow_reader(setup)
+            reading = await connect_slow_reader(setup)
+            for stream in (stalled, reading):
+                await stream.send_all(CLOSING_REQUEST)
+            # The system may take some more meanwhile.
+            await trio.sleep(2 * STALL_TIMEOUT_S)
+            data = b""
+            while len(data) < len(LARGE_BODY) / 2:
+                data += await reading.receive_some(65536)
+            await trio.sleep(0.1)
+            self.assertEqual(setup.server.make_room(), 1)
+            self.assertEqual(setup.server.make_room(), 0)
+            self.assertTrue((data + await read_all(reading)).endswith(LARGE_BODY))
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_number_of_connections_may_be_bounded(self):
+        """Guards against probes that nobody answers beside idle connections."""
+        async with trio.open_nursery() as nursery:
+            setup = ServerSetup()
+            setup.server.gate.max_connections = 4
+            await setup.start(nursery)
+            setup.acceptor.make_room = setup.server.make_room
+            idle = [await setup.connect() for _ in range(20)]
+            stream = await setup.connect()
+            await stream.send_all(CLOSING_REQUEST)
+            answer = await read_all(stream)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertLessEqual(setup.server.count_connections(), 4)
+            self.assertEqual(await read_all(idle[0]), b"")
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_idle_connections_leave_descriptors_for_the_backend_server(self):
         """Guards against refusals as idle callers hold all descriptors."""
