Take no answer without a status from a server

Cause: the parser took 000, 099 and every 1xx for an interim answer, with a body too. It was dropped, the connection stayed in use and what followed was taken for the answer; with nothing behind it the caller waited for its route's time and got 504. 600 to 999 reached the caller. A 101 that nobody asked for raised an error of the library through the call.

Change: only 200 to 599 are final, and 100, 102 and 103 interim, without a body and eight at most. Anything else is no answer: 502 with an unknown outcome, the connection is closed, a request that may run again goes elsewhere within its budget, and the log line of the request names the status.

--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -5,6 +5,7 @@
 import httptools
 
 from catkinpost.protocol.http import (
+    BODYLESS_STATUSES,
     HEADER_LINE_BYTES,
     MESSAGE_BYTES,
     Headers,
@@ -24,6 +25,10 @@
 FRAMING_PER_HEAD_BYTE = 4
 # A header line has at least a colon and its end besides its name and value.
 MIN_LINE_FRAMING_BYTES = 3
+# Statuses of answers that another one follows. A node asks for no other protocol.
+INTERIM_STATUSES = frozenset({100, 102, 103})
+MAX_INTERIM_ANSWERS = 8
+FINAL_STATUSES = range(200, 600)
 HEAD_END = b"\r\n\r\n"
 HEAD_END_OVERLAP_BYTES = len(HEAD_END) - 1
 
@@ -298,6 +303,7 @@
         super().__init__(limits)
         self.parser = httptools.HttpResponseParser(self)
         self.head_only = head_only
+        self.interim_count = 0
         self.has_length = False
         self.ends_at_close = False
 
@@ -309,17 +315,35 @@
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         status = self.parser.get_status_code()
-        if self.head_only and status >= 200 and not self.messages:
+        if status not in FINAL_STATUSES:
+            self.check_interim(status)
+        elif self.head_only and not self.messages:
             self.messages.append(self.build_message())
-        elif not self.has_length and status >= 200 and status not in (204, 304):
+        elif not self.has_length and status not in BODYLESS_STATUSES:
             self.ends_at_close = self.limits.unsized_answers
             if not self.ends_at_close:
                 self.failure = build_bad_answer_failure(
                     "the answer has no length and may be cut"
                 )
 
+    def check_interim(self, status: int) -> None:
+        """Reject what is neither an interim nor a final answer.
+
+        What follows it on the connection could be taken for the answer.
+        """
+        self.interim_count += 1
+        if status not in INTERIM_STATUSES:
+            detail = f"status {status:03d} is none"
+        elif self.has_length:
+            detail = f"an interim answer {status} with a body"
+        elif self.interim_count > MAX_INTERIM_ANSWERS:
+            detail = f"more than {MAX_INTERIM_ANSWERS} interim answers"
+        else:
+            return
+        self.failure = build_bad_answer_failure(detail)
+
     def on_message_complete(self) -> None:
-        if self.parser.get_status_code() < 200:
+        if self.parser.get_status_code() not in FINAL_STATUSES:
             return
         if not self.head_only:
             super().on_message_complete()
@@ -352,7 +376,7 @@
         body_bytes = self.body_bytes
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.failure = build_bad_answer_failure(
                 f"not a valid HTTP/1.1 response: {error}"
             )
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -111,6 +111,9 @@
         data = encode_response(
             exchange.response, keep_alive=keep_alive, head_only=exchange.head_only
         )
+        # A status has three digits, also one that is none.
+        status = exchange.response.status
+        data = data.replace(b" %d " % status, b" %03d " % status, 1)
         if self.trouble is not Trouble.NONE and random.random() < TROUBLE_SHARE:
             await self.send_with_trouble(connection, exchange.response, data)
             return
@@ -162,6 +165,16 @@
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
     UNPROMISED_503 = "503 without a promise"
+    STATUS_000 = "status 000"
+    STATUS_150 = "status 150 with a body"
+    STATUS_600 = "status 600"
+
+
+NO_STATUSES = {
+    ServerFault.STATUS_000: 0,
+    ServerFault.STATUS_150: 150,
+    ServerFault.STATUS_600: 600,
+}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -375,6 +388,7 @@
     def answer(self, status: int, attempt: bytes, body: bytes) -> HttpResponse:
         if self.fault is ServerFault.UNPROMISED_503:
             return HttpResponse(503, [(ATTEMPT_ID, attempt)], b"")
+        status = NO_STATUSES.get(self.fault, status)
         named = b"another" if self.fault is ServerFault.OTHER_ID else attempt
         headers = [(ATTEMPT_ID, named), *self.build_notices(), *self.more_headers]
         if self.fault is not ServerFault.UNSIGNED:
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -84,6 +84,11 @@
         (ServerFault.ENCODED, ORDER, 502, 1),
         (ServerFault.UNPROMISED_503, ORDER, 502, 1),
         (ServerFault.UNPROMISED_503, SHOW, 502, 2),
+        (ServerFault.STATUS_000, ORDER, 502, 1),
+        (ServerFault.STATUS_000, SHOW, 502, 2),
+        (ServerFault.STATUS_150, SHOW, 502, 2),
+        (ServerFault.STATUS_600, ORDER, 502, 1),
+        (ServerFault.STATUS_600, SHOW, 502, 2),
     )
     def test_fault_of_servers(self, fault, what, status, runs):
         self.check_fault(fault, what, status, runs)
--- a/tests/transport/test_http_parser.py
+++ b/tests/transport/test_http_parser.py
@@ -6,7 +6,11 @@
 
 from catkinpost.protocol.http import HttpLimits
 from catkinpost.protocol.outcome import Outcome, Reason
-from catkinpost.transport.http_parser import RequestParser, ResponseParser
+from catkinpost.transport.http_parser import (
+    MAX_INTERIM_ANSWERS,
+    RequestParser,
+    ResponseParser,
+)
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEAD_END = b"\r\n\r\n"
@@ -14,6 +18,7 @@
 NEXT_REQUEST = b"GET /n HTTP/1.1\r\n\r\n"
 UPGRADE = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
 LIMITS = HttpLimits(max_head_bytes=256, max_body_bytes=64)
+GOOD_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 def feed_in_chunks(parser, data, size):
@@ -214,3 +219,48 @@
         parser = ResponseParser(LIMITS, head_only=False)
         parser.feed(CHUNKED_HEAD + b"2\r\nok\r\n0\r\nSigned: yes\r\n\r\n")
         self.assertNotIn((b"signed", b"yes"), parser.messages[0].headers)
+
+
+class TestStatus(unittest.TestCase):
+    """Guards against an answer without a status that reaches a caller.
+
+    It could also hide the end of an answer, so that the next one takes its place.
+    """
+
+    @params(*(f"{status:03d}" for status in (0, 1, 99, 104, 150, 199, 600, 999)))
+    def test_answer_without_a_status_is_none(self, status):
+        parser = ResponseParser(LIMITS, head_only=False)
+        head = b"HTTP/1.1 %b X\r\nContent-Length: 5\r\n\r\n" % status.encode()
+        failure = parser.feed(head + b"birch" + GOOD_ANSWER)
+        self.assertIs(failure.reason, Reason.BACKEND_BAD_ANSWER)
+        self.assertIs(failure.outcome, Outcome.UNKNOWN)
+        self.assertIn(status, failure.detail)
+        self.assertFalse(parser.messages)
+
+    @params("200", "299", "302", "404", "418", "500", "599")
+    def test_other_statuses_are_passed_on(self, status):
+        parser = ResponseParser(LIMITS, head_only=False)
+        head = b"HTTP/1.1 %b X\r\nContent-Length: 5\r\n\r\n" % status.encode()
+        self.assertIsNone(parser.feed(head + b"birch"))
+        self.assertEqual(parser.messages[0].status, int(status))
+
+    @params("100", "102", "103")
+    def test_answer_follows_interim_answers(self, status):
+        parser = ResponseParser(LIMITS, head_only=False)
+        interim = b"HTTP/1.1 %b X\r\nLink: a\r\n\r\n" % status.encode()
+        self.assertIsNone(parser.feed(interim * MAX_INTERIM_ANSWERS + GOOD_ANSWER))
+        (answer,) = parser.messages
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertEqual(len(answer.headers), 1)
+
+    @params(
+        b"HTTP/1.1 100 X\r\nContent-Length: 1\r\n\r\nx",
+        b"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+        b"HTTP/1.1 103 X\r\n\r\n" * (MAX_INTERIM_ANSWERS + 1),
+    )
+    def test_interim_answers_have_no_body_and_a_bounded_number(self, data):
+        parser = ResponseParser(LIMITS, head_only=False)
+        failure = parser.feed(data + GOOD_ANSWER)
+        self.assertIs(failure.reason, Reason.BACKEND_BAD_ANSWER)
+        self.assertFalse(parser.messages)
