--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -290,6 +290,7 @@
             for item in self.connections
             if item.phase is phase
             and item.phase_started_at < since
+            and not item.scope.cancel_called
             and not (item.is_awaiting_request and item.is_ending)
         ]
         found.sort(key=lambda item: item.phase_started_at)
