Bound all that a node holds together, and free it at once

Causes: the bounds of bodies, heads and answers together with the connections exceed the machine; answers to a caller that was closed were held, uncounted, until it had closed its side (up to 5 s); the C library's allocator kept freed bodies.

Change: `MemoryAccount` is the sum of bodies, heads, unfinished answers and connections; bodies and heads ask for room there too. Three quarters of the machine's memory without the process and the bound of answers, as an answer can't be refused before it is made. A connection drops its requests and responses once it is closed for sending. Blocks above 128 KiB go back to the system when they are freed.

New tests: that crowd, and a slow but steady reader beside readers that stop, who gets its whole answer, also one without a length.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -41,6 +41,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.instance_view import InstanceView, ListChange
+from catkinpost.state.memory_account import MemoryAccount
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
@@ -108,12 +109,16 @@
         self.running = RunningCalls()
         self.pause_watch = PauseWatch(self.decisions)
         bounds = self.settings.bounds
+        self.memory_account = MemoryAccount(bounds.held_memory_bytes)
         self.request_memory = RequestMemory(
             bounds.request_memory_bytes,
             self.decisions,
+            account=self.memory_account,
             largest_bytes=bounds.max_body_bytes + compute_overhead(bounds),
         )
-        self.head_memory = HeadMemory(bounds.head_memory_bytes, self.decisions)
+        self.head_memory = HeadMemory(
+            bounds.head_memory_bytes, self.decisions, self.memory_account
+        )
         self.answer_memory = AnswerMemory(bounds.answer_memory_bytes, self.decisions)
         self.retry_budget = RetryBudget(build_retry_bound(self.settings.bounds))
 
@@ -278,6 +283,12 @@
             head_memory=self.head_memory,
             answer_memory=self.answer_memory,
         )
+        self.memory_account.parts += [
+            self.request_memory,
+            self.head_memory,
+            self.backend_client.buffer,
+            self.http_server,
+        ]
         self.call_acceptor.make_room = self.http_server.make_room
         self.call_acceptor.gate = self.http_server.gate
 
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -61,11 +61,17 @@
 ANSWER_MEMORY_SHARE = 1 / 6
 # Heads as parsed, of which each connection has some room besides.
 HEAD_MEMORY_SHARE = 1 / 8
+# The parts above are not all full at the same time. Beside them are the process itself,
+# what its allocator keeps between them, and copies of what is being decoded.
+PROCESS_BYTES = 40 * 1024 * 1024
+USABLE_SHARE = 0.75
+MIN_HELD_SHARE = 1 / 8
 MEGABYTE = 1_000_000
 # Room for one body of the largest size.
 DEFAULT_REQUEST_MEMORY_BYTES = 80 * 1024 * 1024
 DEFAULT_ANSWER_MEMORY_BYTES = 40 * 1024 * 1024
 DEFAULT_HEAD_MEMORY_BYTES = 30 * 1024 * 1024
+DEFAULT_HELD_MEMORY_BYTES = 128 * 1024 * 1024
 
 
 class LimitsTable(PlatformModel):
@@ -207,6 +213,16 @@
     return int(limits.memory_mb * MEGABYTE * REQUEST_MEMORY_SHARE)
 
 
+def compute_held_memory(limits: LimitsTable) -> int:
+    """Return the bytes for all that can be refused, besides answers."""
+    if limits.memory_mb is None:
+        return DEFAULT_HELD_MEMORY_BYTES
+    all_bytes = limits.memory_mb * MEGABYTE
+    usable_bytes = all_bytes * USABLE_SHARE - PROCESS_BYTES
+    held_bytes = usable_bytes - compute_answer_memory(limits)
+    return int(max(held_bytes, all_bytes * MIN_HELD_SHARE))
+
+
 def compute_head_memory(limits: LimitsTable) -> int:
     """Return the bytes for heads of requests as parsed."""
     if limits.memory_mb is None:
@@ -243,6 +259,7 @@
         bounds=BoundsSection(
             max_body_bytes=64 * 1024 * 1024,
             request_memory_bytes=compute_request_memory(process.limits),
+            held_memory_bytes=compute_held_memory(process.limits),
             head_memory_bytes=compute_head_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -1,5 +1,6 @@
 """Start and end of a node process, shared by all environments."""
 
+import ctypes
 import gc
 import os
 import resource
@@ -9,6 +10,7 @@
 from typing import NoReturn
 
 import trio
+from eliot import log_message
 
 from catkinpost.coordination.pause import SuspendAwareClock
 from catkinpost.transport.moderation import PollModerator
@@ -18,6 +20,9 @@
 # Most objects of a call are short-lived; full collections only add to its tail
 # latency.
 GC_THRESHOLD_ALLOCATIONS = 20_000
+# Option of the GNU C library, from its header `malloc.h`.
+M_MMAP_THRESHOLD = -3
+LARGE_BLOCK_BYTES = 128 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,12 +67,26 @@
     :param start: main task of the node.
     :param poll_interval: longest time between two polls under load, in seconds.
     """
+    return_large_blocks()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS, 50, 50)
     instruments = [PollModerator(poll_interval)] if poll_interval else []
     trio.run(start, clock=SuspendAwareClock(), instruments=instruments)
 
 
+def return_large_blocks() -> None:
+    """Let the allocator of the C library return each large block that is freed.
+
+    It raises the size from which it does so with the blocks that it sees, and keeps
+    bodies of 30 MB among small objects then.
+    """
+    try:
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+    except (OSError, AttributeError) as error:
+        # Another C library has no such option.
+        log_message("process: allocator as it is", why=repr(error))
+
+
 def end_process() -> NoReturn:
     """End the process with status 0, without the end of the interpreter.
 
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -143,6 +143,8 @@
     :param request_memory_bytes: maximum size of the bodies of all requests that the
         node holds together; bodies of up to 8 KiB are not counted. A body above it is
         refused with 503, as another node may have more memory.
+    :param held_memory_bytes: maximum memory for all that can be refused together:
+        bodies, heads, unfinished answers and connections.
     :param head_memory_bytes: maximum memory for the heads of all requests as parsed,
         with bodies of up to 8 KiB; 16 KiB of each connection are not counted. Beyond it
         incomplete requests are dropped, the largest first, or the new one is refused,
@@ -177,6 +179,7 @@
     max_head_bytes: SizeBytes = 32 * 1024
     max_body_bytes: SizeBytes = 1024 * 1024
     request_memory_bytes: MemoryBytes = 64 * 1024 * 1024
+    held_memory_bytes: MemoryBytes = 128 * 1024 * 1024
     head_memory_bytes: MemoryBytes = 24 * 1024 * 1024
     answer_memory_bytes: MemoryBytes = 32 * 1024 * 1024
     head_timeout: Seconds = 10.0
--- a/src/catkinpost/state/head_memory.py
+++ b/src/catkinpost/state/head_memory.py
@@ -6,6 +6,7 @@
 
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.memory_account import MemoryAccount
 
 __all__ = ["FREE_BYTES", "HeadMemory", "RequestHolder"]
 
@@ -43,11 +44,13 @@
     :param max_bytes: bytes of all connections together that hold more than their own
         room. A single one may hold more.
     :param decisions: log for refusals.
+    :param account: common bound with other memory, ``None`` for none.
     :ivar used_bytes: bytes of these connections.
     """
 
     max_bytes: int
     decisions: DecisionLog
+    account: MemoryAccount | None = None
     used_bytes: int = 0
     sizes: dict[RequestHolder, int] = field(default_factory=dict)
 
@@ -90,8 +93,13 @@
         return True
 
     def has_room(self, holder: RequestHolder, size: int) -> bool:
-        others = self.used_bytes - self.sizes.get(holder, 0)
-        return not others or others + size <= self.max_bytes
+        held = self.sizes.get(holder, 0)
+        others = self.used_bytes - held
+        if not others:
+            return True
+        if others + size > self.max_bytes:
+            return False
+        return self.account is None or self.account.has_room(size - held)
 
     def find_largest_unread(
         self, holders: Iterable[RequestHolder]
--- a/src/catkinpost/state/request_memory.py
+++ b/src/catkinpost/state/request_memory.py
@@ -7,6 +7,7 @@
 
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.memory_account import MemoryAccount
 
 __all__ = ["LARGE_BODY_BYTES", "SMALL_BODY_BYTES", "RequestMemory", "Reservation"]
 
@@ -63,17 +64,24 @@
 
     :param max_bytes: bytes of all bodies together, without those of small ones.
     :param decisions: log for refusals.
+    :param account: common bound with other memory, ``None`` for none.
     :param largest_bytes: size of the largest request that is allowed, with its head.
         Large bodies leave less than their share to the others where it needs more.
     """
 
     def __init__(
-        self, max_bytes: int, decisions: DecisionLog, *, largest_bytes: int = 0
+        self,
+        max_bytes: int,
+        decisions: DecisionLog,
+        *,
+        account: MemoryAccount | None = None,
+        largest_bytes: int = 0,
     ) -> None:
         self.max_bytes = max_bytes
         share_bytes = max_bytes - int(max_bytes * SHARE_WITHOUT_LARGE)
         self.max_large_bytes = min(max_bytes, max(share_bytes, largest_bytes))
         self.decisions = decisions
+        self.account = account
         self.used_bytes = 0
         self.waiters: deque[Waiter] = deque()
 
@@ -85,7 +93,9 @@
         """
         is_large = size > LARGE_BODY_BYTES
         bound = self.max_large_bytes if is_large else self.max_bytes
-        return self.used_bytes - held + size <= bound
+        if self.used_bytes - held + size > bound:
+            return False
+        return self.account is None or self.account.has_room(size - held)
 
     def reserve_now(self, size: int) -> Reservation | None:
         """Reserve bytes, or return ``None`` when a wait would be necessary.
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -273,6 +273,12 @@
         self.parser.drop_requests()
         self.scope.cancel()
 
+    def close(self) -> None:
+        """Drop all requests and responses: the caller may be slow to close its side."""
+        self.drop_unfinished_body()
+        self.exchanges.clear()
+        self.parser.close()
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
         self.parser.body_parts.clear()
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -41,6 +41,8 @@
 # A check that is later than this shows that the process did not run.
 MAX_CHECK_DELAY_S = 0.4
 MAX_PIPELINED_REQUESTS = 32
+# Memory of a connection with its task, and of a small request on it.
+CONNECTION_BYTES = 16 * 1024
 # Memory of the task of a request that is handled, and of what it refers to.
 EXCHANGE_BYTES = 4096
 # A caller that has just connected, or been answered, is likely to send next.
@@ -236,6 +238,11 @@
         """Return the number of callers' connections, with those that are answered."""
         return len(self.connections) + len(self.lingers)
 
+    @property
+    def used_bytes(self) -> int:
+        """Bytes of memory that the connections take, without what is counted else."""
+        return self.count_connections() * CONNECTION_BYTES
+
     def make_room_gently(self) -> int:
         """Make room for a caller that can wait."""
         return self.make_room(MIN_IDLE_S)
@@ -418,8 +425,7 @@
                 await self.refuse_unread(connection, connection.refusal)
         finally:
             self.connections.discard(connection)
-            connection.drop_unfinished_body()
-            connection.parser.close()
+            connection.close()
             if self.head_memory is not None:
                 self.head_memory.remove(connection)
             if self.answer_memory is not None:
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -6,6 +6,7 @@
 
 import functools
 import resource
+import socket
 import unittest
 
 import trio
@@ -14,6 +15,7 @@
 from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
 from catkinpost_standins.users_platform.demo import ZONES
 from catkinpost_standins.users_platform.fleet import open_platform_fleet
+from catkinpost_standins.users_platform.server import Trouble
 from tests.end_to_end.crowd import (
     HEAD_BYTES,
     HOST,
@@ -29,6 +31,9 @@
 # A caller abandons a request that is not answered.
 CALL_PATIENCE_S = 5.0
 MEMORY_MB = 80
+# The smallest machine of the users' pages.
+SMALLEST_MB = 200
+READER_BYTES = 16_384
 MEGABYTE = 1_000_000
 CROWD = 200
 ROUNDS = 3
@@ -140,6 +145,13 @@
     yield build_head("GET /here/1", b"a: b\r\n" * 5, end=False)
 
 
+def build_upload(number):
+    head = b"content-length: 2000000\r\n"
+    yield build_head("POST /there/1", head, attempt=f"u-{number}")
+    for _ in range(100):
+        yield b"x" * 20_000
+
+
 def build_nothing(number):
     return []
 
@@ -166,6 +178,15 @@
     return run
 
 
+async def connect_slow_reader(host, port):
+    """Connect with a small buffer, so that little is read ahead."""
+    connection = trio.socket.socket()
+    size = READER_BYTES
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    await connection.connect((host, port))
+    return trio.SocketStream(connection)
+
+
 async def call_until_served(fleet, machine, place, attempt, *, is_kept=True):
     """Send an ordinary request, again as often as a refusal asks for it.
 
@@ -282,6 +303,96 @@
         form = Form(build=functools.partial(build_plain, count), reads=reads)
         await self.check(fleet, form, fleet.outbound_port)
 
+    @params(Trouble.NONE, Trouble.NO_LENGTH)
+    def test_steady_reader_beside_others_gets_the_whole_answer(self, trouble):
+        self.check_steady_reader(trouble)
+
+    @on_small_machines
+    async def check_steady_reader(self, fleet, trouble):
+        entry, there = fleet.machines
+        size = there.server.answer_bytes = 1_000_000
+        there.server.slots = 1000
+        there.server.server.trouble = trouble
+        address = (entry.host, fleet.outbound_port)
+        crowd = Crowd(
+            form=Form(build=functools.partial(build_plain, 2), reads=2000),
+            address=address,
+            size=CROWD,
+        )
+        reader = await connect_slow_reader(*address)
+        await reader.send_all(
+            build_head("GET /there/1", b"connection: close\r\n", attempt="steady")
+        )
+        data = await reader.receive_some(READER_BYTES)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crowd.run)
+            while len(data) < size / 2:
+                data += await reader.receive_some(READER_BYTES)
+                await trio.sleep(0.01)
+            await crowd.all_ready.wait()
+            # Neither servers nor peers are held by those who read nothing.
+            while there.server.running:
+                await trio.sleep(0.1)
+            await call_until_served(fleet, entry, "there", "beside", is_kept=False)
+            while piece := await reader.receive_some(READER_BYTES):
+                data += piece
+            crowd.scope.cancel()
+        head, _, body = data.partition(b"\r\n\r\n")
+        self.assertIn(b"response-signature: sig.steady", head)
+        self.assertEqual(len(body), size)
+        for machine in fleet.machines:
+            peak = read_memory(machine.process.pid, "VmHWM")
+            self.assertLessEqual(peak, MEMORY_MB * MEGABYTE, machine.server.service)
+
+    def test_all_at_once_on_the_smallest_machine(self):
+        """Guards against parts that are full at the same time."""
+
+        async def main():
+            with trio.fail_after(LIMIT_S):
+                async with open_platform_fleet(
+                    ["here", "there"], ZONES, CONFIGURATION, memory_mb=SMALLEST_MB
+                ) as fleet:
+                    await self.check_all_at_once(fleet)
+
+        trio.run(main)
+
+    async def check_all_at_once(self, fleet):
+        for machine in fleet.machines:
+            machine.server.slots = 1000
+            machine.server.seconds = 0.5
+        entry, there = fleet.machines
+        there.server.answer_bytes = 200_000
+        builds = [
+            build_nothing,
+            functools.partial(build_unended, make_distinct_line),
+            functools.partial(build_ended, make_distinct_line, "here"),
+            build_pipelined_bodies,
+            build_pipelined_tiny,
+            functools.partial(build_plain, 8),
+            functools.partial(build_plain, 1),
+            build_upload,
+        ]
+        address = (entry.host, fleet.outbound_port)
+        for number in range(ROUNDS):
+            crowds = [
+                Crowd(form=Form(build=build, reads=0), address=address, size=CROWD)
+                for build in builds
+            ]
+            async with trio.open_nursery() as nursery:
+                for crowd in crowds:
+                    nursery.start_soon(crowd.run)
+                for crowd in crowds:
+                    await crowd.all_ready.wait()
+                for place in ("here", "there"):
+                    name = f"beside-{number}"
+                    await call_until_served(fleet, entry, place, name, is_kept=False)
+                for crowd in crowds:
+                    crowd.scope.cancel()
+        for machine in fleet.machines:
+            self.assertIsNone(machine.process.poll())
+            peak = read_memory(machine.process.pid, "VmHWM")
+            self.assertLessEqual(peak, SMALLEST_MB * MEGABYTE, machine.server.service)
+
     @on_small_machines
     async def test_answers_with_many_header_lines(self, fleet):
         for machine in fleet.machines:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1704,6 +1704,23 @@
             self.assertLess(len(await read_all(stalled)), len(LARGE_BODY))
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_answers_of_a_caller_that_is_closed_are_freed_at_once(self):
+        """Guards against answers that are held uncounted until it closes its side."""
+        async with trio.open_nursery() as nursery:
+            await self.start(nursery, 0)
+            self.memory.max_bytes = 4 * LARGE_ANSWER_BYTES
+            stalled = await connect_slow_reader(self.setup)
+            await stalled.send_all(KEPT_REQUEST * 4)
+            await trio.sleep(2 * STALL_TIMEOUT_S)
+            (connection,) = self.setup.server.connections
+            self.assertEqual(len(connection.exchanges), 4)
+            await self.call()
+            self.assertEqual(len(self.setup.server.lingers), 1)
+            self.assertFalse(connection.exchanges)
+            self.assertEqual(self.memory.used_bytes, LARGE_ANSWER_BYTES)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_answer_behind_one_at_work_is_not_stalled_by_its_caller(self):
         """Guards against a run that is broken off, as if its caller took nothing."""
