--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -22,6 +22,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.instance_view import InstanceView, ListChange
+from catkinpost.state.memory_account import MemoryAccount
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
 from catkinpost.state.policy_store import PolicyStore
@@ -54,6 +55,7 @@
     stats: PeerStats
     pause_watch: PauseWatch
     request_memory: RequestMemory
+    memory_account: MemoryAccount
     head_memory: HeadMemory
     answer_memory: AnswerMemory
     links: LinkTable
--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -24,6 +24,10 @@
 __all__ = ["OperatorApi", "render_metrics"]
 
 MAX_WAIT_S = 30.0
+# Requests that wait hold their heads, which may be large. Others are answered at once.
+MAX_WAITING_REQUESTS = 16
+# Requests of operators and of metric collectors are small.
+MAX_UNFINISHED_HEAD_BYTES = 4096
 JSON_TYPE = b"application/json"
 TEXT_TYPE = b"text/plain; charset=utf-8"
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -50,6 +54,7 @@
         self.decisions = decisions
         self.metrics = metrics
         self.store = store
+        self.waiting = 0
         self.routes: dict[str, Callable[[dict], Awaitable[tuple[bytes, bytes]]]] = {
             "/status": self.get_status,
             "/decisions": self.get_decisions,
@@ -87,7 +92,13 @@
     async def get_decisions(self, query: dict) -> tuple[bytes, bytes]:
         after = int(query.get("after", ["0"])[0])
         wait = min(MAX_WAIT_S, max(0.0, float(query.get("wait", ["0"])[0])))
-        found = await self.decisions.wait_for_decisions_after(after, wait)
+        if self.waiting >= MAX_WAITING_REQUESTS:
+            wait = 0.0
+        self.waiting += 1
+        try:
+            found = await self.decisions.wait_for_decisions_after(after, wait)
+        finally:
+            self.waiting -= 1
         return JSON_TYPE, msgspec.json.encode(found)
 
     async def get_histogram(self, query: dict) -> tuple[bytes, bytes]:
@@ -109,6 +120,7 @@
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.1
+        config.h11_max_incomplete_size = MAX_UNFINISHED_HEAD_BYTES
         await hypercorn.trio.serve(self, config, shutdown_trigger=trio.sleep_forever)
 
 
@@ -214,6 +226,7 @@
             ("limit", self.status.limit),
             ("queued", self.status.queued),
             ("request_bytes", self.status.request_bytes),
+            ("held_bytes", self.status.held_bytes),
             ("head_bytes", self.status.head_bytes),
             ("answer_bytes", self.status.answer_bytes),
             ("policy_version", self.status.policy.version),
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -61,6 +61,7 @@
             queued=admission.queued,
             entry_calls=node.dispatcher.active_requests,
             request_bytes=node.request_memory.used_bytes,
+            held_bytes=node.memory_account.used_bytes,
             head_bytes=node.head_memory.used_bytes,
             answer_bytes=node.answer_memory.used_bytes,
             backend_reachable=backend.reachable,
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -66,6 +66,7 @@
     """State of one node.
 
     :param request_bytes: bytes reserved for the bodies of requests.
+    :param held_bytes: bytes of bodies, heads, unfinished answers and connections.
     :param head_bytes: bytes of requests as parsed, without large bodies, of connections
         that hold more than their own room.
     :param answer_bytes: bytes of the answers that callers have not taken, of those that
@@ -87,6 +88,7 @@
     queued: int
     entry_calls: int
     request_bytes: int
+    held_bytes: int
     head_bytes: int
     answer_bytes: int
     backend_reachable: bool
