Bound connections at the operators' address, and skip lost ones as accepting ends

Its connections were the library's, which has no bound. The node accepts them itself now, 64 at once, and lets the library serve each; idle ones end after 2 s, and one whose caller takes nothing for 10 s is reset, as the library would wait for ever, also at a stop.

--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -1,12 +1,17 @@
 """HTTP interface for operators: status, decisions, histograms and metrics."""
 
+import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from urllib.parse import parse_qs
 
-import hypercorn.config
-import hypercorn.trio
 import msgspec
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
@@ -20,6 +25,7 @@
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
+from catkinpost.transport.acceptor import Acceptor, CallerGate, keep_all
 
 __all__ = ["OperatorApi", "render_metrics"]
 
@@ -28,6 +34,10 @@
 MAX_WAITING_REQUESTS = 16
 # Requests of operators and of metric collectors are small.
 MAX_UNFINISHED_HEAD_BYTES = 4096
+MAX_CONNECTIONS = 64
+MAX_STALL_MS = 10_000
+# Idle connections and heads that are not whole keep others waiting.
+MAX_IDLE_S = 2.0
 JSON_TYPE = b"application/json"
 TEXT_TYPE = b"text/plain; charset=utf-8"
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -55,6 +65,7 @@
         self.metrics = metrics
         self.store = store
         self.waiting = 0
+        self.connections = 0
         self.routes: dict[str, Callable[[dict], Awaitable[tuple[bytes, bytes]]]] = {
             "/status": self.get_status,
             "/decisions": self.get_decisions,
@@ -65,9 +76,6 @@
 
     async def __call__(self, scope: dict, receive, send) -> None:
         """Serve one ASGI connection."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         route = self.routes.get(scope["path"])
@@ -113,25 +121,40 @@
     async def serve(self, address: Address) -> None:
         """Serve until cancelled.
 
+        Others wait while there are as many connections as there may be; the library
+        closes idle ones.
+
         :param address: address to listen on.
         """
-        config = hypercorn.config.Config()
-        config.bind = [str(address)]
+        config = Config()
         config.accesslog = None
         config.errorlog = None
-        config.graceful_timeout = 0.1
+        config.keep_alive_timeout = MAX_IDLE_S
         config.h11_max_incomplete_size = MAX_UNFINISHED_HEAD_BYTES
-        await hypercorn.trio.serve(self, config, shutdown_trigger=trio.sleep_forever)
-
-
-async def serve_lifespan(receive, send) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
+        acceptor = Acceptor()
+        acceptor.gate = CallerGate(
+            count_connections=lambda: self.connections,
+            make_room=keep_all,
+            reserved_descriptors=0,
+            max_connections=MAX_CONNECTIONS,
+        )
+        async with trio.open_nursery() as nursery:
+            serve = partial(self.serve_connection, config)
+            await acceptor.listen(address, serve, nursery)
+
+    async def serve_connection(self, config: Config, stream: trio.SocketStream) -> None:
+        """Serve one connection until either side closes it."""
+        # The library waits for ever to send to a caller that reads nothing.
+        if sys.platform == "linux":
+            stream.socket.setsockopt(
+                trio.socket.IPPROTO_TCP, trio.socket.TCP_USER_TIMEOUT, MAX_STALL_MS
+            )
+        self.connections += 1
+        try:
+            app, context = ASGIWrapper(self), WorkerContext(None)
+            await TCPServer(app, config, context, ConnectionState({}), stream).run()
+        finally:
+            self.connections -= 1
 
 
 async def send_response(send, status: int, content_type: bytes, body: bytes) -> None:
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -1,6 +1,7 @@
 """Accepting of connections at one address, and its end."""
 
 import contextlib
+import errno
 import resource
 import socket
 from collections.abc import Awaitable, Callable
@@ -21,8 +22,11 @@
     "END_TIMEOUT_S",
     "LISTEN_BACKLOG",
     "MAX_OPEN_RETRY_S",
+    "AcceptQueue",
     "Acceptor",
     "CallerGate",
+    "accept_connection",
+    "keep_all",
 ]
 
 # While the accept queue is full, each caller waits seconds before it connects again.
@@ -31,6 +35,20 @@
 END_TIMEOUT_S = 0.1
 # Other tasks have their turns between batches of connections.
 MAX_ACCEPTED_AT_ONCE = 64
+# Errors of one connection that was lost while it waited; others wait behind it.
+LOST_CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
+MAX_LOST_CONNECTIONS = 64
 
 # Delays between tries double from the first to the second.
 OPEN_RETRY_S, MAX_OPEN_RETRY_S = 0.05, 0.5
@@ -189,12 +207,26 @@
         :return: the connection, ``None`` if none waits.
         :raises OSError: when none can be accepted now.
         """
-        try:
-            connection, _ = self.socket.accept()
-        except (BlockingIOError, ConnectionAbortedError):
+        connection = self.accept_next()
+        if connection is None:
             return None
         return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
 
+    def accept_next(self) -> socket.socket | None:
+        """Accept the next connection that is not lost.
+
+        :raises OSError: when none can be accepted now.
+        """
+        for _ in range(MAX_LOST_CONNECTIONS):
+            try:
+                return accept_connection(self.socket)
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                if error.errno not in LOST_CONNECTION_ERRORS:
+                    raise
+        return None
+
     def close(self) -> None:
         """Leave the descriptor to the listener."""
         self.socket.detach()
@@ -396,6 +428,15 @@
             await self.ended.wait()
 
 
+def accept_connection(listener: socket.socket) -> socket.socket:
+    """Accept one connection of a listener that does not block.
+
+    :raises OSError: when none waits, it was lost, or none can be accepted.
+    """
+    connection, _ = listener.accept()
+    return connection
+
+
 async def try_to_open(address: Address) -> list[trio.SocketListener]:
     """Open an address.
 
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -10,11 +10,13 @@
 from nose2.tools import params
 
 from catkinpost.protocol.settings import Address
+from catkinpost.transport import acceptor
 from catkinpost.transport.acceptor import (
     END_TIMEOUT_S,
     MAX_OPEN_RETRY_S,
     Acceptor,
     AcceptQueue,
+    accept_connection,
 )
 from tests.clock import on_mock_clock
 from tests.shortage import no_free_descriptors
@@ -25,6 +27,19 @@
 TURN_S = 0.25
 
 
+def fail_once(error, function):
+    """Return a function that raises an error at its second call."""
+    calls = []
+
+    def call(*args):
+        calls.append(args)
+        if len(calls) == 2:
+            raise error
+        return function(*args)
+
+    return call
+
+
 class Setup:
     """Acceptor whose connections are recorded."""
 
@@ -261,6 +276,27 @@
                 caller.close()
             nursery.cancel_scope.cancel()
 
+    @params(errno.ECONNABORTED, errno.EPROTO, errno.EHOSTUNREACH)
+    def test_lost_connection_does_not_end_accepting_at_a_stop(self, number):
+        """Guards against callers that are reset behind one that has gone."""
+        self.check_lost(number)
+
+    @on_mock_clock(io=True)
+    async def check_lost(self, number):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            await trio.sleep(0.1)
+            callers = [setup.connect_now() for _ in range(3)]
+            with mock.patch.object(acceptor, "accept_connection") as accept_one:
+                error = OSError(number, "gone")
+                accept_one.side_effect = fail_once(error, accept_connection)
+                await setup.acceptor.stop()
+            self.assertEqual(len(setup.accepted), 3)
+            for caller in callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_callers_that_never_stop_coming_do_not_delay_the_end(self):
         async with trio.open_nursery() as nursery:
