--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from eliot import log_message
 
 from catkinpost.protocol.header import build_failure_response
 from catkinpost.protocol.http import (
@@ -17,15 +16,19 @@
     encode_response_parts,
 )
 from catkinpost.protocol.outcome import Failure, Reason, build_leaving_failure
-from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
+from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.head_memory import HeadMemory
 from catkinpost.state.request_memory import (
     SMALL_BODY_BYTES,
     RequestMemory,
     Reservation,
 )
-from catkinpost.transport.acceptor import CallerGate
 from catkinpost.transport.body_reservation import reserve_body
+from catkinpost.transport.caller_room import (
+    RESERVED_DESCRIPTORS,
+    SHORTAGE_FAILURE,
+    CallerRoom,
+)
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger, count_unacknowledged_bytes
@@ -41,28 +44,11 @@
 # A check that is later than this shows that the process did not run.
 MAX_CHECK_DELAY_S = 0.4
 MAX_PIPELINED_REQUESTS = 32
-# Memory of a connection with its task, and of a small request on it.
-CONNECTION_BYTES = 16 * 1024
 # Memory of the task of a request that is handled, and of what it refers to.
 EXCHANGE_BYTES = 4096
-# A caller that has just connected, or been answered, is likely to send next.
-MIN_IDLE_S = 0.2
-MAX_CLOSED_AT_ONCE = 16
-# Time in which the head of a request comes whole, unless packets are lost or its caller
-# lets others wait.
-MIN_UNREAD_S = 1.0
-# Descriptors for connections that a node needs to answer its callers: to its server,
-# peers and the store, and for readiness probes.
-RESERVED_DESCRIPTORS = 16
 LEAVING_FAILURE = build_leaving_failure(
     "the node stops and an answer would not reach the caller in time"
 )
-SHORTAGE_RETRY_AFTER_S = 0.5
-SHORTAGE_FAILURE = Failure(
-    reason=Reason.QUEUE_FULL,
-    detail="the node has no descriptor left for more callers",
-    retry_after=SHORTAGE_RETRY_AFTER_S,
-)
 EXPECT_CONTINUE = (b"expect", b"100-continue")
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Larger bodies are sent without a copy, in pieces that show the caller's progress.
@@ -73,7 +59,7 @@
 FailureReporter = Callable[[Failure], None]
 
 
-class HttpServer:
+class HttpServer(CallerRoom):
     """HTTP server that passes requests to a handler and sends its responses.
 
     Pipelined requests of a connection are handled concurrently; their responses are
@@ -90,7 +76,6 @@
     :param answer_memory: memory for the bodies of responses, ``None`` for no bound.
     :param reserved_descriptors: descriptors that callers leave free.
     :param max_connections: most connections of callers, ``None`` for no such bound.
-    :ivar gate: bound on connections of callers.
     :ivar leaving: whether each connection is closed after its last response.
     :ivar deliver_by: time until which callers can take responses, infinite while the
         server does not leave.
@@ -114,6 +99,9 @@
         reserved_descriptors: int = RESERVED_DESCRIPTORS,
         max_connections: int | None = None,
     ) -> None:
+        super().__init__(
+            reserved_descriptors=reserved_descriptors, max_connections=max_connections
+        )
         self.handler = handler
         self.limits = limits
         self.report_failure = report_failure
@@ -121,12 +109,6 @@
         self.memory = memory
         self.head_memory = head_memory
         self.answer_memory = answer_memory
-        self.gate = CallerGate(
-            count_connections=self.count_connections,
-            make_room=self.make_room_gently,
-            reserved_descriptors=reserved_descriptors,
-            max_connections=max_connections,
-        )
         self.leaving = False
         self.deliver_by = math.inf
         self.is_refusing = False
@@ -135,9 +117,6 @@
         self.unbegun_requests = 0
         self.closed_idle = 0
         self.checked_at = -math.inf
-        self.resumed_at = -math.inf
-        self.connections: set[Connection] = set()
-        self.lingers: set[Linger] = set()
 
     @property
     def is_busy(self) -> bool:
@@ -234,93 +213,6 @@
         if connection.is_awaiting_request:
             connection.scope.cancel()
 
-    def count_connections(self) -> int:
-        """Return the number of callers' connections, with those that are answered."""
-        return len(self.connections) + len(self.lingers)
-
-    @property
-    def used_bytes(self) -> int:
-        """Bytes of memory that the connections take, without what is counted else."""
-        return self.count_connections() * CONNECTION_BYTES
-
-    def make_room_gently(self) -> int:
-        """Make room for a caller that can wait."""
-        return self.make_room(MIN_IDLE_S)
-
-    def make_room(self, min_linger_s: float = 0.0) -> int:
-        """Close connections whose callers hold them up, and return their number.
-
-        Those go first on which nothing is due: answered ones that await the close of
-        their callers, and then idle ones. Those follow whose request has not come for
-        some time, which are told so, and those whose caller takes nothing. Of each kind
-        those go first that have waited for the longest time.
-
-        :param min_linger_s: seconds that callers have for their close.
-        """
-        now = trio.current_time()
-        begun_before = now - min_linger_s
-        delivered = [
-            item
-            for item in self.lingers
-            if item.begun_at <= begun_before and not item.is_pending
-        ]
-        delivered.sort(key=lambda item: item.begun_at)
-        for linger in delivered[:MAX_CLOSED_AT_ONCE]:
-            linger.scope.cancel()
-        if delivered:
-            return len(delivered[:MAX_CLOSED_AT_ONCE])
-        if idle := self.find_oldest(Phase.IDLE, now - MIN_IDLE_S):
-            for connection in idle:
-                self.close_overdue(connection)
-            return len(idle)
-        unread = self.find_oldest(Phase.READING, now - MIN_UNREAD_S)
-        unread = [item for item in unread if item.is_unread]
-        for connection in unread:
-            connection.drop_unread(SHORTAGE_FAILURE)
-        if unread:
-            return len(unread)
-        stalled = [
-            item
-            for item in self.find_oldest(Phase.SENDING, now - STALL_TIMEOUT_S)
-            if self.is_stalled(item, now)
-        ]
-        return sum(item.give_up() for item in stalled)
-
-    def find_oldest(self, phase: Phase, since: float) -> list[Connection]:
-        """Return some of the connections that have been in a phase for longest.
-
-        :param phase: phase in which their callers hold them up.
-        :param since: time before which the phase has begun.
-        """
-        found = [
-            item
-            for item in self.connections
-            if item.phase is phase
-            and item.phase_started_at < since
-            and not item.scope.cancel_called
-            and not (item.is_awaiting_request and item.is_ending)
-        ]
-        found.sort(key=lambda item: item.phase_started_at)
-        return found[:MAX_CLOSED_AT_ONCE]
-
-    def is_stalled(self, connection: Connection, now: float) -> bool:
-        """Return whether a caller has taken nothing of an answer for some time."""
-        connection.update_taken_at(now)
-        taken_at = max(connection.progressed_at, connection.taken_at, self.resumed_at)
-        return now - taken_at > STALL_TIMEOUT_S
-
-    def keep_descriptors_free(self) -> None:
-        """Close connections on which nothing is due while descriptors are short."""
-        if not self.connections:
-            return
-        socket = next(iter(self.connections)).stream.socket
-        if socket.fileno() < 0 or self.gate.has_free(
-            socket, self.gate.reserved_descriptors
-        ):
-            return
-        if closed := self.make_room():
-            log_message("http: closed for descriptors", count=closed)
-
     async def watch_connections(self) -> None:
         """Close overdue connections and start readers where needed, until cancelled.
 
@@ -349,15 +241,6 @@
             elif connection.needs_reader_task:
                 self.start_reader_if_readable(connection)
 
-    def close_overdue(self, connection: Connection) -> None:
-        """Close a connection that makes no progress."""
-        if connection.phase is Phase.IDLE:
-            # A request that arrives before its task runs would be discarded.
-            connection.end_sending()
-        connection.overdue = True
-        connection.closing = True
-        connection.scope.cancel()
-
     def start_reader_if_readable(self, connection: Connection) -> None:
         """Start to read a connection beside its only request if it is readable.
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -19,11 +19,12 @@
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S, AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
-from catkinpost.transport import http_server
+from catkinpost.transport import caller_room, http_server
 from catkinpost.transport.acceptor import Acceptor
+from catkinpost.transport.caller_room import MIN_IDLE_S, MIN_UNREAD_S
 from catkinpost.transport.http_client import BackendClient
 from catkinpost.transport.http_connection import Phase
-from catkinpost.transport.http_server import MIN_IDLE_S, MIN_UNREAD_S, HttpServer
+from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.linger import LINGER_TIMEOUT_S
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
 from tests.shortage import descriptors_left, no_free_descriptors
@@ -723,7 +724,7 @@
             await trio.sleep(1.0)
             new = await setup.connect()
             await trio.sleep(0.1)
-            with mock.patch.object(http_server, "MAX_CLOSED_AT_ONCE", 1):
+            with mock.patch.object(caller_room, "MAX_CLOSED_AT_ONCE", 1):
                 self.assertEqual(setup.server.make_room(), 1)
                 self.assertEqual(await read_all(idle), b"")
                 self.assertEqual(setup.server.make_room(), 1)
@@ -751,7 +752,7 @@
                 await caller.send_all(CLOSING_REQUEST)
                 await trio.sleep(0.1)
             expected = sorted(item.begun_at for item in setup.server.lingers)[1:]
-            with mock.patch.object(http_server, "MAX_CLOSED_AT_ONCE", 1):
+            with mock.patch.object(caller_room, "MAX_CLOSED_AT_ONCE", 1):
                 self.assertEqual(setup.server.make_room(), 1)
             await trio.sleep(0.1)
             kept = sorted(item.begun_at for item in setup.server.lingers)
