Drop what the tests of crowds wrote twice or never read

A record of received bytes, a parameter that no caller set, and two names that the tests of the operators' address had again.

--- a/tests/end_to_end/crowd.py
+++ b/tests/end_to_end/crowd.py
@@ -80,7 +80,6 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     ready: int = 0
     all_ready: trio.Event = field(default_factory=trio.Event)
-    received: dict[int, bytes] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Run all clients until the crowd is cancelled."""
@@ -102,18 +101,17 @@
                     for piece in self.form.build(number):
                         await stream.send_all(piece)
                 self.note_ready()
-                await self.read(number, stream)
+                await self.read(stream)
             except trio.BrokenResourceError:
                 # The node may close the connection of such a client.
                 self.note_ready()
 
-    async def read(self, number: int, stream: trio.SocketStream) -> None:
+    async def read(self, stream: trio.SocketStream) -> None:
         left = self.form.reads
         while left is None or left > 0:
             data = await stream.receive_some(READ_BYTES)
             if not data:
                 return
-            self.received[number] = self.received.get(number, b"")[:READ_BYTES] + data
             left = None if left is None else left - len(data)
         await trio.sleep_forever()
 
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -217,16 +217,14 @@
 class TestCrowds(unittest.TestCase):
     """Each crowd comes three times, and an ordinary caller beside it."""
 
-    async def check(
-        self, fleet, form, port, *, size=CROWD, rounds=ROUNDS, is_kept=True
-    ):
+    async def check(self, fleet, form, port, *, rounds=ROUNDS, is_kept=True):
         entry = fleet.machines[0]
         pids = [item.process.pid for item in fleet.machines]
         for place in ("here", "there"):
             await call_until_served(fleet, entry, place, "before")
         before = [count_descriptors(pid) for pid in pids]
         for number in range(rounds):
-            crowd = Crowd(form=form, address=(entry.host, port), size=size)
+            crowd = Crowd(form=form, address=(entry.host, port), size=CROWD)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(crowd.run)
                 await crowd.all_ready.wait()
--- a/tests/end_to_end/test_operator_crowds.py
+++ b/tests/end_to_end/test_operator_crowds.py
@@ -7,7 +7,6 @@
 from nose2.tools import params
 
 from tests.end_to_end.crowd import (
-    HEAD_BYTES,
     Crowd,
     Form,
     build_head,
@@ -15,23 +14,24 @@
     count_descriptors,
     read_memory,
 )
-from tests.end_to_end.test_crowds import CROWD, ROUNDS, make_short_line
+from tests.end_to_end.test_crowds import (
+    CROWD,
+    LINES_BYTES,
+    ROUNDS,
+    build_nothing,
+    make_short_line,
+)
 from tests.end_to_end.test_processes import HOST, send_get, with_fleet
 
 # What the users grant a node for control.
 MAX_BYTES = 128_000_000
 MORE_DESCRIPTORS = 100
-LINES_BYTES = HEAD_BYTES - 200
 
 
 def build(start, is_ended, number):
     yield build_head(start, build_lines(make_short_line, LINES_BYTES), end=is_ended)
 
 
-def build_nothing(number):
-    return []
-
-
 class TestOperatorCrowds(unittest.TestCase):
     @params(
         ("heads that never end", functools.partial(build, "GET /status", False)),
