Bound what the system holds of callers' unread input

What callers saw: nodes that were ended over the memory of their machine, with requests of kept connections that had been passed on and got no answer; started and ended again as the crowd came back.

Cause: bytes that were received and not read count towards the memory of the machine, and nothing bounded them. The system lets the receive buffer of each connection grow to megabytes while it is read, so a crowd whose bodies wait for memory, or for their turn, holds up to 40 MB for 250 connections beside what the node counts itself.

Change: listeners of callers, readiness and operators have a receive buffer of 16 KiB, which connections inherit. It is wider, up to 256 KiB, only while the rest of a body with a length is due, whose memory is reserved already.

--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -26,6 +26,7 @@
 from catkinpost.state.metric import Metrics
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.transport.acceptor import Acceptor, CallerGate, keep_all
+from catkinpost.transport.http_connection import RECEIVE_BUFFER_BYTES
 
 __all__ = ["OperatorApi", "render_metrics"]
 
@@ -131,7 +132,7 @@
         config.errorlog = None
         config.keep_alive_timeout = MAX_IDLE_S
         config.h11_max_incomplete_size = MAX_UNFINISHED_HEAD_BYTES
-        acceptor = Acceptor()
+        acceptor = Acceptor(receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         acceptor.gate = CallerGate(
             count_connections=lambda: self.connections,
             make_room=keep_all,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -52,6 +52,7 @@
 from catkinpost.stop import PlannedStop
 from catkinpost.transport.acceptor import Acceptor
 from catkinpost.transport.http_client import BackendClient
+from catkinpost.transport.http_connection import RECEIVE_BUFFER_BYTES
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["Node"]
@@ -82,7 +83,7 @@
         self.nursery: trio.Nursery | None = None
         self.is_leaving = False
         self.planned_stop = PlannedStop(self)
-        self.call_acceptor = Acceptor()
+        self.call_acceptor = Acceptor(receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         self.peer_acceptor = Acceptor()
         self.nodes_in_region = 1
         self.build_state()
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -21,6 +21,7 @@
 from catkinpost.protocol.settings import parse_address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
 from catkinpost.transport.acceptor import Acceptor
+from catkinpost.transport.http_connection import RECEIVE_BUFFER_BYTES
 from catkinpost.transport.http_server import HttpServer
 
 __all__ = ["PlatformEnvironment", "log_settings"]
@@ -80,7 +81,7 @@
             reserved_descriptors=0,
             max_connections=MAX_PROBE_CONNECTIONS,
         )
-        self.probe_acceptor = Acceptor()
+        self.probe_acceptor = Acceptor(receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         self.probe_acceptor.make_room = self.probe_server.make_room
         self.probe_acceptor.gate = self.probe_server.gate
 
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -16,6 +16,7 @@
     count_free_descriptors,
     count_waiting_callers,
     read_waiting_time,
+    set_receive_buffer,
 )
 
 __all__ = [
@@ -240,14 +241,22 @@
 
     :param backlog: most connections that are accepted at the end, as callers may
         never stop coming.
+    :param receive_buffer_bytes: receive buffer of each connection, ``None`` for the
+        default of the system, which lets it grow to megabytes.
     :ivar make_room: closes connections when descriptors run out, and returns their
         number.
     :ivar gate: bound on connections until the end, ``None`` for none.
     :ivar is_listening: whether connections can be made.
     """
 
-    def __init__(self, backlog: int = LISTEN_BACKLOG) -> None:
+    def __init__(
+        self,
+        backlog: int = LISTEN_BACKLOG,
+        *,
+        receive_buffer_bytes: int | None = None,
+    ) -> None:
         self.backlog = backlog
+        self.receive_buffer_bytes = receive_buffer_bytes
         self.make_room: Callable[[], int] = keep_all
         self.gate: CallerGate | None = None
         self.open_scope = trio.CancelScope()
@@ -275,18 +284,29 @@
         """
         listeners: list[trio.SocketListener] = []
         with self.open_scope:
-            listeners = await try_to_open(address)
+            listeners = await self.open(address)
             self.is_running = True
             task_status.started()
             delay_s = OPEN_RETRY_S
             while not listeners:
                 await trio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_OPEN_RETRY_S)
-                listeners = await try_to_open(address)
+                listeners = await self.open(address)
                 if listeners:
                     log_message("listen: address opened", address=str(address))
         await self.run(serve, listeners, nursery)
 
+    async def open(self, address: Address) -> list[trio.SocketListener]:
+        """Open an address, from which connections inherit their receive buffers.
+
+        :return: open listeners, none if the address can't be had now.
+        """
+        listeners = await try_to_open(address)
+        if self.receive_buffer_bytes is not None:
+            for listener in listeners:
+                set_receive_buffer(listener.socket, self.receive_buffer_bytes)
+        return listeners
+
     async def run(
         self, serve: Serve, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -15,9 +15,16 @@
     count_unacknowledged_bytes,
     has_data_in_flight,
 )
+from catkinpost.transport.socket_io import set_receive_buffer
 
-__all__ = ["Connection", "Exchange", "Phase"]
+__all__ = ["RECEIVE_BUFFER_BYTES", "Connection", "Exchange", "Phase"]
 
+# Receive buffer of a caller's connection. What the system holds there counts towards
+# the memory of the machine; ordinary requests fit.
+RECEIVE_BUFFER_BYTES = 16 * 1024
+# Buffer while a longer rest of a body is due, whose memory is reserved. A small one
+# would let less pass than a path with a long delay can carry.
+BODY_BUFFER_BYTES = 256 * 1024
 # Shorter deliveries end in time at any moment of a stop that still reads requests.
 MIN_DELIVERY_S = 0.1
 
@@ -94,6 +101,7 @@
     :param refusal: what the caller is told of a request that was dropped before it was
         read whole.
     :param exchange_bytes: bytes of memory that the requests being handled take.
+    :param has_wide_buffer: whether its receive buffer is that of a large body.
     :param had_data_in_flight: whether a close could destroy data when the sending side
         was closed; true until then.
     """
@@ -125,6 +133,7 @@
     idle_timeout: float = 0.0
     refusal: Failure | None = None
     exchange_bytes: int = 0
+    has_wide_buffer: bool = False
     had_data_in_flight: bool = True
 
     @property
@@ -282,8 +291,26 @@
         self.exchanges.clear()
         self.parser.close()
 
+    def widen_buffer(self) -> None:
+        """Let the rest of a body whose memory is reserved come faster.
+
+        Without a length, most of what comes may be framing, which is not reserved.
+        """
+        rest = self.parser.count_missing_body_bytes()
+        if self.has_wide_buffer or rest <= RECEIVE_BUFFER_BYTES:
+            return
+        self.has_wide_buffer = True
+        set_receive_buffer(self.stream.socket, min(rest, BODY_BUFFER_BYTES))
+
+    def narrow_buffer(self) -> None:
+        """Let the system hold no more than small requests again."""
+        if self.has_wide_buffer:
+            self.has_wide_buffer = False
+            set_receive_buffer(self.stream.socket, RECEIVE_BUFFER_BYTES)
+
     def drop_unfinished_body(self) -> None:
         """Drop the body that is being read, which is not needed any more."""
+        self.narrow_buffer()
         self.parser.body_parts.clear()
         if self.reservation is not None:
             self.reservation.release()
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -454,6 +454,8 @@
         if self.is_refusing or self.has_stopped_reading:
             self.refused_requests += 1
             return LEAVING_FAILURE
+        if result is not None:
+            connection.widen_buffer()
         return None
 
     async def handle_single_request(
@@ -497,6 +499,7 @@
     def add_exchange(self, connection: Connection, request: HttpRequest) -> Exchange:
         exchange = Exchange(request.keep_alive, request.method == b"HEAD")
         exchange.reservation, connection.reservation = connection.reservation, None
+        connection.narrow_buffer()
         connection.parser.ready_bytes -= request.held_bytes
         exchange.held_bytes = request.held_bytes + EXCHANGE_BYTES
         connection.exchange_bytes += exchange.held_bytes
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 
 import trio
+from eliot import log_message
 
 __all__ = [
     "NothingWrittenError",
@@ -23,6 +24,7 @@
     "read_waiting_time",
     "receive_some",
     "send_all",
+    "set_receive_buffer",
     "split_bytes",
     "write_some",
 ]
@@ -107,6 +109,22 @@
     return len(copies)
 
 
+def set_receive_buffer(socket: trio.socket.SocketType, size: int) -> None:
+    """Set the size of the receive buffer of a socket, which does not adapt any more.
+
+    The system keeps about twice as many bytes, with its own overhead.
+
+    :param socket: listener, whose connections inherit it, or connection.
+    :param size: size in bytes.
+    """
+    if socket.fileno() < 0:
+        return
+    try:
+        socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, size)
+    except OSError as error:
+        log_message("socket: receive buffer as it is", why=repr(error))
+
+
 def split_bytes(data: bytes, size: int) -> Iterator[memoryview]:
     """Split bytes into pieces without copying them.
 
