Log what a node holds as its memory nears the machine's limit

Cause: a process that exceeds the memory of its machine is killed and writes no last line. The log did not say how near a node was, nor of what: its memory could only be seen from outside.

Change: the node knows the memory of its machine (`memory-mb`, option `machine_memory_bytes`), and logs `memory: share passed` at half of it, three quarters and nine tenths, once until it falls below again and at most three times a second. The check reads one file four times a second. Bytes that callers have sent and the node has not read count as well, as they do for the platform; they are counted at most once a second, and only where they may make up a share. The peak of `getrusage` is not used first: it never falls, and starts with that of the program that started the process (160 MB where the process had 8). No decision depends on it.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -17,6 +17,7 @@
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.environment import Environment
+from catkinpost.coordination.memory_watch import MemoryWatch
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link import LinkSettings
@@ -289,6 +290,7 @@
             self.backend_client.buffer,
             self.http_server,
         ]
+        self.memory_watch = MemoryWatch(self)
         self.call_acceptor.make_room = self.http_server.make_room
         self.call_acceptor.gate = self.http_server.gate
 
@@ -311,6 +313,7 @@
             self.nursery = nursery
             nursery.start_soon(self.supervise, self.planned_stop.watch_signals)
             nursery.start_soon(self.supervise, self.pause_watch.run)
+            nursery.start_soon(self.supervise, self.memory_watch.run)
             nursery.start_soon(self.supervise, self.http_server.watch_connections)
             await self.listen(
                 listen.peers, self.peer_server.serve_connection, self.peer_acceptor
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -237,6 +237,13 @@
     return int(limits.memory_mb * MEGABYTE * ANSWER_MEMORY_SHARE)
 
 
+def compute_machine_memory(limits: LimitsTable) -> int | None:
+    """Return the bytes beyond which the platform kills the process, if any."""
+    if limits.memory_mb is None:
+        return None
+    return int(limits.memory_mb * MEGABYTE)
+
+
 def build_node_settings(file: SettingsFile) -> NodeSettings:
     process = file.process
     first_port = file.network.internal_port_range[0]
@@ -262,6 +269,7 @@
             held_memory_bytes=compute_held_memory(process.limits),
             head_memory_bytes=compute_head_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
+            machine_memory_bytes=compute_machine_memory(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             delivery_timeout=bounds.grace_period_s * DELIVERY_TIMEOUT_SHARE,
             leave_notice=LEAVE_NOTICE_S,
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -152,6 +152,9 @@
     :param answer_memory_bytes: maximum memory for all answers that callers have not
         taken yet; 16 KiB of each caller are not counted. Beyond it callers that take
         nothing are closed, and then further answers are replaced by 502.
+    :param machine_memory_bytes: memory beyond which the machine ends the process; the
+        log tells when the node has passed half of it, three quarters and nine tenths.
+        It bounds nothing.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
@@ -182,6 +185,7 @@
     held_memory_bytes: MemoryBytes = 128 * 1024 * 1024
     head_memory_bytes: MemoryBytes = 24 * 1024 * 1024
     answer_memory_bytes: MemoryBytes = 32 * 1024 * 1024
+    machine_memory_bytes: MemoryBytes | None = None
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
--- a/src/catkinpost/transport/caller_room.py
+++ b/src/catkinpost/transport/caller_room.py
@@ -11,6 +11,7 @@
 from catkinpost.transport.acceptor import CallerGate
 from catkinpost.transport.http_connection import Connection, Phase
 from catkinpost.transport.linger import Linger
+from catkinpost.transport.socket_io import count_unread_bytes
 
 __all__ = [
     "MIN_IDLE_S",
@@ -72,6 +73,17 @@
         """Bytes of memory that the connections take, without what is counted else."""
         return self.count_connections() * CONNECTION_BYTES
 
+    def count_unread_bytes(self) -> int | None:
+        """Return the bytes that callers have sent and this process has not read.
+
+        :return: the number, ``None`` when the system does not tell it.
+        """
+        streams = [item.stream for item in (*self.connections, *self.lingers)]
+        try:
+            return sum(count_unread_bytes(stream) for stream in streams)
+        except OSError:
+            return None
+
     def make_room_gently(self) -> int:
         """Make room for a caller that can wait."""
         return self.make_room(MIN_IDLE_S)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -78,6 +78,12 @@
         largest_bytes = bounds.request_memory_bytes * 7 / 8
         self.assertLessEqual(bounds.max_body_bytes, largest_bytes)
 
+    @params((80.5, 80_500_000), (None, None))
+    def test_memory_of_the_machine_is_told_to_the_node(self, memory_mb, machine_bytes):
+        limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
+        bounds = parse_platform_settings(SETTINGS + limits).node.bounds
+        self.assertEqual(bounds.machine_memory_bytes, machine_bytes)
+
     @params((80, 10_000_000), (None, 31_457_280))
     def test_heads_get_a_share_of_the_memory(self, memory_mb, head_bytes):
         limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -357,6 +357,7 @@
     @params(
         "planned_stop.watch_signals",
         "planned_stop.log_held",
+        "memory_watch.run",
         "environment.run",
         "planned_stop.finish_requests",
         "planned_stop.withdraw_late_attempts",
