Log the limits of a process and each of its ends but a kill

Cause: a log without `process: ends` told nothing. An exception that ended the process, unusable settings and a missing settings file were written to the standard error only, so that their logs looked like that of a killed process; nor did it say where a process starts, and with which limits.

Change: `process: starts` has the pid and the limits, `process: failed` the exception with its traceback, and `process: settings not usable` the reason, which is printed as before; the exception is raised on. `process: ends` has the peak of the memory.

The assertions on the log of a program without settings are new.

--- a/src/catkinpost/command/node.py
+++ b/src/catkinpost/command/node.py
@@ -10,7 +10,7 @@
 from catkinpost.log import start_log
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
-from catkinpost.process import run_process
+from catkinpost.process import log_failure, log_start, run_process
 from catkinpost.protocol.settings import NodeSettings, parse_settings
 
 __all__ = ["main"]
@@ -42,9 +42,11 @@
         typer.echo(f"{settings_file}: the settings are valid")
         return
     start_log(sys.stderr.fileno())
-    run_process(
-        partial(run_node, settings), poll_interval=settings.bounds.poll_interval
-    )
+    log_start(settings.bounds)
+    with log_failure():
+        run_process(
+            partial(run_node, settings), poll_interval=settings.bounds.poll_interval
+        )
 
 
 async def run_node(settings: NodeSettings) -> None:
--- a/src/catkinpost/platform/program.py
+++ b/src/catkinpost/platform/program.py
@@ -12,7 +12,7 @@
 from catkinpost.platform.environment import PlatformEnvironment, log_settings
 from catkinpost.platform.names import SETTINGS_VARIABLE
 from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
-from catkinpost.process import end_process, run_process
+from catkinpost.process import end_process, log_failure, log_start, run_process
 from catkinpost.protocol.outcome import Failure, Reason
 
 __all__ = ["load_settings", "run"]
@@ -28,22 +28,42 @@
 
     :return: exit status of the process if the node can't be started.
     """
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    if not path:
-        print(f"{SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
     start_log(open_output())
+    with log_failure():
+        return run_from_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+
+
+def run_from_settings(path: str) -> int:
+    """Run the node with the settings of a file, and end the process.
+
+    :param path: path of the file, empty if none is named.
+    :return: exit status of the process if the node can't be started.
+    """
+    if not path:
+        return report_bad_settings(f"{SETTINGS_VARIABLE} names no settings file")
     settings = trio.run(load_settings, Path(path))
     if isinstance(settings, Failure):
-        print(f"{path}: {settings.detail}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+        return report_bad_settings(f"{path}: {settings.detail}")
+    bounds = settings.node.bounds
+    log_start(bounds)
     log_settings("settings: read", settings)
     node = Node(settings.node, PlatformEnvironment(settings, Path(path)))
-    run_process(node.run, poll_interval=settings.node.bounds.poll_interval)
+    run_process(node.run, poll_interval=bounds.poll_interval)
     node.planned_stop.log_end()
     end_process()
 
 
+def report_bad_settings(problem: str) -> int:
+    """Log why the node can't be started, and print it for who starts it by hand.
+
+    :param problem: what is wrong with the settings.
+    :return: exit status of the process.
+    """
+    log_message("process: settings not usable", why=problem)
+    print(problem, file=sys.stderr)
+    return EXIT_BAD_SETTINGS
+
+
 def open_output() -> int:
     """Return the descriptor of the standard output, or one that takes its place.
 
--- a/src/catkinpost/process.py
+++ b/src/catkinpost/process.py
@@ -5,17 +5,21 @@
 import os
 import resource
 import time
-from collections.abc import Awaitable, Callable
+import traceback
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import NoReturn
 
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.memory_watch import read_peak_memory
 from catkinpost.coordination.pause import SuspendAwareClock
+from catkinpost.protocol.settings import BoundsSection
 from catkinpost.transport.moderation import PollModerator
 
-__all__ = ["ProcessUsage", "end_process", "run_process"]
+__all__ = ["ProcessUsage", "end_process", "log_failure", "log_start", "run_process"]
 
 # Most objects of a call are short-lived; full collections only add to its tail
 # latency.
@@ -27,6 +31,8 @@
 # Free memory that is kept for small blocks. With the default, which is not adapted any
 # more, each buffer of a read would be returned and fetched again.
 KEPT_FREE_BYTES = 4 * 1024 * 1024
+# A group of exceptions has a part for each task that failed.
+MAX_WHY_CHARACTERS, MAX_TRACEBACK_CHARACTERS = 1024, 16 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -56,15 +62,65 @@
         )
 
     def describe_since(self, earlier: "ProcessUsage") -> dict[str, float]:
-        """Return what was used since an earlier moment."""
+        """Return what was used since an earlier moment, and the peak memory."""
         return {
             "seconds": round(self.read_at - earlier.read_at, 3),
             "processor_s": round(self.processor_s - earlier.processor_s, 3),
             "switches": self.switches - earlier.switches,
             "preemptions": self.preemptions - earlier.preemptions,
+            "peak_bytes": read_peak_memory(),
         }
 
 
+def log_start(bounds: BoundsSection) -> None:
+    """Log the limits under which the process starts.
+
+    :param bounds: bounds of the node.
+    """
+    log_message(
+        "process: starts",
+        pid=os.getpid(),
+        machine_memory_bytes=bounds.machine_memory_bytes,
+        address_space_bytes=read_limit(resource.RLIMIT_AS),
+        descriptors=read_limit(resource.RLIMIT_NOFILE),
+        held_memory_bytes=bounds.held_memory_bytes,
+        request_memory_bytes=bounds.request_memory_bytes,
+        head_memory_bytes=bounds.head_memory_bytes,
+        answer_memory_bytes=bounds.answer_memory_bytes,
+    )
+
+
+def read_limit(kind: int) -> int | None:
+    """Return a limit of the process that is in force.
+
+    :param kind: one of the ``RLIMIT`` constants of :mod:`resource`.
+    :return: the limit, ``None`` for none or when the system does not tell it.
+    """
+    try:
+        limit = resource.getrlimit(kind)[0]
+    except OSError:
+        return None
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
+@contextmanager
+def log_failure() -> Iterator[None]:
+    """Log the exception that ends the process, and raise it again.
+
+    A log without it, and without a planned stop, is that of a killed process.
+    """
+    try:
+        yield
+    except BaseException as error:
+        text = "".join(traceback.format_exception(error))
+        log_message(
+            "process: failed",
+            why=repr(error)[:MAX_WHY_CHARACTERS],
+            traceback=text[-MAX_TRACEBACK_CHARACTERS:],
+        )
+        raise
+
+
 def run_process(start: Callable[[], Awaitable[None]], *, poll_interval: float) -> None:
     """Run the event loop of a node until the node ends.
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,5 +1,6 @@
 """Tests of the program that the platform starts."""
 
+import json
 import os
 import re
 import subprocess
@@ -71,6 +72,7 @@
         result = self.run_program(["-m", "catkinpost.platform"], has_variable=False)
         self.assertEqual(result.returncode, 2)
         self.assertEqual(len(result.stderr.splitlines()), 1)
+        self.check_last_line(result)
 
     def test_changed_settings_do_not_end_a_starting_program(self):
         """Guards against a process that ends by SIGHUP before it watches the file."""
@@ -95,7 +97,9 @@
         """Guards against a process that has stopped, and is killed meanwhile."""
         result = self.run_program(["-c", END_OF_PROGRAM], SETTINGS.encode())
         self.assertEqual((result.returncode, result.stderr), (0, ""))
-        self.assertIn("settings: read", result.stdout)
+        start, settings = map(json.loads, result.stdout.splitlines())
+        self.assertEqual(start["message_type"], "process: starts")
+        self.assertEqual(settings["message_type"], "settings: read")
         self.assertNotIn("torn down", result.stdout)
 
     def test_signal_is_ignored_before_any_module_is_read(self):
@@ -144,3 +148,10 @@
         self.assertEqual(result.returncode, 2)
         self.assertIn("local.toml", result.stderr)
         self.assertEqual(len(result.stderr.splitlines()), 1)
+        self.check_last_line(result)
+
+    def check_last_line(self, result):
+        """Check that the log tells by itself why the program ended."""
+        line = json.loads(result.stdout.splitlines()[-1])
+        self.assertEqual(line["message_type"], "process: settings not usable")
+        self.assertEqual(line["why"] + "\n", result.stderr)
