Count the unread input of many callers as memory that is held

Cause: the common account had 16 KiB for each connection and nothing for the input that the system holds of it. With the bound on receive buffers that is up to 32 KiB a connection, so a crowd of 1,000 holds up to 32 MB besides what the account has room for.

Change: with more than 128 connections that have a request, their unread input is counted every 0.2 s and is part of the account; bodies and heads get no room that it takes. Bodies whose memory is reserved have a wider buffer and aren't counted twice. Fewer connections cost no system call.

--- a/src/catkinpost/transport/caller_room.py
+++ b/src/catkinpost/transport/caller_room.py
@@ -9,7 +9,11 @@
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.state.answer_memory import STALL_TIMEOUT_S
 from catkinpost.transport.acceptor import CallerGate
-from catkinpost.transport.http_connection import Connection, Phase
+from catkinpost.transport.http_connection import (
+    RECEIVE_BUFFER_BYTES,
+    Connection,
+    Phase,
+)
 from catkinpost.transport.linger import Linger
 from catkinpost.transport.socket_io import count_unread_bytes
 
@@ -18,6 +22,7 @@
     "MIN_UNREAD_S",
     "RESERVED_DESCRIPTORS",
     "SHORTAGE_FAILURE",
+    "UNCOUNTED_CONNECTIONS",
     "CallerRoom",
 ]
 
@@ -32,6 +37,9 @@
 RESERVED_DESCRIPTORS = 16
 # Memory of a connection with its task, and of a small request on it.
 CONNECTION_BYTES = 16 * 1024
+# So many connections with a request hold little unread input, which takes a system call
+# each to count.
+UNCOUNTED_CONNECTIONS = 128
 SHORTAGE_RETRY_AFTER_S = 0.5
 SHORTAGE_FAILURE = Failure(
     reason=Reason.QUEUE_FULL,
@@ -47,6 +55,7 @@
     :param max_connections: most connections of callers, ``None`` for no such bound.
     :ivar connections: connections that are served.
     :ivar lingers: connections that this side has closed and their callers have not.
+    :ivar unread_bytes: input that the system held of callers when it was last counted.
     :ivar resumed_at: end of the latest pause of this process.
     :ivar gate: bound on connections of callers.
     """
@@ -56,6 +65,7 @@
     ) -> None:
         self.connections: set[Connection] = set()
         self.lingers: set[Linger] = set()
+        self.unread_bytes = 0
         self.resumed_at = -math.inf
         self.gate = CallerGate(
             count_connections=self.count_connections,
@@ -71,7 +81,22 @@
     @property
     def used_bytes(self) -> int:
         """Bytes of memory that the connections take, without what is counted else."""
-        return self.count_connections() * CONNECTION_BYTES
+        return self.count_connections() * CONNECTION_BYTES + self.unread_bytes
+
+    def update_unread_bytes(self) -> None:
+        """Count the input that the system holds, without that of reserved bodies."""
+        active = [
+            item.stream
+            for item in self.connections
+            if item.phase is not Phase.IDLE and not item.has_wide_buffer
+        ]
+        if len(active) <= UNCOUNTED_CONNECTIONS:
+            self.unread_bytes = 0
+            return
+        try:
+            self.unread_bytes = sum(count_unread_bytes(stream) for stream in active)
+        except OSError:
+            self.unread_bytes = len(active) * 2 * RECEIVE_BUFFER_BYTES
 
     def count_unread_bytes(self) -> int | None:
         """Return the bytes that callers have sent and this process has not read.
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -223,6 +223,7 @@
             await trio.sleep(CONNECTION_CHECK_INTERVAL_S)
             self.check_connections(trio.current_time())
             self.keep_descriptors_free()
+            self.update_unread_bytes()
 
     def check_connections(self, now: float) -> None:
         """Close overdue connections, and start readers where needed.
