Drop the bytes that were read once they are parsed

Cause: the task of a connection kept the last bytes that it had read, up to 16 KiB (256 KiB in a large body), while their request waited for memory or for its answer, beside what the parser had made of them. No bound counted them.

Change: they are dropped behind the parser.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -370,6 +370,8 @@
             connection.awaits_continue = False
             parser.next_limits = self.limits
             failure = parser.feed(data)
+            # It would be held while the request waits for memory, or for its answer.
+            del data
             head_only = bool(parser.messages) and parser.messages[0].method == b"HEAD"
             if failure is None:
                 failure = self.count_requests(connection)
