Bound the connections of callers by the memory of the machine

What callers saw: a node that is ended over its memory by the number of its callers alone.

Cause: only descriptors bound the connections of callers, and 4,100 of them take more than a small machine has beside the process and the answers.

Change: on the platform a node has as many connections as fit at 48 KiB each (task, small request, unread input): 4,200 on 300 MB, 2,500 on 200 MB, which have 4,100 descriptors; further callers wait in the accept queue until idle, unread or stalled ones are closed. Natively the option max_connections, none by default.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -284,6 +284,7 @@
             memory=self.request_memory,
             head_memory=self.head_memory,
             answer_memory=self.answer_memory,
+            max_connections=settings.bounds.max_connections,
         )
         self.memory_account.parts += [
             self.request_memory,
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -66,6 +66,9 @@
 PROCESS_BYTES = 40 * 1024 * 1024
 USABLE_SHARE = 0.75
 MIN_HELD_SHARE = 1 / 8
+# A connection with its task, a small request and the input that the system holds of it.
+CONNECTION_BYTES = 48 * 1024
+MIN_CONNECTIONS = 64
 MEGABYTE = 1_000_000
 # Room for one body of the largest size.
 DEFAULT_REQUEST_MEMORY_BYTES = 80 * 1024 * 1024
@@ -244,6 +247,15 @@
     return int(limits.memory_mb * MEGABYTE)
 
 
+def compute_max_connections(limits: LimitsTable) -> int | None:
+    """Return how many connections of callers fit beside the process and answers."""
+    if limits.memory_mb is None:
+        return None
+    free_bytes = int(limits.memory_mb * MEGABYTE) - PROCESS_BYTES
+    free_bytes -= compute_answer_memory(limits)
+    return max(MIN_CONNECTIONS, free_bytes // CONNECTION_BYTES)
+
+
 def build_node_settings(file: SettingsFile) -> NodeSettings:
     process = file.process
     first_port = file.network.internal_port_range[0]
@@ -270,6 +282,7 @@
             head_memory_bytes=compute_head_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
             machine_memory_bytes=compute_machine_memory(process.limits),
+            max_connections=compute_max_connections(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             delivery_timeout=bounds.grace_period_s * DELIVERY_TIMEOUT_SHARE,
             leave_notice=LEAVE_NOTICE_S,
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -155,6 +155,8 @@
     :param machine_memory_bytes: memory beyond which the machine ends the process; the
         log tells when the node has passed half of it, three quarters and nine tenths.
         It bounds nothing.
+    :param max_connections: maximum number of connections of callers; further callers
+        wait until others are closed. Only descriptors bound it when absent.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
@@ -186,6 +188,7 @@
     head_memory_bytes: MemoryBytes = 24 * 1024 * 1024
     answer_memory_bytes: MemoryBytes = 32 * 1024 * 1024
     machine_memory_bytes: MemoryBytes | None = None
+    max_connections: Annotated[int, msgspec.Meta(ge=16)] | None = None
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
--- a/tests/end_to_end/test_ends_over_memory.py
+++ b/tests/end_to_end/test_ends_over_memory.py
@@ -22,6 +22,8 @@
 PAUSE_S = 0.1
 MEMORY_MB = 80
 CROWD = 250
+# Their small requests alone would fill the machine.
+LARGE_CROWD = 1200
 ROUNDS = 3
 CALLERS = 5
 RUN_S = 0.3
@@ -150,26 +152,38 @@
                 nursery.start_soon(caller.run)
             for number in range(ROUNDS):
                 await self.call_all(fleet, f"before-{number}")
-                await self.play_round(fleet)
+                await self.play_round(fleet, fleet.machines, CROWD)
             await self.call_all(fleet, "after")
             nursery.cancel_scope.cancel()
         unanswered = [item for caller in callers for item in caller.unanswered]
         self.assertEqual((keeper.ends, unanswered), ([], []))
 
+    @on_machines_of_limited_memory
+    async def test_more_connections_than_fit_end_no_node(self, fleet):
+        keeper = MemoryKeeper(fleet=fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.run)
+            for number in range(ROUNDS):
+                await self.call_all(fleet, f"before-{number}")
+                await self.play_round(fleet, fleet.machines[:1], LARGE_CROWD)
+            await self.call_all(fleet, "after")
+            nursery.cancel_scope.cancel()
+        self.assertEqual(keeper.ends, [])
+
     async def call_all(self, fleet, name):
         """Wait until each node serves again."""
         for machine in fleet.machines:
             attempt = f"{name}-{machine.host}"
             await call_until_served(fleet, machine, "there", attempt)
 
-    async def play_round(self, fleet):
+    async def play_round(self, fleet, machines, size):
         crowds = [
             Crowd(
                 form=Form(build=build_chunked_body),
                 address=(machine.host, fleet.outbound_port),
-                size=CROWD,
+                size=size,
             )
-            for machine in fleet.machines
+            for machine in machines
         ]
         async with trio.open_nursery() as nursery:
             for crowd in crowds:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,7 +4,11 @@
 
 from nose2.tools import params
 
-from catkinpost.platform.settings import parse_platform_settings
+from catkinpost.platform.settings import (
+    CONNECTION_BYTES,
+    PROCESS_BYTES,
+    parse_platform_settings,
+)
 from catkinpost.protocol.outcome import Failure, Reason
 
 __all__ = ["SETTINGS"]
@@ -78,6 +82,19 @@
         largest_bytes = bounds.request_memory_bytes * 7 / 8
         self.assertLessEqual(bounds.max_body_bytes, largest_bytes)
 
+    @params((300, 4100), (200, 2500), (80, 500), (None, None))
+    def test_connections_fit_beside_the_process_and_answers(self, memory_mb, least):
+        """Guards against machines that end a node for the number of its callers."""
+        limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
+        bounds = parse_platform_settings(SETTINGS + limits).node.bounds
+        if memory_mb is None:
+            self.assertIsNone(bounds.max_connections)
+            return
+        self.assertGreaterEqual(bounds.max_connections, least)
+        connection_bytes = bounds.max_connections * CONNECTION_BYTES
+        all_bytes = PROCESS_BYTES + bounds.answer_memory_bytes + connection_bytes
+        self.assertLessEqual(all_bytes, bounds.machine_memory_bytes)
+
     @params((80.5, 80_500_000), (None, None))
     def test_memory_of_the_machine_is_told_to_the_node(self, memory_mb, machine_bytes):
         limits = f"[self.limits]\nmemory-mb = {memory_mb}\n" if memory_mb else ""
