Let uploads that have stopped make room for those that wait

What callers saw: uploads that are refused with 503 for as long as others, which stopped just short of their end, stay open: up to header-timeout-s.

Cause: memory is reserved for a whole body at its head and returned at its end, and an upload that is on its way was never dropped, whether it came or not.

Change: while uploads wait for memory, those of which nothing has come for 0.5 s are dropped, the oldest first, with 503 (not run, Retry-After); their callers can send them again. While there is room they are kept, and after a pause of the node none is dropped.

Evidence: the test fails before with 503 for the upload that waits; a slow upload that still comes, and a stalled one with room, are kept before and after.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -89,6 +89,7 @@
     :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
     :param reservation: memory for the request that is being read.
+    :param body_read_at: time at which a part of a body was last read.
     :param memory_wait: cancel scope of the wait for that memory, if it waits.
     :param progressed_at: time at which the last piece of a large response was sent.
     :param taken_at: time at which the send queue was last seen to have shrunk.
@@ -124,6 +125,7 @@
     reading_ended: bool = False
     nursery: trio.Nursery | None = None
     reservation: Reservation | None = None
+    body_read_at: float = 0.0
     memory_wait: trio.CancelScope | None = None
     progressed_at: float = 0.0
     taken_at: float = 0.0
@@ -152,6 +154,14 @@
         is_small = self.reservation is None and self.memory_wait is None
         return self.phase is Phase.READING and is_small and not self.closing
 
+    def has_stalled_body(self, since: float) -> bool:
+        """Whether no part of a body whose memory is reserved has come for some time.
+
+        :param since: time before which the last part was read.
+        """
+        is_reading = self.phase is Phase.READING and not self.is_ending
+        return is_reading and self.reservation is not None and self.body_read_at < since
+
     @property
     def has_single_request(self) -> bool:
         """Whether exactly one request was received and none is in progress."""
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -46,6 +46,9 @@
 MAX_PIPELINED_REQUESTS = 32
 # Memory of the task of a request that is handled, and of what it refers to.
 EXCHANGE_BYTES = 4096
+# An upload that comes at all comes again within this time, unless packets are lost.
+MIN_BODY_STALL_S = 0.5
+STALLED_DETAIL = "the body did not come, and others wait for its memory"
 LEAVING_FAILURE = build_leaving_failure(
     "the node stops and an answer would not reach the caller in time"
 )
@@ -224,6 +227,22 @@
             self.check_connections(trio.current_time())
             self.keep_descriptors_free()
             self.update_unread_bytes()
+            self.drop_stalled_bodies()
+
+    def drop_stalled_bodies(self) -> None:
+        """Let uploads whose callers have stopped make room for those that wait."""
+        if self.memory is None or not self.memory.waiters:
+            return
+        since = trio.current_time() - MIN_BODY_STALL_S
+        if self.resumed_at > since:
+            # What has come while this process did not run is not known.
+            return
+        stalled = [item for item in self.connections if item.has_stalled_body(since)]
+        stalled.sort(key=lambda item: item.body_read_at)
+        for connection in stalled:
+            if not self.memory.waiters:
+                return
+            connection.drop_unread(self.memory.refuse(STALLED_DETAIL))
 
     def check_connections(self, now: float) -> None:
         """Close overdue connections, and start readers where needed.
@@ -441,6 +460,7 @@
         if self.memory is None or connection.closing:
             return None
         started_at, waits_since = connection.phase_started_at, trio.current_time()
+        connection.body_read_at = waits_since
         connection.phase_started_at = math.inf
         result: Reservation | Failure | None = None
         with trio.CancelScope() as connection.memory_wait:
--- /dev/null
+++ b/tests/transport/test_stalled_uploads.py
@@ -0,0 +1,83 @@
+"""Tests of uploads that stop before their end while others wait for memory."""
+
+import unittest
+
+import trio
+from nose2.tools import params
+
+from catkinpost.protocol.http import HttpLimits, HttpResponse
+from catkinpost.state.decision_log import DecisionLog
+from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport.http_server import HttpServer
+from tests.clock import on_mock_clock
+
+HOST = "127.0.0.1"
+BODY_BYTES = 60_000
+HEAD = b"POST /1 HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % BODY_BYTES
+ROOM_FOR_ONE = 100_000
+PIECE = b"x" * 1000
+
+
+async def handle(request):
+    return HttpResponse(200, [], b"%d" % len(request.body))
+
+
+class TestStalledUploads(unittest.TestCase):
+    @params(
+        # (pieces that an upload sends in 0.2 s each, what another one is told)
+        (0, b"200"),
+        (10, b"503"),
+    )
+    def test_stalled_upload_makes_room_for_another(self, pieces, status):
+        """Guards against uploads that are refused as others never end."""
+        self.check_other(pieces, status)
+
+    @on_mock_clock(io=True)
+    async def check_other(self, pieces, status):
+        async with trio.open_nursery() as nursery:
+            first, second = await self.connect_two(nursery)
+            await first.send_all(HEAD + PIECE)
+            await trio.sleep(1.0)
+            nursery.start_soon(self.send_pieces, first, pieces)
+            await trio.sleep(0.1)
+            await second.send_all(HEAD + bytes(BODY_BYTES))
+            answer = await second.receive_some(1000)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 " + status), answer)
+            if not pieces:
+                refusal = await first.receive_some(1000)
+                self.assertTrue(refusal.startswith(b"HTTP/1.1 503"), refusal)
+                self.assertIn(b"catkinpost-outcome: not-run", refusal)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_stalled_upload_is_kept_while_there_is_room(self):
+        async with trio.open_nursery() as nursery:
+            first, _ = await self.connect_two(nursery)
+            await first.send_all(HEAD + PIECE)
+            await trio.sleep(5.0)
+            await first.send_all(bytes(BODY_BYTES - len(PIECE)))
+            answer = await first.receive_some(1000)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            nursery.cancel_scope.cancel()
+
+    async def connect_two(self, nursery):
+        server = HttpServer(
+            handle,
+            limits=HttpLimits(),
+            report_failure=lambda failure: None,
+            memory=RequestMemory(ROOM_FOR_ONE, DecisionLog()),
+        )
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(server.watch_connections)
+        nursery.start_soon(trio.serve_listeners, server.serve_connection, listeners)
+        return [await trio.open_tcp_stream(HOST, port) for _ in range(2)]
+
+    async def send_pieces(self, stream, count):
+        for _ in range(count):
+            await stream.send_all(PIECE)
+            await trio.sleep(0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
