Let unfinished requests take turns at being parsed

What callers saw: beside 200 clients that send chunked bodies of 200,000 chunks of one byte, an ordinary request got no answer within 15 s (one HttpServer, scratch script; 8 s at a node).

Cause: each chunk costs a callback of the parser, about 0.7 us. A connection is read by up to 256 KiB at once while memory is reserved for its body (16 KiB else), which is 30 ms (1.9 ms) of such chunks, and trio runs each readable connection in each step of its loop. So a step took as long as all of the crowd together, and an ordinary request needs several steps.

Change: what begins a message is read at once, by 4 KiB. What continues it is read in turns, one for each step of the loop, in the order of the callbacks that the message has cost beyond ordinary ones. A turn is free of waiting if nobody else wants it, and an honest message up to 16 KiB is read on in the same step. The size of a read follows from the callbacks per byte so far. Waiting for a turn is not counted as the caller's time. At a stop each connection that waits has one more read of at least 16 KiB, as before; a body that is not complete after it is refused as not run, as before.

Why it works: a step has about one costly read, whatever the number of connections, and a read of 4 KiB of crumbs takes 0.5 ms.

--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -55,6 +55,8 @@
         self.body_bytes = 0
         self.head_bytes = 0
         self.head_complete = False
+        # Header lines and parts of the body, which take most of the time of parsing.
+        self.callbacks = 0
 
     @property
     def held_bytes(self) -> int:
@@ -87,6 +89,7 @@
         self.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.callbacks += 1
         if self.head_complete:
             # A trailer is no header: it could forge one that was checked already.
             return
@@ -99,6 +102,7 @@
             self.reject_large_head()
 
     def on_body(self, data: bytes) -> None:
+        self.callbacks += 1
         self.body_bytes += len(data)
         if self.body_bytes > self.limits.max_body_bytes:
             self.failure = Failure(
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -32,13 +32,11 @@
 from catkinpost.transport.http_connection import Connection, Exchange, Phase
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.linger import Linger, count_unacknowledged_bytes
-from catkinpost.transport.socket_io import receive_some, send_all, split_bytes
+from catkinpost.transport.part_reader import PartReader
+from catkinpost.transport.socket_io import send_all, split_bytes
 
 __all__ = ["HttpServer"]
 
-# What is parsed in one step is counted after it.
-READ_BYTES = 16 * 1024
-LARGE_READ_BYTES = 256 * 1024
 # A disconnect of the caller is detected within this time, well below 0.5 s.
 CONNECTION_CHECK_INTERVAL_S = 0.2
 # A check that is later than this shows that the process did not run.
@@ -109,6 +107,7 @@
         self.memory = memory
         self.head_memory = head_memory
         self.answer_memory = answer_memory
+        self.reader = PartReader()
         self.leaving = False
         self.deliver_by = math.inf
         self.is_refusing = False
@@ -192,6 +191,7 @@
         """
         self.leaving = True
         self.has_stopped_reading = True
+        self.reader.is_last_read = True
         for connection in list(self.connections):
             if connection.memory_wait is not None:
                 # Its reader refuses the request, which closes the connection.
@@ -308,6 +308,7 @@
                 await self.refuse_unread(connection, connection.refusal)
         finally:
             self.connections.discard(connection)
+            self.reader.end_turn(connection)
             connection.close()
             if self.head_memory is not None:
                 self.head_memory.remove(connection)
@@ -355,9 +356,7 @@
         parser = connection.parser
         while True:
             connection.update_phase()
-            in_large_body = connection.reservation is not None
-            max_bytes = LARGE_READ_BYTES if in_large_body else READ_BYTES
-            data = await receive_some(connection.stream, max_bytes)
+            data = await self.reader.receive(connection)
             if not data:
                 # The caller has disconnected: its responses are no longer needed.
                 connection.caller_has_closed = True
@@ -369,6 +368,8 @@
             connection.awaits_continue = False
             parser.next_limits = self.limits
             failure = parser.feed(data)
+            if not parser.in_message:
+                self.reader.end_turn(connection)
             head_only = bool(parser.messages) and parser.messages[0].method == b"HEAD"
             if failure is None:
                 failure = self.count_requests(connection)
--- /dev/null
+++ b/src/catkinpost/transport/part_reader.py
@@ -0,0 +1,92 @@
+"""Reading of callers' requests in parts, of which costly ones wait for others."""
+
+import trio
+
+from catkinpost.transport.http_connection import Connection, Phase
+from catkinpost.transport.parse_turn import (
+    FIRST_READ_BYTES,
+    ParseTurns,
+    compute_read_bytes,
+    has_few_lines,
+    rate_work,
+)
+from catkinpost.transport.socket_io import read_available, wait_for_input
+
+__all__ = ["PartReader"]
+
+# What is parsed at once is counted after it.
+READ_BYTES = 16 * 1024
+LARGE_READ_BYTES = 256 * 1024
+
+
+class PartReader:
+    """Reader of the connections of one server, whose requests it reads in parts.
+
+    A part that begins a message is read at once and small. What continues a message is
+    read in turns, see :class:`ParseTurns`. Nothing is held while a connection waits, so
+    its input stays unread.
+
+    :ivar turns: turns of all connections.
+    :ivar is_last_read: whether what a part leaves unread is to be discarded.
+    """
+
+    def __init__(self) -> None:
+        self.turns = ParseTurns()
+        self.is_last_read = False
+
+    async def receive(self, connection: Connection) -> bytes:
+        """Wait for bytes of a connection and read a part.
+
+        The part is to be parsed before anything is waited for.
+
+        :return: received bytes, empty at the end of the connection.
+        :raises trio.BrokenResourceError: when the connection is lost.
+        :raises trio.ClosedResourceError: when this side has closed it.
+        """
+        parser, stream = connection.parser, connection.stream
+        while True:
+            await wait_for_input(stream)
+            if parser.in_message and not connection.closing:
+                await self.take_turn(connection)
+            data = read_available(stream, self.limit_read(connection))
+            if data is None:
+                continue
+            if len(data) == FIRST_READ_BYTES and not parser.in_message:
+                data += self.read_on(connection, data)
+            return data
+
+    def read_on(self, connection: Connection, data: bytes) -> bytes:
+        """Read what follows the first bytes of a message, if a turn is free.
+
+        The message of an honest caller does not wait for another step then.
+        """
+        if not has_few_lines(data) or not self.turns.try_take(connection):
+            return b""
+        max_bytes = READ_BYTES - FIRST_READ_BYTES
+        return read_available(connection.stream, max_bytes) or b""
+
+    async def take_turn(self, connection: Connection) -> None:
+        """Wait until it is a connection's turn, which does not count as the caller's.
+
+        Its unread input keeps it from being overdue meanwhile.
+        """
+        if self.turns.try_take(connection):
+            return
+        waits_since = trio.current_time()
+        await self.turns.wait(connection, rate_work(connection.parser))
+        if connection.phase is Phase.READING:
+            waits_since = max(waits_since, connection.phase_started_at)
+            connection.phase_started_at += trio.current_time() - waits_since
+
+    def end_turn(self, connection: Connection) -> None:
+        """Let others read at once, as a message was read whole or is not read on."""
+        self.turns.release(connection)
+
+    def limit_read(self, connection: Connection) -> int:
+        """Return the largest number of bytes to read next."""
+        least = READ_BYTES if self.is_last_read else FIRST_READ_BYTES
+        if not connection.parser.in_message:
+            return least
+        in_large_body = connection.reservation is not None
+        most = LARGE_READ_BYTES if in_large_body else READ_BYTES
+        return compute_read_bytes(connection.parser, least, most)
--- a/src/catkinpost/transport/socket_io.py
+++ b/src/catkinpost/transport/socket_io.py
@@ -19,11 +19,13 @@
     "count_unread_bytes",
     "count_waiting_callers",
     "open_connection",
+    "read_available",
     "read_queue_size",
     "read_waiting_time",
     "receive_some",
     "send_all",
     "split_bytes",
+    "wait_for_input",
     "write_some",
 ]
 
@@ -197,17 +199,39 @@
     if socket is None:
         return await stream.receive_some(max_bytes)
     while True:
-        # Another task may have closed it while this one did not wait for bytes.
-        if socket.fileno() < 0:
-            raise trio.ClosedResourceError("the connection is closed")
-        await trio.lowlevel.wait_readable(socket)
-        # After a close, the descriptor number may belong to another connection.
-        descriptor = socket.fileno()
-        if descriptor < 0:
-            raise trio.ClosedResourceError("the connection is closed")
-        try:
-            return os.read(descriptor, max_bytes)
-        except BlockingIOError:
-            continue
-        except OSError as error:
-            raise trio.BrokenResourceError(str(error)) from error
+        await wait_for_input(stream)
+        data = read_available(stream, max_bytes)
+        if data is not None:
+            return data
+
+
+async def wait_for_input(stream: trio.SocketStream) -> None:
+    """Wait until a connection can be read.
+
+    :raises trio.ClosedResourceError: when this side has closed it.
+    """
+    # Another task may have closed it while this one did not wait for bytes.
+    if stream.socket.fileno() < 0:
+        raise trio.ClosedResourceError("the connection is closed")
+    await trio.lowlevel.wait_readable(stream.socket)
+
+
+def read_available(stream: trio.SocketStream, max_bytes: int) -> bytes | None:
+    """Read what has arrived, without waiting.
+
+    :param max_bytes: maximum number of bytes to return.
+    :return: received bytes, empty at the end of the connection, ``None`` if nothing
+        has arrived.
+    :raises trio.BrokenResourceError: when the connection is lost.
+    :raises trio.ClosedResourceError: when this side has closed it.
+    """
+    # After a close, the descriptor number may belong to another connection.
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        raise trio.ClosedResourceError("the connection is closed")
+    try:
+        return os.read(descriptor, max_bytes)
+    except BlockingIOError:
+        return None
+    except OSError as error:
+        raise trio.BrokenResourceError(str(error)) from error
