Make room from clients whose input never stops coming

Cause: a node that is full closes connections whose request does not come. Those whose input waits unread, for turns at parsing or behind their refusal, counted as about to end, so the crowd kept all connections, and new ones waited in the accept queue.

Change: unfinished requests that cost most to parse make room next, with 503, as nothing of them has run; a connection to be closed has a second in which its caller may read the last answer, even if it goes on sending.

--- a/src/catkinpost/transport/caller_room.py
+++ b/src/catkinpost/transport/caller_room.py
@@ -15,6 +15,7 @@
     Phase,
 )
 from catkinpost.transport.linger import Linger
+from catkinpost.transport.parse_turn import rate_work
 from catkinpost.transport.socket_io import count_unread_bytes
 
 __all__ = [
@@ -29,6 +30,8 @@
 # A caller that has just connected, or been answered, is likely to send next.
 MIN_IDLE_S = 0.2
 MAX_CLOSED_AT_ONCE = 16
+# Work of an unfinished request, as turns at parsing rate it, that no ordinary one has.
+MIN_COSTLY_WORK = 4
 # Time in which the head of a request comes whole, unless packets are lost or its caller
 # lets others wait.
 MIN_UNREAD_S = 1.0
@@ -118,23 +121,15 @@
 
         Those go first on which nothing is due: answered ones that await the close of
         their callers, and then idle ones. Those follow whose request has not come for
-        some time, which are told so, and those whose caller takes nothing. Of each kind
-        those go first that have waited for the longest time.
+        some time or costs much to parse, which are told so, and those whose caller
+        takes nothing. Of each kind those go first that have waited for the longest
+        time, or cost most.
 
         :param min_linger_s: seconds that callers have for their close.
         """
         now = trio.current_time()
-        begun_before = now - min_linger_s
-        delivered = [
-            item
-            for item in self.lingers
-            if item.begun_at <= begun_before and not item.is_pending
-        ]
-        delivered.sort(key=lambda item: item.begun_at)
-        for linger in delivered[:MAX_CLOSED_AT_ONCE]:
-            linger.scope.cancel()
-        if delivered:
-            return len(delivered[:MAX_CLOSED_AT_ONCE])
+        if closed := self.close_lingers(now, min_linger_s):
+            return closed
         if idle := self.find_oldest(Phase.IDLE, now - MIN_IDLE_S):
             for connection in idle:
                 self.close_overdue(connection)
@@ -145,6 +140,10 @@
             for connection in unread:
                 connection.drop_unread(SHORTAGE_FAILURE)
             return len(unread)
+        if costly := self.find_costly():
+            for connection in costly:
+                connection.drop_unread(SHORTAGE_FAILURE)
+            return len(costly)
         stalled = self.find_oldest(
             Phase.SENDING,
             now - STALL_TIMEOUT_S,
@@ -152,6 +151,22 @@
         )
         return sum(item.give_up() for item in stalled)
 
+    def close_lingers(self, now: float, min_linger_s: float) -> int:
+        """Close connections whose callers have their last answer, and return how many.
+
+        Callers that go on sending behind it have some time to read it.
+        """
+        delivered = []
+        for linger in self.lingers:
+            elapsed_s = now - linger.begun_at
+            is_due = not linger.is_pending or elapsed_s >= MIN_UNREAD_S
+            if is_due and elapsed_s >= min_linger_s and not linger.unsent_bytes:
+                delivered.append(linger)
+        delivered.sort(key=lambda item: item.begun_at)
+        for linger in delivered[:MAX_CLOSED_AT_ONCE]:
+            linger.scope.cancel()
+        return len(delivered[:MAX_CLOSED_AT_ONCE])
+
     def find_oldest(
         self,
         phase: Phase,
@@ -176,6 +191,20 @@
         found.sort(key=lambda item: item.phase_started_at)
         return found[:MAX_CLOSED_AT_ONCE]
 
+    def find_costly(self) -> list[Connection]:
+        """Return some of the connections whose unfinished requests cost most to parse.
+
+        Their input waits for turns, so they neither end nor stop coming.
+        """
+        works = {
+            item: rate_work(item.parser)
+            for item in self.connections
+            if item.phase is Phase.READING and not item.closing
+        }
+        costly = [item for item, work in works.items() if work >= MIN_COSTLY_WORK]
+        costly.sort(key=works.__getitem__, reverse=True)
+        return costly[:MAX_CLOSED_AT_ONCE]
+
     def is_stalled(self, connection: Connection, now: float) -> bool:
         """Return whether a caller has taken nothing of an answer for some time."""
         connection.update_taken_at(now)
