--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -226,6 +226,7 @@
     :ivar rate_limit: requests per second that it names, ``None`` for no limit.
     :ivar leaving: whether it announces that it leaves.
     :ivar more_headers: further headers of its answers.
+    :ivar max_echo_bytes: most bytes of a request that its answer repeats.
     """
 
     def __init__(
@@ -246,6 +247,7 @@
         self.tail_share = 0.0
         self.tail_factor = 1.0
         self.answer_bytes = answer_bytes
+        self.max_echo_bytes = LARGEST_BODY_BYTES
         self.waiting = 0
         self.slot_free = trio.lowlevel.ParkingLot()
         self.host = ""
@@ -356,7 +358,8 @@
                         run.end = "call failed"
                         return self.answer(500, attempt, b"a child call failed")
                 run.end = "done"
-                body = b"%b %b " % (request.method, request.body)
+                echo = request.body[: self.max_echo_bytes]
+                body = b"%b %b " % (request.method, echo)
                 body = body.ljust(self.answer_bytes, b".")
                 run.checksum = zlib.crc32(body)
                 return self.answer(200, attempt, body)
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -187,11 +187,13 @@
     return trio.SocketStream(connection)
 
 
-async def call_until_served(fleet, machine, place, attempt, *, is_kept=True):
+async def call_until_served(fleet, machine, place, attempt, *, is_kept=True, body=b""):
     """Send an ordinary request, again as often as a refusal asks for it.
 
     :param is_kept: whether the caller has a kept connection.
+    :param body: body of a POST, empty for a GET.
     """
+    method = b"POST" if body else b"GET"
     sent = 0
     while True:
         sent += 1
@@ -200,7 +202,7 @@
             (b"attempt-id", f"{attempt}-{sent}".encode()),
             (b"deadline-remaining", b"30000"),
         ]
-        request = HttpRequest(b"GET", f"/{place}/1".encode(), headers)
+        request = HttpRequest(method, f"/{place}/1".encode(), headers, body)
         answer = None
         if not is_kept:
             machine.callers.close_idle_connections()
