--- a/tests/end_to_end/memory.py
+++ b/tests/end_to_end/memory.py
@@ -51,6 +51,7 @@
     :param pid: the process.
     :param host: IPv4 address at which it listens.
     :param ports: ports at which it listens.
+    :ivar has_ended: whether the process was found to have ended.
     :ivar samples: number of times that the memory was read.
     :ivar peak_bytes: largest sum of resident and unread bytes at one time.
     :ivar peak_resident_bytes: largest resident memory.
@@ -60,6 +61,7 @@
     pid: int
     host: str
     ports: tuple[int, ...]
+    has_ended: bool = False
     samples: int = 0
     peak_bytes: int = 0
     peak_resident_bytes: int = 0
@@ -67,18 +69,21 @@
 
     async def run(self) -> None:
         """Read the memory until cancelled, or until the process ends."""
-        try:
-            while True:
-                # A read of the table takes milliseconds, in which clients may run.
-                await trio.to_thread.run_sync(self.sample)
-                await trio.sleep(SAMPLE_INTERVAL_S)
-        except (ProcessLookupError, FileNotFoundError, StopIteration):
-            return
+        while not self.has_ended:
+            # The table of a crowd takes milliseconds, in which clients may run.
+            await trio.to_thread.run_sync(self.sample)
+            await trio.sleep(SAMPLE_INTERVAL_S)
 
     def sample(self) -> None:
         """Read the memory once."""
+        try:
+            resident = read_memory(self.pid, "VmRSS")
+        except (FileNotFoundError, ProcessLookupError, StopIteration):
+            # A process that was not waited for has an entry without memory.
+            self.has_ended = True
+            return
+        # Read behind it, so that bytes that are read meanwhile are not counted twice.
         unread = count_unread_bytes(self.host, self.ports)
-        resident = read_memory(self.pid, "VmRSS")
         self.samples += 1
         self.peak_unread_bytes = max(self.peak_unread_bytes, unread)
         self.peak_resident_bytes = max(self.peak_resident_bytes, resident)
