Let the steady reader of a test read on while it waits

Its reader stopped at half of the answer until the crowd was there and an ordinary request answered, and a node may drop a reader that takes nothing for 2 s while answers fill its memory. On a busy machine that took longer.

The reader goes on in pieces of 4 kB all the while, and must still get the whole answer, so the check is as strict.

--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -34,6 +34,7 @@
 # The smallest machine of the users' pages.
 SMALLEST_MB = 200
 READER_BYTES = 16_384
+SLOW_PIECE_BYTES, SLOW_PIECE_S = 4096, 0.1
 MEGABYTE = 1_000_000
 CROWD = 200
 ROUNDS = 3
@@ -187,6 +188,16 @@
     return trio.SocketStream(connection)
 
 
+async def read_steadily(stream, data, is_hurried, is_read):
+    """Read an answer to its end, in small pieces until it is hurried."""
+    async with stream:
+        while piece := await stream.receive_some(SLOW_PIECE_BYTES):
+            data += piece
+            with trio.move_on_after(SLOW_PIECE_S):
+                await is_hurried.wait()
+    is_read.set()
+
+
 async def call_until_served(fleet, machine, place, attempt, *, is_kept=True, body=b""):
     """Send an ordinary request, again as often as a refusal asks for it.
 
@@ -323,21 +334,22 @@
         await reader.send_all(
             build_head("GET /there/1", b"connection: close\r\n", attempt="steady")
         )
-        data = await reader.receive_some(READER_BYTES)
+        data = bytearray()
+        is_hurried, is_read = trio.Event(), trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(crowd.run)
-            while len(data) < size / 2:
-                data += await reader.receive_some(READER_BYTES)
+            nursery.start_soon(read_steadily, reader, data, is_hurried, is_read)
+            while not data:
                 await trio.sleep(0.01)
+            nursery.start_soon(crowd.run)
             await crowd.all_ready.wait()
             # Neither servers nor peers are held by those who read nothing.
             while there.server.running:
                 await trio.sleep(0.1)
             await call_until_served(fleet, entry, "there", "beside", is_kept=False)
-            while piece := await reader.receive_some(READER_BYTES):
-                data += piece
+            is_hurried.set()
+            await is_read.wait()
             crowd.scope.cancel()
-        head, _, body = data.partition(b"\r\n\r\n")
+        head, _, body = bytes(data).partition(b"\r\n\r\n")
         self.assertIn(b"response-signature: sig.steady", head)
         self.assertEqual(len(body), size)
         for machine in fleet.machines:
