Do not refuse a settings file for keys that are not used

What the platform would see: a process that ends with status 2 two seconds after each start, as the value of a key that the node never reads is empty or missing.

Cause: node-name was required, inbound had to be an address and history-s a number, though nothing reads them.

Change: the models have no field for them, so they are ignored like every other unknown key.

No key is known to have come empty. The test failed before for all three.

--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -83,7 +83,6 @@
 class SelfTable(PlatformModel):
     """``[self]``: the process and its backend server."""
 
-    node_name: str
     ip_address: str
     zone: str
     region: str
@@ -97,7 +96,6 @@
 
     outbound: AddressText
     ready: AddressText
-    inbound: AddressText | None = None
 
 
 class NetworkTable(PlatformModel):
@@ -112,7 +110,6 @@
     """``[platform.platform]``: the platform's store."""
 
     address: AddressText
-    history_s: float = 20.0
 
 
 class PlatformTable(PlatformModel):
