Let a failure at the end of accepting end nothing else

What callers would see: a process that ends by itself at a stop, with all the requests that it still answers, where the last step of accepting meets an exception other than a failed accept.

Cause: the last connections are accepted in a task of the nursery of the whole node, beside which an exception cancels every connection. Accepting itself was guarded, its end was not: the queue of the listener, its length, which the system may refuse to tell, and the log line.

Change: such an exception is logged, and the next listener follows. Connections that still wait there are reset by the kernel, as they were before.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -302,7 +302,11 @@
             with self.scope:
                 await self.accept(serve, listeners, nursery)
             for listener in listeners:
-                await self.accept_waiting(serve, listener, nursery)
+                try:
+                    await self.accept_waiting(serve, listener, nursery)
+                except Exception:
+                    # The nursery has the requests in progress.
+                    write_traceback()
             # The tasks of the last connections run their first step meanwhile.
             await trio.lowlevel.checkpoint()
         finally:
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -163,6 +163,33 @@
             caller.close()
             nursery.cancel_scope.cancel()
 
+    @params(
+        (acceptor, "count_waiting_callers"),
+        (acceptor, "log_message"),
+        (AcceptQueue, "accept"),
+    )
+    def test_exception_at_the_end_does_not_end_the_process(self, *place):
+        """Guards against a stop that cuts all requests in progress."""
+        self.check_exception_at_the_end(*place)
+
+    @on_mock_clock(io=True)
+    async def check_exception_at_the_end(self, part, name):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery)
+            await setup.start()
+            caller = setup.connect_now()
+            await trio.sleep(0.1)
+            self.assertEqual(len(setup.accepted), 1)
+            with mock.patch.object(part, name, side_effect=ValueError) as fail:
+                await setup.acceptor.stop()
+                await trio.sleep(0.1)
+            fail.assert_called()
+            self.assertFalse(setup.acceptor.is_listening)
+            # The request in progress goes on.
+            self.assertEqual(await setup.accepted[0].receive_some(100), b"request")
+            caller.close()
+            nursery.cancel_scope.cancel()
+
     @params("listener", "outgoing connection")
     def test_address_in_use_is_waited_for(self, holder):
         """Guards against a process that ends as its predecessor is still there."""
