Go on where an exception can't even be logged

What callers would see: a node that ends by itself with every request in it, as one task fails and the report of that fails as well.

Cause: the guards of connections, messages, calls and tasks catch an exception and describe it with its traceback, outside of any guard. Where memory is short, that raises another one, which ends the node.

Change: one function logs the exception that is being handled, and drops what it raises itself; all guards use it.

The test lets the description fail once while a node runs: the node ended before, and now it counts the exception and stops in order.

--- a/src/catkinpost/coordination/admission/executor.py
+++ b/src/catkinpost/coordination/admission/executor.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field, replace
 
 import trio
-from eliot import write_traceback
 
 from catkinpost.coordination.admission.admission import (
     Admission,
@@ -18,6 +17,7 @@
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard, compute_fingerprint
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
+from catkinpost.log import log_exception
 from catkinpost.protocol.http import MIN_SERVER_ERROR_STATUS, HttpResponse
 from catkinpost.protocol.message import Answer, Call, Load, Refusal
 from catkinpost.protocol.outcome import (
@@ -129,7 +129,7 @@
             return result
         except Exception:
             # An exception in one call must not close the connection of all others.
-            write_traceback()
+            log_exception()
             return self.build_refusal(call, INTERNAL_FAILURE, allowance=0)
         finally:
             self.active_calls -= 1
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import trio
-from eliot import log_message, write_traceback
+from eliot import log_message
 
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity, generate_nonce
@@ -19,6 +19,7 @@
     do_nothing,
 )
 from catkinpost.coordination.tick import sleep_until_next_tick
+from catkinpost.log import log_exception
 from catkinpost.protocol.message import (
     PROTOCOL_VERSION,
     Answer,
@@ -252,7 +253,7 @@
             pass
         except* Exception:
             # The link must be opened again, or its peer stays unreachable.
-            write_traceback()
+            log_exception()
         finally:
             self.frames = None
             if frames.sending_ended.is_set():
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 import trio
-from eliot import log_message, write_traceback
+from eliot import log_message
 
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.at_most_once.once import OnceGuard
@@ -12,6 +12,7 @@
 from catkinpost.coordination.feed.relay import FeedRelay
 from catkinpost.coordination.peers.link import PeerLink
 from catkinpost.coordination.peers.peer_server import PeerSession
+from catkinpost.log import log_exception
 from catkinpost.protocol.message import (
     FeedCancel,
     FeedFetch,
@@ -144,7 +145,7 @@
             raise
         except Exception:
             # An exception in one message must not end all calls of its connection.
-            write_traceback()
+            log_exception()
 
     def record_load(self, instance: str, load: Load) -> None:
         if load.notice is not None:
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass, field
 
 import trio
-from eliot import write_traceback
 
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.peers.identity import get_holder_instance
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
 from catkinpost.coordination.routing.entry import EntryCall
+from catkinpost.log import log_exception
 from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.message import Answer, Refusal
 from catkinpost.protocol.outcome import (
@@ -118,7 +118,7 @@
         except Exception:
             # An exception in one request must not leave its caller without a response.
             self.metrics.counters["internal-error"] += 1
-            write_traceback()
+            log_exception()
             return self.dialect.build_failure_response(INTERNAL_FAILURE)
         finally:
             self.active_requests -= 1
--- a/src/catkinpost/log.py
+++ b/src/catkinpost/log.py
@@ -8,7 +8,7 @@
 import eliot
 from eliot.stdlib import EliotHandler
 
-__all__ = ["LogSink", "start_log"]
+__all__ = ["LogSink", "log_exception", "start_log"]
 
 # Lines beyond this are dropped while the reader lags behind: the node must neither
 # block on its log nor use more and more memory for it.
@@ -67,6 +67,15 @@
     sys.unraisablehook = log_unraisable
 
 
+def log_exception() -> None:
+    """Log the exception that is being handled, unless that fails as well.
+
+    Whoever handles one goes on, and memory may be too short to describe it.
+    """
+    with contextlib.suppress(Exception):
+        eliot.write_traceback()
+
+
 def log_unraisable(unraisable) -> None:
     """Log an exception that nobody can catch.
 
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import trio
-from eliot import log_message, write_traceback
+from eliot import log_message
 
 from catkinpost.coordination.admission.admission import Admission, RunWindow
 from catkinpost.coordination.admission.crash_guard import CrashGuard
@@ -29,6 +29,7 @@
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import NodeLocation, Router
+from catkinpost.log import log_exception
 from catkinpost.protocol.message import Message, Pong
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import ServiceSection
@@ -399,7 +400,7 @@
 
     def report_internal_error(self) -> None:
         self.metrics.counters["internal-error"] += 1
-        write_traceback()
+        log_exception()
 
     def report_bad_request(self, failure: Failure) -> None:
         self.metrics.counters[f"rejected:{failure.reason.value}"] += 1
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -7,8 +7,9 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from eliot import log_message, write_traceback
+from eliot import log_message
 
+from catkinpost.log import log_exception
 from catkinpost.protocol.settings import Address
 from catkinpost.transport.socket_io import (
     RELEASE_TIME_S,
@@ -306,7 +307,7 @@
                     await self.accept_waiting(serve, listener, nursery)
                 except Exception:
                     # The nursery has the requests in progress.
-                    write_traceback()
+                    log_exception()
             # The tasks of the last connections run their first step meanwhile.
             await trio.lowlevel.checkpoint()
         finally:
@@ -326,7 +327,7 @@
                     for listener in listeners:
                         loops.start_soon(self.accept_from, serve, listener, nursery)
             except* Exception:
-                write_traceback()
+                log_exception()
             await trio.sleep(delay_s)
             delay_s = min(2 * delay_s, MAX_ACCEPT_RETRY_S)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -291,6 +291,21 @@
             node.planned_stop.request()
         self.assertEqual(node.metrics.counters["internal-error"], 1)
 
+    @on_mock_clock(io=True)
+    async def test_exception_that_can_not_be_logged_does_not_end_it(self):
+        """Guards against an end by the report, as memory is short for that as well."""
+        node = make_listening_node()
+        fail = mock.Mock(side_effect=MemoryError)
+        with mock.patch("eliot._traceback._traceback_no_io.format_exception", fail):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                node.spawn(fail)
+                await trio.sleep(1.0)
+                self.assertEqual(fail.call_count, 2)
+                node.planned_stop.request()
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+
     @on_mock_clock
     async def test_task_that_has_run_for_long_is_started_again_at_once(self):
         node, starts, ends = make_listening_node(), [], []
