Repeat the logged ends of a stop with their steps

What callers would see: answers cut at a stop while they take them, as the process ends at a log line: "calls ended" and "callers left" describe connections of all kinds, beside the steps that are repeated after an exception.

Cause: the two lines stood between the steps, in the main task of the node.

Change: each is the last part of its step, as the others are. A step that is repeated finds its waits over.

Evidence: an exception at each of the five lines by the test; the two lines ended the node before, and the stop goes through all steps now. The other tests of the node and of the planned stop pass (75).

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -327,11 +327,6 @@
             await self.planned_stop.repeat(self.close_links)
             await self.planned_stop.repeat(self.close_peers)
             await self.planned_stop.repeat(self.planned_stop.wait_for_callers)
-            log_message(
-                "node: callers left",
-                **self.http_server.describe_open(),
-                **self.planned_stop.describe_step(),
-            )
             nursery.cancel_scope.cancel()
 
     async def close_links(self) -> None:
--- a/src/catkinpost/stop.py
+++ b/src/catkinpost/stop.py
@@ -211,9 +211,14 @@
         answers are sent if the process slept past that time.
         """
         await self.requested.wait()
+        await self.repeat(self.end_calls)
+        await self.repeat(self.send_key_records)
+
+    async def end_calls(self) -> None:
+        """Finish the requests, while calls that wait for too long are withdrawn."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.node.supervise, self.withdraw_late_attempts)
-            await self.repeat(self.finish_requests)
+            await self.finish_requests()
             nursery.cancel_scope.cancel()
         server = self.node.http_server
         log_message(
@@ -223,7 +228,6 @@
             unbegun=server.unbegun_requests,
             **self.describe_step(),
         )
-        await self.repeat(self.send_key_records)
 
     async def repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         """Run a step of the stop, again after an exception while there is time."""
@@ -341,6 +345,9 @@
         with trio.CancelScope(deadline=self.delivery_ends_at):
             while server.is_busy or server.awaits_callers:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
+        log_message(
+            "node: callers left", **server.describe_open(), **self.describe_step()
+        )
 
     async def send_key_records(self) -> None:
         """Send peers the results of the idempotency keys that this node holds.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -381,6 +381,31 @@
     def test_exception_in_one_of_its_tasks_does_not_end_it(self, path):
         self.check_exception(path)
 
+    @params(1, 2, 3, 4, 5)
+    def test_exception_at_a_log_line_of_a_stop_does_not_end_it(self, number):
+        """Guards against answers that are cut as their callers take them."""
+        self.check_log_line(number)
+
+    @on_mock_clock(io=True)
+    async def check_log_line(self, number):
+        node = make_listening_node()
+        stop, calls = node.planned_stop, []
+        describe = stop.describe_step
+
+        def fail_at_one():
+            calls.append(trio.current_time())
+            if len(calls) == number:
+                raise ValueError
+            return describe()
+
+        with mock.patch.object(stop, "describe_step", fail_at_one):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                stop.request()
+        self.assertGreater(len(calls), number)
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+
     @on_mock_clock(io=True)
     async def check_exception(self, path):
         node = make_listening_node()
