Guard each connection with its close

What callers would see: a node that ends by itself, with all requests in it, as one connection can't be served or its close fails.

Cause: the guard of a connection is around what serves it. The task that begins and closes it belongs to the nursery of the whole node and stood outside.

Change: the task logs its exceptions.

The test failed before. No close is known to have failed on a machine of ours.

--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -375,9 +375,13 @@
         if self.gate is not None:
             self.gate.unserved.discard(stream)
         try:
-            await serve(stream)
-        finally:
-            await trio.aclose_forcefully(stream)
+            try:
+                await serve(stream)
+            finally:
+                await trio.aclose_forcefully(stream)
+        except* Exception:
+            # The nursery has all other connections.
+            log_exception()
 
     def make_room_after(self, error: OSError) -> bool:
         """Close connections if no descriptor is left, and return whether any was."""
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -254,6 +254,26 @@
             caller.close()
             nursery.cancel_scope.cancel()
 
+    @params("serve", "aclose_forcefully")
+    def test_exception_in_one_connection_does_not_end_the_others(self, place):
+        """Guards against a process that ends as the close of a connection fails."""
+        self.check_failing_connection(place)
+
+    @on_mock_clock(io=True)
+    async def check_failing_connection(self, place):
+        async with trio.open_nursery() as nursery:
+            setup, fail = Setup(nursery), mock.AsyncMock(side_effect=ValueError)
+            await setup.start(fail if place == "serve" else mock.AsyncMock())
+            other = setup.connect_now()
+            with contextlib.ExitStack() as stack:
+                if place != "serve":
+                    stack.enter_context(mock.patch.object(trio, place, fail))
+                await trio.sleep(0.1)
+            fail.assert_awaited_once()
+            self.assertTrue(setup.acceptor.is_listening)
+            other.close()
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock(io=True)
     async def test_acceptor_that_never_ran_stops_at_once(self):
         async with trio.open_nursery() as nursery:
