--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -7,8 +7,9 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from eliot import log_message, write_traceback
+from eliot import log_message
 
+from catkinpost.log import log_exception
 from catkinpost.protocol.settings import Address
 from catkinpost.transport.socket_io import (
     RELEASE_TIME_S,
@@ -322,7 +323,11 @@
             with self.scope:
                 await self.accept(serve, listeners, nursery)
             for listener in listeners:
-                await self.accept_waiting(serve, listener, nursery)
+                try:
+                    await self.accept_waiting(serve, listener, nursery)
+                except Exception:
+                    # The nursery has the requests in progress.
+                    log_exception()
             # The tasks of the last connections run their first step meanwhile.
             await trio.lowlevel.checkpoint()
         finally:
@@ -342,7 +347,7 @@
                     for listener in listeners:
                         loops.start_soon(self.accept_from, serve, listener, nursery)
             except* Exception:
-                write_traceback()
+                log_exception()
             await trio.sleep(delay_s)
             delay_s = min(2 * delay_s, MAX_ACCEPT_RETRY_S)
 
@@ -390,9 +395,13 @@
         if self.gate is not None:
             self.gate.unserved.discard(stream)
         try:
-            await serve(stream)
-        finally:
-            await trio.aclose_forcefully(stream)
+            try:
+                await serve(stream)
+            finally:
+                await trio.aclose_forcefully(stream)
+        except* Exception:
+            # The nursery has all other connections.
+            log_exception()
 
     def make_room_after(self, error: OSError) -> bool:
         """Close connections if no descriptor is left, and return whether any was."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -291,6 +291,21 @@
             node.planned_stop.request()
         self.assertEqual(node.metrics.counters["internal-error"], 1)
 
+    @on_mock_clock(io=True)
+    async def test_exception_that_can_not_be_logged_does_not_end_it(self):
+        """Guards against an end by the report, as memory is short for that as well."""
+        node = make_listening_node()
+        fail = mock.Mock(side_effect=MemoryError)
+        with mock.patch("eliot._traceback._traceback_no_io.format_exception", fail):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                node.spawn(fail)
+                await trio.sleep(1.0)
+                self.assertEqual(fail.call_count, 2)
+                node.planned_stop.request()
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+
     @on_mock_clock
     async def test_task_that_has_run_for_long_is_started_again_at_once(self):
         node, starts, ends = make_listening_node(), [], []
@@ -367,6 +382,31 @@
     def test_exception_in_one_of_its_tasks_does_not_end_it(self, path):
         self.check_exception(path)
 
+    @params(1, 2, 3, 4, 5)
+    def test_exception_at_a_log_line_of_a_stop_does_not_end_it(self, number):
+        """Guards against answers that are cut as their callers take them."""
+        self.check_log_line(number)
+
+    @on_mock_clock(io=True)
+    async def check_log_line(self, number):
+        node = make_listening_node()
+        stop, calls = node.planned_stop, []
+        describe = stop.describe_step
+
+        def fail_at_one():
+            calls.append(trio.current_time())
+            if len(calls) == number:
+                raise ValueError
+            return describe()
+
+        with mock.patch.object(stop, "describe_step", fail_at_one):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.run)
+                await trio.sleep(1.0)
+                stop.request()
+        self.assertGreater(len(calls), number)
+        self.assertEqual(node.metrics.counters["internal-error"], 1)
+
     @on_mock_clock(io=True)
     async def check_exception(self, path):
         node = make_listening_node()
