Let costly answers take turns at being parsed

What callers saw: nothing reported; found while looking for the cause of the crowd of tiny chunks elsewhere. A server that answers in chunks of one byte held up each step of the loop by the parsing of 64 KiB (7 ms) for each of its calls: with 10 calls, the longest step was 130 ms (scratch script, one run, server in the same process).

Cause: as for requests, every readable connection is read and parsed in each step of the loop.

The first read of an answer is as before.

Evidence: the longest step with 10 calls is 18 ms. An ordinary answer takes 76 us of the client's processor time, 75 before (medians of 40 runs each, alternating).

Tests: test_answers_in_tiny_chunks_do_not_hold_up_others failed before, with 2,101,747 bytes of costly answers parsed before an ordinary one arrived; less than 327,680 are allowed.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -18,13 +18,20 @@
 )
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.transport.http_parser import ResponseParser, build_bad_answer_failure
+from catkinpost.transport.parse_turn import (
+    FIRST_READ_BYTES,
+    ParseTurns,
+    compute_read_bytes,
+    rate_work,
+)
 from catkinpost.transport.socket_io import (
     RELEASE_TIME_S,
     SHORTAGE_ERRORS,
     NothingWrittenError,
     open_connection,
-    receive_some,
+    read_available,
     send_all,
+    wait_for_input,
 )
 
 __all__ = ["BackendClient"]
@@ -120,6 +127,7 @@
         self.last_connect_failed = False
         self.connecting_count = 0
         self.buffer = ResponseBuffer(MAX_BUFFERED_BYTES)
+        self.turns = ParseTurns()
 
     async def send_request(self, request: HttpRequest) -> HttpResponse | Failure:
         """Send one request and return the complete response.
@@ -249,6 +257,7 @@
             return build_connection_lost_failure(str(error))
         finally:
             self.buffer.remove(parser)
+            self.turns.release(parser)
             parser.close()
 
     async def send_while_receiving(
@@ -301,7 +310,7 @@
     ) -> Failure | None:
         """Receive until the parser has a complete response, or return the failure."""
         while not parser.messages:
-            data = await receive_some(stream, READ_BYTES)
+            data = await self.receive_part(stream, parser)
             if not data:
                 parser.finish_at_close()
                 if parser.messages:
@@ -312,6 +321,21 @@
                 return failure
         return None
 
+    async def receive_part(
+        self, stream: trio.SocketStream, parser: ResponseParser
+    ) -> bytes:
+        """Wait for bytes and read some, in a turn if they continue a response."""
+        while True:
+            await wait_for_input(stream)
+            max_bytes = READ_BYTES
+            if parser.in_message:
+                if not self.turns.try_take(parser):
+                    await self.turns.wait(parser, rate_work(parser))
+                max_bytes = compute_read_bytes(parser, FIRST_READ_BYTES, READ_BYTES)
+            data = read_available(stream, max_bytes)
+            if data is not None:
+                return data
+
     def close_idle_connections(self) -> None:
         """Close all idle connections."""
         while self.idle_connections:
--- a/src/catkinpost/transport/http_parser.py
+++ b/src/catkinpost/transport/http_parser.py
@@ -17,7 +17,7 @@
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
 from catkinpost.state.request_memory import SMALL_BODY_BYTES
 
-__all__ = ["RequestParser", "ResponseParser"]
+__all__ = ["MessageCollector", "RequestParser", "ResponseParser"]
 
 # Bytes of framing that a message may have, relative to its limits. The smallest chunk
 # has 5 bytes of framing for 1 byte of body, the shortest header line 3 bytes for 1.
@@ -122,6 +122,13 @@
             parts[-1] = bytearray(parts[-1])
         parts[-1] += data
 
+    def count_missing_body_bytes(self) -> int:
+        """Return the size of the rest of the body, 0 if its length is not known."""
+        if not self.in_message or not self.head_complete:
+            return 0
+        length = find_header(self.headers, b"content-length")
+        return int(length) - self.body_bytes if length is not None else 0
+
     def take_body(self) -> bytes:
         """Return the complete body, and drop its parts."""
         parts, self.body_parts = self.body_parts, []
@@ -244,13 +251,6 @@
         self.previous_end = last_bytes[-HEAD_END_OVERLAP_BYTES:]
         return end
 
-    def count_missing_body_bytes(self) -> int:
-        """Return the size of the rest of the body, 0 if its length is not known."""
-        if not self.in_message or not self.head_complete:
-            return 0
-        length = find_header(self.headers, b"content-length")
-        return int(length) - self.body_bytes if length is not None else 0
-
     def feed_part(self, data: bytes) -> None:
         if not data or self.failure is not None:
             return
--- a/src/catkinpost/transport/parse_turn.py
+++ b/src/catkinpost/transport/parse_turn.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from catkinpost.transport.http_parser import RequestParser
+from catkinpost.transport.http_parser import MessageCollector
 
 __all__ = [
     "FIRST_READ_BYTES",
@@ -101,7 +101,7 @@
     return data.count(b"\n") <= MAX_FIRST_LINES
 
 
-def rate_work(parser: RequestParser) -> int:
+def rate_work(parser: MessageCollector) -> int:
     """Return the work that an unfinished message has caused beyond ordinary ones.
 
     Messages of ordinary heads and of bodies in large parts are equal, at 0.
@@ -111,7 +111,7 @@
     return max(0, parser.callbacks - honest_callbacks) // WORK_UNIT_CALLBACKS
 
 
-def compute_read_bytes(parser: RequestParser, least: int, most: int) -> int:
+def compute_read_bytes(parser: MessageCollector, least: int, most: int) -> int:
     """Return the number of bytes to read of an unfinished message in one turn.
 
     The more callbacks its bytes have taken so far, the fewer are read.
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -15,6 +15,7 @@
 from catkinpost.protocol.outcome import Outcome, Reason
 from catkinpost.transport.http_client import (
     CONNECT_TIMEOUT_S,
+    READ_BYTES,
     BackendClient,
     ResponseBuffer,
 )
@@ -28,6 +29,12 @@
 FULL = b"HTTP/1.1 503 Full\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n"
 # Exceeds the socket buffers, so that it is sent only while the server reads.
 LARGE_BODY = b"x" * 30_000_000
+TINY_CHUNKS = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"1\r\nx\r\n" * 100_000
+    + b"0\r\n\r\n"
+)
+COSTLY_CALLS = 20
 HOST = "127.0.0.1"
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -654,3 +661,44 @@
             else:
                 self.assertIs(answer.reason, Reason.BACKEND_BAD_ANSWER)
             nursery.cancel_scope.cancel()
+
+
+class TestCostlyAnswers(unittest.TestCase):
+    """Guards against servers whose answers cost much to parse."""
+
+    @on_mock_clock(io=True)
+    async def test_answers_in_tiny_chunks_do_not_hold_up_others(self):
+        sizes = []
+        feed = ResponseParser.feed
+
+        def note_and_feed(parser, data):
+            sizes.append(len(data))
+            return feed(parser, data)
+
+        async with trio.open_nursery() as nursery:
+            costly = ScriptedServer([TINY_CHUNKS] * COSTLY_CALLS)
+            costly.limits = HttpLimits(max_body_bytes=len(TINY_CHUNKS))
+            costly_client = await costly.start(nursery)
+            client = await ScriptedServer([GOOD]).start(nursery)
+            with mock.patch.object(ResponseParser, "feed", note_and_feed):
+                for _ in range(COSTLY_CALLS):
+                    nursery.start_soon(costly_client.send_request, REQUEST)
+                while sum(sizes) < COSTLY_CALLS * READ_BYTES:
+                    await trio.lowlevel.checkpoint()
+                sizes.clear()
+                response = await client.send_request(REQUEST)
+            self.assertEqual(response.body, b"ok")
+            self.assertLess(sum(sizes), COSTLY_CALLS * READ_BYTES / 4)
+            nursery.cancel_scope.cancel()
+
+    @on_mock_clock(io=True)
+    async def test_answer_in_tiny_chunks_arrives_whole(self):
+        async with trio.open_nursery() as nursery:
+            server = ScriptedServer([TINY_CHUNKS] * 2)
+            server.limits = HttpLimits(max_body_bytes=len(TINY_CHUNKS))
+            client = await server.start(nursery)
+            for _ in range(2):
+                response = await client.send_request(REQUEST)
+                self.assertEqual(len(response.body), 100_000)
+            self.assertIsNone(client.turns.latest)
+            nursery.cancel_scope.cancel()
