Refuse costly requests while very many wait for their turns

Clients that connect, send 16 KB of one-byte chunks and close, some 900 a second for 20 s, took a node of 80 MB to 312 MB.

Cause: before turns, the long steps of the loop kept the node from accepting. Now it accepts quickly, and connections with a costly message wait for turns even when their callers have gone, some 20 KiB each.

Change: while 512 connections wait, a costly request without reserved memory is refused with 503 and Retry-After as not run. Requests of ordinary work, and bodies with a reservation (which memory bounds), wait as before.

Tests: without the bound, test_costly_requests_beyond_a_number_are_refused_as_not_run fails, as none is refused.

--- a/src/catkinpost/transport/parse_turn.py
+++ b/src/catkinpost/transport/parse_turn.py
@@ -21,6 +21,8 @@
 # Callbacks for parts of this size, and those for an ordinary head, don't count as work.
 HONEST_PART_BYTES = 1024
 WORK_UNIT_CALLBACKS = 128
+# A connection that waits takes some 20 KiB, also if its caller has closed it.
+MAX_WAITING = 512
 
 
 class ParseTurns:
@@ -46,6 +48,11 @@
         self.is_granted = False
         self.waiting: dict[trio.Event, int] = {}
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no costly message should wait besides those that do."""
+        return len(self.waiting) >= MAX_WAITING
+
     def try_take(self, owner: object) -> bool:
         """Take the turn of this step if it is free.
 
--- a/src/catkinpost/transport/part_reader.py
+++ b/src/catkinpost/transport/part_reader.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.transport.http_connection import Connection, Phase
 from catkinpost.transport.parse_turn import (
     FIRST_READ_BYTES,
@@ -17,6 +18,11 @@
 # What is parsed at once is counted after it.
 READ_BYTES = 16 * 1024
 LARGE_READ_BYTES = 256 * 1024
+CROWD_FAILURE = Failure(
+    reason=Reason.QUEUE_FULL,
+    detail="too many requests in small parts wait to be read",
+    retry_after=0.5,
+)
 
 
 class PartReader:
@@ -68,12 +74,17 @@
     async def take_turn(self, connection: Connection) -> None:
         """Wait until it is a connection's turn, which does not count as the caller's.
 
-        Its unread input keeps it from being overdue meanwhile.
+        Its unread input keeps it from being overdue meanwhile. While very many wait, a
+        costly message without reserved memory is refused.
         """
         if self.turns.try_take(connection):
             return
+        work = rate_work(connection.parser)
+        if work and connection.is_unread and self.turns.is_full:
+            # This cancels the wait.
+            connection.drop_unread(CROWD_FAILURE)
         waits_since = trio.current_time()
-        await self.turns.wait(connection, rate_work(connection.parser))
+        await self.turns.wait(connection, work)
         if connection.phase is Phase.READING:
             waits_since = max(waits_since, connection.phase_started_at)
             connection.phase_started_at += trio.current_time() - waits_since
--- a/tests/transport/test_parse_turn.py
+++ b/tests/transport/test_parse_turn.py
@@ -10,6 +10,7 @@
 from catkinpost.protocol.http import HttpLimits, HttpResponse
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.request_memory import RequestMemory
+from catkinpost.transport import parse_turn
 from catkinpost.transport.http_parser import RequestParser
 from catkinpost.transport.http_server import HttpServer
 from catkinpost.transport.parse_turn import ParseTurns
@@ -94,6 +95,10 @@
         return b"reset"
 
 
+async def note_status(stream, statuses):
+    statuses.append((await receive(stream))[9:12])
+
+
 class TestParseTurns(unittest.TestCase):
     def setUp(self):
         self.turns = ParseTurns()
@@ -194,6 +199,27 @@
 
         self.run_with_server(test)
 
+    @mock.patch.object(parse_turn, "MAX_WAITING", 10)
+    def test_costly_requests_beyond_a_number_are_refused_as_not_run(self):
+        async def test(setup):
+            server = setup.server
+            server.reader.turns.is_granted = True
+            upload = await setup.connect()
+            setup.nursery.start_soon(setup.send, upload, UPLOAD)
+            streams = await setup.start_crowd(CRUMBS + b"0\r\n\r\n")
+            statuses = []
+            for stream in [upload, *streams]:
+                setup.nursery.start_soon(note_status, stream, statuses)
+            await trio.sleep(0.5)
+            self.assertEqual(statuses, [b"503"] * (len(streams) - 9))
+            server.reader.turns.grant_next()
+            with trio.fail_after(10.0):
+                while len(statuses) <= len(streams):
+                    await trio.sleep(0.1)
+            self.assertEqual(statuses[-10:], [b"200"] * 10)
+
+        self.run_with_server(test)
+
     def test_time_of_waiting_is_not_the_callers(self):
         async def test(setup):
             server = setup.server
