--- a/src/catkinpost/transport/parse_turn.py
+++ b/src/catkinpost/transport/parse_turn.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from catkinpost.transport.http_parser import RequestParser
+from catkinpost.transport.http_parser import MessageCollector
 
 __all__ = [
     "FIRST_READ_BYTES",
@@ -21,6 +21,8 @@
 # Callbacks for parts of this size, and those for an ordinary head, don't count as work.
 HONEST_PART_BYTES = 1024
 WORK_UNIT_CALLBACKS = 128
+# A connection that waits takes some 20 KiB, also if its caller has closed it.
+MAX_WAITING = 512
 
 
 class ParseTurns:
@@ -46,6 +48,11 @@
         self.is_granted = False
         self.waiting: dict[trio.Event, int] = {}
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no costly message should wait besides those that do."""
+        return len(self.waiting) >= MAX_WAITING
+
     def try_take(self, owner: object) -> bool:
         """Take the turn of this step if it is free.
 
@@ -101,7 +108,7 @@
     return data.count(b"\n") <= MAX_FIRST_LINES
 
 
-def rate_work(parser: RequestParser) -> int:
+def rate_work(parser: MessageCollector) -> int:
     """Return the work that an unfinished message has caused beyond ordinary ones.
 
     Messages of ordinary heads and of bodies in large parts are equal, at 0.
@@ -111,7 +118,7 @@
     return max(0, parser.callbacks - honest_callbacks) // WORK_UNIT_CALLBACKS
 
 
-def compute_read_bytes(parser: RequestParser, least: int, most: int) -> int:
+def compute_read_bytes(parser: MessageCollector, least: int, most: int) -> int:
     """Return the number of bytes to read of an unfinished message in one turn.
 
     The more callbacks its bytes have taken so far, the fewer are read.
