Count an upload's stall from when the node lets it come

Cause: a fault of: the time of the last part was noted before the wait for memory, and not at the 100 Continue.

Change: it is noted at the end of the wait, and as the caller is asked for the body. The test failed before.

--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -461,7 +461,6 @@
         if self.memory is None or connection.closing:
             return None
         started_at, waits_since = connection.phase_started_at, trio.current_time()
-        connection.body_read_at = waits_since
         connection.phase_started_at = math.inf
         result: Reservation | Failure | None = None
         with trio.CancelScope() as connection.memory_wait:
@@ -469,8 +468,9 @@
                 self.memory, connection.parser, connection.reservation
             )
         connection.memory_wait = None
+        connection.body_read_at = trio.current_time()
         if connection.phase_started_at == math.inf:
-            waited_s = trio.current_time() - waits_since
+            waited_s = connection.body_read_at - waits_since
             connection.phase_started_at = started_at + waited_s
         if isinstance(result, Failure):
             return result
@@ -549,6 +549,7 @@
             connection.awaits_continue = False
             connection.parser.headers.remove(EXPECT_CONTINUE)
             await connection.stream.send_all(CONTINUE_LINE)
+            connection.body_read_at = trio.current_time()
 
     async def handle_request(
         self, connection: Connection, exchange: Exchange, request: HttpRequest
--- a/tests/transport/test_stalled_uploads.py
+++ b/tests/transport/test_stalled_uploads.py
@@ -60,6 +60,26 @@
             self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
             nursery.cancel_scope.cancel()
 
+    @on_mock_clock(io=True)
+    async def test_upload_that_waited_for_memory_has_not_stalled(self):
+        """Guards against uploads that are dropped as the node let them wait."""
+        async with trio.open_nursery() as nursery:
+            first, second = await self.connect_two(nursery)
+            await first.send_all(HEAD + PIECE)
+            nursery.start_soon(self.send_pieces, first, 3)
+            await trio.sleep(0.1)
+            await second.send_all(HEAD[:-2] + b"expect: 100-continue\r\n\r\n")
+            await trio.sleep(0.6)
+            third = await trio.open_tcp_stream(HOST, self.port)
+            await third.send_all(HEAD + PIECE)
+            await first.send_all(bytes(BODY_BYTES - 4 * len(PIECE)))
+            self.assertIn(b"100 Continue", await second.receive_some(1000))
+            await trio.sleep(0.3)
+            await second.send_all(bytes(BODY_BYTES))
+            answer = await second.receive_some(1000)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            nursery.cancel_scope.cancel()
+
     async def connect_two(self, nursery):
         server = HttpServer(
             handle,
@@ -68,10 +88,10 @@
             memory=RequestMemory(ROOM_FOR_ONE, DecisionLog()),
         )
         listeners = await trio.open_tcp_listeners(0, host=HOST)
-        port = listeners[0].socket.getsockname()[1]
+        self.port = listeners[0].socket.getsockname()[1]
         nursery.start_soon(server.watch_connections)
         nursery.start_soon(trio.serve_listeners, server.serve_connection, listeners)
-        return [await trio.open_tcp_stream(HOST, port) for _ in range(2)]
+        return [await trio.open_tcp_stream(HOST, self.port) for _ in range(2)]
 
     async def send_pieces(self, stream, count):
         for _ in range(count):
