Close uploads that trickle although they wait for turns

Cause: a fault of: each wait for a turn was taken off a request's time, however little came meanwhile, and an overdue request with unread input was never closed, which a trickling one always has.

Change: a wait counts as the caller's if less than 1 KiB was there to be read after it, and unread input saves an overdue request for one more read.

--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -89,6 +89,9 @@
     :param reading_ended: whether the first task that reads the connection has ended.
     :param nursery: nursery of the tasks of the connection.
     :param reservation: memory for the request that is being read.
+    :param parts_read: parts of unfinished requests that were read.
+    :param parts_read_overdue: their number when the request was last seen to be overdue
+        with unread input.
     :param body_read_at: time at which a part of a body was last read.
     :param memory_wait: cancel scope of the wait for that memory, if it waits.
     :param progressed_at: time at which the last piece of a large response was sent.
@@ -125,6 +128,8 @@
     reading_ended: bool = False
     nursery: trio.Nursery | None = None
     reservation: Reservation | None = None
+    parts_read: int = 0
+    parts_read_overdue: int = -1
     body_read_at: float = 0.0
     memory_wait: trio.CancelScope | None = None
     progressed_at: float = 0.0
@@ -162,6 +167,17 @@
         is_reading = self.phase is Phase.READING and not self.is_ending
         return is_reading and self.reservation is not None and self.body_read_at < since
 
+    def may_become_whole(self) -> bool:
+        """Return whether unread input of an overdue request may be the rest of it.
+
+        It was in time then, and the process late. That holds for one read.
+        """
+        if not (self.is_awaiting_request and self.has_unread_input):
+            return False
+        is_read_since = 0 <= self.parts_read_overdue < self.parts_read
+        self.parts_read_overdue = self.parts_read
+        return not is_read_since
+
     @property
     def has_single_request(self) -> bool:
         """Whether exactly one request was received and none is in progress."""
@@ -329,6 +345,7 @@
     def enter_phase(self, phase: Phase) -> None:
         """Start a phase."""
         self.phase = phase
+        self.parts_read_overdue = -1
         self.phase_started_at = trio.current_time()
 
     def update_phase(self) -> None:
--- a/src/catkinpost/transport/http_server.py
+++ b/src/catkinpost/transport/http_server.py
@@ -255,9 +255,8 @@
         self.checked_at = now
         for connection in list(self.connections):
             if self.is_overdue(connection, now):
-                if connection.is_awaiting_request and connection.has_unread_input:
-                    continue
-                self.close_overdue(connection)
+                if not connection.may_become_whole():
+                    self.close_overdue(connection)
             elif connection.needs_reader_task:
                 self.start_reader_if_readable(connection)
 
--- a/src/catkinpost/transport/part_reader.py
+++ b/src/catkinpost/transport/part_reader.py
@@ -18,6 +18,8 @@
 # What is parsed at once is counted after it.
 READ_BYTES = 16 * 1024
 LARGE_READ_BYTES = 256 * 1024
+# Callers that send less while they wait for a turn are slow themselves.
+MIN_PART_BYTES = 1024
 CROWD_FAILURE = Failure(
     reason=Reason.QUEUE_FULL,
     detail="too many requests in small parts wait to be read",
@@ -52,11 +54,16 @@
         parser, stream = connection.parser, connection.stream
         while True:
             await wait_for_input(stream)
+            waited_s = 0.0
             if parser.in_message and not connection.closing:
-                await self.take_turn(connection)
+                waited_s = await self.take_turn(connection)
             data = read_available(stream, self.limit_read(connection))
             if data is None:
                 continue
+            if parser.in_message:
+                connection.parts_read += 1
+                if len(data) >= MIN_PART_BYTES:
+                    connection.phase_started_at += waited_s
             if len(data) == FIRST_READ_BYTES and not parser.in_message:
                 data += self.read_on(connection, data)
             return data
@@ -71,23 +78,24 @@
         max_bytes = READ_BYTES - FIRST_READ_BYTES
         return read_available(connection.stream, max_bytes) or b""
 
-    async def take_turn(self, connection: Connection) -> None:
-        """Wait until it is a connection's turn, which does not count as the caller's.
+    async def take_turn(self, connection: Connection) -> float:
+        """Wait until it is a connection's turn, and return the seconds that it waited.
 
-        Its unread input keeps it from being overdue meanwhile. While very many wait, a
-        costly message without reserved memory is refused.
+        They don't count as its caller's, unless hardly anything has come meanwhile.
+        While very many wait, a costly message without reserved memory is refused.
         """
         if self.turns.try_take(connection):
-            return
+            return 0.0
         work = rate_work(connection.parser)
         if work and connection.is_unread and self.turns.is_full:
             # This cancels the wait.
             connection.drop_unread(CROWD_FAILURE)
         waits_since = trio.current_time()
         await self.turns.wait(connection, work)
-        if connection.phase is Phase.READING:
-            waits_since = max(waits_since, connection.phase_started_at)
-            connection.phase_started_at += trio.current_time() - waits_since
+        if connection.phase is not Phase.READING:
+            return 0.0
+        waits_since = max(waits_since, connection.phase_started_at)
+        return trio.current_time() - waits_since
 
     def end_turn(self, connection: Connection) -> None:
         """Let others read at once, as a message was read whole or is not read on."""
--- a/tests/transport/test_stalled_uploads.py
+++ b/tests/transport/test_stalled_uploads.py
@@ -1,5 +1,6 @@
 """Tests of uploads that stop before their end while others wait for memory."""
 
+import contextlib
 import unittest
 
 import trio
@@ -15,6 +16,8 @@
 BODY_BYTES = 60_000
 HEAD = b"POST /1 HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % BODY_BYTES
 ROOM_FOR_ONE = 100_000
+HEAD_TIMEOUT_S = 10.0
+TRICKLING = 60
 PIECE = b"x" * 1000
 
 
@@ -80,12 +83,43 @@
             self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
             nursery.cancel_scope.cancel()
 
-    async def connect_two(self, nursery):
-        server = HttpServer(
+    @on_mock_clock(io=True)
+    async def test_uploads_that_trickle_are_closed_in_time(self):
+        """Guards against bodies that are held as each of their bytes waits for a turn.
+
+        The clients send in each step of the event loop, so that input is always unread.
+        """
+        async with trio.open_nursery() as nursery:
+            await self.connect_two(nursery, memory_bytes=100 * BODY_BYTES)
+            for _ in range(TRICKLING):
+                nursery.start_soon(self.trickle)
+            while self.server.memory.used_bytes < TRICKLING * BODY_BYTES:
+                await trio.lowlevel.checkpoint()
+            for _ in range(80):
+                trio.lowlevel.current_clock().jump(HEAD_TIMEOUT_S / 10)
+                for _ in range(5):
+                    await trio.lowlevel.checkpoint()
+                self.server.check_connections(trio.current_time())
+            for _ in range(20):
+                await trio.lowlevel.checkpoint()
+            self.assertEqual(self.server.memory.used_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+    async def trickle(self):
+        stream = await trio.open_tcp_stream(HOST, self.port)
+        async with stream:
+            await stream.send_all(HEAD)
+            with contextlib.suppress(trio.BrokenResourceError):
+                while True:
+                    await stream.send_all(b"x")
+                    await trio.lowlevel.checkpoint()
+
+    async def connect_two(self, nursery, memory_bytes=ROOM_FOR_ONE):
+        server = self.server = HttpServer(
             handle,
-            limits=HttpLimits(),
+            limits=HttpLimits(head_timeout=HEAD_TIMEOUT_S),
             report_failure=lambda failure: None,
-            memory=RequestMemory(ROOM_FOR_ONE, DecisionLog()),
+            memory=RequestMemory(memory_bytes, DecisionLog()),
         )
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         self.port = listeners[0].socket.getsockname()[1]
