Let only costly answers wait for turns

Change: an answer waits only once it has cost more callbacks than ordinary ones.

Not measured again; the tests of costly answers pass.

--- a/src/catkinpost/transport/http_client.py
+++ b/src/catkinpost/transport/http_client.py
@@ -328,7 +328,7 @@
         while True:
             await wait_for_input(stream)
             max_bytes = READ_BYTES
-            if parser.in_message:
+            if parser.in_message and rate_work(parser):
                 if not self.turns.try_take(parser):
                     await self.turns.wait(parser, rate_work(parser))
                 max_bytes = compute_read_bytes(parser, FIRST_READ_BYTES, READ_BYTES)
