--- a/src/catkinpost/transport/caller_room.py
+++ b/src/catkinpost/transport/caller_room.py
@@ -46,7 +46,7 @@
 SHORTAGE_RETRY_AFTER_S = 0.5
 SHORTAGE_FAILURE = Failure(
     reason=Reason.QUEUE_FULL,
-    detail="the node has no descriptor left for more callers",
+    detail="the node has no room left for more callers",
     retry_after=SHORTAGE_RETRY_AFTER_S,
 )
 
@@ -91,7 +91,8 @@
         active = [
             item.stream
             for item in self.connections
-            if item.phase is not Phase.IDLE and not item.has_wide_buffer
+            if (item.phase is not Phase.IDLE or item.memory_wait is not None)
+            and not item.has_wide_buffer
         ]
         if len(active) <= UNCOUNTED_CONNECTIONS:
             self.unread_bytes = 0
@@ -185,8 +186,9 @@
             if item.phase is phase
             and item.phase_started_at < since
             and not item.scope.cancel_called
-            and not (item.is_awaiting_request and item.is_ending)
             and may_close(item)
+            # The last check takes a system call.
+            and not (item.is_awaiting_request and item.is_ending)
         ]
         found.sort(key=lambda item: item.phase_started_at)
         return found[:MAX_CLOSED_AT_ONCE]
--- a/src/catkinpost/transport/http_connection.py
+++ b/src/catkinpost/transport/http_connection.py
@@ -7,7 +7,7 @@
 import trio
 from eliot import log_message
 
-from catkinpost.protocol.http import HttpResponse
+from catkinpost.protocol.http import HttpResponse, find_header
 from catkinpost.protocol.outcome import Failure
 from catkinpost.state.request_memory import Reservation
 from catkinpost.transport.http_parser import RequestParser
@@ -15,6 +15,7 @@
     count_unacknowledged_bytes,
     has_data_in_flight,
 )
+from catkinpost.transport.parse_turn import rate_work
 from catkinpost.transport.socket_io import set_receive_buffer
 
 __all__ = ["RECEIVE_BUFFER_BYTES", "Connection", "Exchange", "Phase"]
@@ -22,9 +23,9 @@
 # Receive buffer of a caller's connection. What the system holds there counts towards
 # the memory of the machine; ordinary requests fit.
 RECEIVE_BUFFER_BYTES = 16 * 1024
-# Buffer while a longer rest of a body is due, whose memory is reserved. A small one
-# would let less pass than a path with a long delay can carry.
-BODY_BUFFER_BYTES = 256 * 1024
+# Buffer while a longer rest of a body is due, whose memory is reserved. The window
+# scale of the connection was fixed by the small one, so a larger one is not used.
+BODY_BUFFER_BYTES = 64 * 1024
 # Shorter deliveries end in time at any moment of a stop that still reads requests.
 MIN_DELIVERY_S = 0.1
 
@@ -322,11 +323,14 @@
 
         Without a length, most of what comes may be framing, which is not reserved.
         """
-        rest = self.parser.count_missing_body_bytes()
-        if self.has_wide_buffer or rest <= RECEIVE_BUFFER_BYTES:
+        if self.has_wide_buffer:
             return
-        self.has_wide_buffer = True
-        set_receive_buffer(self.stream.socket, min(rest, BODY_BUFFER_BYTES))
+        rest = self.parser.count_missing_body_bytes()
+        if find_header(self.parser.headers, b"content-length") is None:
+            rest = 0 if rate_work(self.parser) else BODY_BUFFER_BYTES
+        if rest > RECEIVE_BUFFER_BYTES:
+            self.has_wide_buffer = True
+            set_receive_buffer(self.stream.socket, min(rest, BODY_BUFFER_BYTES))
 
     def narrow_buffer(self) -> None:
         """Let the system hold no more than small requests again."""
--- a/tests/transport/test_caller_room.py
+++ b/tests/transport/test_caller_room.py
@@ -41,16 +41,20 @@
                 socket.close()
 
     @params(
-        # (connections with a request, their phase, bytes that count of each)
-        (UNCOUNTED_CONNECTIONS + 1, Phase.READING, 1000),
-        (UNCOUNTED_CONNECTIONS, Phase.READING, 0),
-        (UNCOUNTED_CONNECTIONS + 1, Phase.IDLE, 0),
+        # (connections, their phase, wait for memory, bytes that count of each)
+        (UNCOUNTED_CONNECTIONS + 1, Phase.READING, None, 1000),
+        (UNCOUNTED_CONNECTIONS, Phase.READING, None, 0),
+        (UNCOUNTED_CONNECTIONS + 1, Phase.IDLE, None, 0),
+        (UNCOUNTED_CONNECTIONS + 1, Phase.IDLE, trio.CancelScope(), 1000),
     )
-    def test_unread_input_of_many_connections_is_held(self, count, phase, expected):
+    def test_unread_input_of_many_connections_is_held(
+        self, count, phase, memory_wait, expected
+    ):
         """Guards against memory of the machine that the account knows nothing of."""
         room = CallerRoom(reserved_descriptors=0, max_connections=None)
         for _ in range(count):
-            connection = mock.Mock(phase=phase, has_wide_buffer=False)
+            connection = mock.Mock(phase=phase, memory_wait=memory_wait)
+            connection.has_wide_buffer = False
             room.connections.add(connection)
         room.connections.add(mock.Mock(phase=phase, has_wide_buffer=True))
         before = room.used_bytes
