Leave room for bodies and the accept queue beside connections

Cause: connections had all that is left beside process and answers, bodies and heads a share of the same memory, and both could be full; what waits to be accepted was in no sum.

Change: each 48 KiB of bodies and heads take the place of a connection, 64 are accepted in any case; the accept queue has a length by the memory of the machine, option accept_backlog, and its part of the memory.

The unit tests fail before: no such bound.

--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -35,6 +35,7 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import ServiceSection
 from catkinpost.protocol.settings import (
+    FULL_CONNECTION_BYTES,
     BoundsSection,
     NodeSettings,
     parse_address,
@@ -85,7 +86,9 @@
         self.nursery: trio.Nursery | None = None
         self.is_leaving = False
         self.planned_stop = PlannedStop(self)
-        self.call_acceptor = Acceptor(receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
+        self.call_acceptor = Acceptor(
+            settings.bounds.accept_backlog, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+        )
         self.peer_acceptor = Acceptor()
         self.nodes_in_region = 1
         self.build_state()
@@ -296,6 +299,12 @@
         self.memory_watch = MemoryWatch(self)
         self.call_acceptor.make_room = self.http_server.make_room
         self.call_acceptor.gate = self.http_server.gate
+        self.http_server.gate.count_taken = self.count_taken_connections
+
+    def count_taken_connections(self) -> int:
+        """Return how many connections the memory of bodies and heads would hold."""
+        used_bytes = self.memory_account.used_bytes - self.http_server.used_bytes
+        return used_bytes // FULL_CONNECTION_BYTES
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -10,6 +10,7 @@
 from catkinpost.platform.model import PlatformModel
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.settings import (
+    FULL_CONNECTION_BYTES,
     AddressText,
     BackendSection,
     BoundsSection,
@@ -66,8 +67,11 @@
 PROCESS_BYTES = 40 * 1024 * 1024
 USABLE_SHARE = 0.75
 MIN_HELD_SHARE = 1 / 8
-# A connection with its task, a small request and the input that the system holds of it.
-CONNECTION_BYTES = 48 * 1024
+# Share of the memory beside process and answers for connections that nobody has
+# accepted yet, each with the input that the system holds of it.
+BACKLOG_SHARE = 1 / 8
+WAITING_CONNECTION_BYTES = 24 * 1024
+MIN_BACKLOG, MAX_BACKLOG = 128, 1024
 MIN_CONNECTIONS = 64
 MEGABYTE = 1_000_000
 # Room for one body of the largest size.
@@ -244,13 +248,28 @@
     return int(limits.memory_mb * MEGABYTE)
 
 
+def compute_connection_memory(limits: LimitsTable) -> int:
+    """Return the bytes beside the process and answers."""
+    all_bytes = int(limits.memory_mb * MEGABYTE)
+    return max(0, all_bytes - PROCESS_BYTES - compute_answer_memory(limits))
+
+
+def compute_backlog(limits: LimitsTable) -> int:
+    """Return how many connections may wait to be accepted."""
+    if limits.memory_mb is None:
+        return MAX_BACKLOG
+    backlog_bytes = compute_connection_memory(limits) * BACKLOG_SHARE
+    backlog = int(backlog_bytes // WAITING_CONNECTION_BYTES)
+    return min(MAX_BACKLOG, max(MIN_BACKLOG, backlog))
+
+
 def compute_max_connections(limits: LimitsTable) -> int | None:
     """Return how many connections of callers fit beside the process and answers."""
     if limits.memory_mb is None:
         return None
-    free_bytes = int(limits.memory_mb * MEGABYTE) - PROCESS_BYTES
-    free_bytes -= compute_answer_memory(limits)
-    return max(MIN_CONNECTIONS, free_bytes // CONNECTION_BYTES)
+    waiting_bytes = compute_backlog(limits) * WAITING_CONNECTION_BYTES
+    free_bytes = compute_connection_memory(limits) - waiting_bytes
+    return max(MIN_CONNECTIONS, free_bytes // FULL_CONNECTION_BYTES)
 
 
 def build_node_settings(file: SettingsFile) -> NodeSettings:
@@ -279,6 +298,7 @@
             head_memory_bytes=compute_head_memory(process.limits),
             answer_memory_bytes=compute_answer_memory(process.limits),
             machine_memory_bytes=compute_machine_memory(process.limits),
+            accept_backlog=compute_backlog(process.limits),
             max_connections=compute_max_connections(process.limits),
             stop_timeout=bounds.grace_period_s * STOP_TIMEOUT_SHARE,
             delivery_timeout=bounds.grace_period_s * DELIVERY_TIMEOUT_SHARE,
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -9,7 +9,17 @@
 from catkinpost.protocol.http import HttpLimits
 from catkinpost.protocol.ini import Problem, convert_section, parse_ini
 
-__all__ = ["Address", "NodeSettings", "parse_address", "parse_settings"]
+__all__ = [
+    "FULL_CONNECTION_BYTES",
+    "Address",
+    "NodeSettings",
+    "parse_address",
+    "parse_settings",
+]
+
+# Memory of a connection with its task, a small request and the input that the system
+# holds of it.
+FULL_CONNECTION_BYTES = 48 * 1024
 
 AddressText = Annotated[
     str,
@@ -155,8 +165,10 @@
     :param machine_memory_bytes: memory beyond which the machine ends the process; the
         log tells when the node has passed half of it, three quarters and nine tenths.
         It bounds nothing.
-    :param max_connections: maximum number of connections of callers; further callers
-        wait until others are closed. Only descriptors bound it when absent.
+    :param max_connections: maximum number of connections of callers, of which each
+        48 KiB of bodies and heads take the place of one; further callers wait until
+        others are closed. Only descriptors bound it when absent.
+    :param accept_backlog: maximum number of connections that wait to be accepted.
     :param head_timeout: seconds within which a started request must be complete.
     :param idle_timeout: seconds for which an idle connection is kept open.
     :param stop_timeout: maximum time in seconds that a graceful shutdown waits for
@@ -189,6 +201,7 @@
     answer_memory_bytes: MemoryBytes = 32 * 1024 * 1024
     machine_memory_bytes: MemoryBytes | None = None
     max_connections: Annotated[int, msgspec.Meta(ge=16)] | None = None
+    accept_backlog: Annotated[int, msgspec.Meta(ge=16, le=65535)] = 1024
     head_timeout: Seconds = 10.0
     idle_timeout: Seconds = 120.0
     stop_timeout: Seconds = 600.0
--- a/src/catkinpost/transport/acceptor.py
+++ b/src/catkinpost/transport/acceptor.py
@@ -63,6 +63,8 @@
 CALLERS_SHARE = 0.25
 # Refusals use this share of the descriptors that are else left free.
 REFUSALS_SHARE = 0.5
+# So many callers are accepted whatever else takes the memory of the machine.
+MIN_CONNECTIONS = 64
 
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -72,6 +74,11 @@
     return 0
 
 
+def take_none() -> int:
+    """Leave all connections to callers."""
+    return 0
+
+
 class CallerGate:
     """Bound on the connections of callers, below the limit of descriptors.
 
@@ -83,6 +90,8 @@
     :param make_room: closes connections on which nothing is due.
     :param reserved_descriptors: descriptors to leave free, 0 for no bound.
     :param max_connections: most connections at once, ``None`` for no such bound.
+    :ivar count_taken: returns how many connections other uses of memory take the place
+        of.
     :ivar is_short: whether callers wait.
     :ivar last_came_at: earliest time at which the first of those that wait has come.
     :ivar refused: accepted connections whose requests are to be refused.
@@ -101,6 +110,7 @@
         self.make_room = make_room
         self.reserved_descriptors = reserved_descriptors
         self.max_connections = max_connections
+        self.count_taken: Callable[[], int] = take_none
         self.is_short = False
         self.short_since = 0.0
         self.last_came_at = 0.0
@@ -126,7 +136,9 @@
         """Whether there are as many connections as there may be."""
         if self.max_connections is None:
             return False
-        return self.count_connections() + len(self.unserved) >= self.max_connections
+        least = min(MIN_CONNECTIONS, self.max_connections)
+        most = max(least, self.max_connections - self.count_taken())
+        return self.count_connections() + len(self.unserved) >= most
 
     def has_room(self, socket: trio.socket.SocketType) -> bool:
         """Return whether there may be one more connection."""
@@ -240,8 +252,8 @@
     The kernel resets the connections that wait to be accepted when their listener is
     closed, with the requests sent on them. They are accepted before.
 
-    :param backlog: most connections that are accepted at the end, as callers may
-        never stop coming.
+    :param backlog: most connections that wait to be accepted, and that are accepted at
+        the end, as callers may never stop coming.
     :param receive_buffer_bytes: receive buffer of each connection, ``None`` for the
         default of the system, which lets it grow to megabytes.
     :ivar make_room: closes connections when descriptors run out, and returns their
@@ -302,7 +314,7 @@
 
         :return: open listeners, none if the address can't be had now.
         """
-        listeners = await try_to_open(address)
+        listeners = await try_to_open(address, self.backlog)
         if self.receive_buffer_bytes is not None:
             for listener in listeners:
                 set_receive_buffer(listener.socket, self.receive_buffer_bytes)
@@ -466,14 +478,16 @@
     return connection
 
 
-async def try_to_open(address: Address) -> list[trio.SocketListener]:
+async def try_to_open(address: Address, backlog: int) -> list[trio.SocketListener]:
     """Open an address.
 
+    :param address: where to listen.
+    :param backlog: most connections that wait to be accepted.
     :return: open listeners, none if the address can't be had now.
     """
     try:
         return await trio.open_tcp_listeners(
-            address.port, host=address.host, backlog=LISTEN_BACKLOG
+            address.port, host=address.host, backlog=backlog
         )
     except OSError as error:
         log_message("listen: address not open", address=str(address), why=repr(error))
--- a/tests/transport/test_acceptor.py
+++ b/tests/transport/test_acceptor.py
@@ -16,7 +16,9 @@
     MAX_OPEN_RETRY_S,
     Acceptor,
     AcceptQueue,
+    CallerGate,
     accept_connection,
+    keep_all,
 )
 from tests.clock import on_mock_clock
 from tests.shortage import no_free_descriptors
@@ -72,6 +74,30 @@
         return caller
 
 
+class TestCallerGate(unittest.TestCase):
+    @params(
+        # (connections, of which other memory takes the place, whether it is full)
+        (199, 0, False),
+        (200, 0, True),
+        (100, 100, True),
+        (99, 100, False),
+        (63, 10_000, False),
+        (64, 10_000, True),
+    )
+    def test_connections_have_the_room_that_other_memory_leaves(
+        self, count, taken, is_full
+    ):
+        """Guards against bodies and connections that fill a machine together."""
+        gate = CallerGate(
+            count_connections=lambda: count,
+            make_room=keep_all,
+            reserved_descriptors=0,
+            max_connections=200,
+        )
+        gate.count_taken = lambda: taken
+        self.assertEqual(gate.is_full, is_full)
+
+
 class TestAcceptor(unittest.TestCase):
     @params(0, WAITING)
     def test_connections_that_wait_are_accepted_at_the_end(self, count):
