--- a/src/catkinpost/transport/parse_turn.py
+++ b/src/catkinpost/transport/parse_turn.py
@@ -19,7 +19,7 @@
 # Callbacks that the bytes of one turn are expected to take.
 TURN_CALLBACKS = 512
 # Callbacks for parts of this size, and those for an ordinary head, don't count as work.
-HONEST_PART_BYTES = 1024
+ORDINARY_PART_BYTES = 1024
 WORK_UNIT_CALLBACKS = 128
 # A connection that waits takes some 20 KiB, also if its caller has closed it.
 MAX_WAITING = 512
@@ -114,8 +114,8 @@
     Messages of ordinary heads and of bodies in large parts are equal, at 0.
     """
     message_bytes = parser.head_bytes + parser.body_bytes
-    honest_callbacks = message_bytes // HONEST_PART_BYTES
-    return max(0, parser.callbacks - honest_callbacks) // WORK_UNIT_CALLBACKS
+    ordinary_callbacks = message_bytes // ORDINARY_PART_BYTES
+    return max(0, parser.callbacks - ordinary_callbacks) // WORK_UNIT_CALLBACKS
 
 
 def compute_read_bytes(parser: MessageCollector, least: int, most: int) -> int:
--- a/src/catkinpost/transport/part_reader.py
+++ b/src/catkinpost/transport/part_reader.py
@@ -35,7 +35,7 @@
     its input stays unread.
 
     :ivar turns: turns of all connections.
-    :ivar is_last_read: whether what a part leaves unread is to be discarded.
+    :ivar is_last_read: whether the server stops, and discards what is left unread.
     """
 
     def __init__(self) -> None:
@@ -71,7 +71,7 @@
     def read_on(self, connection: Connection, data: bytes) -> bytes:
         """Read what follows the first bytes of a message, if a turn is free.
 
-        The message of an honest caller does not wait for another step then.
+        An ordinary message does not wait for another step of the event loop then.
         """
         if not has_few_lines(data) or not self.turns.try_take(connection):
             return b""
@@ -88,7 +88,7 @@
             return 0.0
         work = rate_work(connection.parser)
         if work and connection.is_unread and self.turns.is_full:
-            # This cancels the wait.
+            # This cancels the task, so that the wait below ends at once.
             connection.drop_unread(CROWD_FAILURE)
         waits_since = trio.current_time()
         await self.turns.wait(connection, work)
@@ -98,7 +98,7 @@
         return trio.current_time() - waits_since
 
     def end_turn(self, connection: Connection) -> None:
-        """Let others read at once, as a message was read whole or is not read on."""
+        """End the turn of a connection whose message is read whole or dropped."""
         self.turns.release(connection)
 
     def limit_read(self, connection: Connection) -> int:
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -346,6 +346,7 @@
             while there.server.running:
                 await trio.sleep(0.1)
             await call_until_served(fleet, entry, "there", "beside", is_kept=False)
+            self.assertFalse(is_read.is_set())
             is_hurried.set()
             await is_read.wait()
             crowd.scope.cancel()
