Log the fields of configuration and settings that a node does not read

Configuration and settings were read field by field, and what the models lack was dropped in silence.

Change: each node logs the places of these fields with its settings, and with the first configuration and each one in which they differ.

--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -1,8 +1,10 @@
 """Environment of a node on the platform: store, readiness and settings file."""
 
 import signal
+import tomllib
 from pathlib import Path
 
+import msgspec
 import trio
 from eliot import log_message
 
@@ -10,12 +12,21 @@
 from catkinpost.coordination.feed import FeedRelay
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.platform.dialect import PlatformDialect
-from catkinpost.platform.document import parse_configuration, render_policy
+from catkinpost.platform.document import (
+    Configuration,
+    parse_configuration,
+    render_policy,
+)
 from catkinpost.platform.listing import ServerList, parse_server_entry
 from catkinpost.platform.names import CONFIG_KEY, READINESS_PATH, SERVERS_PREFIX
 from catkinpost.platform.recency import is_older_value
-from catkinpost.platform.settings import PlatformSettings, parse_platform_settings
+from catkinpost.platform.settings import (
+    PlatformSettings,
+    SettingsFile,
+    parse_platform_settings,
+)
 from catkinpost.platform.store import StoreClient
+from catkinpost.platform.unread import UnreadFieldLog, find_unread_fields
 from catkinpost.protocol.http import HttpRequest, HttpResponse
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.settings import parse_address
@@ -52,6 +63,7 @@
         )
         self.list_version = 0
         self.settings_text = settings.text
+        self.unread_fields = UnreadFieldLog("store: fields not read", Configuration)
 
     def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
@@ -155,6 +167,7 @@
         if isinstance(config, Failure):
             log_message("store: configuration ignored", why=config.detail)
             return
+        self.unread_fields.record(msgspec.json.decode(value))
         if config.version > self.node.store.version:
             self.node.exchange.apply_document(config.version, render_policy(config))
 
@@ -247,4 +260,5 @@
         service=node.node.service,
         server=node.backend.address,
         store=node.platform.address,
+        fields_not_read=find_unread_fields(tomllib.loads(settings.text), SettingsFile),
     )
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -21,7 +21,7 @@
     PlatformSection,
 )
 
-__all__ = ["PlatformSettings", "parse_platform_settings"]
+__all__ = ["PlatformSettings", "SettingsFile", "parse_platform_settings"]
 
 # The platform gives its processes no shared secret: any process that can reach the
 # internal ports can act as a peer (docs/design/platform.md lists what that allows).
