Tell up to which time a node knows the policy, and pass it on to peers

What callers saw: nothing yet. A key that is withdrawn must be out of use within a bound on each node, also on one that hears nothing of the platform, and no node could tell how old its policy is: the time of an answer or of a peer's page counted as that of its content, however long it had been on its way.

Change: a read of the store confirms the policy at the time at which it was sent (an empty watch: at the end of its wait). A peer's page tells its age and the sender's clock, whose bound on this node's clock comes from the handshake and from pings, so that a page that the network held up is not taken for a new one.

--- a/src/catkinpost/coordination/configuration/policy_watch.py
+++ b/src/catkinpost/coordination/configuration/policy_watch.py
@@ -7,6 +7,9 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.configuration.policy_confirmation import (
+    PolicyConfirmation,
+)
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.protocol.outcome import Failure
 from catkinpost.state.instance_view import InstanceState, InstanceView
@@ -55,6 +58,7 @@
 
     :param client: client of the platform.
     :param exchange: applies the documents and sends them to peers.
+    :param confirmation: keeps the age of the policy.
     :param view: list of instances.
     :param instance: name of this node's instance.
     """
@@ -64,11 +68,13 @@
         *,
         client: PlatformClient,
         exchange: PolicyExchange,
+        confirmation: PolicyConfirmation,
         view: InstanceView,
         instance: str,
     ) -> None:
         self.client = client
         self.exchange = exchange
+        self.confirmation = confirmation
         self.view = view
         self.instance = instance
         self.platform_version: int | None = None
@@ -77,6 +83,7 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            asked_at = trio.current_time()
             known_version = self.exchange.store.version
             version = await self.client.watch_version(known_version)
             if isinstance(version, Failure):
@@ -88,10 +95,14 @@
                 # A stale platform responds at once, which would make a tight loop.
                 if version < known_version:
                     await trio.sleep(self.client.settings.retry_interval)
+                else:
+                    self.confirmation.confirm(asked_at)
                 continue
             await self.wait_for_peers(version)
             if self.exchange.store.version < version:
                 await self.read_document()
+            if self.exchange.store.version >= version:
+                self.confirmation.confirm(asked_at)
 
     async def back_off(self, failure: Failure) -> None:
         if self.last_error != failure.detail:
--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -7,6 +7,9 @@
 
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
+from catkinpost.coordination.configuration.policy_confirmation import (
+    PolicyConfirmation,
+)
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
@@ -25,6 +28,7 @@
 from catkinpost.state.memory_account import MemoryAccount
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory
 from catkinpost.transport.acceptor import Acceptor
@@ -51,6 +55,7 @@
     decisions: DecisionLog
     metrics: Metrics
     store: PolicyStore
+    policy_age: PolicyAge
     view: InstanceView
     stats: PeerStats
     pause_watch: PauseWatch
@@ -60,6 +65,7 @@
     answer_memory: AnswerMemory
     links: LinkTable
     exchange: PolicyExchange
+    policy_confirmation: PolicyConfirmation
     peer_handler: PeerHandler
     peer_server: PeerServer
     backend_client: BackendClient
--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -93,9 +93,12 @@
     :param is_older: returns whether a value of a key is older than another one.
     :param on_changes: called with new changes, and once with none when the first state
         was read.
+    :param on_known: called with the time up to which all changes are known, after they
+        were applied.
     :param spawn: starts a background task.
     :param settings: bounds.
     :param get_sessions: returns the connections that peers have opened to this node.
+    :ivar known_at: time on the node's clock up to which it knows all changes.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         source: Source,
         is_older: Callable[[str, bytes, bytes], bool],
         on_changes: Callable[[list[KeyChange]], None],
+        on_known: Callable[[float], None],
         spawn: Callable[..., None],
         settings: FeedSettings,
         get_sessions: Callable[[], Iterable[AcceptedSession]],
@@ -118,6 +122,7 @@
         self.links = links
         self.source = source
         self.on_changes = on_changes
+        self.on_known = on_known
         self.spawn = spawn
         self.settings = settings
         self.get_sessions = get_sessions
@@ -136,6 +141,7 @@
         self.recovered_at: float | None = None
         self.needs_snapshot = False
         self.last_error = ""
+        self.known_at = -math.inf
 
     @property
     def is_confirmed(self) -> bool:
@@ -218,6 +224,7 @@
             self.selector.record_confirmation(self.instance, trio.current_time())
             changes = self.merge(page)
             self.apply(changes)
+            self.record_known(page.known_at)
             self.publisher.publish()
             if changes:
                 await trio.sleep(MIN_WATCH_INTERVAL_S)
@@ -309,6 +316,12 @@
         if changes or self.view.read_at is None:
             self.on_changes(changes)
 
+    def record_known(self, at: float) -> None:
+        """Record that everything up to a time is known and applied."""
+        if at > self.known_at:
+            self.known_at = at
+            self.on_known(at)
+
     def on_pause(self) -> None:
         """Distrust all confirmations: their age does not include the pause."""
         for status in self.selector.statuses.values():
@@ -392,6 +405,7 @@
         if page.age_us >= 0:
             self.selector.record_confirmation(link.instance, now - page.age_us / 1e6)
         self.apply(changes)
+        self.record_known(find_known_at(link, page, now))
         if changes:
             self.publisher.publish()
         if page.failing:
@@ -471,5 +485,22 @@
             recovered_s=recovered_s,
             failing=self.own_status.failing,
             is_confirmed=self.is_confirmed,
+            known_age_s=-1.0 if self.known_at == -math.inf else now - self.known_at,
             era=era,
         )
+
+
+def find_known_at(link: PeerLink, page: FeedPage, now: float) -> float:
+    """Return the time up to which a page surely holds all changes.
+
+    An earlier release tells no clock: its page counts as delivered at once.
+
+    :param link: link on which it arrived.
+    :return: time on this node's clock, minus infinity if nothing is known.
+    """
+    if page.clock_us is None:
+        return now - page.age_us / 1e6 if page.age_us >= 0 else -math.inf
+    if page.known_age_us < 0:
+        return -math.inf
+    written_at = min(now, link.clock.convert(page.clock_us / 1e6, now))
+    return written_at - page.known_age_us / 1e6
--- a/src/catkinpost/coordination/peers/identity.py
+++ b/src/catkinpost/coordination/peers/identity.py
@@ -5,7 +5,13 @@
 import secrets
 from dataclasses import dataclass, field
 
-from catkinpost.protocol.message import PROTOCOL_VERSION, Challenge, Hello, Welcome
+from catkinpost.protocol.message import (
+    PROTOCOL_VERSION,
+    Challenge,
+    Hello,
+    Load,
+    Welcome,
+)
 
 __all__ = ["Identity", "get_holder_instance", "generate_nonce"]
 
@@ -91,7 +97,9 @@
             feeds=True,
         )
 
-    def build_welcome(self, hello: Hello, version: int, digest: bytes, load) -> Welcome:
+    def build_welcome(
+        self, hello: Hello, version: int, digest: bytes, load: Load, clock_us: int
+    ) -> Welcome:
         """Build the handshake message of the accepting side."""
         return Welcome(
             version=PROTOCOL_VERSION,
@@ -104,4 +112,5 @@
             load=load,
             feeds=True,
             withdrawals=True,
+            clock_us=clock_us,
         )
--- a/src/catkinpost/coordination/peers/link.py
+++ b/src/catkinpost/coordination/peers/link.py
@@ -42,6 +42,7 @@
     build_leaving_failure,
 )
 from catkinpost.protocol.settings import Address
+from catkinpost.state.peer_clock import PeerClock
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.transport.frame import FrameStream
 
@@ -51,6 +52,8 @@
 
 LIVENESS_CHECK_INTERVAL_S = 0.5
 IDLE_PING_S = 10.0
+# Time in which a bound on the clock of a peer gets worse by 0.03 s.
+CLOCK_LIFETIME_S = 30.0
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.05
@@ -103,6 +106,7 @@
     :param pause: detection of pauses of this process.
     :param settings: bounds of the link.
     :param spawn: starts a background task.
+    :ivar clock: clock of the process at the other end.
     """
 
     def __init__(
@@ -126,6 +130,7 @@
         self.settings = settings
         self.spawn = spawn
         self.pending = PendingRequests()
+        self.clock = PeerClock()
         self.frames: FrameStream | None = None
         self.welcome: Welcome | None = None
         self.state_changed = trio.Event()
@@ -271,13 +276,18 @@
             if not isinstance(challenge, Challenge):
                 return build_handshake_failure(challenge)
             nonce = generate_nonce()
+            asked_at = trio.current_time()
             await frames.send(
                 self.identity.build_hello(
                     challenge, self.store.version, self.store.digest, nonce
                 )
             )
-            welcome = await frames.receive()
-            return self.check_welcome(welcome, nonce)
+            welcome = self.check_welcome(await frames.receive(), nonce)
+            if isinstance(welcome, Welcome):
+                # Another process may answer than before, with another clock.
+                self.clock = PeerClock()
+                self.record_clock(asked_at, welcome.clock_us)
+            return welcome
         return Failure(reason=Reason.PEER_SILENT, detail="no introduction in time")
 
     def check_welcome(
@@ -355,6 +365,11 @@
     def record_round_trip(self, pong: Pong) -> None:
         if pong.sequence == self.ping_sequence:
             self.round_trip_s = trio.current_time() - self.ping_sent_at
+            self.record_clock(self.ping_sent_at, pong.clock_us)
+
+    def record_clock(self, asked_at: float, clock_us: int | None) -> None:
+        if clock_us is not None:
+            self.clock.record(asked_at, clock_us / 1e6)
 
     async def monitor_liveness(
         self, frames: FrameStream, nursery: trio.Nursery
@@ -458,10 +473,14 @@
     def is_ping_needed(self, frames: FrameStream, now: float) -> bool:
         """Return whether either side may take the other for silent without a ping.
 
-        A peer that only sends, such as the pages of a feed, hears nothing else.
+        A peer that only sends, such as the pages of a feed, hears nothing else. The
+        bound on the clock of the peer needs pings on busy connections too.
         """
         is_idle = now - frames.sent_at >= IDLE_PING_S
-        return is_idle or now - self.last_received_at >= self.get_ping_interval()
+        # Earlier releases never tell their clock.
+        is_clock_old = CLOCK_LIFETIME_S <= now - self.clock.asked_at < math.inf
+        is_quiet = now - self.last_received_at >= self.get_ping_interval()
+        return is_idle or is_clock_old or is_quiet
 
     def get_ping_interval(self) -> float:
         busy = self.pending.requests or self.ping_due
--- a/src/catkinpost/coordination/peers/peer_server.py
+++ b/src/catkinpost/coordination/peers/peer_server.py
@@ -221,7 +221,11 @@
                 )
             await frames.send(
                 self.identity.build_welcome(
-                    hello, self.store.version, self.store.digest, self.get_load()
+                    hello,
+                    self.store.version,
+                    self.store.digest,
+                    self.get_load(),
+                    read_clock_us(),
                 )
             )
             if hello.version != PROTOCOL_VERSION:
@@ -277,7 +281,11 @@
 
     def build_pong(self, ping: Ping) -> Pong:
         return Pong(
-            ping.sequence, self.get_load(), self.store.version, self.store.digest
+            ping.sequence,
+            self.get_load(),
+            self.store.version,
+            self.store.digest,
+            read_clock_us(),
         )
 
     def build_memory_refusal(self, call: SkippedCall) -> Refusal:
@@ -425,3 +433,8 @@
             calls=len(session.calls),
         )
     await session.frames.close()
+
+
+def read_clock_us() -> int:
+    """Return the time on the node's clock, for a peer that has asked for it."""
+    return int(trio.current_time() * 1e6)
--- a/src/catkinpost/native/environment.py
+++ b/src/catkinpost/native/environment.py
@@ -42,6 +42,7 @@
         self.policy_watch = PolicyWatch(
             client=self.platform,
             exchange=node.exchange,
+            confirmation=node.policy_confirmation,
             view=node.view,
             instance=node.identity.instance,
         )
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -15,6 +15,9 @@
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.at_most_once.once import OnceGuard
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
+from catkinpost.coordination.configuration.policy_confirmation import (
+    PolicyConfirmation,
+)
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.environment import Environment
 from catkinpost.coordination.memory_watch import MemoryWatch
@@ -47,6 +50,7 @@
 from catkinpost.state.memory_account import MemoryAccount
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.request_memory import RequestMemory
 from catkinpost.state.retry_budget import RetryBudget, build_retry_bound
@@ -109,6 +113,7 @@
         self.decisions = DecisionLog()
         self.metrics = Metrics()
         self.store = PolicyStore()
+        self.policy_age = PolicyAge()
         self.view = InstanceView()
         self.stats = PeerStats()
         self.notices = ServerNotices()
@@ -154,6 +159,12 @@
             on_policy_changed=self.on_policy_changed,
             decisions=self.decisions,
         )
+        self.policy_confirmation = PolicyConfirmation(
+            exchange=self.exchange,
+            view=self.view,
+            instance=self.identity.instance,
+            age=self.policy_age,
+        )
         self.crash_guard = CrashGuard(
             instance=self.identity.instance,
             broadcast=self.broadcast,
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -64,6 +64,7 @@
         self.list_version = 0
         self.settings_text = settings.text
         self.unread_fields = UnreadFieldLog("store: fields not read", Configuration)
+        self.is_configuration_applied = False
 
     def attach(self, node: NodeParts) -> None:
         """Build the watches of a node.
@@ -79,6 +80,7 @@
             source=self,
             is_older=is_older_value,
             on_changes=self.apply_changes,
+            on_known=self.confirm_policy,
             spawn=node.spawn,
             settings=self.settings.feed,
             get_sessions=lambda: node.peer_server.sessions.values(),
@@ -105,6 +107,14 @@
         """Return whether configuration and servers are known and were confirmed."""
         return self.node.store.has_policy and self.relay.is_confirmed
 
+    def confirm_policy(self, at: float) -> None:
+        """Count the policy in force as the newest one at a time.
+
+        A configuration that can't be used may withdraw keys, and confirms nothing.
+        """
+        if self.is_configuration_applied:
+            self.node.policy_confirmation.confirm(at)
+
     async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
         """Read every key of the store in the current settings."""
         return await self.store_client.read_snapshot(may_be_stale=may_be_stale)
@@ -163,6 +173,7 @@
     def apply_configuration(self, value: bytes | None) -> None:
         if value is None:
             return
+        self.is_configuration_applied = False
         config = parse_configuration(value)
         if isinstance(config, Failure):
             log_message("store: configuration ignored", why=config.detail)
@@ -170,6 +181,7 @@
         self.unread_fields.record(msgspec.json.decode(value))
         if config.version > self.node.store.version:
             self.node.exchange.apply_document(config.version, render_policy(config))
+        self.is_configuration_applied = True
 
     def apply_server_change(self, change: KeyChange) -> None:
         identity = change.key.removeprefix(SERVERS_PREFIX)
--- a/src/catkinpost/platform/store.py
+++ b/src/catkinpost/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import math
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -130,6 +131,7 @@
         The pages are read at different times, so the watch continues from the revision
         of the first one: a change between two pages is seen twice rather than missed.
         """
+        asked_at = trio.current_time()
         changes: list[KeyChange] = []
         revision: int | None = None
         era: int | None = None
@@ -155,7 +157,12 @@
             changes += [build_change(item) for item in page.items]
             revision = page.at if revision is None else revision
             if not page.more_pages or not page.items:
-                return Snapshot(changes=changes, revision=revision, era=era)
+                return Snapshot(
+                    changes=changes,
+                    revision=revision,
+                    era=era,
+                    known_at=-math.inf if may_be_stale else asked_at,
+                )
             after = page.items[-1].key
         return build_bad_document_failure(f"the store has over {MAX_PAGES} pages")
 
@@ -165,7 +172,9 @@
         :param after: last revision read.
         :param wait_s: seconds after which the store responds without changes.
         """
-        target = f"/v1/kv-watch?prefix=&after={after}&wait-ms={int(wait_s * 1000)}"
+        asked_at = trio.current_time()
+        wait_ms = int(wait_s * 1000)
+        target = f"/v1/kv-watch?prefix=&after={after}&wait-ms={wait_ms}"
         answer = await self.fetch_page(target, wait_s=wait_s)
         if isinstance(answer, Failure):
             return answer
@@ -176,9 +185,23 @@
             changes=[build_change(item) for item in page.events],
             revision=page.at,
             era=answer.era,
+            known_at=find_known_at(page, asked_at, asked_at + wait_ms / 1000),
         )
 
 
+def find_known_at(page: WatchBody, asked_at: float, ends_at: float) -> float:
+    """Return the latest time at which the store surely held what a watch says.
+
+    The answer may have been on its way for long. Without changes the store gives it at
+    the end of the wait, and otherwise at some time since the watch was sent.
+
+    :param asked_at: time at which the watch was sent.
+    :param ends_at: earliest time at which the store ends the wait.
+    """
+    is_waited_out = not page.events and trio.current_time() >= ends_at
+    return ends_at if is_waited_out else asked_at
+
+
 def build_change(item: StoredItem) -> KeyChange:
     return KeyChange(
         key=item.key,
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -130,6 +130,7 @@
     :param feeds: whether the sender understands :class:`FeedSubscribe`.
     :param withdrawals: whether the sender understands ``only_waiting`` in
         :class:`Cancel`.
+    :param clock_us: microseconds on the sender's clock, ``None`` from earlier releases.
     """
 
     version: int
@@ -142,6 +143,7 @@
     load: Load = Load()
     feeds: bool = False
     withdrawals: bool = False
+    clock_us: int | None = None
 
 
 class Call(msgspec.Struct, array_like=True, tag=CALL_TAG):
@@ -236,12 +238,16 @@
 
 
 class Pong(msgspec.Struct, array_like=True, tag=9, frozen=True):
-    """Response to :class:`Ping`, with the current load and policy version."""
+    """Response to :class:`Ping`, with the current load and policy version.
+
+    :param clock_us: microseconds on the sender's clock, ``None`` from earlier releases.
+    """
 
     sequence: int
     load: Load
     policy_version: int
     policy_digest: bytes
+    clock_us: int | None = None
 
 
 class PolicyNotice(msgspec.Struct, array_like=True, tag=10, frozen=True):
@@ -383,6 +389,10 @@
     :param is_confirmed: whether the sender's state was confirmed since its start, by
         its own reading or that of others.
     :param era: era of all revisions, ``None`` from releases that know no eras.
+    :param clock_us: microseconds on the sender's clock when it wrote the page, ``None``
+        from earlier releases.
+    :param known_age_us: microseconds on that clock since the platform held this state,
+        by whatever way the sender knows, negative if it does not.
     """
 
     since: int
@@ -394,6 +404,8 @@
     keys: list[str] | None = None
     is_confirmed: bool = False
     era: int | None = None
+    clock_us: int | None = None
+    known_age_us: int = -1
 
 
 class FeedFetch(msgspec.Struct, array_like=True, tag=20, frozen=True):
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -1,5 +1,6 @@
 """Copy of the platform's keys that a node shares with its peers."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -44,11 +45,14 @@
 
     :param era: number of times the platform was restored from an older copy; it gives
         out the revisions of an earlier era again.
+    :param known_at: latest time on the node's clock at which the platform surely held
+        this state, minus infinity for a state that may be older.
     """
 
     changes: list[KeyChange]
     revision: int
     era: int = FIRST_ERA
+    known_at: float = -math.inf
 
 
 class Snapshot(ChangePage):
@@ -187,6 +191,7 @@
         recovered_s: float,
         failing: bool,
         is_confirmed: bool,
+        known_age_s: float = -1.0,
         era: int | None = None,
     ) -> FeedPage:
         """Build the message with all changes after a revision.
@@ -199,6 +204,8 @@
             negative for none.
         :param failing: whether the sender fails to read the platform.
         :param is_confirmed: whether the state was confirmed since the sender's start.
+        :param known_age_s: seconds since the platform held the state, by whatever way
+            this is known, negative if it is not.
         :param era: era of ``since``, ``None`` for a receiver that knows no eras.
         """
         is_other_era = era is not None and era != self.era
@@ -228,6 +235,8 @@
             keys=list(self.items) if is_complete else None,
             is_confirmed=is_confirmed,
             era=self.era,
+            clock_us=int(now * 1e6),
+            known_age_us=math.ceil(known_age_s * 1e6),
         )
 
     def get_page_era(self, page: FeedPage) -> int:
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -30,6 +30,7 @@
 from catkinpost.protocol.settings import Address
 from catkinpost.state.feed_state import ChangePage, KeyChange, Snapshot
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
+from catkinpost.state.peer_clock import PeerClock
 
 __all__ = ["UNREACHABLE", "EmulatedFleet", "EmulatedNode", "EmulatedPlatform", "main"]
 
@@ -136,20 +137,24 @@
 
     async def read_snapshot(self, *, may_be_stale: bool = False) -> Snapshot | Failure:
         """Read every key."""
+        asked_at = trio.current_time()
         if may_be_stale:
             self.platform.stale_calls += 1
         else:
             self.platform.call_times.append(trio.current_time())
         if not await self.call():
             return UNREACHABLE
-        changes = list(self.platform.items.values())
         return Snapshot(
-            changes=changes, revision=self.platform.revision, era=self.platform.era
+            changes=list(self.platform.items.values()),
+            revision=self.platform.revision,
+            era=self.platform.era,
+            known_at=-math.inf if may_be_stale else asked_at,
         )
 
     async def watch(self, after: int, *, wait_s: float) -> ChangePage | Failure:
         """Wait for changes after a revision."""
-        self.platform.call_times.append(trio.current_time())
+        asked_at = trio.current_time()
+        self.platform.call_times.append(asked_at)
         if not await self.call():
             return UNREACHABLE
         platform = self.platform
@@ -163,7 +168,12 @@
         if self.is_cut or platform.is_down:
             return UNREACHABLE
         changes = [item for item in platform.history if item.revision > after]
-        return ChangePage(changes=changes, revision=platform.revision, era=platform.era)
+        return ChangePage(
+            changes=changes,
+            revision=platform.revision,
+            era=platform.era,
+            known_at=asked_at,
+        )
 
 
 class EmulatedLink:
@@ -176,6 +186,8 @@
         self.source = source
         self.instance = target
         self.connect_requested = trio.Event()
+        self.clock = PeerClock()
+        self.clock.record(0.0, 0.0)
         self.session = EmulatedSession(self)
 
     @property
@@ -265,6 +277,7 @@
             source=self.source,
             is_older=is_older_number,
             on_changes=self.apply_changes,
+            on_known=lambda at: None,
             spawn=fleet.nursery.start_soon,
             settings=fleet.settings,
             get_sessions=lambda: fleet.get_sessions(name),
--- a/tests/coordination/configuration/test_policy_watch.py
+++ b/tests/coordination/configuration/test_policy_watch.py
@@ -4,6 +4,9 @@
 
 import trio
 
+from catkinpost.coordination.configuration.policy_confirmation import (
+    PolicyConfirmation,
+)
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.configuration.policy_watch import (
     READERS_PER_DATA_CENTRE,
@@ -16,6 +19,7 @@
 from catkinpost.protocol.settings import PlatformSection
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.transport.platform_client import PolicyDocument
 from tests.clock import on_mock_clock, wait_all_tasks_blocked
@@ -68,7 +72,13 @@
             decisions=DecisionLog(),
         )
         self.watch = PolicyWatch(
-            client=platform, exchange=self.exchange, view=view, instance=name
+            confirmation=PolicyConfirmation(
+                exchange=self.exchange, view=view, instance=name, age=PolicyAge()
+            ),
+            client=platform,
+            exchange=self.exchange,
+            view=view,
+            instance=name,
         )
         self.gate = PolicyGate(
             exchange=self.exchange,
--- a/tests/coordination/feed/test_relay.py
+++ b/tests/coordination/feed/test_relay.py
@@ -4,13 +4,19 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
 from nose2.tools import params
 
 from catkinpost.state.feed_state import NO_REVISION
-from catkinpost_standins.feed_emulator import UNREACHABLE, EmulatedFleet, EmulatedLink
+from catkinpost_standins.feed_emulator import (
+    UNREACHABLE,
+    EmulatedFleet,
+    EmulatedLink,
+    EmulatedSession,
+)
 from tests.clock import on_mock_clock
 
 # A change must be in force within this time, and the wait of a node for its answer.
@@ -379,3 +385,52 @@
             for node in fleet.nodes.values():
                 value = node.relay.state.items["config"].value
                 self.assertEqual(value, b"%d" % version)
+
+
+class TestKnownTime(unittest.TestCase):
+    """The time up to which a node knows all changes, which bounds the use of keys."""
+
+    def check_nodes(self, fleet, writes):
+        """Check that a node knows all writes before the time that it tells."""
+        for node in fleet.nodes.values():
+            known_at = node.relay.known_at
+            revision = sum(at < known_at for at in writes) + FLEET
+            self.assertGreaterEqual(node.relay.state.revision, revision)
+
+    @params(0, 1, 2, 3)
+    def test_known_time_is_never_too_late(self, seed):
+        with_fleet(TestKnownTime.check_random, seed=seed)(self)
+
+    async def check_random(self, fleet):
+        """Messages between nodes are up to 4 s on their way, readers are cut off."""
+        send = EmulatedSession.send_notification
+
+        async def send_late(session, message):
+            await trio.sleep(random.choice([0.0, 0.0, 0.1, random.uniform(0, 4)]))
+            return await send(session, message)
+
+        writes = []
+        with mock.patch.object(EmulatedSession, "send_notification", send_late):
+            for number in range(200):
+                fleet.platform.put("config", b"%d" % number)
+                writes.append(trio.current_time())
+                node = random.choice(list(fleet.nodes.values()))
+                node.source.is_cut = random.random() < 0.3
+                await trio.sleep(random.uniform(0, 0.4))
+                self.check_nodes(fleet, writes)
+
+    @with_fleet
+    async def test_known_time_is_young_on_each_node(self, fleet):
+        for _ in range(100):
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            ages = [now - node.relay.known_at for node in fleet.nodes.values()]
+            self.assertLess(max(ages), 2 * fleet.settings.wait_s)
+
+    @with_fleet
+    async def test_known_time_stands_still_while_the_platform_is_away(self, fleet):
+        fleet.platform.stop_answering()
+        stopped_at = trio.current_time()
+        await trio.sleep(20.0)
+        for node in fleet.nodes.values():
+            self.assertLessEqual(node.relay.known_at, stopped_at)
--- a/tests/coordination/peers/test_link.py
+++ b/tests/coordination/peers/test_link.py
@@ -979,7 +979,7 @@
                 await stream.receive_some(1000)
                 welcome = setup.server.identity.build_welcome
                 hello = setup.link.identity.build_hello(Challenge(1, b""), 0, b"", b"n")
-                message = welcome(hello, 0, b"", Load())
+                message = welcome(hello, 0, b"", Load(), 0)
                 message = type(message)(99, *fields_after_version(message))
                 data = encode_message(message)
                 await stream.send_all(LENGTH_PREFIX.pack(len(data)) + data)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the store's client against a stand-in store on real connections."""
 
+import math
 import unittest
 
 import trio
@@ -45,3 +46,50 @@
             store.range = build_range
             self.assertEqual((await client.read_snapshot()).era, store.era)
             nursery.cancel_scope.cancel()
+
+    @params(
+        # (seconds of wait, whether a change ends it, seconds that the answer is late)
+        (1.0, False, 0.0),
+        (1.0, False, 0.4),
+        (1.0, True, 0.0),
+        (1.0, True, 1.4),
+        (0.0, False, 0.4),
+    )
+    def test_watch_tells_the_time_that_its_answer_is_surely_of(
+        self, wait_s, ends, late_s
+    ):
+        """Guards against keys that outlast their bound by the way of an answer."""
+        self.check_known_at(wait_s, ends, late_s)
+
+    @on_mock_clock(io=True)
+    async def check_known_at(self, wait_s, is_changed, late_s):
+        async with trio.open_nursery() as nursery:
+            store = StandInStore()
+            await store.start(nursery)
+            store.put("op/config", b"1")
+            client = StoreClient(Address(HOST, store.port))
+            snapshot = await client.read_snapshot()
+            stale = await client.read_snapshot(may_be_stale=True)
+            self.assertEqual(stale.known_at, -math.inf)
+            watch = store.watch
+
+            async def watch_late(query):
+                response = await watch(query)
+                await trio.sleep(late_s)
+                return response
+
+            store.watch = watch_late
+            asked_at = trio.current_time()
+            if is_changed:
+                nursery.start_soon(put_later, store)
+            client.timeout_s = 4.0
+            page = await client.watch(snapshot.revision, wait_s=wait_s)
+            expected = asked_at if is_changed else asked_at + wait_s
+            self.assertAlmostEqual(page.known_at, expected, delta=0.05)
+            self.assertLessEqual(snapshot.known_at, asked_at)
+            nursery.cancel_scope.cancel()
+
+
+async def put_later(store):
+    await trio.sleep(0.2)
+    store.put("op/config", b"2")
