--- /dev/null
+++ b/src/catkinpost/coordination/access/__init__.py
@@ -0,0 +1,1 @@
+"""Which callers are served: keys of workspaces."""
--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.executor import Executor
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
 from catkinpost.coordination.configuration.policy_confirmation import (
@@ -71,6 +72,7 @@
     backend_client: BackendClient
     executor: Executor
     sender: AttemptSender
+    authenticator: Authenticator
     dispatcher: Dispatcher
     replicas: ServiceReplicas
     http_server: HttpServer
--- a/src/catkinpost/coordination/feed/relay.py
+++ b/src/catkinpost/coordination/feed/relay.py
@@ -91,6 +91,7 @@
     :param links: links to peers.
     :param source: the platform.
     :param is_older: returns whether a value of a key is older than another one.
+    :param hide_secrets: returns a value of a key as it is kept and passed on.
     :param on_changes: called with new changes, and once with none when the first state
         was read.
     :param on_known: called with the time up to which all changes are known, after they
@@ -110,6 +111,7 @@
         links: LinkTable,
         source: Source,
         is_older: Callable[[str, bytes, bytes], bool],
+        hide_secrets: Callable[[str, bytes], bytes],
         on_changes: Callable[[list[KeyChange]], None],
         on_known: Callable[[float], None],
         spawn: Callable[..., None],
@@ -126,7 +128,7 @@
         self.spawn = spawn
         self.settings = settings
         self.get_sessions = get_sessions
-        self.state = FeedState(is_older)
+        self.state = FeedState(is_older, hide_secrets)
         self.selector = FeedSelector(instance, settings.max_age_s)
         self.selected: list[str] = []
         self.ranked: list[str] = []
@@ -318,9 +320,9 @@
 
     def record_known(self, at: float) -> None:
         """Record that everything up to a time is known and applied."""
-        if at > self.known_at:
-            self.known_at = at
-            self.on_known(at)
+        self.known_at = max(self.known_at, at)
+        if self.known_at > -math.inf:
+            self.on_known(self.known_at)
 
     def on_pause(self) -> None:
         """Distrust all confirmations: their age does not include the pause."""
--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -134,11 +134,17 @@
     def withdraw_late_attempts(self) -> None:
         """Withdraw the attempts that wait at peers and would not end in time."""
         now = trio.current_time()
-        for attempt in self.active_attempts:
-            if attempt.is_withdrawn or now < self.get_latest_start(attempt.call):
-                continue
-            attempt.is_withdrawn = True
-            attempt.pending.withdraw()
+        self.withdraw_attempts(lambda call: now >= self.get_latest_start(call))
+
+    def withdraw_attempts(self, must_not_run: Callable[[EntryCall], bool]) -> None:
+        """Withdraw the attempts of some calls that wait at peers.
+
+        :param must_not_run: returns whether a call must not begin to run.
+        """
+        for attempt in list(self.active_attempts):
+            if not attempt.is_withdrawn and must_not_run(attempt.call):
+                attempt.is_withdrawn = True
+                attempt.pending.withdraw()
 
     async def send(
         self, call: EntryCall, target: Target, exclude: set[str]
--- a/src/catkinpost/coordination/routing/dialect.py
+++ b/src/catkinpost/coordination/routing/dialect.py
@@ -1,9 +1,11 @@
 """Meaning of the headers and statuses of callers and backend servers."""
 
+from dataclasses import replace
 from typing import Protocol
 
 import trio
 
+from catkinpost.coordination.access.authenticator import Caller
 from catkinpost.coordination.routing.entry import EntryCall, classify_request
 from catkinpost.protocol.header import (
     IDEMPOTENCY_KEY_HEADER,
@@ -13,6 +15,7 @@
     RATE_LIMIT_HEADER,
     REASON_HEADER,
     RETRY_ALLOWANCE_HEADER,
+    TENANT_HEADER,
     build_failure_response,
     build_outcome_headers,
     parse_rate,
@@ -42,10 +45,19 @@
 
 
 class Dialect(Protocol):
-    """Interface that maps requests and responses to calls and outcomes."""
+    """Interface that maps requests and responses to calls and outcomes.
+
+    :ivar key_scheme: scheme of the credentials of callers, in lower case.
+    """
+
+    key_scheme: bytes
 
     def classify_request(
-        self, request: HttpRequest, policy: Policy, running: RunningCalls
+        self,
+        request: HttpRequest,
+        policy: Policy,
+        running: RunningCalls,
+        caller: Caller,
     ) -> EntryCall | Failure:
         """Find the class, deadline and retry allowance of a request."""
 
@@ -83,11 +95,20 @@
 class NativeDialect:
     """Dialect of the headers in :mod:`catkinpost.protocol.header`."""
 
+    key_scheme = b"bearer"
+
     def classify_request(
-        self, request: HttpRequest, policy: Policy, running: RunningCalls
+        self,
+        request: HttpRequest,
+        policy: Policy,
+        running: RunningCalls,
+        caller: Caller,
     ) -> EntryCall | Failure:
         """Classify by the caller's headers."""
-        return classify_request(request, policy, running)
+        call = classify_request(request, policy, running, caller)
+        if policy.uses_keys and isinstance(call, EntryCall):
+            call.request = set_tenant(request, caller.workspace)
+        return call
 
     def get_request_id(self, headers: Headers) -> str:
         """Return the idempotency key."""
@@ -143,6 +164,14 @@
         return find_header(response.headers, LEAVING_HEADER) is not None
 
 
+def set_tenant(request: HttpRequest, workspace: str | None) -> HttpRequest:
+    """Return a request that names its workspace, whatever its caller said of it."""
+    headers = [pair for pair in request.headers if pair[0] != TENANT_HEADER]
+    if workspace is not None:
+        headers.append((TENANT_HEADER, workspace.encode()))
+    return replace(request, headers=headers)
+
+
 def is_forwarded_header(name: bytes) -> bool:
     return name not in (OUTCOME_HEADER, REASON_HEADER, PARENT_HEADER)
 
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.peers.identity import get_holder_instance
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
@@ -82,6 +83,7 @@
     :param is_ready: returns whether the node has the current policy.
     :param running: calls at this node's backend server.
     :param sender: sends attempts to instances.
+    :param authenticator: judge of the keys of callers.
     :param throttle: estimates which requests the targets would refuse.
     :param metrics: counters and histograms.
     :param decisions: log of automatic decisions.
@@ -97,6 +99,7 @@
     is_ready: Callable[[], bool]
     running: RunningCalls
     sender: AttemptSender
+    authenticator: Authenticator
     throttle: Throttle
     metrics: Metrics
     decisions: DecisionLog
@@ -127,7 +130,7 @@
         if not self.is_ready():
             self.metrics.counters["not-ready"] += 1
             return self.dialect.build_failure_response(build_not_ready_failure())
-        call = self.dialect.classify_request(request, self.store.policy, self.running)
+        call = self.classify_request(request)
         if isinstance(call, Failure):
             self.metrics.counters[f"rejected:{call.reason.value}"] += 1
             self.decisions.add("entry", "reject", call.reason, reason=call.detail)
@@ -148,6 +151,16 @@
             return self.dialect.build_failure_response(failure)
         return self.dialect.build_response(result)
 
+    def classify_request(self, request: HttpRequest) -> EntryCall | Failure:
+        """Classify a request if its caller may send it."""
+        caller = self.authenticator.identify(request, self.dialect.key_scheme)
+        call = self.dialect.classify_request(
+            request, self.store.policy, self.running, caller
+        )
+        if isinstance(call, Failure) or call.parent is not None:
+            return call
+        return self.authenticator.check(caller, call.section) or call
+
     def log_failed_or_late(
         self, call: EntryCall, result: Answer | Failure, duration_s: float
     ) -> None:
@@ -240,6 +253,9 @@
                 name = get_holder_instance(holder)
                 target = self.sender.router.choose_named_instance(name, call.call_class)
                 continue
+            withdrawn = self.authenticator.check_again(call.caller)
+            if withdrawn is not None:
+                return self.build_final_failure(call, withdrawn)
             may_have_arrived = result.reason not in NOT_ARRIVED_REASONS
             call.arrivals += may_have_arrived
             was_refused = result.outcome is Outcome.NOT_RUN and not may_have_arrived
--- a/src/catkinpost/coordination/routing/entry.py
+++ b/src/catkinpost/coordination/routing/entry.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from catkinpost.coordination.access.authenticator import UNKNOWN_CALLER, Caller
 from catkinpost.coordination.at_most_once.once import FIRST_ATTEMPT, UNMARKED_ATTEMPT
 from catkinpost.protocol.header import (
     CallHeaders,
@@ -59,6 +60,7 @@
         all of it.
     :param request_id: id of the request in the caller's headers and in the log.
     :param attempt_ends: ends of the attempts so far.
+    :param caller: whose request it is, as its key tells.
     """
 
     request: HttpRequest
@@ -79,6 +81,7 @@
     answer_by: float = math.inf
     request_id: str = ""
     attempt_ends: list[AttemptEnd] = field(default_factory=list)
+    caller: Caller = UNKNOWN_CALLER
 
     @property
     def is_repeatable(self) -> bool:
@@ -104,13 +107,14 @@
 
 
 def classify_request(
-    request: HttpRequest, policy: Policy, running: RunningCalls
+    request: HttpRequest, policy: Policy, running: RunningCalls, caller: Caller
 ) -> EntryCall | Failure:
     """Find the class, deadline and retry allowance of a request.
 
     :param request: request as received.
     :param policy: policy in force.
     :param running: calls that child calls may name as their parent.
+    :param caller: whose request it is.
     """
     headers = parse_call_headers(request)
     if isinstance(headers, Failure):
@@ -126,7 +130,7 @@
     call_class = find_class(request, policy, service, headers)
     if isinstance(call_class, Failure):
         return call_class
-    return build_call(request, policy, running, headers, service, call_class)
+    return build_call(request, policy, running, headers, service, call_class, caller)
 
 
 def find_class(
@@ -151,12 +155,14 @@
     headers: CallHeaders,
     service: str,
     call_class: str,
+    caller: Caller,
 ) -> EntryCall | Failure:
     section = policy.find_class_section(call_class)
     parent = running.find_by_token(headers.parent) if headers.parent else None
     attempt = UNMARKED_ATTEMPT if headers.attempt is None else headers.attempt
     key = headers.idempotency_key if not section.repeatable else None
-    tenant = headers.tenant or section.tenant
+    tenant = find_tenant(headers, section, policy, caller)
+    importance = caller.importance or section.importance
     if parent is not None:
         tenant = parent.tenant
     allowance = grant_allowance(headers, section, parent, attempt)
@@ -168,7 +174,7 @@
         call_class=call_class,
         section=section,
         tenant=tenant,
-        rank=section.importance.rank if parent is None else parent.rank,
+        rank=importance.rank if parent is None else parent.rank,
         deadline=compute_deadline(headers, section, parent, request.waited_s),
         allowance=allowance,
         parent=parent,
@@ -178,9 +184,19 @@
         moves_left=section.moves,
         answer_by=request.answer_by,
         request_id=headers.idempotency_key or "",
+        caller=caller,
     )
 
 
+def find_tenant(
+    headers: CallHeaders, section: ClassSection, policy: Policy, caller: Caller
+) -> str:
+    """Return the tenant of a call; where keys are used, they alone tell it."""
+    if policy.uses_keys:
+        return caller.workspace or section.tenant
+    return headers.tenant or section.tenant
+
+
 def get_earlier_outcome(key: str | None, attempt: int) -> Outcome:
     """Return the outcome of earlier submissions of the same request."""
     is_resubmission = attempt > FIRST_ATTEMPT
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -7,6 +7,7 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.access.authenticator import Authenticator, KeyBounds
 from catkinpost.coordination.admission.admission import Admission, RunWindow
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
@@ -30,6 +31,7 @@
 from catkinpost.coordination.routing.attempt import AttemptSender
 from catkinpost.coordination.routing.dispatcher import Dispatcher
 from catkinpost.coordination.routing.ejection import Ejector
+from catkinpost.coordination.routing.entry import EntryCall
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import NodeLocation, Router
@@ -254,11 +256,17 @@
             spawn=self.spawn,
             retry_budget=self.retry_budget,
         )
+        self.authenticator = Authenticator(
+            store=self.store,
+            age=self.policy_age,
+            bounds=KeyBounds.build(settings.bounds),
+        )
         self.dispatcher = Dispatcher(
             store=self.store,
             is_ready=self.environment.is_ready,
             running=self.running,
             sender=self.sender,
+            authenticator=self.authenticator,
             throttle=self.throttle,
             metrics=self.metrics,
             decisions=self.decisions,
@@ -439,6 +447,11 @@
         self.crash_guard.update_section(section)
         for entry in self.store.policy.entries.values():
             self.http_server.limits = entry.override_limits(self.settings.http_limits)
+        self.sender.withdraw_attempts(self.has_withdrawn_key)
+
+    def has_withdrawn_key(self, call: EntryCall) -> bool:
+        """Return whether the key of a call is not valid any more."""
+        return self.authenticator.check_again(call.caller) is not None
 
     def apply_listed_slots(self, section: ServiceSection) -> ServiceSection:
         """Replace the slots of a section by those listed for this backend server."""
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from catkinpost.coordination.access.authenticator import Caller
 from catkinpost.coordination.routing.entry import EntryCall
 from catkinpost.platform.names import (
     ATTEMPT_ID,
@@ -15,6 +16,7 @@
     RESPONSE_SIGNATURE,
     SERVER_LEAVING,
     SERVER_LIMIT,
+    TENANT,
 )
 from catkinpost.protocol.header import parse_rate
 from catkinpost.protocol.http import (
@@ -35,11 +37,14 @@
 DEADLINE_UNIT_S = 0.001
 DEFAULT_RETRY_AFTER_S = 0.3
 MAX_DEADLINE_MS = 3_600_000
-REPLACED_HEADERS = frozenset({EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING})
+REPLACED_HEADERS = frozenset(
+    {EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING, TENANT}
+)
 SERVICE_UNAVAILABLE = 503
 BAD_GATEWAY = 502
 LOWEST_ERROR_STATUS = 400
 GATEWAY_TIMEOUT = 504
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 MISDIRECTED_REQUEST = 421
 # Statuses that promise to a caller that its request has not run.
@@ -51,6 +56,7 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.SLOW_SENDER: 408,
     Reason.UNKNOWN_CLASS: NOT_FOUND,
+    Reason.UNAUTHENTICATED: UNAUTHORIZED,
 }
 
 
@@ -60,11 +66,17 @@
     :param get_calling_service: returns the service of the server on this machine.
     """
 
+    key_scheme = b"token"
+
     def __init__(self, get_calling_service: Callable[[], str]) -> None:
         self.get_calling_service = get_calling_service
 
     def classify_request(
-        self, request: HttpRequest, policy: Policy, running: RunningCalls
+        self,
+        request: HttpRequest,
+        policy: Policy,
+        running: RunningCalls,
+        caller: Caller,
     ) -> EntryCall | Failure:
         """Choose the class by host and path, and the deadline by the headers."""
         hosts = [value for name, value in request.headers if name == b"host"]
@@ -85,14 +97,15 @@
         objective = section.objective or section.timeout
         # Calls that servers make are never sheddable, as the work done for them would
         # be lost: every request that is not sheddable may queue until its deadline.
-        may_outlast_objective = section.importance is not Importance.SHEDDABLE
+        importance = caller.importance or section.importance
+        may_outlast_objective = importance is not Importance.SHEDDABLE
         return EntryCall(
-            request=self.build_forwarded_request(request),
+            request=self.build_forwarded_request(request, caller.workspace),
             service=choose_service(section),
             call_class=name,
             section=section,
-            tenant=section.tenant,
-            rank=section.importance.rank,
+            tenant=caller.workspace or section.tenant,
+            rank=importance.rank,
             deadline=now + remaining_s,
             allowance=Allowance(section.retries),
             parent=None,
@@ -103,16 +116,21 @@
             useful_until=None if may_outlast_objective else now + objective,
             answer_by=request.answer_by,
             request_id=self.get_request_id(request.headers),
+            caller=caller,
         )
 
     def get_request_id(self, headers: Headers) -> str:
         """Return the attempt id, which identifies the request."""
         return (find_header(headers, ATTEMPT_ID) or b"").decode("latin-1")
 
-    def build_forwarded_request(self, request: HttpRequest) -> HttpRequest:
-        """Set the calling service, and drop any that the caller sent."""
+    def build_forwarded_request(
+        self, request: HttpRequest, workspace: str | None
+    ) -> HttpRequest:
+        """Set calling service and workspace, and drop any that the caller sent."""
         headers = [pair for pair in request.headers if pair[0] not in REPLACED_HEADERS]
         headers.append((CALLING_SERVICE, self.get_calling_service().encode()))
+        if workspace is not None:
+            headers.append((TENANT, workspace.encode()))
         return HttpRequest(request.method, request.target, headers, request.body)
 
     def build_response(self, answer: Answer) -> HttpResponse:
@@ -134,6 +152,8 @@
         if status == SERVICE_UNAVAILABLE:
             retry_after_s = failure.retry_after or DEFAULT_RETRY_AFTER_S
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        if status == UNAUTHORIZED:
+            headers.append((b"www-authenticate", b"Token"))
         return HttpResponse(status, headers, failure.reason.value.encode())
 
     def build_request(self, call: Call, running: RunningCall) -> HttpRequest:
--- a/src/catkinpost/platform/document.py
+++ b/src/catkinpost/platform/document.py
@@ -3,12 +3,14 @@
 from typing import Annotated
 
 import msgspec
+from eliot import log_message
 
 from catkinpost.platform.model import PlatformModel
+from catkinpost.protocol.credential import compute_key_digest
 from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import Importance
 
-__all__ = ["Configuration", "parse_configuration", "render_policy"]
+__all__ = ["Configuration", "hash_keys", "parse_configuration", "render_policy"]
 
 POLICY_OWNER = "operator"
 SAFE_KIND = "safe"
@@ -30,6 +32,7 @@
 IMPORTANCE_BY_PRIORITY = {0: Importance.CRITICAL, 1: Importance.NORMAL}
 
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
+KeyDigest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 NonEmptyWord = Annotated[str, msgspec.Meta(pattern=r"^\S+$")]
 
 
@@ -53,6 +56,7 @@
     max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
     service: NonEmptyWord | None = None
     traffic_split: list[WeightedService] = []
+    public: bool = False
 
     @property
     def weighted_services(self) -> list[WeightedService]:
@@ -62,6 +66,25 @@
         return [part for part in self.traffic_split if part.weight > 0]
 
 
+class Tenant(PlatformModel):
+    """Customer whose requests bear one of its keys.
+
+    :param api_keys: keys as the operator writes them.
+    :param key_digests: their digests, in the place of keys that were read already.
+    """
+
+    name: NonEmptyWord
+    api_keys: list[str] = []
+    key_digests: list[KeyDigest] = []
+    priority: int | None = None
+
+    @property
+    def digests(self) -> list[str]:
+        """Digests of all keys."""
+        keys = [compute_key_digest(key.encode()) for key in self.api_keys]
+        return keys + self.key_digests
+
+
 class Service(PlatformModel):
     """One service."""
 
@@ -80,12 +103,26 @@
 
 
 class Configuration(PlatformModel):
-    """One version of the operator's whole configuration."""
+    """One version of the operator's whole configuration.
+
+    :param tenants: customers with keys; without the field nobody needs a key.
+    """
 
     version: Annotated[int, msgspec.Meta(ge=0)]
     routes: list[Route]
     services: list[Service]
     limits: Limits = Limits()
+    tenants: list[Tenant] | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def uses_keys(self) -> bool:
+        """Whether requests on routes that are not public need a key."""
+        return self.tenants is not msgspec.UNSET
+
+    @property
+    def listed_tenants(self) -> list[Tenant]:
+        """Customers with keys."""
+        return self.tenants if self.uses_keys else []
 
 
 def parse_configuration(body: bytes) -> Configuration | Failure:
@@ -108,9 +145,37 @@
             return build_bad_document_failure(
                 f"route {route.name} names no listed service"
             )
+    if has_shared_key(config.listed_tenants):
+        return build_bad_document_failure("two tenants have one key")
     return config
 
 
+def has_shared_key(tenants: list[Tenant]) -> bool:
+    digests = [digest for tenant in tenants for digest in set(tenant.digests)]
+    return len(set(digests)) < len(digests)
+
+
+def hash_keys(value: bytes) -> bytes:
+    """Replace the keys of a configuration by their digests.
+
+    :param value: configuration from the store or from a peer.
+    :return: the same configuration without keys; a value that can't be parsed may hold
+        them anywhere, and is dropped.
+    """
+    try:
+        document = msgspec.json.decode(value)
+        tenants = msgspec.convert(document, Configuration).listed_tenants
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        log_message("store: configuration ignored", why=str(error))
+        return b""
+    if not any(tenant.api_keys for tenant in tenants):
+        return value
+    for fields, tenant in zip(document["tenants"], tenants, strict=True):
+        fields.pop("api-keys", None)
+        fields["key-digests"] = tenant.digests
+    return msgspec.json.encode(document)
+
+
 def build_bad_document_failure(detail: str) -> Failure:
     return Failure(reason=Reason.PLATFORM_BAD_DOCUMENT, detail=detail)
 
@@ -122,7 +187,8 @@
     """
     parts = [render_entry(config.limits)]
     parts += [render_service(service) for service in config.services]
-    parts += [render_route(route) for route in config.routes]
+    parts += [render_route(route, config.uses_keys) for route in config.routes]
+    parts += [render_workspace(tenant) for tenant in config.listed_tenants]
     return "\n".join(parts)
 
 
@@ -159,8 +225,21 @@
 """
 
 
-def render_route(route: Route) -> str:
-    importance = IMPORTANCE_BY_PRIORITY.get(route.priority, LOWEST_IMPORTANCE)
+def render_workspace(tenant: Tenant) -> str:
+    lines = [f"[workspace {tenant.name}]", f"owner = {POLICY_OWNER}"]
+    if tenant.digests:
+        lines.append(f"key_digests = {' '.join(tenant.digests)}")
+    if tenant.priority is not None:
+        lines.append(f"importance = {find_importance(tenant.priority)}")
+    return "\n".join(lines) + "\n"
+
+
+def find_importance(priority: int) -> Importance:
+    return IMPORTANCE_BY_PRIORITY.get(priority, LOWEST_IMPORTANCE)
+
+
+def render_route(route: Route, uses_keys: bool) -> str:
+    importance = find_importance(route.priority)
     objective = min(route.target_latency_s or route.timeout_s, route.timeout_s)
     lines = [
         f"[class {route.name}]",
@@ -175,6 +254,8 @@
         f"retries = {min(MAX_RETRIES, route.max_attempts - 1)}",
         f"moves = {MAX_MOVES}",
     ]
+    if uses_keys:
+        lines.append(f"needs_key = {'no' if route.public else 'yes'}")
     if len(route.weighted_services) > 1:
         split = " ".join(
             f"{part.service}:{part.weight:g}" for part in route.weighted_services
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -8,12 +8,14 @@
 import trio
 from eliot import log_message
 
+from catkinpost.coordination.access.authenticator import KeyBounds
 from catkinpost.coordination.environment import NodeParts
 from catkinpost.coordination.feed import FeedRelay
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.platform.dialect import PlatformDialect
 from catkinpost.platform.document import (
     Configuration,
+    hash_keys,
     parse_configuration,
     render_policy,
 )
@@ -79,6 +81,7 @@
             links=node.links,
             source=self,
             is_older=is_older_value,
+            hide_secrets=hide_keys,
             on_changes=self.apply_changes,
             on_known=self.confirm_policy,
             spawn=node.spawn,
@@ -147,6 +150,7 @@
             self.is_ready()
             and node.call_acceptor.is_listening
             and not node.planned_stop.is_requested
+            and not node.authenticator.is_outdated
         )
         return HttpResponse(200 if is_serving else 503)
 
@@ -179,10 +183,20 @@
             log_message("store: configuration ignored", why=config.detail)
             return
         self.unread_fields.record(msgspec.json.decode(value))
-        if config.version > self.node.store.version:
+        if self.is_new(config):
             self.node.exchange.apply_document(config.version, render_policy(config))
         self.is_configuration_applied = True
 
+    def is_new(self, config: Configuration) -> bool:
+        """Return whether a configuration is to be brought into force.
+
+        A peer of a release that knows no keys passes a version on without them.
+        """
+        store = self.node.store
+        lacks_keys = config.uses_keys and not store.policy.uses_keys
+        is_same = config.version == store.version
+        return config.version > store.version or (is_same and lacks_keys)
+
     def apply_server_change(self, change: KeyChange) -> None:
         identity = change.key.removeprefix(SERVERS_PREFIX)
         if change.value is None:
@@ -253,6 +267,7 @@
         self.settings = settings
         log_settings("settings: read again", settings)
         self.servers.regions = settings.regions
+        self.node.authenticator.bounds = KeyBounds.build(settings.node.bounds)
         backend_address = parse_address(settings.node.backend.address)
         self.node.backend_client.set_address(backend_address.host, backend_address.port)
         self.node.executor.service = settings.node.node.service
@@ -261,6 +276,11 @@
             self.store_client = StoreClient(store_address)
 
 
+def hide_keys(key: str, value: bytes) -> bytes:
+    """Return the value of a key of the store without keys of tenants."""
+    return hash_keys(value) if key == CONFIG_KEY else value
+
+
 def log_settings(message: str, settings: PlatformSettings) -> None:
     """Log the settings that may change while the process runs.
 
--- a/src/catkinpost/platform/names.py
+++ b/src/catkinpost/platform/names.py
@@ -15,6 +15,7 @@
     "SERVER_LOAD",
     "SETTINGS_VARIABLE",
     "STORE_ERA",
+    "TENANT",
 ]
 
 ATTEMPT_ID = b"attempt-id"
@@ -27,6 +28,7 @@
 NOT_EXECUTED = b"not-executed"
 CALLING_SERVICE = b"calling-service"
 STORE_ERA = b"store-era"
+TENANT = b"tenant"
 
 READINESS_PATH = b"/v1/readiness"
 CONFIG_KEY = "op/config"
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -48,6 +48,8 @@
 # is noticed, and a node whose feeds are stale still has time to find another one.
 WATCH_WAIT_SHARE = 0.4
 MAX_AGE_SHARE = 0.7
+# Clocks of machines differ in rate by less than the rest.
+KEY_AGE_SHARE = 0.99
 # Heartbeats that a server misses before its entry lapses.
 LEASE_HEARTBEATS = 3
 # Share of the grace period: responses must be sent before the platform kills the
@@ -81,6 +83,9 @@
 DEFAULT_HELD_MEMORY_BYTES = 128 * 1024 * 1024
 
 
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
 class LimitsTable(PlatformModel):
     """``[self.limits]``: limits of the machine; ``_mb`` means megabytes."""
 
@@ -135,6 +140,8 @@
     budget_extra_retries: float = 0.0
     drain_s: float = 2.5
     config_propagation_s: float = 2.5
+    revoke_when_partitioned: bool = False
+    revocation_s: Seconds = 5.0
 
 
 class TermsTable(PlatformModel):
@@ -210,6 +217,13 @@
     )
 
 
+def compute_key_age(bounds: BoundsTable) -> float | None:
+    """Return the seconds for which keys are accepted without news of the store."""
+    if not bounds.revoke_when_partitioned:
+        return None
+    return bounds.revocation_s * KEY_AGE_SHARE
+
+
 def compute_request_memory(limits: LimitsTable) -> int:
     """Return the bytes for bodies of requests."""
     if limits.memory_mb is None:
@@ -305,6 +319,8 @@
             leave_notice=LEAVE_NOTICE_S,
             peer_notice=PEER_NOTICE_S,
             server_drain=bounds.drain_s,
+            workspace_key_age=compute_key_age(bounds),
+            unknown_key_age=bounds.config_propagation_s,
             repeat_ratio=(1 + bounds.retry_budget_ratio) ** (1 / SERVICES_PER_CHAIN)
             - 1,
             repeat_window=bounds.budget_window_s,
--- a/src/catkinpost/protocol/header.py
+++ b/src/catkinpost/protocol/header.py
@@ -27,6 +27,7 @@
 RETRY_ALLOWANCE_HEADER = b"catkinpost-retry-allowance"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 RATE_LIMIT_HEADER = b"catkinpost-rate-limit"
+TENANT_HEADER = b"catkinpost-tenant"
 LEAVING_HEADER = b"catkinpost-leaving"
 MAX_TIMEOUT_MS = 3_600_000
 MAX_RETRY_ALLOWANCE = 16
@@ -65,7 +66,7 @@
 
 CALL_HEADER_FIELD_BY_NAME = {
     CLASS_HEADER: "call_class",
-    b"catkinpost-tenant": "tenant",
+    TENANT_HEADER: "tenant",
     b"catkinpost-timeout-ms": "timeout_ms",
     RETRY_ALLOWANCE_HEADER: "retry_allowance",
     b"catkinpost-attempt": "attempt",
@@ -156,6 +157,8 @@
     headers = build_outcome_headers(failure.outcome)
     headers.append((REASON_HEADER, failure.reason.value.encode()))
     headers.append((b"content-type", b"application/json"))
+    if failure.reason is Reason.UNAUTHENTICATED:
+        headers.append((b"www-authenticate", b"Bearer"))
     body = {
         "outcome": failure.outcome.value,
         "reason": failure.reason.value,
--- a/src/catkinpost/protocol/ini.py
+++ b/src/catkinpost/protocol/ini.py
@@ -21,6 +21,10 @@
 VALIDATION_ERROR_PATTERN = re.compile(
     r"^(?P<message>.*?)(?: - at `\$\.?(?P<option>[^`]*)`)?$"
 )
+# Values that may hold a secret by mistake are not shown; each with its hint.
+SECRET_OPTIONS = {
+    "key_digests": "write the SHA-256 digest of each key, in 64 hexadecimal digits"
+}
 UNKNOWN_FIELD_PATTERN = re.compile(r"unknown field `(?P<option>[^`]+)`")
 MISSING_FIELD_PATTERN = re.compile(r"missing required field `(?P<option>[^`]+)`")
 
@@ -243,6 +247,10 @@
         return section.build_problem(
             f"option {option} is missing", hint=f"add a line {option} = ..."
         )
+    if option in SECRET_OPTIONS:
+        return section.build_problem(
+            "bad value", option=option, hint=SECRET_OPTIONS[option]
+        )
     return section.build_problem(
         f"bad value {section.options.get(option, '')!r}",
         option=option,
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -34,6 +34,8 @@
     INVALID_HEADER = "invalid-header"
     UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_CLASS = "unknown-class"
+    UNAUTHENTICATED = "unauthenticated"
+    KEYS_OUTDATED = "keys-outdated"
     NO_INSTANCE = "no-instance"
     NO_POLICY = "no-policy"
     DEADLINE_EXCEEDED = "deadline-exceeded"
@@ -75,6 +77,7 @@
     Reason.INVALID_HEADER: 400,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_CLASS: 400,
+    Reason.UNAUTHENTICATED: 401,
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.LIMIT_REACHED: 429,
     Reason.ANSWER_MEMORY_FULL: 502,
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 from types import MappingProxyType
 
 from catkinpost.protocol.ini import (
@@ -20,6 +21,7 @@
     LinkSection,
     Mode,
     ServiceSection,
+    WorkspaceSection,
     get_weakest_mode,
 )
 
@@ -35,6 +37,7 @@
     "Mode",
     "Policy",
     "ServiceSection",
+    "WorkspaceSection",
     "build_policy",
     "check_document",
     "get_weakest_mode",
@@ -44,13 +47,21 @@
 
 MAX_HINT_NAMES = 20
 
-Section = ServiceSection | ClassSection | LimitSection | LinkSection | EntrySection
+Section = (
+    ServiceSection
+    | ClassSection
+    | LimitSection
+    | LinkSection
+    | EntrySection
+    | WorkspaceSection
+)
 MODEL_BY_SECTION_KIND = {
     "service": ServiceSection,
     "class": ClassSection,
     "limit": LimitSection,
     "link": LinkSection,
     "entry": EntrySection,
+    "workspace": WorkspaceSection,
 }
 DEFAULT_CLASS_PREFIX = "default:"
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -65,8 +76,10 @@
     :param limits: limit sections.
     :param links: budgets by region.
     :param entries: limits on the requests of callers.
+    :param workspaces: keys of callers.
     :param match_rules: method, path prefix and class by service, longest prefix first.
     :param host_routes: path prefix and class by host, longest prefix first.
+    :param workspace_by_digest: workspace by the digest of each key that one alone has.
     """
 
     services: dict[str, ServiceSection] = field(default_factory=dict)
@@ -74,8 +87,10 @@
     limits: dict[str, LimitSection] = field(default_factory=dict)
     links: dict[str, LinkSection] = field(default_factory=dict)
     entries: dict[str, EntrySection] = field(default_factory=dict)
+    workspaces: dict[str, WorkspaceSection] = field(default_factory=dict)
     match_rules: dict[str, list[tuple[str, str, str]]] = field(default_factory=dict)
     host_routes: dict[str, list[tuple[str, str]]] = field(default_factory=dict)
+    workspace_by_digest: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for name, section in self.classes.items():
@@ -91,6 +106,35 @@
             rules.sort(key=lambda rule: -len(rule[1]))
         for routes in self.host_routes.values():
             routes.sort(key=lambda route: -len(route[0]))
+        holders: dict[str, set[str]] = {}
+        for name, workspace in self.workspaces.items():
+            for digest in workspace.digests:
+                holders.setdefault(digest, set()).add(name)
+        for digest, names in holders.items():
+            # A key of two workspaces tells neither.
+            if len(names) == 1:
+                self.workspace_by_digest[digest] = min(names)
+
+    @cached_property
+    def uses_keys(self) -> bool:
+        """Whether credentials of requests concern the nodes."""
+        needed = any(section.needs_key for section in self.classes.values())
+        return needed or bool(self.workspaces)
+
+    def needs_key(self, section: ClassSection) -> bool:
+        """Return whether requests of a class need the key of a workspace."""
+        if section.needs_key is not None:
+            return section.needs_key
+        return bool(self.workspaces)
+
+    def find_workspace(self, digest: str | None) -> str | None:
+        """Return the workspace that holds a key, if there is one.
+
+        The time of the look-up tells of the digest, but nothing of the key.
+
+        :param digest: digest of the key, ``None`` for no key.
+        """
+        return None if digest is None else self.workspace_by_digest.get(digest)
 
     def find_class_by_host(self, host: str, path: str) -> str | None:
         """Find the class of a request by its host and path.
@@ -185,6 +229,31 @@
     )
 
 
+def find_shared_keys(models: Mapping[str, Section]) -> dict[str, str]:
+    """Find workspaces that have a key of another one.
+
+    :param models: sections by full name.
+    :return: full name of the first workspace with the key, by that of each later one.
+    """
+    holders: dict[str, str] = {}
+    shared: dict[str, str] = {}
+    for full_name, model in models.items():
+        digests = model.digests if isinstance(model, WorkspaceSection) else []
+        for digest in digests:
+            holder = holders.setdefault(digest, full_name)
+            if holder != full_name:
+                shared[full_name] = holder
+    return shared
+
+
+def build_shared_key_problem(section: IniSection, holder: str) -> Problem:
+    return section.build_problem(
+        f"[{holder}] has one of the keys as well",
+        option="key_digests",
+        hint="give each workspace keys of its own",
+    )
+
+
 def build_policy(models: dict[str, Section]) -> Policy:
     """Build a policy from valid sections, omitting those with dangling references.
 
@@ -201,6 +270,7 @@
         limits=by_kind["limit"],
         links=by_kind["link"],
         entries=by_kind["entry"],
+        workspaces=by_kind["workspace"],
     )
 
 
@@ -288,6 +358,14 @@
         if option is not None:
             problems.append(build_dangling_problem(section, option, names))
             del accepted[name], parsed_sections[name]
+    models = {name: item.model for name, item in accepted.items()}
+    for name, holder in find_shared_keys(models).items():
+        # A section in force was accepted before the other one had the key.
+        faulty = name if name in parsed_sections else holder
+        if faulty in parsed_sections:
+            other = holder if faulty == name else name
+            problems.append(build_shared_key_problem(parsed_sections[faulty], other))
+            del accepted[faulty], parsed_sections[faulty]
     problems.sort(key=lambda problem: problem.line)
     return CheckedDocument(
         accepted=accepted,
--- a/src/catkinpost/protocol/section.py
+++ b/src/catkinpost/protocol/section.py
@@ -17,6 +17,7 @@
     "LinkSection",
     "Mode",
     "ServiceSection",
+    "WorkspaceSection",
     "get_weakest_mode",
 ]
 
@@ -27,6 +28,7 @@
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 ShortText = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 RetryCount = Annotated[int, msgspec.Meta(ge=0, le=16)]
+KEY_DIGESTS_PATTERN = r"^[0-9a-f]{64}( [0-9a-f]{64})*$"
 WEIGHTED_SERVICES_PATTERN = r"^\S+:\d+(\.\d+)?( \S+:\d+(\.\d+)?)*$"
 
 
@@ -159,6 +161,8 @@
         addition to its retries, after an instance refused it without passing it to
         its backend server.
     :param tenant: tenant of requests without a tenant header.
+    :param needs_key: whether requests need the key of a workspace; by default they do
+        if the document has a workspace section.
     """
 
     owner: ShortText
@@ -174,6 +178,7 @@
     retries: RetryCount = 2
     moves: RetryCount = 0
     tenant: ShortText = "default"
+    needs_key: bool | None = None
 
     @property
     def weighted_services(self) -> list[tuple[str, float]]:
@@ -184,6 +189,28 @@
         return [(name, float(weight)) for name, _, weight in parts]
 
 
+class WorkspaceSection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """``[workspace NAME]``: keys of the callers that act for one customer.
+
+    :param owner: team that owns the section.
+    :param key_digests: SHA-256 digests of its keys in hexadecimal, separated by spaces;
+        no key is valid when absent.
+    :param importance: order of load shedding of its requests, in place of that of their
+        classes.
+    """
+
+    owner: ShortText
+    key_digests: Annotated[str, msgspec.Meta(pattern=KEY_DIGESTS_PATTERN)] | None = None
+    importance: Importance | None = None
+
+    @property
+    def digests(self) -> list[str]:
+        """Digests of the keys."""
+        return [] if self.key_digests is None else self.key_digests.split()
+
+
 class LimitSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -183,6 +183,12 @@
     :param server_drain: seconds for which the backend server continues to serve after
         it was announced that it leaves.
     :param key_lifetime: seconds for which callers may resubmit an idempotency key.
+    :param workspace_key_age: maximum age of the policy in seconds at which a node
+        accepts keys of workspaces, which bounds the use of a withdrawn one; older nodes
+        refuse requests with a key as not run. No bound when absent.
+    :param unknown_key_age: maximum age of the policy in seconds at which a node refuses
+        an unknown key for good; older nodes refuse the request as not run, as the key
+        may have been added. No bound when absent.
     :param repeat_ratio: maximum ratio of repeated arrivals at a service (retries and
         resubmissions) to the requests for it that this node has received; only the
         limits of the classes apply when absent.
@@ -210,6 +216,8 @@
     peer_notice: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
     server_drain: Seconds = 10.0
     key_lifetime: Seconds = 120.0
+    workspace_key_age: Seconds | None = None
+    unknown_key_age: Seconds | None = None
     repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
     repeat_window: Seconds = 10.0
     repeat_extra: Annotated[float, msgspec.Meta(ge=0)] = 10.0
--- a/src/catkinpost/state/feed_state.py
+++ b/src/catkinpost/state/feed_state.py
@@ -72,14 +72,20 @@
     stands at the revision of the older one and is passed on to peers.
 
     :param is_older: returns whether a value of a key is older than another one.
+    :param hide_secrets: returns a value of a key as it is kept and passed on.
     :ivar era: era of all revisions.
     :ivar was_restored: whether a second era was seen.
     :ivar revision: revision up to which all changes are known.
     :ivar base_revision: revision after which all deletions are known.
     """
 
-    def __init__(self, is_older: Callable[[str, bytes, bytes], bool]) -> None:
+    def __init__(
+        self,
+        is_older: Callable[[str, bytes, bytes], bool],
+        hide_secrets: Callable[[str, bytes], bytes] = lambda key, value: value,
+    ) -> None:
         self.is_older = is_older
+        self.hide_secrets = hide_secrets
         self.items: dict[str, KeyChange] = {}
         self.deleted: OrderedDict[str, int] = OrderedDict()
         self.era = NO_ERA
@@ -97,13 +103,19 @@
             return []
         if page.era > self.era:
             self.begin_era(page.era)
-        changes = [change for change in page.changes if self.merge_change(change)]
+        clean = [self.clean_change(change) for change in page.changes]
+        changes = [change for change in clean if self.merge_change(change)]
         if isinstance(page, Snapshot):
             listed_keys = {change.key for change in page.changes}
             changes += self.delete_absent_keys(listed_keys, page.revision)
         self.revision = max(self.revision, page.revision)
         return changes
 
+    def clean_change(self, change: KeyChange) -> KeyChange:
+        if change.value is None:
+            return change
+        return replace(change, value=self.hide_secrets(change.key, change.value))
+
     def begin_era(self, era: int) -> None:
         """Make everything that is known older than all revisions of a new era."""
         self.was_restored = self.era != NO_ERA
--- a/src/catkinpost_standins/feed_emulator.py
+++ b/src/catkinpost_standins/feed_emulator.py
@@ -276,6 +276,7 @@
             links=EmulatedLinks(fleet, name),
             source=self.source,
             is_older=is_older_number,
+            hide_secrets=lambda key, value: value,
             on_changes=self.apply_changes,
             on_known=lambda at: None,
             spawn=fleet.nursery.start_soon,
--- a/src/catkinpost_standins/parts_bench.py
+++ b/src/catkinpost_standins/parts_bench.py
@@ -10,6 +10,7 @@
 from eliot import add_destinations, log_message, remove_destination
 from hdrh.histogram import HdrHistogram
 
+from catkinpost.coordination.access.authenticator import UNKNOWN_CALLER
 from catkinpost.coordination.admission.admission import Admission, WorkItem
 from catkinpost.coordination.routing.entry import classify_request
 from catkinpost.protocol.http import (
@@ -137,7 +138,9 @@
         "decode peer answer (MessagePack)": time_us(
             lambda: decode_message(answer_bytes)
         ),
-        "classify": time_us(lambda: classify_request(request, policy, running)),
+        "classify": time_us(
+            lambda: classify_request(request, policy, running, UNKNOWN_CALLER)
+        ),
         "admit and leave": await time_async_us(admit),
         "histogram (hdrhistogram)": time_us(lambda: histogram.record_value(1234)),
         "scheduling: one checkpoint": await time_async_us(switch),
--- /dev/null
+++ b/tests/coordination/access/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of which callers are served."""
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.admission import Admission, RunWindow
 from catkinpost.coordination.admission.crash_guard import CrashGuard
 from catkinpost.coordination.admission.executor import Executor
@@ -31,6 +32,7 @@
 from catkinpost.state.instance_view import Instance, InstanceState, InstanceView
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.running import RunningCalls
 from catkinpost.state.server_notice import ServerNotices
@@ -239,6 +241,7 @@
             is_ready=lambda: True,
             running=self.running,
             sender=self.sender,
+            authenticator=Authenticator(store=self.store, age=PolicyAge()),
             throttle=self.throttle,
             metrics=Metrics(),
             **shared,
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
+from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.throttle import Throttle
 from catkinpost.coordination.routing.attempt import AttemptSender
 from catkinpost.coordination.routing.dispatcher import Dispatcher
@@ -17,14 +18,17 @@
 from catkinpost.coordination.routing.hedge import Hedging
 from catkinpost.coordination.routing.region_budget import RegionBudget
 from catkinpost.coordination.routing.router import NodeLocation, Router
+from catkinpost.protocol.credential import compute_key_digest
 from catkinpost.protocol.http import HttpRequest, find_header
 from catkinpost.protocol.message import Answer, Load, Refusal
 from catkinpost.protocol.outcome import Failure, Outcome, Reason
+from catkinpost.protocol.policy import IMPORTANCE_RANK, Importance
 from catkinpost.state.allowance import Allowance
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.state.policy_store import PolicyStore
 from catkinpost.state.retry_budget import RetryBound, RetryBudget
 from catkinpost.state.running import RunningCalls
@@ -188,11 +192,14 @@
             decisions=self.decisions,
             spawn=nursery.start_soon,
         )
+        self.policy_age = PolicyAge()
+        self.authenticator = Authenticator(store=self.store, age=self.policy_age)
         self.dispatcher = Dispatcher(
             store=self.store,
             is_ready=lambda: True,
             running=self.running,
             sender=self.sender,
+            authenticator=self.authenticator,
             throttle=self.throttle,
             metrics=metrics,
             decisions=self.decisions,
@@ -880,3 +887,99 @@
             response = await setup.send()
             self.assertEqual(reason_of(response), Reason.NO_POLICY)
             self.assertEqual(outcome_of(response), Outcome.NOT_RUN)
+
+
+class TestWorkspaces(unittest.TestCase):
+    """Callers with keys of workspaces; the test holds the answers of peers back."""
+
+    KEYS = {"lab": "k-lab", "shop": "k-shop"}
+
+    def publish(self, setup, version, *names):
+        parts = [POLICY]
+        for name in names:
+            digest = compute_key_digest(self.KEYS[name].encode())
+            section = f"[workspace {name}]\nowner = sales\nkey_digests = {digest}\n"
+            parts.append(section + "importance = sheddable\n")
+        text = "\n".join(parts)
+        setup.store.accept_document(version, text, now=0.0, source="test")
+
+    @params(
+        # (faults, answer and attempts once the key is withdrawn)
+        (["silent before"], Outcome.NOT_RUN, 1),
+        (["link lost after", "silent before"], Outcome.UNKNOWN, 2),
+    )
+    def test_request_that_waits_at_a_peer_ends_with_its_key(self, faults, end, count):
+        """Guards against a withdrawn key whose requests move on from peer to peer."""
+        self.check_withdrawn(faults, end, count)
+
+    @on_mock_clock
+    async def check_withdrawn(self, faults, outcome, attempts):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, faults)
+            self.publish(setup, 2, "lab", "shop")
+            responses = []
+
+            async def send():
+                response = await setup.send(method=b"GET", authorization="Bearer k-lab")
+                responses.append(response)
+
+            nursery.start_soon(send)
+            while setup.links.attempts < attempts:
+                await trio.sleep(0.01)
+            check = setup.authenticator.check_again
+            self.publish(setup, 3, "shop", "lab")
+            setup.sender.withdraw_attempts(lambda call: check(call.caller) is not None)
+            self.assertEqual(setup.links.asked_to_refuse, 0)
+            self.publish(setup, 4, "shop")
+            setup.sender.withdraw_attempts(lambda call: check(call.caller) is not None)
+            await wait_all_tasks_blocked()
+            self.assertEqual(reason_of(responses[0]), "unauthenticated")
+            self.assertEqual(outcome_of(responses[0]), outcome)
+            self.assertEqual(setup.links.attempts, attempts)
+
+    @on_mock_clock
+    async def test_one_idempotency_key_of_two_workspaces_is_two_requests(self):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            self.publish(setup, 2, "lab", "shop")
+            calls = []
+            send_request = setup.links.send_request
+
+            async def keep_call(call, pending):
+                calls.append(call)
+                await send_request(call, pending)
+
+            setup.links.send_request = keep_call
+            for name in self.KEYS:
+                await setup.send(
+                    authorization=f"Bearer {self.KEYS[name]}",
+                    idempotency_key="order-1",
+                    catkinpost_tenant="lab",
+                )
+            self.assertEqual([call.tenant for call in calls], ["lab", "shop"])
+            self.assertEqual(
+                [call.key for call in calls],
+                ["orders/lab/order-1", "orders/shop/order-1"],
+            )
+            for call in calls:
+                named = [
+                    pair for pair in call.headers if pair[0] == b"catkinpost-tenant"
+                ]
+                self.assertEqual(named, [(b"catkinpost-tenant", call.tenant.encode())])
+                self.assertEqual(call.rank, IMPORTANCE_RANK[Importance.SHEDDABLE])
+                self.assertNotIn("Bearer", repr(call))
+
+    @params({}, {"authorization": "Bearer k-none"}, {"catkinpost_tenant": "lab"})
+    def test_request_without_a_valid_key_is_not_sent(self, headers):
+        self.check_not_sent(headers)
+
+    @on_mock_clock
+    async def check_not_sent(self, headers):
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            self.publish(setup, 2, "lab")
+            response = await setup.send(**headers)
+            self.assertEqual(response.status, 401)
+            scheme = find_header(response.headers, b"www-authenticate")
+            self.assertEqual(scheme, b"Bearer")
+            self.assertEqual(setup.links.attempts, 0)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,6 +6,7 @@
 import trio
 from nose2.tools import params
 
+from catkinpost.coordination.access.authenticator import UNKNOWN_CALLER
 from catkinpost.platform.dialect import PlatformDialect
 from catkinpost.platform.document import parse_configuration, render_policy
 from catkinpost.protocol.http import HttpRequest, HttpResponse, find_header
@@ -37,7 +38,9 @@
         self.policy = store.policy
 
     def classify(self, request):
-        return self.dialect.classify_request(request, self.policy, RunningCalls())
+        return self.dialect.classify_request(
+            request, self.policy, RunningCalls(), UNKNOWN_CALLER
+        )
 
     @on_mock_clock
     async def test_calling_service_is_set_whatever_was_sent(self):
--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -56,10 +56,10 @@
 class Setup:
     """Node without listening sockets that watches a stand-in store."""
 
-    async def start(self, nursery):
+    async def start(self, nursery, settings=SETTINGS):
         self.store = StandInStore()
         await self.store.start(nursery)
-        text = SETTINGS.replace("127.0.0.1:8309", f"127.0.0.1:{self.store.port}")
+        text = settings.replace("127.0.0.1:8309", f"127.0.0.1:{self.store.port}")
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "local.toml"
         self.path.write_text(text, encoding="utf-8")
@@ -87,13 +87,16 @@
         await trio.sleep(0.5)
 
 
-def with_followed_store(test):
+def with_followed_store(test=None, *, settings=SETTINGS):
+    if test is None:
+        return functools.partial(with_followed_store, settings=settings)
+
     @on_mock_clock(io=True)
     @functools.wraps(test)
     async def run(self, *args):
         async with trio.open_nursery() as nursery:
             setup = Setup()
-            await setup.start(nursery)
+            await setup.start(nursery, settings)
             with setup.folder:
                 await test(self, setup, *args)
             nursery.cancel_scope.cancel()
--- a/tests/protocol/test_policy.py
+++ b/tests/protocol/test_policy.py
@@ -16,12 +16,52 @@
 SERVICE = "[service orders]\nowner = sales\n"
 
 
+def make_workspaces(sections):
+    """Make a document; a section is its name and the digits of its digests."""
+    parts = []
+    for section in sections:
+        name, *digits = section.split()
+        digests = " ".join(digit * 64 for digit in digits)
+        parts.append(f"[workspace {name}]\nowner = sales\nkey_digests = {digests}\n")
+    return "\n".join(parts)
+
+
 class TestCheckDocument(unittest.TestCase):
     def test_good_document_has_no_problem(self):
         checked = check_document(SKAIDAS_POLICY)
         self.assertEqual(checked.problems, [])
         self.assertEqual(len(checked.models), 11)
 
+    def test_key_in_the_place_of_its_digest_is_not_shown(self):
+        text = "[workspace lab]\nowner = sales\nkey_digests = secret-key\n"
+        [problem] = check_document(text).problems
+        self.assertEqual((problem.line, problem.option), (3, "key_digests"))
+        self.assertNotIn("secret-key", problem.format("policy.ini"))
+        self.assertIn("SHA-256", problem.hint)
+
+    @params(
+        # (sections in force, sections of the document, rejected one)
+        ([], ["a 1", "b 1 2"], "workspace b"),
+        ([], ["a 1 2", "b 3", "c 4 2"], "workspace c"),
+        (["b 2"], ["a 2", "b 2"], "workspace a"),
+        (["a 1"], ["a 1", "b 1"], "workspace b"),
+    )
+    def test_key_of_two_workspaces(self, in_force, sections, rejected):
+        before = check_document(make_workspaces(in_force)).accepted
+        checked = check_document(make_workspaces(sections), before)
+        [problem] = checked.problems
+        self.assertEqual((problem.section, problem.option), (rejected, "key_digests"))
+        self.assertIn("has one of the keys as well", problem.message)
+        self.assertNotIn(rejected, checked.accepted)
+        self.assertEqual(len(checked.accepted), len(sections) - 1)
+
+    def test_key_of_two_workspaces_in_force_is_that_of_neither(self):
+        models = check_document(make_workspaces(["a 1 2"])).models
+        models |= check_document(make_workspaces(["b 2 3"])).models
+        policy = build_policy(models)
+        holders = [policy.find_workspace(digit * 64) for digit in "123"]
+        self.assertEqual(holders, ["a", None, "b"])
+
     @params(
         ("[service orders\nowner = x", 1, "", "not a section head"),
         ("owner = x\n" + SERVICE, 1, "", "text before the first section"),
