Withdraw requests that wait at their own node when their key is withdrawn

What callers saw: a request whose key was withdrawn while it waited for the server beside its own node ran all the same; at a peer it was refused.

Cause: only attempts at peers had a way to be withdrawn.

Change: an attempt at the own server is withdrawn by the executor, as the peer's does it.

Evidence: test_request_that_waits_at_the_own_server_ends_with_its_key fails without the change, as the request still waits.

--- a/src/catkinpost/coordination/routing/attempt.py
+++ b/src/catkinpost/coordination/routing/attempt.py
@@ -132,12 +132,12 @@
         return ends_at - self.router.stats.class_times.get_typical_time(call.call_class)
 
     def withdraw_late_attempts(self) -> None:
-        """Withdraw the attempts that wait at peers and would not end in time."""
+        """Withdraw the attempts that wait and would not end in time."""
         now = trio.current_time()
         self.withdraw_attempts(lambda call: now >= self.get_latest_start(call))
 
     def withdraw_attempts(self, must_not_run: Callable[[EntryCall], bool]) -> None:
-        """Withdraw the attempts of some calls that wait at peers.
+        """Withdraw the attempts of some calls that wait here or at peers.
 
         :param must_not_run: returns whether a call must not begin to run.
         """
@@ -252,14 +252,16 @@
         )
         if target.leaves_region:
             self.router.budget.charge(len(message.body))
-        if target.instance.name == self.instance and is_only_attempt:
-            pending.sent = True
-            pending.resolve(await self.executor.run(message))
-        elif target.instance.name == self.instance:
-            self.start_local_call(message, pending)
-        else:
+        if target.instance.name != self.instance:
             link = self.get_link(message, target.instance)
             await link.send_request(message, pending)
+            return
+        pending.sent = True
+        pending.withdraw = partial(self.executor.withdraw, message)
+        if is_only_attempt:
+            pending.resolve(await self.executor.run(message))
+        else:
+            self.start_local_call(message, pending)
 
     def outlasts_silence(self, call: EntryCall, exclude: set[str]) -> bool:
         """Return whether a call is awaited although its peer has gone silent.
@@ -310,7 +312,6 @@
     def start_local_call(self, message: Call, pending: PendingRequest) -> None:
         scope = trio.CancelScope()
         pending.cancel = scope.cancel
-        pending.sent = True
         self.spawn(self.run_local_call, message, pending, scope)
 
     async def run_local_call(
--- a/tests/coordination/routing/test_dispatcher.py
+++ b/tests/coordination/routing/test_dispatcher.py
@@ -889,6 +889,21 @@
             self.assertEqual(outcome_of(response), Outcome.NOT_RUN)
 
 
+class WaitingExecutor:
+    """Executor whose calls wait until they are withdrawn."""
+
+    def __init__(self):
+        self.waiting = {}
+
+    async def run(self, call):
+        self.waiting[id(call)] = trio.Event()
+        await self.waiting[id(call)].wait()
+        return refusal(Reason.LEAVING, NOT_RUN)
+
+    def withdraw(self, call):
+        self.waiting[id(call)].set()
+
+
 class TestWorkspaces(unittest.TestCase):
     """Callers with keys of workspaces; the test holds the answers of peers back."""
 
@@ -937,6 +952,30 @@
             self.assertEqual(outcome_of(responses[0]), outcome)
             self.assertEqual(setup.links.attempts, attempts)
 
+    @on_mock_clock
+    async def test_request_that_waits_at_the_own_server_ends_with_its_key(self):
+        """Guards against a withdrawn key whose requests wait at their own node."""
+        async with trio.open_nursery() as nursery:
+            setup = Setup(nursery, [])
+            self.publish(setup, 2, "lab")
+            setup.view.apply_list(2, [make_instance("sets-1")], 0.0)
+            executor = setup.sender.executor = WaitingExecutor()
+            responses = []
+
+            async def send():
+                response = await setup.send(method=b"GET", authorization="Bearer k-lab")
+                responses.append(response)
+
+            nursery.start_soon(send)
+            await wait_all_tasks_blocked()
+            self.assertEqual((len(executor.waiting), responses), (1, []))
+            check = setup.authenticator.check_again
+            self.publish(setup, 3)
+            setup.sender.withdraw_attempts(lambda call: check(call.caller) is not None)
+            await wait_all_tasks_blocked()
+            self.assertEqual(reason_of(responses[0]), "unauthenticated")
+            self.assertEqual(outcome_of(responses[0]), Outcome.NOT_RUN)
+
     @on_mock_clock
     async def test_one_idempotency_key_of_two_workspaces_is_two_requests(self):
         async with trio.open_nursery() as nursery:
