--- /dev/null
+++ b/src/catkinpost/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests of workspaces over the whole fleet."""
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -8,6 +8,7 @@
 
 from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.throttle import Throttle
+from catkinpost.coordination.limits.use import SENT, SENT_AGAIN, WorkspaceUse
 from catkinpost.coordination.peers.identity import get_holder_instance
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
 from catkinpost.coordination.routing.dialect import Dialect, NativeDialect
@@ -90,6 +91,7 @@
     :param dialect: meaning of the caller's headers and statuses.
     :param retry_budget: bound on repeated arrivals at a service.
     :param request_log: log of requests that were refused, failed or answered late.
+    :param workspace_use: counts of what workspaces have sent.
     :param active_requests: number of requests in progress.
     :param scopes: cancel scopes of the calls in progress.
     :param is_ended: whether the calls in progress were broken off.
@@ -106,6 +108,7 @@
     dialect: Dialect = field(default_factory=NativeDialect)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     request_log: RequestLog = field(default_factory=RequestLog)
+    workspace_use: WorkspaceUse = field(default_factory=WorkspaceUse)
     active_requests: int = 0
     scopes: set[trio.CancelScope] = field(default_factory=set)
     is_ended: bool = False
@@ -244,6 +247,9 @@
         while True:
             if isinstance(target, Failure):
                 return self.build_final_failure(call, target)
+            if not exclude or call.arrivals:
+                event = SENT_AGAIN if call.arrivals else SENT
+                self.workspace_use.record(call.caller.workspace, event)
             result = await self.sender.send(call, target, exclude)
             if isinstance(result, Answer):
                 return result
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -355,6 +355,7 @@
             nursery.start_soon(self.supervise, self.environment.run)
             nursery.start_soon(self.supervise, self.ejector.run)
             nursery.start_soon(self.supervise, self.executor.admission.run)
+            nursery.start_soon(self.supervise, self.dispatcher.workspace_use.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
             await self.planned_stop.repeat(self.close_links)
--- /dev/null
+++ b/tests/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of workspaces."""
