Hold workspaces to their limits over the whole fleet

Cause: no part of the product knew a limit of a workspace. The platform's models lacked rate-per-s and burst, so they were dropped unread, and nothing counted.

Change: rate and burst are options of [workspace NAME]. A limit is divided into six shares, each kept by one node that all nodes with one list agree on (ring of hashes). The entry asks the keepers, the nearest first, for credit for each request before it costs anything: 429 when all are out of it, 503 as not run when some can't be asked. A node keeps a share only while list and policy are young, and gives all of it only when it has kept it for as long, so that no two nodes do. What restarts and moves add stays inside what the platform allows beyond a limit.

--- a/src/catkinpost/coordination/configuration/instance_watch.py
+++ b/src/catkinpost/coordination/configuration/instance_watch.py
@@ -9,6 +9,7 @@
 from catkinpost.protocol.outcome import Failure
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.instance_view import InstanceView, ListChange, parse_instances
+from catkinpost.state.policy_age import PolicyAge
 from catkinpost.transport.platform_client import PlatformClient
 
 __all__ = ["InstanceWatch"]
@@ -21,6 +22,7 @@
     :param view: the node's copy of the list.
     :param on_list_changed: called after the list has changed.
     :param decisions: log of automatic decisions.
+    :param age: age of the list.
     """
 
     def __init__(
@@ -30,23 +32,28 @@
         view: InstanceView,
         on_list_changed: Callable[[ListChange], None],
         decisions: DecisionLog,
+        age: PolicyAge,
     ) -> None:
         self.client = client
         self.view = view
         self.on_list_changed = on_list_changed
         self.decisions = decisions
+        self.age = age
         self.last_error = ""
 
     async def run(self) -> None:
         """Watch until cancelled."""
         interval = self.client.settings.retry_interval
         while True:
+            asked_at = trio.current_time()
             body = await self.client.watch_instances(self.view.version)
             if isinstance(body, Failure):
                 self.log_error(body.detail)
                 await trio.sleep(random.uniform(0.5, 1.5) * interval)
                 continue
-            if not self.apply_list(body):
+            if self.apply_list(body):
+                self.age.confirm(asked_at)
+            else:
                 await trio.sleep(interval)
 
     def apply_list(self, body: bytes) -> bool:
--- a/src/catkinpost/coordination/environment.py
+++ b/src/catkinpost/coordination/environment.py
@@ -12,6 +12,7 @@
     PolicyConfirmation,
 )
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
+from catkinpost.coordination.limits.client import LimitClient
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
 from catkinpost.coordination.peers.link_table import LinkTable
@@ -57,6 +58,7 @@
     metrics: Metrics
     store: PolicyStore
     policy_age: PolicyAge
+    list_age: PolicyAge
     view: InstanceView
     stats: PeerStats
     pause_watch: PauseWatch
@@ -73,6 +75,7 @@
     executor: Executor
     sender: AttemptSender
     authenticator: Authenticator
+    limits: LimitClient
     dispatcher: Dispatcher
     replicas: ServiceReplicas
     http_server: HttpServer
--- a/src/catkinpost/coordination/limits/use.py
+++ b/src/catkinpost/coordination/limits/use.py
@@ -6,7 +6,7 @@
 
 from catkinpost.coordination.tick import sleep_until_next_tick
 
-__all__ = ["SENT", "SENT_AGAIN", "WorkspaceUse"]
+__all__ = ["LIMIT_UNKNOWN", "OVER_LIMIT", "SENT", "SENT_AGAIN", "WorkspaceUse"]
 
 LOG_INTERVAL_S = 5.0
 MAX_LOGGED_WORKSPACES = 20
@@ -15,6 +15,8 @@
 
 SENT = "sent"
 SENT_AGAIN = "sent again"
+OVER_LIMIT = "over limit"
+LIMIT_UNKNOWN = "limit unknown"
 
 
 class WorkspaceUse:
--- a/src/catkinpost/coordination/peers/identity.py
+++ b/src/catkinpost/coordination/peers/identity.py
@@ -113,4 +113,5 @@
             feeds=True,
             withdrawals=True,
             clock_us=clock_us,
+            credits=True,
         )
--- a/src/catkinpost/coordination/peers/peer_handler.py
+++ b/src/catkinpost/coordination/peers/peer_handler.py
@@ -10,10 +10,14 @@
 from catkinpost.coordination.at_most_once.replicas import ServiceReplicas
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.feed.relay import FeedRelay
+from catkinpost.coordination.limits.client import LimitClient
 from catkinpost.coordination.peers.link import PeerLink
 from catkinpost.coordination.peers.peer_server import PeerSession
 from catkinpost.log import log_exception
 from catkinpost.protocol.message import (
+    CreditAsk,
+    CreditReply,
+    CreditReturn,
     FeedCancel,
     FeedFetch,
     FeedPage,
@@ -65,6 +69,7 @@
     :param replicas: nodes of the same service.
     :param once: idempotency keys.
     :param crash_guard: counts of requests that crash backend servers.
+    :param limits: limits of workspaces, ``None`` for a node without them.
     :ivar feed: relay of the platform's keys, ``None`` when the node has none.
     """
 
@@ -77,6 +82,7 @@
         replicas: ServiceReplicas,
         once: OnceGuard,
         crash_guard: CrashGuard,
+        limits: LimitClient | None = None,
     ) -> None:
         self.exchange = exchange
         self.stats = stats
@@ -84,6 +90,7 @@
         self.replicas = replicas
         self.once = once
         self.crash_guard = crash_guard
+        self.limits = limits
         self.feed: FeedRelay | None = None
         self.incarnations: dict[str, str] = {}
 
@@ -195,6 +202,23 @@
     async def handle_suspect(self, message: SuspectNotice, sender: Sender) -> None:
         self.crash_guard.apply_notice(message)
 
+    @handle.register
+    async def handle_credit_ask(self, message: CreditAsk, sender: Sender) -> None:
+        if self.limits is not None:
+            reply = self.limits.answer(sender.instance, message)
+            await ReplySender(sender).send_notification(reply)
+
+    @handle.register
+    async def handle_credit_reply(self, message: CreditReply, sender: Sender) -> None:
+        if self.limits is not None:
+            self.limits.handle_reply(sender.instance, message)
+
+    @handle.register
+    async def handle_credit_return(self, message: CreditReturn, sender: Sender) -> None:
+        if self.limits is not None:
+            now = trio.current_time()
+            self.limits.keeper.take_back(sender.instance, message.id, now)
+
     @handle.register
     async def handle_subscribe(self, message: FeedSubscribe, sender: Sender) -> None:
         if self.feed is not None:
--- a/src/catkinpost/coordination/routing/dispatcher.py
+++ b/src/catkinpost/coordination/routing/dispatcher.py
@@ -8,6 +8,7 @@
 
 from catkinpost.coordination.access.authenticator import Authenticator
 from catkinpost.coordination.admission.throttle import Throttle
+from catkinpost.coordination.limits.client import LimitClient
 from catkinpost.coordination.limits.use import SENT, SENT_AGAIN, WorkspaceUse
 from catkinpost.coordination.peers.identity import get_holder_instance
 from catkinpost.coordination.routing.attempt import OVERLOAD_REASONS, AttemptSender
@@ -92,6 +93,7 @@
     :param retry_budget: bound on repeated arrivals at a service.
     :param request_log: log of requests that were refused, failed or answered late.
     :param workspace_use: counts of what workspaces have sent.
+    :param limits: asks for the credit of workspaces, ``None`` for no limits.
     :param active_requests: number of requests in progress.
     :param scopes: cancel scopes of the calls in progress.
     :param is_ended: whether the calls in progress were broken off.
@@ -109,6 +111,7 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     request_log: RequestLog = field(default_factory=RequestLog)
     workspace_use: WorkspaceUse = field(default_factory=WorkspaceUse)
+    limits: LimitClient | None = None
     active_requests: int = 0
     scopes: set[trio.CancelScope] = field(default_factory=set)
     is_ended: bool = False
@@ -208,6 +211,7 @@
                     result = await self.send_with_retries(call)
             finally:
                 self.scopes.discard(scope)
+                self.give_back_credit(call, result)
                 self.retry_budget.release_repeat(call.service, call)
                 if parent is not None:
                     parent.child_scopes.discard(scope)
@@ -240,6 +244,9 @@
                 retry_after=THROTTLE_RETRY_AFTER_S,
             )
             return self.build_final_failure(call, failure)
+        refusal = await self.acquire_credit(call)
+        if refusal is not None:
+            return self.build_final_failure(call, refusal)
         exclude: set[str] = set()
         redirects = 0
         self.retry_budget.record_request(call.service, trio.current_time())
@@ -276,6 +283,8 @@
                 is_move = False
             else:
                 return self.build_final_failure(call, result)
+            if not await self.has_credit_for_repeat(call, result):
+                return self.build_final_failure(call, result)
             now = trio.current_time()
             if not call.arrivals:
                 self.retry_budget.release_repeat(call.service, call)
@@ -292,6 +301,44 @@
                 self.metrics.counters["retries"] += 1
             target = next_target
 
+    async def acquire_credit(self, call: EntryCall) -> Failure | None:
+        """Get credit for one run of a call, or return why it must not run.
+
+        Calls of backend servers, and those that need no key, belong to no workspace.
+        """
+        workspace = call.caller.workspace
+        if self.limits is None or not self.limits.has_limit(workspace):
+            return None
+        if call.parent is not None or not self.store.policy.needs_key(call.section):
+            return None
+        credit = await self.limits.acquire(workspace)
+        if isinstance(credit, Failure):
+            return credit
+        call.credit = credit
+        return None
+
+    async def has_credit_for_repeat(
+        self, call: EntryCall, result: Refusal | Failure
+    ) -> bool:
+        """Return whether another sending stays inside the limit of the workspace.
+
+        Both sendings may run if the outcome of the first one is unknown.
+        """
+        if result.outcome is not Outcome.UNKNOWN:
+            return True
+        return await self.acquire_credit(call) is None
+
+    def give_back_credit(
+        self, call: EntryCall, result: Answer | Failure | None
+    ) -> None:
+        """Return the credit of a call that has not run.
+
+        :param result: its result, ``None`` if it was broken off.
+        """
+        outcome = call.outcome if result is None else getattr(result, "outcome", None)
+        if call.credit is not None and outcome is Outcome.NOT_RUN:
+            self.limits.give_back(call.credit)
+
     def reserve_repeat(self, call: EntryCall, now: float) -> bool:
         """Reserve one repeated arrival in the service's retry budget."""
         if self.retry_budget.reserve_repeat(call.service, call, now):
--- a/src/catkinpost/coordination/routing/entry.py
+++ b/src/catkinpost/coordination/routing/entry.py
@@ -7,6 +7,7 @@
 
 from catkinpost.coordination.access.authenticator import UNKNOWN_CALLER, Caller
 from catkinpost.coordination.at_most_once.once import FIRST_ATTEMPT, UNMARKED_ATTEMPT
+from catkinpost.coordination.limits.client import Credit
 from catkinpost.protocol.header import (
     CallHeaders,
     parse_call_headers,
@@ -61,6 +62,7 @@
     :param request_id: id of the request in the caller's headers and in the log.
     :param attempt_ends: ends of the attempts so far.
     :param caller: whose request it is, as its key tells.
+    :param credit: credit of its workspace, ``None`` without a limit.
     """
 
     request: HttpRequest
@@ -82,6 +84,7 @@
     request_id: str = ""
     attempt_ends: list[AttemptEnd] = field(default_factory=list)
     caller: Caller = UNKNOWN_CALLER
+    credit: Credit | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/catkinpost/native/environment.py
+++ b/src/catkinpost/native/environment.py
@@ -51,6 +51,7 @@
             view=node.view,
             on_list_changed=node.on_list_changed,
             decisions=node.decisions,
+            age=node.list_age,
         )
         self.backend_watch = BackendWatch(
             settings.backend,
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -21,6 +21,10 @@
 )
 from catkinpost.coordination.configuration.policy_exchange import PolicyExchange
 from catkinpost.coordination.environment import Environment
+from catkinpost.coordination.limits.client import LimitClient
+from catkinpost.coordination.limits.keeper import KeeperBounds, LimitKeeper
+from catkinpost.coordination.limits.ring import KeeperRings
+from catkinpost.coordination.limits.use import WorkspaceUse
 from catkinpost.coordination.memory_watch import MemoryWatch
 from catkinpost.coordination.pause import PauseWatch
 from catkinpost.coordination.peers.identity import Identity
@@ -48,7 +52,7 @@
 from catkinpost.state.answer_memory import AnswerMemory
 from catkinpost.state.decision_log import DecisionLog
 from catkinpost.state.head_memory import HeadMemory
-from catkinpost.state.instance_view import InstanceView, ListChange
+from catkinpost.state.instance_view import InstanceState, InstanceView, ListChange
 from catkinpost.state.memory_account import MemoryAccount
 from catkinpost.state.metric import Metrics
 from catkinpost.state.peer_stat import PeerStats
@@ -99,6 +103,7 @@
         self.nodes_in_region = 1
         self.build_state()
         self.build_peers()
+        self.build_limits()
         self.build_target()
         self.build_entry()
         self.build_control()
@@ -116,6 +121,7 @@
         self.metrics = Metrics()
         self.store = PolicyStore()
         self.policy_age = PolicyAge()
+        self.list_age = PolicyAge()
         self.view = InstanceView()
         self.stats = PeerStats()
         self.notices = ServerNotices()
@@ -173,6 +179,28 @@
             decisions=self.decisions,
         )
 
+    def build_limits(self) -> None:
+        section = self.settings.node
+        bounds = KeeperBounds.build(self.settings.bounds)
+        self.workspace_use = WorkspaceUse()
+        self.limit_keeper = LimitKeeper(
+            store=self.store,
+            policy_age=self.policy_age,
+            list_age=self.list_age,
+            rings=KeeperRings(section.instance, bounds.max_age_s),
+            bounds=bounds,
+        )
+        self.limits = LimitClient(
+            instance=section.instance,
+            data_centre=section.data_centre,
+            region=section.region,
+            keeper=self.limit_keeper,
+            view=self.view,
+            links=self.links,
+            spawn=self.spawn,
+            use=self.workspace_use,
+        )
+
     def build_target(self) -> None:
         settings = self.settings
         backend = parse_address(settings.backend.address)
@@ -272,6 +300,8 @@
             decisions=self.decisions,
             dialect=self.environment.dialect,
             retry_budget=self.retry_budget,
+            workspace_use=self.workspace_use,
+            limits=self.limits,
         )
 
     def build_control(self) -> None:
@@ -283,6 +313,7 @@
             replicas=self.replicas,
             once=self.executor.once_guard,
             crash_guard=self.crash_guard,
+            limits=self.limits,
         )
         self.links.events = self.peer_handler
         self.peer_server = PeerServer(
@@ -355,7 +386,7 @@
             nursery.start_soon(self.supervise, self.environment.run)
             nursery.start_soon(self.supervise, self.ejector.run)
             nursery.start_soon(self.supervise, self.executor.admission.run)
-            nursery.start_soon(self.supervise, self.dispatcher.workspace_use.run)
+            nursery.start_soon(self.supervise, self.workspace_use.run)
             log_message("node: started", instance=self.identity.instance)
             await self.planned_stop.run()
             await self.planned_stop.repeat(self.close_links)
@@ -449,6 +480,18 @@
         for entry in self.store.policy.entries.values():
             self.http_server.limits = entry.override_limits(self.settings.http_limits)
         self.sender.withdraw_attempts(self.has_withdrawn_key)
+        self.update_limits()
+
+    def update_limits(self) -> None:
+        """Apply policy and list to the limits of workspaces, if there are any."""
+        if not self.store.policy.has_workspace_limits:
+            return
+        names = [
+            item.name
+            for item in self.view.instances.values()
+            if item.state is InstanceState.LIVE
+        ]
+        self.limit_keeper.update(names, trio.current_time())
 
     def has_withdrawn_key(self, call: EntryCall) -> bool:
         """Return whether the key of a call is not valid any more."""
@@ -470,6 +513,9 @@
         for name in (*change.added, *change.restarted):
             self.notices.record_listed(name, self.view.instances[name].incarnation)
         self.retry_budget.node_count = len(self.view.instances)
+        if self.identity.instance in (*change.added, *change.restarted):
+            # It may have been off the list in between.
+            self.limit_keeper.rings.forget(trio.current_time())
         region = self.settings.node.region
         self.nodes_in_region = sum(
             item.region == region for item in self.view.instances.values()
--- a/src/catkinpost/platform/dialect.py
+++ b/src/catkinpost/platform/dialect.py
@@ -41,6 +41,7 @@
     {EXPECTED_INSTANCE, CALLING_SERVICE, DEADLINE_REMAINING, TENANT}
 )
 SERVICE_UNAVAILABLE = 503
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 LOWEST_ERROR_STATUS = 400
 GATEWAY_TIMEOUT = 504
@@ -57,6 +58,7 @@
     Reason.SLOW_SENDER: 408,
     Reason.UNKNOWN_CLASS: NOT_FOUND,
     Reason.UNAUTHENTICATED: UNAUTHORIZED,
+    Reason.WORKSPACE_LIMIT: TOO_MANY_REQUESTS,
 }
 
 
@@ -149,7 +151,7 @@
             return HttpResponse(status, [], failure.reason.value.encode())
         status = CALLER_ERROR_STATUS.get(failure.reason, SERVICE_UNAVAILABLE)
         headers = []
-        if status == SERVICE_UNAVAILABLE:
+        if status in (SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS):
             retry_after_s = failure.retry_after or DEFAULT_RETRY_AFTER_S
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
         if status == UNAUTHORIZED:
--- a/src/catkinpost/platform/document.py
+++ b/src/catkinpost/platform/document.py
@@ -71,12 +71,16 @@
 
     :param api_keys: keys as the operator writes them.
     :param key_digests: their digests, in the place of keys that were read already.
+    :param rate_per_s: requests per second over all nodes; 0 for no limit.
+    :param burst: requests beyond that at once.
     """
 
     name: NonEmptyWord
     api_keys: list[str] = []
     key_digests: list[KeyDigest] = []
     priority: int | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
     @property
     def digests(self) -> list[str]:
@@ -231,6 +235,9 @@
         lines.append(f"key_digests = {' '.join(tenant.digests)}")
     if tenant.priority is not None:
         lines.append(f"importance = {find_importance(tenant.priority)}")
+    if tenant.rate_per_s:
+        lines.append(f"rate = {tenant.rate_per_s}")
+        lines.append(f"burst = {tenant.burst}")
     return "\n".join(lines) + "\n"
 
 
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -11,6 +11,7 @@
 from catkinpost.coordination.access.authenticator import KeyBounds
 from catkinpost.coordination.environment import NodeParts
 from catkinpost.coordination.feed import FeedRelay
+from catkinpost.coordination.limits.keeper import KeeperBounds
 from catkinpost.coordination.tick import sleep_until_next_tick
 from catkinpost.platform.dialect import PlatformDialect
 from catkinpost.platform.document import (
@@ -83,7 +84,7 @@
             is_older=is_older_value,
             hide_secrets=hide_keys,
             on_changes=self.apply_changes,
-            on_known=self.confirm_policy,
+            on_known=self.confirm_state,
             spawn=node.spawn,
             settings=self.settings.feed,
             get_sessions=lambda: node.peer_server.sessions.values(),
@@ -110,11 +111,12 @@
         """Return whether configuration and servers are known and were confirmed."""
         return self.node.store.has_policy and self.relay.is_confirmed
 
-    def confirm_policy(self, at: float) -> None:
-        """Count the policy in force as the newest one at a time.
+    def confirm_state(self, at: float) -> None:
+        """Count list and policy in force as the newest ones at a time.
 
         A configuration that can't be used may withdraw keys, and confirms nothing.
         """
+        self.node.list_age.confirm(at)
         if self.is_configuration_applied:
             self.node.policy_confirmation.confirm(at)
 
@@ -268,6 +270,7 @@
         log_settings("settings: read again", settings)
         self.servers.regions = settings.regions
         self.node.authenticator.bounds = KeyBounds.build(settings.node.bounds)
+        self.node.limits.keeper.set_bounds(KeeperBounds.build(settings.node.bounds))
         backend_address = parse_address(settings.node.backend.address)
         self.node.backend_client.set_address(backend_address.host, backend_address.port)
         self.node.executor.service = settings.node.node.service
--- a/src/catkinpost/platform/settings.py
+++ b/src/catkinpost/platform/settings.py
@@ -50,6 +50,8 @@
 MAX_AGE_SHARE = 0.7
 # Clocks of machines differ in rate by less than the rest.
 KEY_AGE_SHARE = 0.99
+# A shorter time lets a node that takes over count in full sooner.
+LIMIT_AGE_SHARE = 0.7
 # Heartbeats that a server misses before its entry lapses.
 LEASE_HEARTBEATS = 3
 # Share of the grace period: responses must be sent before the platform kills the
@@ -142,6 +144,8 @@
     config_propagation_s: float = 2.5
     revoke_when_partitioned: bool = False
     revocation_s: Seconds = 5.0
+    quota_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.25
+    quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 20.0
 
 
 class TermsTable(PlatformModel):
@@ -321,6 +325,9 @@
             server_drain=bounds.drain_s,
             workspace_key_age=compute_key_age(bounds),
             unknown_key_age=bounds.config_propagation_s,
+            workspace_limit_age=bounds.revocation_s * LIMIT_AGE_SHARE,
+            workspace_limit_overshoot=bounds.quota_overshoot,
+            workspace_limit_slack=bounds.quota_slack,
             repeat_ratio=(1 + bounds.retry_budget_ratio) ** (1 / SERVICES_PER_CHAIN)
             - 1,
             repeat_window=bounds.budget_window_s,
--- a/src/catkinpost/protocol/message.py
+++ b/src/catkinpost/protocol/message.py
@@ -4,6 +4,7 @@
 default: an older receiver ignores the additional fields of a newer sender.
 """
 
+import enum
 import struct
 
 import msgspec
@@ -18,6 +19,10 @@
     "Call",
     "Cancel",
     "Challenge",
+    "CreditAsk",
+    "CreditReply",
+    "CreditReturn",
+    "CreditVerdict",
     "FeedCancel",
     "FeedFetch",
     "FeedItem",
@@ -131,6 +136,7 @@
     :param withdrawals: whether the sender understands ``only_waiting`` in
         :class:`Cancel`.
     :param clock_us: microseconds on the sender's clock, ``None`` from earlier releases.
+    :param credits: whether the sender understands :class:`CreditAsk`.
     """
 
     version: int
@@ -144,6 +150,7 @@
     feeds: bool = False
     withdrawals: bool = False
     clock_us: int | None = None
+    credits: bool = False
 
 
 class Call(msgspec.Struct, array_like=True, tag=CALL_TAG):
@@ -418,6 +425,50 @@
     era: int | None = None
 
 
+class CreditVerdict(enum.StrEnum):
+    """Decision of the keeper of a share about one request of a workspace."""
+
+    GRANTED = "granted"
+    EXHAUSTED = "exhausted"
+    NOT_KEEPER = "not-keeper"
+    OUTDATED = "outdated"
+
+
+class CreditAsk(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Request for credit for one request of a workspace.
+
+    :param id: identity of the ask, unique for the process of the sender.
+    :param share: number of the share of the workspace's limit.
+    """
+
+    id: int
+    workspace: str
+    share: int
+
+
+class CreditReply(msgspec.Struct, array_like=True, tag=22, frozen=True):
+    """Response to :class:`CreditAsk`.
+
+    :param wait_us: microseconds until the share has credit again.
+    :param return_us: microseconds after which the caller should come back, behind those
+        who were told to do so before.
+    """
+
+    id: int
+    verdict: CreditVerdict
+    wait_us: int = 0
+    return_us: int = 0
+
+
+class CreditReturn(msgspec.Struct, array_like=True, tag=23, frozen=True):
+    """Return of the credit of a request that has not run.
+
+    :param id: identity of the ask that got it.
+    """
+
+    id: int
+
+
 Message = (
     Challenge
     | Hello
@@ -439,6 +490,9 @@
     | FeedCancel
     | FeedPage
     | FeedFetch
+    | CreditAsk
+    | CreditReply
+    | CreditReturn
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/catkinpost/protocol/outcome.py
+++ b/src/catkinpost/protocol/outcome.py
@@ -36,6 +36,8 @@
     UNKNOWN_CLASS = "unknown-class"
     UNAUTHENTICATED = "unauthenticated"
     KEYS_OUTDATED = "keys-outdated"
+    WORKSPACE_LIMIT = "workspace-limit"
+    WORKSPACE_LIMIT_UNKNOWN = "workspace-limit-unknown"
     NO_INSTANCE = "no-instance"
     NO_POLICY = "no-policy"
     DEADLINE_EXCEEDED = "deadline-exceeded"
@@ -80,6 +82,7 @@
     Reason.UNAUTHENTICATED: 401,
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.LIMIT_REACHED: 429,
+    Reason.WORKSPACE_LIMIT: 429,
     Reason.ANSWER_MEMORY_FULL: 502,
     Reason.BACKEND_CONNECTION_LOST: 502,
     Reason.BACKEND_BAD_ANSWER: 502,
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -121,6 +121,11 @@
         needed = any(section.needs_key for section in self.classes.values())
         return needed or bool(self.workspaces)
 
+    @cached_property
+    def has_workspace_limits(self) -> bool:
+        """Whether some workspace has a limit."""
+        return any(section.rate is not None for section in self.workspaces.values())
+
     def needs_key(self, section: ClassSection) -> bool:
         """Return whether requests of a class need the key of a workspace."""
         if section.needs_key is not None:
--- a/src/catkinpost/protocol/section.py
+++ b/src/catkinpost/protocol/section.py
@@ -199,11 +199,16 @@
         no key is valid when absent.
     :param importance: order of load shedding of its requests, in place of that of their
         classes.
+    :param rate: requests per second that it may send to all nodes together; no limit
+        when absent.
+    :param burst: requests that it may send at once in addition.
     """
 
     owner: ShortText
     key_digests: Annotated[str, msgspec.Meta(pattern=KEY_DIGESTS_PATTERN)] | None = None
     importance: Importance | None = None
+    rate: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
     @property
     def digests(self) -> list[str]:
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -189,6 +189,13 @@
     :param unknown_key_age: maximum age of the policy in seconds at which a node refuses
         an unknown key for good; older nodes refuse the request as not run, as the key
         may have been added. No bound when absent.
+    :param workspace_limit_age: maximum age in seconds of policy and list of instances
+        at which a node counts requests for the limits of workspaces, and the time in
+        which a node that has just taken over counts a part only.
+    :param workspace_limit_overshoot: share of a limit of a workspace that may be
+        exceeded while nodes take over.
+    :param workspace_limit_slack: requests by which a limit of a workspace may be
+        exceeded in addition, for all nodes together.
     :param repeat_ratio: maximum ratio of repeated arrivals at a service (retries and
         resubmissions) to the requests for it that this node has received; only the
         limits of the classes apply when absent.
@@ -218,6 +225,9 @@
     key_lifetime: Seconds = 120.0
     workspace_key_age: Seconds | None = None
     unknown_key_age: Seconds | None = None
+    workspace_limit_age: Seconds = 30.0
+    workspace_limit_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.25
+    workspace_limit_slack: Annotated[float, msgspec.Meta(ge=0)] = 18.0
     repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
     repeat_window: Seconds = 10.0
     repeat_extra: Annotated[float, msgspec.Meta(ge=0)] = 10.0
--- a/src/catkinpost/state/policy_age.py
+++ b/src/catkinpost/state/policy_age.py
@@ -1,4 +1,4 @@
-"""Age of what a node knows of the policy."""
+"""Age of what a node knows of the policy, or of the list of instances."""
 
 import math
 
@@ -6,7 +6,7 @@
 
 
 class PolicyAge:
-    """Time up to which the node knows of every version of the policy.
+    """Time up to which the node knows of every version of the policy or of the list.
 
     Each version that the platform had acknowledged by then is in force here, or a newer
     one is. The time is never too late, whatever the way of the confirmation: it is that
