Show workspaces, their limits and the shares kept by a node to operators

What operators saw: refusals by a limit in the log, but neither who counts for a workspace nor its credit.

--- a/src/catkinpost/command/client.py
+++ b/src/catkinpost/command/client.py
@@ -20,7 +20,7 @@
 from catkinpost.protocol.ini import Problem
 from catkinpost.protocol.outcome import Failure
 from catkinpost.protocol.policy import check_document
-from catkinpost.protocol.report import HistogramReport, StatusReport
+from catkinpost.protocol.report import HistogramReport, StatusReport, WorkspaceRow
 from catkinpost.state.decision_log import Decision
 
 __all__ = ["main"]
@@ -182,6 +182,8 @@
             f"calls     {row.service:16}{row.request_class:24}{row.tenant:12}"
             f"{row.outcome:9}{row.reason:24}{row.count:9}"
         )
+    for row in report.workspaces:
+        print_workspace(row)
     for peer in report.peers:
         link = "connected" if peer.connected else "not connected"
         flags = [
@@ -194,6 +196,19 @@
         )
 
 
+def print_workspace(row: WorkspaceRow) -> None:
+    """Print what a workspace has sent, and the shares of its limit kept here."""
+    limit = "no limit" if row.rate is None else f"{row.rate:g}/s + {row.burst:g}"
+    events = ", ".join(f"{name} {count}" for name, count in row.events.items())
+    typer.echo(f"workspace {row.workspace:20}{limit:20}{events}".rstrip())
+    for item in row.shares:
+        state = "settled" if item.settled else "being taken over"
+        typer.echo(
+            f"  share {item.share}  credit {item.credit:g}, gains {item.rate:g}/s,"
+            f" granted {item.granted}, refused {item.refused}, {state}"
+        )
+
+
 def print_fleet(reports: dict[str, StatusReport | Failure]) -> None:
     """Print one line for each node, and mark nodes without the newest version."""
     reachable_reports = [
--- a/src/catkinpost/coordination/operation/operator_api.py
+++ b/src/catkinpost/coordination/operation/operator_api.py
@@ -238,6 +238,26 @@
         yield quantiles
         yield from self.collect_gauges()
 
+    def collect_workspaces(self):
+        """Yield the requests of workspaces, and the credit of the shares kept here."""
+        requests = CounterMetricFamily(
+            "catkinpost_workspace_requests",
+            "Requests of workspaces by what happened to them.",
+            labels=["workspace", "event"],
+        )
+        credit = GaugeMetricFamily(
+            "catkinpost_workspace_credit",
+            "Requests that a share of a workspace's limit would give.",
+            labels=["workspace", "share"],
+        )
+        for row in self.status.workspaces:
+            for event, count in row.events.items():
+                requests.add_metric([row.workspace, event], count)
+            for item in row.shares:
+                credit.add_metric([row.workspace, str(item.share)], item.credit)
+        yield requests
+        yield credit
+
     def collect_gauges(self):
         events = CounterMetricFamily(
             "catkinpost_events", "Other events.", labels=["event"]
@@ -245,6 +265,7 @@
         for name, count in self.metrics.counters.items():
             events.add_metric([name], count)
         yield events
+        yield from self.collect_workspaces()
         for name, value in (
             ("in_flight", self.status.in_flight),
             ("limit", self.status.limit),
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -1,5 +1,7 @@
 """Status report of a node."""
 
+import math
+
 import trio
 
 from catkinpost.coordination.configuration.backend_watch import BackendWatch
@@ -9,7 +11,9 @@
     OutcomeRow,
     PeerReport,
     PolicyReport,
+    ShareRow,
     StatusReport,
+    WorkspaceRow,
 )
 from catkinpost.state.instance_view import Instance
 from catkinpost.transport.platform_client import PlatformClient
@@ -45,6 +49,7 @@
         admission = node.executor.admission
         node_settings = node.settings.node
         backend = self.backend_watch.report
+        limit_age_s = node.limits.keeper.get_age(trio.current_time())
         return StatusReport(
             instance=node_settings.instance,
             incarnation=node.identity.incarnation,
@@ -76,8 +81,50 @@
                 for item in node.view.instances.values()
                 if item.name != node_settings.instance
             ],
+            limit_age_s=None if limit_age_s == math.inf else round(limit_age_s, 3),
+            workspaces=self.build_workspaces(),
         )
 
+    def build_workspaces(self) -> list[WorkspaceRow]:
+        """Build a row for each workspace that uses the node or has a share here."""
+        limits = self.node.limits
+        names = {*limits.use.counts, *(name for name, _ in limits.keeper.kept)}
+        rows = []
+        for name in sorted(names):
+            section = self.node.store.policy.workspaces.get(name)
+            has_limit = section is not None and section.rate is not None
+            ring = limits.keeper.rings.ring
+            rows.append(
+                WorkspaceRow(
+                    workspace=name,
+                    rate=section.rate if has_limit else None,
+                    burst=section.burst if has_limit else 0.0,
+                    keepers=list(ring.find_keepers(name)) if has_limit else [],
+                    events=dict(limits.use.counts.get(name, {})),
+                    shares=self.build_shares(name),
+                )
+            )
+        return rows
+
+    def build_shares(self, workspace: str) -> list[ShareRow]:
+        now = trio.current_time()
+        rows = []
+        for (name, share), kept in sorted(self.node.limits.keeper.kept.items()):
+            if name != workspace:
+                continue
+            kept.bucket.refill(now)
+            rows.append(
+                ShareRow(
+                    share=share,
+                    credit=round(kept.bucket.tokens, 3),
+                    rate=round(kept.bucket.rate, 4),
+                    settled=kept.is_settled,
+                    granted=kept.granted,
+                    refused=kept.refused,
+                )
+            )
+        return rows
+
     def build_policy(self) -> PolicyReport:
         node = self.node
         store = node.store
--- a/src/catkinpost/platform/environment.py
+++ b/src/catkinpost/platform/environment.py
@@ -213,6 +213,10 @@
         self.servers.accept_entry(
             identity, server, change.read_at, recovered_at=self.relay.recovered_at
         )
+        host = parse_address(server.address).host
+        if host == parse_address(self.settings.node.backend.address).host:
+            # It may have been away since the last change that was read.
+            self.node.limits.keeper.rings.forget(trio.current_time())
 
     def apply_list(self) -> None:
         """Apply the list of servers to the node."""
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -62,6 +62,40 @@
     count: int
 
 
+class ShareRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Share of a workspace's limit that the node keeps.
+
+    :param share: number of the share.
+    :param credit: requests that it would give now.
+    :param rate: requests per second that it gains.
+    :param settled: whether the node counts with all of it.
+    """
+
+    share: int
+    credit: float
+    rate: float
+    settled: bool
+    granted: int
+    refused: int
+
+
+class WorkspaceRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests of one workspace at the node, and its limit.
+
+    :param rate: requests per second over all nodes, ``None`` without a limit.
+    :param keepers: instance that keeps each share of the limit.
+    :param events: what happened to its requests at this node, with their number.
+    :param shares: shares that this node keeps.
+    """
+
+    workspace: str
+    rate: float | None
+    burst: float
+    keepers: list[str | None]
+    events: dict[str, int]
+    shares: list[ShareRow]
+
+
 class StatusReport(msgspec.Struct, frozen=True, kw_only=True):
     """State of one node.
 
@@ -71,6 +105,8 @@
         that hold more than their own room.
     :param answer_bytes: bytes of the answers that callers have not taken, of those that
         hold more than their own room.
+    :param limit_age_s: age in seconds of what the node knows of limits and their
+        keepers, ``None`` before it knows anything.
     """
 
     instance: str
@@ -99,6 +135,8 @@
     counters: dict[str, int]
     outcomes: list[OutcomeRow]
     peers: list[PeerReport]
+    limit_age_s: float | None = None
+    workspaces: list[WorkspaceRow] = []
 
 
 class LatencyRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,11 +10,15 @@
 import trio
 from nose2.tools import params
 
+from catkinpost.command.client import print_status
 from catkinpost.coordination.admission.admission import WorkItem
+from catkinpost.coordination.limits.ring import SHARES
+from catkinpost.coordination.limits.use import OVER_LIMIT, SENT
+from catkinpost.coordination.operation.operator_api import render_metrics
 from catkinpost.native import NativeEnvironment
 from catkinpost.node import Node
 from catkinpost.protocol.message import ServerNotice
-from catkinpost.protocol.outcome import Failure
+from catkinpost.protocol.outcome import Failure, Reason
 from catkinpost.protocol.policy import Mode
 from catkinpost.protocol.settings import parse_settings
 from catkinpost.state.instance_view import InstanceState
@@ -32,6 +36,13 @@
 crash_guard = observe
 """
 
+LIMITED_WORKSPACE = """
+[workspace lab]
+owner = sales
+rate = 3
+burst = 60
+"""
+
 
 class TestNode(unittest.TestCase):
     @on_mock_clock
@@ -95,6 +106,39 @@
             self.assertTrue(node.is_leaving)
             self.assertTrue(node.executor.get_load().leaving)
 
+    @on_mock_clock
+    async def test_operators_see_workspaces_and_the_shares_of_their_limits(self):
+        async with trio.open_nursery() as nursery:
+            node = Node(parse_settings(GOOD), NativeEnvironment())
+            node.nursery = nursery
+            node.exchange.apply_document(1, POLICY + LIMITED_WORKSPACE)
+            node.on_list_changed(
+                node.view.apply_list(1, [make_instance("orders-1")], 0.0)
+            )
+            for age in (node.policy_age, node.list_age):
+                age.confirm(trio.current_time())
+            while not isinstance(failure := await node.limits.acquire("lab"), Failure):
+                node.workspace_use.record("lab", SENT)
+            self.assertIs(failure.reason, Reason.WORKSPACE_LIMIT)
+            status = node.environment.api.build_status()
+            (row,) = status.workspaces
+            self.assertEqual((row.workspace, row.rate, row.burst), ("lab", 3.0, 60.0))
+            self.assertEqual(row.keepers, ["orders-1"] * SHARES)
+            self.assertEqual(row.events[OVER_LIMIT], 1)
+            granted = [share.granted for share in row.shares]
+            self.assertEqual(sum(granted), row.events[SENT])
+            self.assertFalse(any(share.settled for share in row.shares))
+            metrics = render_metrics(node.metrics, status).decode()
+            labels = '{event="over limit",workspace="lab"}'
+            self.assertIn(f"catkinpost_workspace_requests_total{labels} 1.0", metrics)
+            self.assertIn('catkinpost_workspace_credit{share="5"', metrics)
+            with mock.patch("typer.echo") as echo:
+                print_status(status)
+            lines = [call.args[0] for call in echo.call_args_list]
+            self.assertTrue(any("3/s + 60" in line for line in lines), lines)
+            self.assertTrue(any("being taken over" in line for line in lines), lines)
+            nursery.cancel_scope.cancel()
+
     @params(
         # (how the leaving is learned, whether a waiter is refused in time)
         ("list", True),
