--- a/src/catkinpost_standins/users_platform/fleet.py
+++ b/src/catkinpost_standins/users_platform/fleet.py
@@ -63,6 +63,8 @@
 retry-budget-ratio = 0.2
 budget-window-s = 10
 budget-extra-retries = 49
+revoke-when-partitioned = true
+revocation-s = 5
 """
 
 
