Let soaks send beyond the limit of a workspace, and judge keys and limits

Change: clients at each machine bear a key and send several times the limit, which planned changes of the configuration lower and raise; servers record what they are told of callers; the verdict counts the windows of the limit and looks for keys and made-up workspaces.

--- a/src/catkinpost_standins/users_platform/plan.py
+++ b/src/catkinpost_standins/users_platform/plan.py
@@ -20,8 +20,15 @@
     PROPAGATION_S,
     Disruption,
 )
+from catkinpost_standins.users_platform.workspace import add_workspace
 
-__all__ = ["DEPLOYMENTS", "Deployment", "Plan", "build_configuration"]
+__all__ = [
+    "DEPLOYMENTS",
+    "WORKSPACE_RATES",
+    "Deployment",
+    "Plan",
+    "build_configuration",
+]
 
 HOST = "mesh.example"
 WARM_UP_S = 3.0
@@ -31,6 +38,9 @@
 WITHDRAWN_SHARE = 0.3
 # Each version makes two of these changes.
 CHANGES = ("move", "time", "limits", "add", "add", "remove")
+# Share of the versions that change the limit of the workspace, to one of these rates.
+LIMIT_CHANGE_SHARE = 0.5
+WORKSPACE_RATES = (20.0, 5.0, 60.0)
 # Longest times, one by chance, that a server goes on after ``drain-s``.
 LINGERS_S = (1, 1, 6)
 # Routes last added or removed that probers ask for, besides one that never existed.
@@ -150,6 +160,7 @@
     :ivar busy: machines with a stop or a replacement in progress, which another one
         must not overlap: SIGHUP may, at any moment.
     :ivar probes: calls on routes just added or removed, and on one that never was.
+    :ivar limits: times of changes of the workspace's limit, with its rate.
     :ivar withdrawn: servers that leave without ``draining``.
     :ivar faults: what processes did that the platform does not expect.
     :ivar early_hangups: processes that were sent SIGHUP before their interpreter was
@@ -176,8 +187,9 @@
         self.configuration = build_configuration(self.deployment)
         self.timeouts_s = {
             route["name"]: [(-math.inf, route["timeout-s"])]
-            for route in self.configuration["routes"]
+            for route in add_workspace(self.configuration, 1.0)["routes"]
         }
+        self.limits = [(-math.inf, WORKSPACE_RATES[0])]
         never = self.configuration["routes"][0] | {"name": "never", "prefix": "/never/"}
         self.probes: list[Call] = []
         self.probe_route(never)
@@ -393,9 +405,19 @@
         changes = self.random.choices(CHANGES, k=2)
         for change in changes:
             self.change_route(change)
-        self.fleet.configure(copy.deepcopy(self.configuration))
+        if self.random.random() < LIMIT_CHANGE_SHARE:
+            self.limits.append(
+                (trio.current_time(), self.random.choice(WORKSPACE_RATES))
+            )
+            changes.append(f"rate {self.limits[-1][1]}")
+        self.publish()
         self.note("config", "", PROPAGATION_S + 1, " ".join(changes))
 
+    def publish(self) -> None:
+        """Write the configuration with its workspace."""
+        configuration = add_workspace(self.configuration, self.limits[-1][1])
+        self.fleet.configure(copy.deepcopy(configuration))
+
     def change_route(self, change: str) -> None:
         config = self.configuration
         services = self.deployment.services
@@ -504,7 +526,7 @@
     def write_again(self) -> None:
         """Write what a restored store has lost, as servers and operator do."""
         store = self.fleet.store
-        self.fleet.configure(copy.deepcopy(self.configuration))
+        self.publish()
         present = [
             machine
             for machine in self.fleet.machines
--- a/src/catkinpost_standins/users_platform/server.py
+++ b/src/catkinpost_standins/users_platform/server.py
@@ -25,7 +25,9 @@
     SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
+    TENANT,
 )
+from catkinpost.protocol.credential import AUTHORIZATION_HEADER
 from catkinpost.protocol.http import (
     Headers,
     HttpLimits,
@@ -196,6 +198,8 @@
         ``"refused"``, ``"cut"`` by its caller, or ``"broken off"`` by the server.
     :param checksum: CRC-32 of the answer's body.
     :param caller: service that the request names as its caller.
+    :param tenant: workspace that it names.
+    :param has_key: whether it has credentials.
     """
 
     attempt: bytes
@@ -206,6 +210,8 @@
     service: str = ""
     checksum: int | None = None
     caller: str = ""
+    tenant: str = ""
+    has_key: bool = False
 
 
 class StandInServer:
@@ -310,7 +316,14 @@
         caller = (find_header(request.headers, CALLING_SERVICE) or b"").decode(
             "latin-1"
         )
-        run = Run(attempt=attempt, arrived_at=now, service=self.service, caller=caller)
+        run = Run(
+            attempt=attempt,
+            arrived_at=now,
+            service=self.service,
+            caller=caller,
+            tenant=(find_header(request.headers, TENANT) or b"").decode("latin-1"),
+            has_key=find_header(request.headers, AUTHORIZATION_HEADER) is not None,
+        )
         self.history.append(run)
         is_full = self.running >= self.slots and self.waiting >= self.queue
         if is_other or self.fault is ServerFault.SHED or is_full:
--- a/src/catkinpost_standins/users_platform/soak.py
+++ b/src/catkinpost_standins/users_platform/soak.py
@@ -40,6 +40,7 @@
     DEPLOYMENTS,
     HOST,
     IDLE_TIMEOUT_S,
+    WORKSPACE_RATES,
     Deployment,
     Plan,
     build_configuration,
@@ -47,6 +48,12 @@
 from catkinpost_standins.users_platform.server import ChildCall, Run, StandInServer
 from catkinpost_standins.users_platform.traffic import Call, Client, Fate, Habit
 from catkinpost_standins.users_platform.verdict import GRACE_S, Verdict
+from catkinpost_standins.users_platform.workspace import (
+    KEY,
+    ROUTE,
+    LimitVerdict,
+    add_workspace,
+)
 
 __all__ = ["Soak", "main"]
 
@@ -70,6 +77,8 @@
     Habit(name="leaving", leave_share=0.3),
     Habit(name="upload", body_bytes=300_000),
 ]
+# Asks for more than the limit of its workspace.
+KEYED = Habit(name="keyed", pause_s=0.05)
 # Asks for routes just added or removed, which shows the version in force.
 PROBER = Habit(name="prober", pause_s=1.5)
 
@@ -130,6 +139,7 @@
     :param seconds: length of the traffic.
     :param has_unplanned: whether nodes are also killed and held still.
     :ivar commitments: verdict on what the store acknowledged.
+    :ivar limits: verdict on the limit and the key of the workspace.
     :ivar misses: failed readiness probes in a row of each machine.
     :ivar largest_lag_s: longest delay of this process, in seconds, by which its times
         may be wrong.
@@ -171,6 +181,17 @@
             for name, service in self.deployment.services.items()
         ]
 
+    def build_keyed_call(self) -> Call:
+        deadline_s = self.plan.timeouts_s[ROUTE][0][1]
+        return Call(
+            route=ROUTE,
+            host=HOST,
+            path=f"/{ROUTE}/7",
+            unsafe=False,
+            deadline_s=deadline_s,
+            key=KEY,
+        )
+
     def prepare(self, machine: Machine) -> None:
         """Give a machine's server the shape of its service."""
         server = machine.server
@@ -211,6 +232,9 @@
                     self.start_client(
                         traffic, machine, PROBER, self.end, self.plan.probes
                     )
+                    self.start_client(
+                        traffic, machine, KEYED, self.end, [self.build_keyed_call()]
+                    )
                 traffic.start_soon(self.plan.run, nursery, self.end - GRACE_S)
             nursery.cancel_scope.cancel()
         self.plan.check_processes()
@@ -227,6 +251,7 @@
             writes=store.writes,
             watches=store.watches,
         )
+        self.limits = LimitVerdict(self.fates, runs, plan.limits)
         services = {item.host: item.server.service for item in self.fleet.machines}
         return Verdict(
             self.fates, runs, plan.disruptions, plan.timeouts_s, services=services
@@ -302,7 +327,7 @@
 ) -> int:
     """Run a soak, print its findings, and return their number."""
     services = list(deployment.services) * 2
-    configuration = build_configuration(deployment)
+    configuration = add_workspace(build_configuration(deployment), WORKSPACE_RATES[0])
     async with open_platform_fleet(services, ZONES, configuration) as fleet:
         soak = Soak(fleet, deployment, seed, seconds, unplanned)
         plan = soak.plan
@@ -311,7 +336,8 @@
         lines = [item.describe(soak.start) for item in findings]
         excused = verdict.excused + soak.commitments.excused
         lines += [item.describe(soak.start) for item in excused]
-        lines += plan.faults
+        limit_lines = soak.limits.find()
+        lines += [*limit_lines, *plan.faults]
         for line in lines:
             typer.echo(line)
         rules = sorted({item.rule for item in findings})
@@ -324,6 +350,7 @@
             "seed": seed,
             "broken": counts,
             "excused": dict(sorted(verdict.count_excused().items())),
+            "limit": limit_lines[:3],
             "commitments": dict(sorted(soak.commitments.judged.items())),
             "faults": len(plan.faults),
             "requests": dict(sorted(verdict.count().items())),
@@ -337,7 +364,7 @@
             shutil.rmtree(folder, ignore_errors=True)
             shutil.copytree(fleet.folder, folder)
             (folder / "findings.txt").write_text("\n".join([*lines, "", *times]))
-        return len(findings) + len(plan.faults)
+        return len(findings) + len(limit_lines) + len(plan.faults)
 
 
 def run(
--- a/src/catkinpost_standins/users_platform/traffic.py
+++ b/src/catkinpost_standins/users_platform/traffic.py
@@ -13,6 +13,7 @@
     DEADLINE_REMAINING,
     RESPONSE_SIGNATURE,
 )
+from catkinpost.protocol.credential import AUTHORIZATION_HEADER
 from catkinpost.protocol.http import (
     HttpRequest,
     encode_request,
@@ -44,6 +45,7 @@
     :param path: path.
     :param unsafe: whether it may run once only.
     :param deadline_s: seconds that a client waits.
+    :param key: key of its workspace, if it needs one.
     """
 
     route: str
@@ -51,6 +53,7 @@
     path: str
     unsafe: bool
     deadline_s: float
+    key: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -308,6 +311,8 @@
             (ATTEMPT_ID, attempt),
             (DEADLINE_REMAINING, b"%d" % (call.deadline_s * 1000)),
         ]
+        if call.key:
+            headers.append((AUTHORIZATION_HEADER, f"Token {call.key}".encode()))
         size = self.random.randint(1, self.habit.body_bytes) if call.unsafe else 0
         method = b"POST" if call.unsafe else b"GET"
         request = HttpRequest(method, call.path.encode(), headers, b"x" * size)
