Count for limits by the age of the list alone

What callers would see: on the product's own platform, one broken [workspace] section of any team ends the confirmation of the policy, and after the age of 30 s all nodes stopped to count: each request of a limited workspace got 503 until the section was mended.

Cause: a keeper took the older of the ages of list and policy. Only the list tells who keeps a share; the policy tells how much, and an older one is in force until a newer one is.

Change: the age of the list decides.

--- a/src/catkinpost/coordination/limits/client.py
+++ b/src/catkinpost/coordination/limits/client.py
@@ -37,6 +37,7 @@
 REFUSAL_BACKOFF_S = 0.25
 UNKNOWN_RETRY_AFTER_S = 0.5
 MAX_EXHAUSTED = 8192
+MAX_AVOIDED = 4096
 # Credit that is returned, a new keeper or a higher limit is noticed after this time.
 MAX_EXHAUSTED_S = 1.0
 MIN_RETRY_AFTER_S = 0.02
@@ -45,25 +46,32 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Credit:
-    """Credit for one request, from the keeper of a share.
+    """Credit for one request of a workspace.
 
+    :param id: identity of the ask that got it.
     :param keeper: instance that gave it.
-    :param asked_at: time at which it was asked for.
     """
 
     id: int
-    workspace: str
-    share: int
     keeper: str
-    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ExhaustedShare:
+    """Share that was out of credit when it was asked.
+
+    :param until: time until which it is not asked again.
+    :param return_at: time at which a refused caller should come back.
+    """
+
+    until: float
+    return_at: float
 
 
 @dataclass(eq=False)
-class Ask:
+class PendingAsk:
     """Ask whose reply is awaited."""
 
-    workspace: str
-    share: int
     keeper: str
     replied: trio.Event = field(default_factory=trio.Event)
     reply: CreditReply | None = None
@@ -85,7 +93,7 @@
     :param links: links to peers.
     :param spawn: starts a background task.
     :param use: counts of what workspaces have sent.
-    :ivar exhausted: until when a share is out of credit, by workspace and share.
+    :ivar exhausted: shares that were out of credit, by workspace and share.
     :ivar avoided: until when an instance is not asked, by its name.
     """
 
@@ -97,8 +105,8 @@
     links: LinkTable
     spawn: Callable[..., None]
     use: WorkspaceUse
-    asks: dict[int, Ask] = field(default_factory=dict)
-    exhausted: dict[tuple[str, int], tuple[float, float]] = field(default_factory=dict)
+    asks: dict[int, PendingAsk] = field(default_factory=dict)
+    exhausted: dict[tuple[str, int], ExhaustedShare] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
     ids: itertools.count = field(
         default_factory=lambda: itertools.count(random.getrandbits(ASK_ID_BITS))
@@ -123,7 +131,7 @@
             unknown[0] = "has no keeper, as no instance is listed"
         for share, name in keepers:
             now = trio.current_time()
-            if self.get_exhausted_until(workspace, share) > now:
+            if self.is_exhausted(workspace, share, now):
                 continue
             if self.avoided.get(name, now) > now:
                 unknown[share] = f"{name} did not answer lately"
@@ -131,23 +139,17 @@
             if now - started_at >= MAX_ASKING_S:
                 unknown[share] = f"no time was left to ask {name}"
                 continue
-            ask_id = next(self.ids)
-            decision = await self.ask(ask_id, workspace, share, name)
+            ask = CreditAsk(next(self.ids), workspace, share)
+            decision = await self.ask(ask, name)
             if decision is None:
-                self.avoided[name] = trio.current_time() + SILENCE_BACKOFF_S
+                self.avoid(name, SILENCE_BACKOFF_S)
                 unknown[share] = f"{name} did not answer"
             elif decision.verdict is CreditVerdict.GRANTED:
-                return Credit(
-                    id=ask_id,
-                    workspace=workspace,
-                    share=share,
-                    keeper=name,
-                    asked_at=now,
-                )
+                return Credit(id=ask.id, keeper=name)
             elif decision.verdict is CreditVerdict.EXHAUSTED:
-                self.record_exhausted(workspace, share, decision)
+                self.record_exhausted(ask, decision)
             else:
-                self.avoided[name] = trio.current_time() + REFUSAL_BACKOFF_S
+                self.avoid(name, REFUSAL_BACKOFF_S)
                 unknown[share] = f"{name} answers {decision.verdict}"
         return self.build_failure(workspace, unknown)
 
@@ -171,57 +173,58 @@
             return 3
         return 1 if item.data_centre == self.data_centre else 2
 
-    def get_exhausted_until(self, workspace: str, share: int) -> float:
-        """Return the time until which a share is known to be out of credit."""
-        return self.exhausted.get((workspace, share), (0.0, 0.0))[0]
+    def is_exhausted(self, workspace: str, share: int, now: float) -> bool:
+        """Return whether a share is known to be out of credit."""
+        found = self.exhausted.get((workspace, share))
+        return found is not None and found.until > now
 
-    def record_exhausted(
-        self, workspace: str, share: int, decision: CreditDecision
-    ) -> None:
+    def record_exhausted(self, ask: CreditAsk, decision: CreditDecision) -> None:
         if len(self.exhausted) >= MAX_EXHAUSTED:
             self.exhausted.clear()
         now = trio.current_time()
-        wait_s = min(decision.wait_s, MAX_EXHAUSTED_S)
-        times = now + wait_s, now + decision.return_s
-        self.exhausted[workspace, share] = times
+        self.exhausted[ask.workspace, ask.share] = ExhaustedShare(
+            until=now + min(decision.wait_s, MAX_EXHAUSTED_S),
+            return_at=now + decision.return_s,
+        )
 
-    async def ask(
-        self, ask_id: int, workspace: str, share: int, name: str
-    ) -> CreditDecision | None:
+    def avoid(self, name: str, seconds: float) -> None:
+        """Ask an instance no more for some time."""
+        if len(self.avoided) >= MAX_AVOIDED:
+            self.avoided.clear()
+        self.avoided[name] = trio.current_time() + seconds
+
+    async def ask(self, ask: CreditAsk, name: str) -> CreditDecision | None:
         """Ask one keeper.
 
         :return: its decision, ``None`` if it gives no answer in time.
         """
         if name == self.instance:
-            now = trio.current_time()
-            decision = self.keeper.decide(workspace, share, now)
-            if decision.verdict is CreditVerdict.GRANTED:
-                self.keeper.record_given(name, ask_id, workspace, share, now)
-            return decision
+            return self.keeper.answer(name, ask, trio.current_time())
         instance = self.view.instances.get(name)
         if instance is None or not self.links.is_reachable(name):
             return None
-        return await self.ask_peer(instance, ask_id, workspace, share)
+        return await self.ask_peer(ask, instance)
 
     async def ask_peer(
-        self, instance: Instance, ask_id: int, workspace: str, share: int
+        self, ask: CreditAsk, instance: Instance
     ) -> CreditDecision | None:
-        ask = Ask(workspace, share, instance.name)
+        pending = PendingAsk(instance.name)
         link = self.links.get_or_open_link(instance)
-        self.asks[ask_id] = ask
+        self.asks[ask.id] = pending
         try:
             with trio.move_on_after(ASK_TIMEOUT_S):
                 while not link.is_up:
+                    link.connect_requested.set()
                     await link.state_changed.wait()
                     if link.is_unreachable:
                         return None
                 if not link.welcome.credits:
                     return None
-                if await link.send_notification(CreditAsk(ask_id, workspace, share)):
-                    await ask.replied.wait()
+                if await link.send_notification(ask):
+                    await pending.replied.wait()
         finally:
-            del self.asks[ask_id]
-        reply = ask.reply
+            del self.asks[ask.id]
+        reply = pending.reply
         if reply is None:
             # The link may have gone silent.
             link.ping_due = True
@@ -234,10 +237,10 @@
 
     def handle_reply(self, keeper: str, reply: CreditReply) -> None:
         """Deliver the reply of a keeper; credit that comes too late goes back."""
-        ask = self.asks.get(reply.id)
-        if ask is not None and ask.keeper == keeper:
-            ask.reply = reply
-            ask.replied.set()
+        pending = self.asks.get(reply.id)
+        if pending is not None and pending.keeper == keeper:
+            pending.reply = reply
+            pending.replied.set()
         elif reply.verdict is CreditVerdict.GRANTED:
             self.spawn(self.send_return, keeper, CreditReturn(reply.id))
 
@@ -256,10 +259,7 @@
 
     def answer(self, peer: str, ask: CreditAsk) -> CreditReply:
         """Decide about the ask of a peer."""
-        now = trio.current_time()
-        decision = self.keeper.decide(ask.workspace, ask.share, now)
-        if decision.verdict is CreditVerdict.GRANTED:
-            self.keeper.record_given(peer, ask.id, ask.workspace, ask.share, now)
+        decision = self.keeper.answer(peer, ask, trio.current_time())
         return CreditReply(
             ask.id,
             decision.verdict,
@@ -276,8 +276,9 @@
         limit = "a changed limit"
         if section is not None and section.rate is not None:
             limit = f"{section.rate:g} requests/s, burst {section.burst:g}"
-        policy_age_s = self.keeper.get_age(trio.current_time())
-        figures = f"workspace {workspace}: {limit}, list {policy_age_s:.2f} s old"
+        now = trio.current_time()
+        list_age_s = self.keeper.list_age.get_age(now)
+        figures = f"workspace {workspace}: {limit}, list {list_age_s:.2f} s old"
         if unknown:
             self.use.record(workspace, LIMIT_UNKNOWN)
             reasons = "; ".join(f"share {key} {why}" for key, why in unknown.items())
@@ -287,13 +288,9 @@
                 retry_after=UNKNOWN_RETRY_AFTER_S,
             )
         self.use.record(workspace, OVER_LIMIT)
-        now = trio.current_time()
-        returns = [
-            self.exhausted[workspace, share][1]
-            for share in range(SHARES)
-            if (workspace, share) in self.exhausted
-        ]
-        return_s = max(0.0, min(returns, default=now) - now)
+        found = [self.exhausted.get((workspace, share)) for share in range(SHARES)]
+        times = [share.return_at for share in found if share is not None]
+        return_s = min(times, default=now) - now
         return Failure(
             reason=Reason.WORKSPACE_LIMIT,
             detail=f"{figures}: no share has credit",
--- a/src/catkinpost/coordination/limits/keeper.py
+++ b/src/catkinpost/coordination/limits/keeper.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 
 from catkinpost.coordination.limits.ring import SHARES, KeeperRings
-from catkinpost.protocol.message import CreditVerdict
+from catkinpost.protocol.message import CreditAsk, CreditVerdict
 from catkinpost.protocol.section import WorkspaceSection
 from catkinpost.protocol.settings import BoundsSection
 from catkinpost.state.policy_age import PolicyAge
@@ -31,7 +31,7 @@
 class KeeperBounds:
     """Bounds of what a keeper gives.
 
-    :param max_age_s: age of list and policy up to which a node counts, in seconds.
+    :param max_age_s: age of the list up to which a node counts, in seconds.
     :param overshoot: part of a share that is given while it is taken over.
     :param slack: requests beyond the limit, over all shares.
     """
@@ -86,6 +86,17 @@
     refused: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class GivenCredit:
+    """Credit that a share has given.
+
+    :param at: time at which it was given.
+    """
+
+    kept: KeptShare
+    at: float
+
+
 @dataclass(kw_only=True, eq=False)
 class LimitKeeper:
     """Keeper of shares of the limits of workspaces.
@@ -96,21 +107,19 @@
     it.
 
     :param store: policy in force.
-    :param policy_age: age of the policy.
     :param list_age: age of the list of instances.
     :param rings: keepers by the list of instances.
     :param bounds: bounds of what is given.
     :ivar kept: shares by workspace and number.
-    :ivar given: credit that may be returned, with its time, by peer and ask.
+    :ivar given: credit that may be returned, by peer and ask.
     """
 
     store: PolicyStore
-    policy_age: PolicyAge
     list_age: PolicyAge
     rings: KeeperRings
     bounds: KeeperBounds = KeeperBounds()
     kept: dict[tuple[str, int], KeptShare] = field(default_factory=dict)
-    given: OrderedDict[tuple[str, int], tuple[str, int, float]] = field(
+    given: OrderedDict[tuple[str, int], GivenCredit] = field(
         default_factory=OrderedDict
     )
 
@@ -121,7 +130,7 @@
 
     def decide(self, workspace: str, share: int, now: float) -> CreditDecision:
         """Give credit for one request, or say why there is none."""
-        if self.get_age(now) > self.bounds.max_age_s:
+        if self.list_age.get_age(now) > self.bounds.max_age_s:
             return CreditDecision(verdict=CreditVerdict.OUTDATED)
         if not 0 <= share < SHARES or not self.rings.is_keeper(workspace, share):
             return CreditDecision(verdict=CreditVerdict.NOT_KEEPER)
@@ -143,10 +152,6 @@
             return_s=self.choose_return(kept, section, wait_s, now),
         )
 
-    def get_age(self, now: float) -> float:
-        """Return the age of the older one of list and policy, in seconds."""
-        return max(self.policy_age.get_age(now), self.list_age.get_age(now))
-
     def get_or_create(
         self, workspace: str, share: int, section: WorkspaceSection, now: float
     ) -> KeptShare:
@@ -204,22 +209,24 @@
         kept.return_at = now + MAX_RETURN_S
         return random.uniform(min(wait_s, MAX_RETURN_S), MAX_RETURN_S)
 
-    def record_given(
-        self, peer: str, ask: int, workspace: str, share: int, now: float
-    ) -> None:
-        """Remember credit that was given to a peer, which may return it."""
-        self.given[peer, ask] = workspace, share, now
-        while len(self.given) > MAX_GIVEN:
-            self.given.popitem(last=False)
+    def answer(self, peer: str, ask: CreditAsk, now: float) -> CreditDecision:
+        """Decide about the ask of a peer, which may return the credit."""
+        decision = self.decide(ask.workspace, ask.share, now)
+        kept = self.kept.get((ask.workspace, ask.share))
+        if decision.verdict is CreditVerdict.GRANTED and kept is not None:
+            self.given[peer, ask.id] = GivenCredit(kept, now)
+            while len(self.given) > MAX_GIVEN:
+                self.given.popitem(last=False)
+        return decision
 
     def take_back(self, peer: str, ask: int, now: float) -> None:
         """Take back credit that was given lately, once."""
-        workspace, share, given_at = self.given.pop((peer, ask), ("", 0, -1e9))
-        kept = self.kept.get((workspace, share))
-        if kept is None or now - given_at > RETURN_LIFETIME_S:
+        given = self.given.pop((peer, ask), None)
+        if given is None or now - given.at > RETURN_LIFETIME_S:
             return
-        kept.bucket.refill(now)
-        kept.bucket.tokens = min(kept.bucket.burst, kept.bucket.tokens + 1)
+        bucket = given.kept.bucket
+        bucket.refill(now)
+        bucket.tokens = min(bucket.burst, bucket.tokens + 1)
 
     def update(self, names: list[str], now: float) -> None:
         """Apply the policy in force and the names of all live instances."""
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -49,7 +49,7 @@
         admission = node.executor.admission
         node_settings = node.settings.node
         backend = self.backend_watch.report
-        limit_age_s = node.limits.keeper.get_age(trio.current_time())
+        list_age_s = node.list_age.get_age(trio.current_time())
         return StatusReport(
             instance=node_settings.instance,
             incarnation=node.identity.incarnation,
@@ -81,7 +81,7 @@
                 for item in node.view.instances.values()
                 if item.name != node_settings.instance
             ],
-            limit_age_s=None if limit_age_s == math.inf else round(limit_age_s, 3),
+            list_age_s=None if list_age_s == math.inf else round(list_age_s, 3),
             workspaces=self.build_workspaces(),
         )
 
--- a/src/catkinpost/protocol/report.py
+++ b/src/catkinpost/protocol/report.py
@@ -105,8 +105,8 @@
         that hold more than their own room.
     :param answer_bytes: bytes of the answers that callers have not taken, of those that
         hold more than their own room.
-    :param limit_age_s: age in seconds of what the node knows of limits and their
-        keepers, ``None`` before it knows anything.
+    :param list_age_s: age in seconds of the list of instances, ``None`` before it is
+        known.
     """
 
     instance: str
@@ -135,7 +135,7 @@
     counters: dict[str, int]
     outcomes: list[OutcomeRow]
     peers: list[PeerReport]
-    limit_age_s: float | None = None
+    list_age_s: float | None = None
     workspaces: list[WorkspaceRow] = []
 
 
--- a/src/catkinpost/protocol/settings.py
+++ b/src/catkinpost/protocol/settings.py
@@ -189,8 +189,8 @@
     :param unknown_key_age: maximum age of the policy in seconds at which a node refuses
         an unknown key for good; older nodes refuse the request as not run, as the key
         may have been added. No bound when absent.
-    :param workspace_limit_age: maximum age in seconds of policy and list of instances
-        at which a node counts requests for the limits of workspaces, and the time in
+    :param workspace_limit_age: maximum age in seconds of the list of instances at which
+        a node counts requests for the limits of workspaces, and the time in
         which a node that has just taken over counts a part only.
     :param workspace_limit_overshoot: share of a limit of a workspace that may be
         exceeded while nodes take over.
