Spread the return of callers whose limit is not known

What callers saw: all that were refused as the keepers of their workspace could not be asked were told to come back after 0.5 s, in one lump.

Change: 0.3 to 0.8 s, by chance.

Evidence: twenty refusals at one moment had one time and have twenty (test_not_knowing_is_no_promise_about_the_limit fails on the commit before).

--- a/src/catkinpost/coordination/limits/client.py
+++ b/src/catkinpost/coordination/limits/client.py
@@ -35,7 +35,8 @@
 SILENCE_BACKOFF_S = 1.0
 # A node that does not count may do so as soon as it has a newer list.
 REFUSAL_BACKOFF_S = 0.25
-UNKNOWN_RETRY_AFTER_S = 0.5
+# Callers that were refused together must not come back together.
+MIN_UNKNOWN_RETRY_S, MAX_UNKNOWN_RETRY_S = 0.3, 0.8
 MAX_EXHAUSTED = 8192
 MAX_AVOIDED = 4096
 # Credit that is returned, a new keeper or a higher limit is noticed after this time.
@@ -285,7 +286,7 @@
             return Failure(
                 reason=Reason.WORKSPACE_LIMIT_UNKNOWN,
                 detail=f"{figures}: {reasons}",
-                retry_after=UNKNOWN_RETRY_AFTER_S,
+                retry_after=random.uniform(MIN_UNKNOWN_RETRY_S, MAX_UNKNOWN_RETRY_S),
             )
         self.use.record(workspace, OVER_LIMIT)
         found = [self.exhausted.get((workspace, share)) for share in range(SHARES)]
--- a/tests/coordination/limits/test_client.py
+++ b/tests/coordination/limits/test_client.py
@@ -206,7 +206,9 @@
         self.assertEqual(failure.status, 503)
         waited_s = trio.current_time() - started_at
         self.assertLessEqual(waited_s, MAX_ASKING_S + ASK_TIMEOUT_S)
-        self.assertEqual(client.use.counts["lab"][LIMIT_UNKNOWN], 1)
+        others = [(await client.acquire("lab")).retry_after for _ in range(20)]
+        self.assertEqual(len({failure.retry_after, *others}), 21)
+        self.assertEqual(client.use.counts["lab"][LIMIT_UNKNOWN], 21)
 
     @on_client
     async def test_silent_keeper_is_asked_again_later(self, client, links):
