Give no credit from a node that may not know of a limit

What callers would see: a node that has started and has the list, but no policy yet, knows no limit, and gave credit without counting; a keeper whose policy is old did so for as long.

Cause: "no limit known" was taken for "no limit", which holds only while the policy may be the newest one.

Change: without a limit a keeper gives credit only while its policy is as young as its list must be.

Evidence: both cases of test_node_that_may_not_know_of_the_limit_gives_nothing fail on the commit before (granted) and pass.

--- a/src/catkinpost/coordination/limits/keeper.py
+++ b/src/catkinpost/coordination/limits/keeper.py
@@ -107,6 +107,7 @@
     it.
 
     :param store: policy in force.
+    :param policy_age: age of the policy.
     :param list_age: age of the list of instances.
     :param rings: keepers by the list of instances.
     :param bounds: bounds of what is given.
@@ -115,6 +116,7 @@
     """
 
     store: PolicyStore
+    policy_age: PolicyAge
     list_age: PolicyAge
     rings: KeeperRings
     bounds: KeeperBounds = KeeperBounds()
@@ -136,8 +138,7 @@
             return CreditDecision(verdict=CreditVerdict.NOT_KEEPER)
         section = self.store.policy.workspaces.get(workspace)
         if section is None or section.rate is None:
-            # The asker may have another version of the policy, which is in force too.
-            return CreditDecision(verdict=CreditVerdict.GRANTED)
+            return self.decide_without_limit(now)
         kept = self.get_or_create(workspace, share, section, now)
         if kept.bucket.has_token(now):
             kept.bucket.take(now)
@@ -152,6 +153,15 @@
             return_s=self.choose_return(kept, section, wait_s, now),
         )
 
+    def decide_without_limit(self, now: float) -> CreditDecision:
+        """Decide for an asker that knows a limit while this node knows none.
+
+        Both versions of the policy are in force unless this one is old, or none yet.
+        """
+        is_old = self.policy_age.get_age(now) > self.bounds.max_age_s
+        verdict = CreditVerdict.OUTDATED if is_old else CreditVerdict.GRANTED
+        return CreditDecision(verdict=verdict)
+
     def get_or_create(
         self, workspace: str, share: int, section: WorkspaceSection, now: float
     ) -> KeptShare:
--- a/src/catkinpost/node.py
+++ b/src/catkinpost/node.py
@@ -185,6 +185,7 @@
         self.workspace_use = WorkspaceUse()
         self.limit_keeper = LimitKeeper(
             store=self.store,
+            policy_age=self.policy_age,
             list_age=self.list_age,
             rings=KeeperRings(section.instance, bounds.max_age_s),
             bounds=bounds,
--- a/tests/coordination/limits/fleet.py
+++ b/tests/coordination/limits/fleet.py
@@ -48,6 +48,7 @@
         """Start the process of a node, which knows nothing."""
         self.keepers[name] = LimitKeeper(
             store=PolicyStore(),
+            policy_age=PolicyAge(),
             list_age=PolicyAge(),
             rings=KeeperRings(name, BOUNDS.max_age_s),
             bounds=BOUNDS,
@@ -61,6 +62,7 @@
             keeper.store.accept_document(
                 self.version, text, now=self.now, source="test"
             )
+        keeper.policy_age.confirm(self.now)
         keeper.list_age.confirm(self.now)
         keeper.update(self.listed, self.now)
 
--- a/tests/coordination/limits/test_keeper.py
+++ b/tests/coordination/limits/test_keeper.py
@@ -127,6 +127,22 @@
             verdict = keeper.decide("lab", share, 60.0).verdict
             self.assertIs(verdict, CreditVerdict.GRANTED)
 
+    @params("old policy", "no policy")
+    def test_node_that_may_not_know_of_the_limit_gives_nothing(self, kind):
+        """Guards against a node that starts and gives without counting."""
+        fleet = make_fleet({"lab": None})
+        keeper, share = find_keeper(fleet)
+        now = 60.0
+        if kind == "no policy":
+            fleet.start(keeper.rings.instance)
+            keeper = fleet.keepers[keeper.rings.instance]
+            keeper.update(NAMES, now)
+        else:
+            now += BOUNDS.max_age_s + 0.1
+        keeper.list_age.confirm(now)
+        verdict = keeper.decide("lab", share, now).verdict
+        self.assertIs(verdict, CreditVerdict.OUTDATED)
+
     def test_refused_callers_come_back_one_after_the_other(self):
         random.seed(1)
         keeper, share = find_keeper(make_fleet())
