Build the rows of kept shares once for a status report

What operators would see: with 1,000 workspaces and few nodes a status report looked through all kept shares for each workspace, 1.5 million steps in the event loop.

Change: shares are grouped by workspace in one pass.

--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -88,9 +88,9 @@
     def build_workspaces(self) -> list[WorkspaceRow]:
         """Build a row for each workspace that uses the node or has a share here."""
         limits = self.node.limits
-        names = {*limits.use.counts, *(name for name, _ in limits.keeper.kept)}
+        shares = self.build_shares()
         rows = []
-        for name in sorted(names):
+        for name in sorted({*limits.use.counts, *shares}):
             section = self.node.store.policy.workspaces.get(name)
             has_limit = section is not None and section.rate is not None
             ring = limits.keeper.rings.ring
@@ -101,19 +101,18 @@
                     burst=section.burst if has_limit else 0.0,
                     keepers=list(ring.find_keepers(name)) if has_limit else [],
                     events=dict(limits.use.counts.get(name, {})),
-                    shares=self.build_shares(name),
+                    shares=shares.get(name, []),
                 )
             )
         return rows
 
-    def build_shares(self, workspace: str) -> list[ShareRow]:
+    def build_shares(self) -> dict[str, list[ShareRow]]:
+        """Build the rows of the shares that the node keeps, by workspace."""
         now = trio.current_time()
-        rows = []
+        rows: dict[str, list[ShareRow]] = {}
         for (name, share), kept in sorted(self.node.limits.keeper.kept.items()):
-            if name != workspace:
-                continue
             kept.bucket.refill(now)
-            rows.append(
+            rows.setdefault(name, []).append(
                 ShareRow(
                     share=share,
                     credit=round(kept.bucket.tokens, 3),
