Ask the policy in one place whether a workspace has a limit

The same look-up and its two tests for None stood five times, in keeper, client and status. Policy.find_limited_workspace is called instead; behaviour is as before.

--- a/src/catkinpost/coordination/limits/client.py
+++ b/src/catkinpost/coordination/limits/client.py
@@ -115,10 +115,8 @@
 
     def has_limit(self, workspace: str | None) -> bool:
         """Return whether requests of a workspace need credit."""
-        if workspace is None:
-            return False
-        section = self.keeper.store.policy.workspaces.get(workspace)
-        return section is not None and section.rate is not None
+        policy = self.keeper.store.policy
+        return policy.find_limited_workspace(workspace) is not None
 
     async def acquire(self, workspace: str) -> Credit | Failure:
         """Get credit for one request of a workspace with a limit.
@@ -274,9 +272,9 @@
 
         :param unknown: shares whose keepers were not heard, with the reason.
         """
-        section = self.keeper.store.policy.workspaces.get(workspace)
+        section = self.keeper.store.policy.find_limited_workspace(workspace)
         limit = "a changed limit"
-        if section is not None and section.rate is not None:
+        if section is not None:
             limit = f"{section.rate:g} requests/s, burst {section.burst:g}"
         now = trio.current_time()
         list_age_s = self.keeper.list_age.get_age(now)
--- a/src/catkinpost/coordination/limits/keeper.py
+++ b/src/catkinpost/coordination/limits/keeper.py
@@ -136,8 +136,8 @@
             return CreditDecision(verdict=CreditVerdict.OUTDATED)
         if not 0 <= share < SHARES or not self.rings.is_keeper(workspace, share):
             return CreditDecision(verdict=CreditVerdict.NOT_KEEPER)
-        section = self.store.policy.workspaces.get(workspace)
-        if section is None or section.rate is None:
+        section = self.store.policy.find_limited_workspace(workspace)
+        if section is None:
             return self.decide_without_limit(now)
         kept = self.get_or_create(workspace, share, section, now)
         if kept.bucket.has_token(now):
@@ -254,8 +254,7 @@
 
         A limit that is taken away and published again must not give its burst twice.
         """
-        section = self.store.policy.workspaces.get(workspace)
-        if section is not None and section.rate is not None:
+        if self.store.policy.find_limited_workspace(workspace) is not None:
             return False
         bucket = self.kept[workspace, share].bucket
         bucket.refill(now)
--- a/src/catkinpost/native/status.py
+++ b/src/catkinpost/native/status.py
@@ -91,8 +91,8 @@
         shares = self.build_shares()
         rows = []
         for name in sorted({*limits.use.counts, *shares}):
-            section = self.node.store.policy.workspaces.get(name)
-            has_limit = section is not None and section.rate is not None
+            section = self.node.store.policy.find_limited_workspace(name)
+            has_limit = section is not None
             ring = limits.keeper.rings.ring
             rows.append(
                 WorkspaceRow(
--- a/src/catkinpost/protocol/policy.py
+++ b/src/catkinpost/protocol/policy.py
@@ -126,6 +126,11 @@
         """Whether some workspace has a limit."""
         return any(section.rate is not None for section in self.workspaces.values())
 
+    def find_limited_workspace(self, name: str | None) -> WorkspaceSection | None:
+        """Return the section of a workspace with a limit, ``None`` for any other."""
+        section = None if name is None else self.workspaces.get(name)
+        return None if section is None or section.rate is None else section
+
     def needs_key(self, section: ClassSection) -> bool:
         """Return whether requests of a class need the key of a workspace."""
         if section.needs_key is not None:
